--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,21 @@
+import js from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  js.configs.recommended,
+  ...tseslint.configs.strict,
+  ...tseslint.configs.stylistic,
+  {
+    files: ['packages/**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
+      '@typescript-eslint/no-redeclare': 'off',
+      'no-redeclare': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** Binaries of operators. */
+export {};
--- /dev/null
+++ b/packages/core/src/entity-table.ts
@@ -0,0 +1,43 @@
+/** Storage for entities of one kind, keyed by identifier. */
+
+/** A table of entities in insertion order. */
+export class EntityTable<T> {
+  private readonly rows = new Map<string, T>();
+
+  /** Number of entities. */
+  get size(): number {
+    return this.rows.size;
+  }
+
+  get(id: string): T | undefined {
+    return this.rows.get(id);
+  }
+
+  has(id: string): boolean {
+    return this.rows.has(id);
+  }
+
+  set(id: string, entity: T): void {
+    this.rows.set(id, entity);
+  }
+
+  /** Removes the entity and returns it. */
+  take(id: string): T | undefined {
+    const entity = this.rows.get(id);
+    this.rows.delete(id);
+    return entity;
+  }
+
+  /** All entities at this moment. */
+  all(): T[] {
+    return [...this.rows.values()];
+  }
+
+  ids(): string[] {
+    return [...this.rows.keys()];
+  }
+
+  clear(): void {
+    this.rows.clear();
+  }
+}
--- /dev/null
+++ b/packages/core/src/ids.ts
@@ -0,0 +1,29 @@
+/** Identifiers and digests. */
+import { createHash, randomBytes } from 'node:crypto';
+
+const ID_BYTES = 12;
+
+/** A new random identifier with a readable prefix, for example `req-9f3c…`. */
+export function newId(prefix: string): string {
+  return `${prefix}-${randomBytes(ID_BYTES).toString('hex')}`;
+}
+
+/** SHA-256 of the parts, separated unambiguously, as hexadecimal text. */
+export function digest(...parts: readonly string[]): string {
+  const hash = createHash('sha256');
+  parts.forEach((part) => hash.update(`${String(part.length)}:${part}`));
+  return hash.digest('hex');
+}
+
+/** The first 32 bits of the digest, as an unsigned number. */
+export function digestNumber(...parts: readonly string[]): number {
+  return parseInt(digest(...parts).slice(0, 8), 16);
+}
+
+const PREFIX_CHARACTERS = 256;
+const PREFIX_DIGEST_LENGTH = 16;
+
+/** Names the part of a prompt that engines cache. */
+export function prefixDigest(model: string, prompt: string): string {
+  return digest(model, prompt.slice(0, PREFIX_CHARACTERS)).slice(0, PREFIX_DIGEST_LENGTH);
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,13 @@
+/** Domain types and small building blocks without I/O. */
+export * from './clock.js';
+export * from './entity-table.js';
+export * from './ids.js';
+export * from './invariant.js';
+export * from './jobs.js';
+export * from './life-cycle.js';
+export * from './metrics.js';
+export * from './outcome.js';
+export * from './problem.js';
+export * from './settings.js';
+export * from './table-rows.js';
+export * from './tick.js';
--- /dev/null
+++ b/packages/core/src/jobs.ts
@@ -0,0 +1,99 @@
+/** Batch jobs as stored in the key-value service. */
+
+/** States of a job. */
+export const JobState = { open: 'open', complete: 'complete', cancelled: 'cancelled' } as const;
+export type JobState = (typeof JobState)[keyof typeof JobState];
+
+/** The record whose existence means that the job is accepted. */
+export interface JobManifest {
+  readonly jobId: string;
+  /** Names the upload whose chunks belong to the job. */
+  readonly uploadId: string;
+  readonly organisation: string;
+  readonly model: string;
+  readonly state: JobState;
+  readonly idempotent: boolean;
+  readonly dueAtUnixMs: number;
+  readonly createdAtUnixMs: number;
+  readonly endedAtUnixMs?: number;
+  readonly itemCount: number;
+  readonly chunkCount: number;
+  readonly bodyDigest: string;
+}
+
+/** One item of a job. */
+export interface JobItem {
+  readonly customId: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+}
+
+/** The items of one chunk. */
+export interface JobChunk {
+  readonly firstIndex: number;
+  readonly items: readonly JobItem[];
+}
+
+/** How an item ended. */
+export const ItemStatus = {
+  succeeded: 'succeeded',
+  failed: 'failed',
+  mayHaveRun: 'may_have_run',
+} as const;
+export type ItemStatus = (typeof ItemStatus)[keyof typeof ItemStatus];
+
+/** The result of one item. */
+export interface ItemResult {
+  /** Index of the item in the job. */
+  readonly index: number;
+  readonly customId: string;
+  readonly status: ItemStatus;
+  readonly text?: string;
+  readonly tokens?: number;
+  readonly cause?: string;
+}
+
+/** Attempts of one item that failed by the item's own fault. */
+export interface ItemAttempts {
+  /** Offset of the item in its chunk. */
+  readonly offset: number;
+  readonly failedAttempts: number;
+  readonly lastCause: string;
+}
+
+/** Lease, progress and segment list of one chunk. Changed only by compare-and-swap. */
+export interface ChunkLedger {
+  /** Rises by one with each new holder. Serves as fencing number. */
+  readonly epoch: number;
+  readonly holder: string;
+  /** Rises by one with each write, so that an unchanged ledger can be seen. */
+  readonly sequence: number;
+  readonly itemCount: number;
+  /** Offsets of ended items, as a bitmap in base64. */
+  readonly doneBitmap: string;
+  readonly doneCount: number;
+  readonly failedCount: number;
+  readonly attempts: readonly ItemAttempts[];
+  /** Offsets of non-idempotent items that were started and have not ended. */
+  readonly startedOffsets: readonly number[];
+  /** Names of the output segments that hold the results of ended items. */
+  readonly segments: readonly string[];
+  readonly released: boolean;
+}
+
+/** Keys of a job's records. */
+export const jobKeys = {
+  manifest: (jobId: string): string => `jobs/${jobId}/manifest`,
+  inputPrefix: (jobId: string, uploadId: string): string => `jobs/${jobId}/input/${uploadId}/`,
+  input: (jobId: string, uploadId: string, chunk: number): string =>
+    `jobs/${jobId}/input/${uploadId}/${padded(chunk)}`,
+  ledgerPrefix: (jobId: string): string => `jobs/${jobId}/ledger/`,
+  ledger: (jobId: string, chunk: number): string => `jobs/${jobId}/ledger/${padded(chunk)}`,
+  output: (jobId: string, segment: string): string => `jobs/${jobId}/output/${segment}`,
+  openPrefix: 'open/',
+  open: (jobId: string): string => `open/${jobId}`,
+} as const;
+
+function padded(chunk: number): string {
+  return String(chunk).padStart(6, '0');
+}
--- /dev/null
+++ b/packages/core/src/problem.ts
@@ -0,0 +1,70 @@
+/** Errors towards callers, in the form of RFC 9457 problem details. */
+
+/** Whether any part of a refused request may have been executed by an upstream. */
+export const RunClaim = { notRun: 'not_run', mayHaveRun: 'may_have_run' } as const;
+export type RunClaim = (typeof RunClaim)[keyof typeof RunClaim];
+
+/** Stable error codes of the public interfaces with their HTTP status. */
+export const ProblemStatus = {
+  bad_request: 400,
+  bad_json: 400,
+  bad_header: 400,
+  bad_item: 400,
+  unauthenticated: 401,
+  forbidden: 403,
+  unknown_model: 404,
+  unknown_service: 404,
+  unknown_job: 404,
+  unknown_row: 404,
+  not_found: 404,
+  method_not_allowed: 405,
+  conflict: 409,
+  key_reused: 409,
+  in_progress: 409,
+  row_changed: 409,
+  body_too_large: 413,
+  precondition_required: 428,
+  limit_reached: 429,
+  overloaded: 503,
+  deadline_unreachable: 503,
+  no_upstream: 503,
+  store_unavailable: 503,
+  not_accepted: 503,
+  outcome_unknown: 503,
+  draining: 503,
+  upstream_failed: 502,
+  deadline_passed: 504,
+  internal: 500,
+} as const;
+export type ProblemCode = keyof typeof ProblemStatus;
+
+/** One refusal or failure, as sent to a caller. */
+export interface Problem {
+  readonly code: ProblemCode;
+  readonly run: RunClaim;
+  readonly detail: string;
+  /** When the caller may usefully try again, milliseconds from now. */
+  readonly retryAfterMs?: number;
+  /** Present state of the resource, for conflicts. */
+  readonly present?: unknown;
+}
+
+/** A problem of a request of which nothing was sent to an upstream. */
+export function notRun(code: ProblemCode, detail: string, retryAfterMs?: number): Problem {
+  return { code, run: RunClaim.notRun, detail, retryAfterMs };
+}
+
+/** A problem of a request that an upstream may have executed. */
+export function mayHaveRun(code: ProblemCode, detail: string): Problem {
+  return { code, run: RunClaim.mayHaveRun, detail };
+}
+
+/** The JSON document of a problem. */
+export function problemDocument(problem: Problem): Record<string, unknown> {
+  return {
+    type: `urn:fighub:problem:${problem.code}`,
+    title: problem.code.replaceAll('_', ' '),
+    status: ProblemStatus[problem.code],
+    ...problem,
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/membership.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from 'vitest';
+
+import type { MemberUpdate } from './membership.js';
+import { Membership } from './membership.js';
+import { rankMembers } from './rendezvous.js';
+
+function member(id: string, changes: Partial<MemberUpdate> = {}): MemberUpdate {
+  return { instanceId: id, failureDomain: 'd', peerAddress: id, state: 'alive', incarnation: 1, ...changes };
+}
+
+function membership(): Membership {
+  return new Membership(member('self'), 1_000, () => 0.5);
+}
+
+describe('Membership', () => {
+  it('declares a suspect dead only after the suspicion time', () => {
+    const members = membership();
+    members.merge([member('a')], 0);
+    members.suspect('a', 0);
+    members.run(999);
+    expect(members.get('a')?.state).toBe('suspect');
+    members.run(1_000);
+    expect(members.get('a')?.state).toBe('dead');
+  });
+
+  it('lets a suspect refute with a higher incarnation', () => {
+    const members = membership();
+    members.merge([member('a')], 0);
+    members.suspect('a', 0);
+    members.merge([member('a', { incarnation: 1 })], 1);
+    expect(members.get('a')?.state).toBe('suspect');
+    members.merge([member('a', { incarnation: 2 })], 2);
+    expect(members.get('a')?.state).toBe('alive');
+  });
+
+  it('refutes what is told of itself', () => {
+    const members = membership();
+    members.merge([member('self', { state: 'dead', incarnation: 4 })], 0);
+    expect(members.get('self')).toMatchObject({ state: 'alive', incarnation: 5 });
+  });
+
+  it('drops a leaving member from owners at once', () => {
+    const members = membership();
+    members.merge([member('a')], 0);
+    members.merge([member('a', { state: 'leaving', incarnation: 2 })], 1);
+    expect(members.owners().map((owner) => owner.instanceId)).toEqual(['self']);
+  });
+
+  it('does not let an old update bring back a leaving member', () => {
+    const members = membership();
+    members.merge([member('a', { state: 'leaving', incarnation: 2 })], 0);
+    members.merge([member('a')], 1);
+    expect(members.get('a')?.state).toBe('leaving');
+  });
+});
+
+describe('rankMembers', () => {
+  it('moves only the keys of a member that goes', () => {
+    const all = Array.from({ length: 9 }, (_, index) => `i${String(index)}`);
+    const keys = Array.from({ length: 200 }, (_, index) => `k${String(index)}`);
+    const without = all.slice(1);
+    const moved = keys.filter((key) => rankMembers(key, all)[0] !== rankMembers(key, without)[0]);
+    expect(moved.every((key) => rankMembers(key, all)[0] === 'i0')).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -0,0 +1,149 @@
+import type { Problem } from '@fighub/core';
+import { describe, expect, it } from 'vitest';
+
+import type { Permit, PlaceRequest, PoolOutput, PoolPolicy } from './pool-scheduler.js';
+import { PERMIT_LIFETIME_MS, PoolScheduler } from './pool-scheduler.js';
+
+class Recorder implements PoolOutput {
+  readonly permits: Permit[] = [];
+  readonly refusals: Problem[] = [];
+  readonly revocations: Permit[] = [];
+
+  granted(permit: Permit): void {
+    this.permits.push(permit);
+  }
+
+  refused(_request: PlaceRequest, problem: Problem): void {
+    this.refusals.push(problem);
+  }
+
+  revoked(permit: Permit): void {
+    this.revocations.push(permit);
+  }
+}
+
+const POLICY: PoolPolicy = {
+  targets: { firstTokenTargetMs: 570, betweenTokensTargetMs: 33 },
+  weightOf: () => 1,
+  limitsOf: () => ({}),
+};
+
+function pool(places: number, replicas = 1, policy: PoolPolicy = POLICY) {
+  const output = new Recorder();
+  const scheduler = new PoolScheduler('m@d', 'owner', policy, output);
+  const infos = Array.from({ length: replicas }, (_, index) => ({
+    replicaId: `r${String(index)}`,
+    address: `http://r${String(index)}`,
+    maxConcurrency: places,
+    leaving: false,
+  }));
+  scheduler.setReplicas(infos);
+  return { output, scheduler, infos };
+}
+
+let nextId = 0;
+function request(changes: Partial<PlaceRequest> = {}): PlaceRequest {
+  nextId += 1;
+  return {
+    requestId: `q${String(nextId)}`,
+    organisation: 'a',
+    costTokens: 10,
+    deadlineMs: 60_000,
+    holder: 'h',
+    workClass: 'online',
+    prefixDigest: '',
+    excludedReplicaIds: [],
+    resumable: true,
+    alone: false,
+    enqueuedAtMs: 0,
+    ...changes,
+  };
+}
+
+describe('PoolScheduler', () => {
+  it('gives an online arrival the place of the youngest batch stream at once', () => {
+    const { output, scheduler } = pool(2);
+    scheduler.enqueue(request({ workClass: 'batch' }), 0);
+    scheduler.run(0);
+    scheduler.enqueue(request({ workClass: 'batch' }), 5);
+    scheduler.run(5);
+    scheduler.enqueue(request(), 10);
+    scheduler.run(10);
+    expect(output.revocations.map((permit) => permit.grantedAtMs)).toEqual([5]);
+    expect(output.permits.at(-1)?.request.workClass).toBe('online');
+  });
+
+  it('never takes the place of a batch stream that cannot be resumed', () => {
+    const { output, scheduler } = pool(1);
+    scheduler.enqueue(request({ workClass: 'batch', resumable: false }), 0);
+    scheduler.run(0);
+    scheduler.enqueue(request(), 1);
+    scheduler.run(1);
+    expect(output.revocations).toEqual([]);
+    expect(output.permits).toHaveLength(1);
+  });
+
+  it('does not start batch while online requests wait', () => {
+    const { output, scheduler } = pool(1);
+    scheduler.enqueue(request(), 0);
+    scheduler.enqueue(request(), 0);
+    scheduler.enqueue(request({ workClass: 'batch' }), 0);
+    scheduler.run(0);
+    expect(output.permits.map((permit) => permit.request.workClass)).toEqual(['online']);
+  });
+
+  it('refuses a request whose deadline cannot be met, with a time to come back', () => {
+    const { output, scheduler } = pool(1);
+    Array.from({ length: 5 }, () => scheduler.enqueue(request(), 0));
+    scheduler.run(0);
+    scheduler.enqueue(request({ deadlineMs: 100 }), 0);
+    expect(output.refusals[0]).toMatchObject({ code: 'deadline_unreachable', run: 'not_run' });
+    expect(output.refusals[0]?.retryAfterMs).toBeGreaterThan(0);
+  });
+
+  it('gives no work to a leaving replica', () => {
+    const { output, scheduler, infos } = pool(4, 2);
+    scheduler.setReplicas(infos.map((info) => ({ ...info, leaving: info.replicaId === 'r0' })));
+    Array.from({ length: 4 }, () => scheduler.enqueue(request(), 0));
+    scheduler.run(0);
+    expect(new Set(output.permits.map((permit) => permit.replicaId))).toEqual(new Set(['r1']));
+  });
+
+  it('takes a permit back when its holder does not renew it', () => {
+    const { output, scheduler } = pool(1);
+    scheduler.enqueue(request(), 0);
+    scheduler.run(0);
+    scheduler.enqueue(request(), 1);
+    scheduler.run(PERMIT_LIFETIME_MS - 1);
+    expect(output.permits).toHaveLength(1);
+    scheduler.run(PERMIT_LIFETIME_MS);
+    expect(output.permits).toHaveLength(2);
+  });
+
+  it('adopts permits that a former owner granted', () => {
+    const { output, scheduler } = pool(1);
+    const permit = { permitId: 'old', request: request(), replicaId: 'r0', grantedAtMs: 0, expiresAtMs: 0 };
+    scheduler.renew([permit], 0);
+    scheduler.enqueue(request(), 1);
+    scheduler.run(1);
+    expect(output.permits).toHaveLength(0);
+  });
+
+  it('holds the limit of streams in flight of one organisation without holding up others', () => {
+    const policy = { ...POLICY, limitsOf: (name: string) => (name === 'a' ? { maxInFlight: 1 } : {}) };
+    const { output, scheduler } = pool(4, 1, policy);
+    [request(), request(), request({ organisation: 'b' })].forEach((r) => scheduler.enqueue(r, 0));
+    scheduler.run(0);
+    expect(output.permits.map((permit) => permit.request.organisation).sort()).toEqual(['a', 'b']);
+  });
+
+  it('prefers the replica that caches the prefix, but not at any price', () => {
+    const { output, scheduler } = pool(8, 2);
+    scheduler.prefixes.add('p', 'r1');
+    Array.from({ length: 6 }, () => scheduler.enqueue(request({ prefixDigest: 'p' }), 0));
+    scheduler.run(0);
+    const onCached = output.permits.filter((permit) => permit.replicaId === 'r1').length;
+    expect(output.permits[0]?.replicaId).toBe('r1');
+    expect(onCached).toBe(4);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -0,0 +1,417 @@
+/** Admission to one pool: the replicas of one model in one failure domain. */
+import type { Problem } from '@fighub/core';
+import { EntityTable, InvariantName, checkInvariant, notRun } from '@fighub/core';
+
+import { BurstReserve } from './burst-reserve.js';
+import type { LatencyTargets } from './concurrency.js';
+import { ConcurrencyLimit } from './concurrency.js';
+import type { QueuedRequest } from './fair-queue.js';
+import { FairQueue } from './fair-queue.js';
+import { OrganisationLimits } from './organisation-limits.js';
+import { PrefixIndex } from './prefix-index.js';
+import type { AttemptEnd } from './replica-health.js';
+import { ReplicaHealth } from './replica-health.js';
+import { pickReplica, pickVictim } from './replica-choice.js';
+
+/** Online requests are served before batch items. */
+export const WorkClass = { online: 'online', batch: 'batch' } as const;
+export type WorkClass = (typeof WorkClass)[keyof typeof WorkClass];
+
+/** A request that asks for a place at a replica. Times are monotonic times of the owner. */
+export interface PlaceRequest extends QueuedRequest {
+  readonly holder: string;
+  readonly workClass: WorkClass;
+  readonly prefixDigest: string;
+  readonly excludedReplicaIds: readonly string[];
+  readonly resumable: boolean;
+  /** Set when the item must run without other suspects beside it. */
+  readonly alone: boolean;
+  readonly enqueuedAtMs: number;
+}
+
+/** The right to run one stream at one replica. */
+export interface Permit {
+  readonly permitId: string;
+  readonly request: PlaceRequest;
+  readonly replicaId: string;
+  readonly grantedAtMs: number;
+  expiresAtMs: number;
+  /** Set when the holder was told to stop; the place counts as free until this time. */
+  revokedUntilMs?: number;
+}
+
+/** One replica as the owner sees it. */
+export interface PoolReplica {
+  readonly replicaId: string;
+  readonly address: string;
+  readonly limit: ConcurrencyLimit;
+  readonly health: ReplicaHealth;
+  leaving: boolean;
+  /** Streams that other dispatchers run there, from the load report. */
+  foreignStreams: number;
+}
+
+/** Static data of a replica. */
+export interface ReplicaInfo {
+  readonly replicaId: string;
+  readonly address: string;
+  readonly maxConcurrency: number;
+  readonly leaving: boolean;
+}
+
+/** What the holder tells when it gives a place back. */
+export interface ReleaseReport {
+  readonly permitId: string;
+  readonly end: AttemptEnd;
+  readonly tokens: number;
+  readonly firstTokenMs?: number;
+  readonly betweenTokensMs?: number;
+}
+
+/** Receives the decisions of the scheduler. */
+export interface PoolOutput {
+  granted(permit: Permit, replica: PoolReplica): void;
+  refused(request: PlaceRequest, problem: Problem): void;
+  revoked(permit: Permit): void;
+}
+
+/** Values from the operators' table, read at each decision. */
+export interface PoolPolicy {
+  readonly targets: LatencyTargets;
+  weightOf(organisation: string): number;
+  limitsOf(organisation: string): OrganisationLimitSettings;
+}
+
+/** Limits of one organisation in this pool. */
+export interface OrganisationLimitSettings {
+  readonly maxInFlight?: number;
+  readonly requestsPerSecond?: number;
+  readonly tokensPerSecond?: number;
+}
+
+/** How long a permit lives without renewal, in milliseconds. */
+export const PERMIT_LIFETIME_MS = 4_000;
+const REVOKE_GRACE_MS = 300;
+const RESERVE_MAX_FRACTION = 0.08;
+/** Batch streams that cannot be stopped may hold at most this fraction of the places. */
+const FIXED_BATCH_MAX_FRACTION = 0.25;
+const MAX_ONLINE_QUEUE = 2_000;
+const MEAN_SMOOTHING = 0.05;
+const INITIAL_MEAN_STREAM_MS = 1_000;
+
+/** Queues requests and grants permits. Pure: time is passed in, decisions go to `PoolOutput`. */
+export class PoolScheduler {
+  readonly replicas = new EntityTable<PoolReplica>();
+  readonly permits = new EntityTable<Permit>();
+  readonly prefixes = new PrefixIndex();
+  private readonly online = new FairQueue<PlaceRequest>();
+  private readonly batch = new FairQueue<PlaceRequest>();
+  private readonly reserve = new BurstReserve(RESERVE_MAX_FRACTION);
+  private readonly limits = new OrganisationLimits();
+  private meanStreamMs = INITIAL_MEAN_STREAM_MS;
+  private nextPermit = 1;
+
+  constructor(
+    readonly poolId: string,
+    private readonly ownerId: string,
+    private policy: PoolPolicy,
+    private readonly output: PoolOutput,
+  ) {}
+
+  /** Replaces the policy after a change of the table. */
+  setPolicy(policy: PoolPolicy): void {
+    this.policy = policy;
+  }
+
+  /** Brings the replicas in line with the table and the instance list. */
+  setReplicas(infos: readonly ReplicaInfo[]): void {
+    const wanted = new Set(infos.map((info) => info.replicaId));
+    this.replicas
+      .ids()
+      .filter((id) => !wanted.has(id))
+      .forEach((id) => this.replicas.take(id));
+    infos.forEach((info) => this.setReplica(info));
+  }
+
+  /** Adds a request to its queue, or refuses it when its deadline cannot be met. */
+  enqueue(request: PlaceRequest, nowMs: number): void {
+    if (request.workClass === WorkClass.batch) {
+      this.batch.push(request, this.policy.weightOf(request.organisation));
+      return;
+    }
+    this.reserve.onArrival(nowMs);
+    const waitMs = this.expectedWaitMs();
+    if (
+      this.replicas.size === 0 ||
+      nowMs + waitMs > request.deadlineMs ||
+      this.online.size >= MAX_ONLINE_QUEUE
+    ) {
+      const code = this.replicas.size === 0 ? 'no_upstream' : 'deadline_unreachable';
+      const detail = `expected wait of ${String(Math.round(waitMs))} ms in pool ${this.poolId}`;
+      this.output.refused(request, notRun(code, detail, Math.max(1_000, waitMs)));
+      return;
+    }
+    this.online.push(request, this.policy.weightOf(request.organisation));
+  }
+
+  /** Takes back a request that still waits. */
+  withdraw(requestId: string): void {
+    if (!this.online.remove(requestId)) this.batch.remove(requestId);
+  }
+
+  /** Ends a permit and takes in what its stream measured. */
+  release(report: ReleaseReport, nowMs: number): void {
+    const permit = this.permits.take(report.permitId);
+    if (!permit) return;
+    this.limits.onRelease(permit.request.organisation);
+    const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
+    queue.correct(permit.request.organisation, report.tokens - permit.request.costTokens);
+    const replica = this.replicas.get(permit.replicaId);
+    if (!replica) return;
+    replica.health.observe(report.end, nowMs);
+    if (report.end === 'completed') this.learn(permit, replica, report, nowMs);
+  }
+
+  /** Extends permits of a holder, and adopts permits that a former owner granted. */
+  renew(permits: readonly Permit[], nowMs: number): void {
+    permits.forEach((permit) => {
+      const known = this.permits.get(permit.permitId);
+      if (known) known.expiresAtMs = nowMs + PERMIT_LIFETIME_MS;
+      else {
+        this.limits.onGrant(permit.request.organisation);
+        this.permits.set(permit.permitId, { ...permit, expiresAtMs: nowMs + PERMIT_LIFETIME_MS });
+      }
+    });
+  }
+
+  /** Drops the waiting requests and the permits of a holder that is gone. */
+  forgetHolder(holder: string): void {
+    this.online.removeWhere((request) => request.holder === holder);
+    this.batch.removeWhere((request) => request.holder === holder);
+    this.permits
+      .all()
+      .filter((permit) => permit.request.holder === holder)
+      .forEach((permit) => this.dropPermit(permit));
+  }
+
+  /** Notes that a replica refuses new work. */
+  markLeaving(replicaId: string): void {
+    const replica = this.replicas.get(replicaId);
+    if (replica) replica.leaving = true;
+  }
+
+  /** Runs one round of decisions. */
+  run(nowMs: number): void {
+    this.permits
+      .all()
+      .filter((permit) => permit.expiresAtMs <= nowMs)
+      .forEach((permit) => this.dropPermit(permit));
+    this.refuseLate(nowMs);
+    this.grantOnline(nowMs);
+    this.grantBatch(nowMs);
+  }
+
+  /** Expected wait of a new online request, in milliseconds. */
+  expectedWaitMs(): number {
+    const places = Math.max(1, this.totalPlaces());
+    const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
+    const ahead = this.online.size + Math.max(0, onlineStreams - places + 1);
+    return (ahead * this.meanStreamMs) / places;
+  }
+
+  /** Places of all replicas that may get work. */
+  totalPlaces(): number {
+    return this.replicas
+      .all()
+      .filter((replica) => !replica.leaving)
+      .reduce((sum, replica) => sum + replica.limit.places, 0);
+  }
+
+  /** Streams that hold a place at a replica, not counting those told to stop. */
+  inFlight(replicaId: string, nowMs: number): number {
+    return this.permits.all().filter((permit) => permit.replicaId === replicaId && !isFreed(permit, nowMs))
+      .length;
+  }
+
+  /** Queue lengths and streams, for summaries and the dump. */
+  load(nowMs: number): PoolLoad {
+    const permits = this.permits.all();
+    return {
+      poolId: this.poolId,
+      places: this.totalPlaces(),
+      onlineStreams: permits.filter((p) => p.request.workClass === WorkClass.online).length,
+      batchStreams: permits.filter((p) => p.request.workClass === WorkClass.batch).length,
+      onlineWaiting: this.online.size,
+      batchWaiting: this.batch.size,
+      expectedWaitMs: this.expectedWaitMs(),
+      reservedPlaces: this.reserve.places(this.totalPlaces(), nowMs),
+    };
+  }
+
+  /** Full state for the dump. */
+  dump(nowMs: number): Record<string, unknown> {
+    return {
+      ...this.load(nowMs),
+      meanStreamMs: this.meanStreamMs,
+      onlineByOrganisation: this.online.depths(),
+      batchByOrganisation: this.batch.depths(),
+      replicas: this.replicas.all().map((replica) => ({
+        replicaId: replica.replicaId,
+        places: replica.limit.places,
+        inFlight: this.inFlight(replica.replicaId, nowMs),
+        leaving: replica.leaving,
+        open: replica.health.isOpen(nowMs),
+        onProbation: replica.health.onProbation,
+      })),
+      permits: this.permits.all(),
+    };
+  }
+
+  private setReplica(info: ReplicaInfo): void {
+    const known = this.replicas.get(info.replicaId);
+    if (known?.address === info.address) {
+      known.limit.setMaximum(info.maxConcurrency);
+      known.leaving = info.leaving;
+      return;
+    }
+    this.replicas.set(info.replicaId, {
+      replicaId: info.replicaId,
+      address: info.address,
+      limit: new ConcurrencyLimit(info.maxConcurrency),
+      health: new ReplicaHealth(),
+      leaving: info.leaving,
+      foreignStreams: 0,
+    });
+  }
+
+  private learn(permit: Permit, replica: PoolReplica, report: ReleaseReport, nowMs: number): void {
+    const streamMs = nowMs - permit.grantedAtMs;
+    if (permit.request.workClass === WorkClass.online) {
+      this.meanStreamMs += MEAN_SMOOTHING * (streamMs - this.meanStreamMs);
+    }
+    if (report.firstTokenMs === undefined || report.betweenTokensMs === undefined) return;
+    const measured = { firstTokenMs: report.firstTokenMs, betweenTokensMs: report.betweenTokensMs };
+    replica.limit.observe(measured, this.policy.targets, this.inFlight(replica.replicaId, nowMs), nowMs);
+    this.prefixes.add(permit.request.prefixDigest, replica.replicaId);
+  }
+
+  private refuseLate(nowMs: number): void {
+    this.online
+      .removeWhere((request) => request.deadlineMs <= nowMs)
+      .forEach((request) => {
+        const problem = notRun(
+          'deadline_unreachable',
+          'the deadline passed in the queue',
+          this.expectedWaitMs(),
+        );
+        this.output.refused(request, problem);
+      });
+  }
+
+  private grantOnline(nowMs: number): void {
+    const admits = (request: PlaceRequest): boolean =>
+      this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs) &&
+      (this.freeReplica(request, nowMs) !== undefined ||
+        this.freePlaceByRevoking(request, nowMs) !== undefined);
+    repeatWhile(() => {
+      const request = this.online.takeNext(admits);
+      if (!request) return false;
+      const replica = this.freeReplica(request, nowMs) ?? this.revokeFor(request, nowMs);
+      if (replica) this.grant(request, replica, nowMs);
+      return true;
+    });
+  }
+
+  private grantBatch(nowMs: number): void {
+    if (this.online.size > 0 && this.totalFree(nowMs) <= 0) return;
+    repeatWhile(() => {
+      const spare = this.totalFree(nowMs) - this.reserve.places(this.totalPlaces(), nowMs);
+      if (spare <= 0) return false;
+      const request = this.batch.takeNext(
+        (candidate) =>
+          this.limits.admits(candidate, this.policy.limitsOf(candidate.organisation), nowMs) &&
+          (candidate.resumable || this.fixedBatchFits()) &&
+          this.freeReplica(candidate, nowMs) !== undefined,
+      );
+      const replica = request && this.freeReplica(request, nowMs);
+      if (!request || !replica) return false;
+      this.grant(request, replica, nowMs);
+      return true;
+    });
+  }
+
+  private fixedBatchFits(): boolean {
+    const fixed = this.permits
+      .all()
+      .filter((p) => p.request.workClass === WorkClass.batch && !p.request.resumable);
+    return fixed.length + 1 <= Math.max(1, this.totalPlaces() * FIXED_BATCH_MAX_FRACTION);
+  }
+
+  private freeReplica(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
+    return pickReplica(this.replicas.all(), request, this.prefixes, (id) => this.inFlight(id, nowMs), nowMs);
+  }
+
+  private freePlaceByRevoking(request: PlaceRequest, nowMs: number): Permit | undefined {
+    const usable = this.permits.all().filter((permit) => {
+      const replica = this.replicas.get(permit.replicaId);
+      return replica !== undefined && !replica.leaving && replica.health.isOpen(nowMs);
+    });
+    return pickVictim(usable, request.excludedReplicaIds);
+  }
+
+  private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
+    const victim = this.freePlaceByRevoking(request, nowMs);
+    if (!victim) return undefined;
+    victim.revokedUntilMs = nowMs + REVOKE_GRACE_MS;
+    this.output.revoked(victim);
+    return this.replicas.get(victim.replicaId);
+  }
+
+  private grant(request: PlaceRequest, replica: PoolReplica, nowMs: number): void {
+    const permit: Permit = {
+      permitId: `${this.ownerId}/${this.poolId}/${String(this.nextPermit)}`,
+      request,
+      replicaId: replica.replicaId,
+      grantedAtMs: nowMs,
+      expiresAtMs: nowMs + PERMIT_LIFETIME_MS,
+    };
+    this.nextPermit += 1;
+    checkInvariant(InvariantName.permitUsedOnce, !this.permits.has(permit.permitId), () => ({ permit }));
+    this.permits.set(permit.permitId, permit);
+    this.limits.onGrant(request.organisation);
+    this.limits.onStart(request, this.policy.limitsOf(request.organisation), nowMs);
+    this.output.granted(permit, replica);
+  }
+
+  private totalFree(nowMs: number): number {
+    return this.replicas
+      .all()
+      .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs))
+      .reduce((sum, replica) => sum + replica.limit.places - this.inFlight(replica.replicaId, nowMs), 0);
+  }
+
+  private dropPermit(permit: Permit): void {
+    this.permits.take(permit.permitId);
+    this.limits.onRelease(permit.request.organisation);
+  }
+}
+
+/** Load of a pool as spread to peers. */
+export interface PoolLoad {
+  readonly poolId: string;
+  readonly places: number;
+  readonly onlineStreams: number;
+  readonly batchStreams: number;
+  readonly onlineWaiting: number;
+  readonly batchWaiting: number;
+  readonly expectedWaitMs: number;
+  readonly reservedPlaces: number;
+}
+
+function isFreed(permit: Permit, nowMs: number): boolean {
+  return permit.revokedUntilMs !== undefined && nowMs < permit.revokedUntilMs;
+}
+
+function repeatWhile(step: () => boolean): void {
+  while (step());
+}
--- /dev/null
+++ b/packages/decisions/src/replica-choice.ts
@@ -0,0 +1,41 @@
+/** Chooses the replica for a stream, and the batch stream that gives its place to an online one. */
+import type { PrefixIndex } from './prefix-index.js';
+import type { Permit, PlaceRequest, PoolReplica } from './pool-scheduler.js';
+
+/** A cached prefix may cost at most this many streams of imbalance. */
+const AFFINITY_STREAMS = 2;
+
+/** The usable replica with the lowest load that has a free place; a cached prefix counts as lower load. */
+export function pickReplica(
+  replicas: readonly PoolReplica[],
+  request: PlaceRequest,
+  prefixes: PrefixIndex,
+  inFlightOf: (replicaId: string) => number,
+  nowMs: number,
+): PoolReplica | undefined {
+  const candidates = replicas
+    .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs))
+    .filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId))
+    .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) + replica.foreignStreams }))
+    .filter(({ replica, streams }) => streams < (replica.health.onProbation ? 1 : replica.limit.places))
+    .filter(({ streams }) => !request.alone || streams === 0)
+    .map(({ replica, streams }) => ({
+      replica,
+      score: streams - (prefixes.holds(request.prefixDigest, replica.replicaId) ? AFFINITY_STREAMS : 0),
+    }));
+  return candidates.reduce<(typeof candidates)[number] | undefined>(
+    (best, candidate) => (best === undefined || candidate.score < best.score ? candidate : best),
+    undefined,
+  )?.replica;
+}
+
+/** The batch permit whose stream loses least when it is stopped: the youngest that can be resumed. */
+export function pickVictim(
+  permits: readonly Permit[],
+  excludedReplicaIds: readonly string[],
+): Permit | undefined {
+  return permits
+    .filter((permit) => permit.request.workClass === 'batch' && permit.revokedUntilMs === undefined)
+    .filter((permit) => permit.request.resumable && !excludedReplicaIds.includes(permit.replicaId))
+    .sort((a, b) => b.grantedAtMs - a.grantedAtMs)[0];
+}
--- /dev/null
+++ b/packages/entry/src/admin-api.ts
@@ -0,0 +1,112 @@
+/** The operators' API on the table, jobs and state. */
+import type { Metrics, Outcome, Problem, StoredRow } from '@fighub/core';
+import { fail, isRowKey, notRun, ok } from '@fighub/core';
+
+import type { Caller, Request, Response } from './http-kit.js';
+import { readJson, sendJson, sendProblem } from './http-kit.js';
+import type { TableSpread } from './table-spread.js';
+import type { TableStore } from './table-store.js';
+import { bucketOf, liveRevision } from './table-store.js';
+
+const MAX_ROW_BYTES = 64_000;
+const WAIT_STEP_MS = 100;
+const MAX_WAIT_MS = 30_000;
+
+/** Handles `/admin/v1/table`. */
+export class TableApi {
+  constructor(
+    private readonly table: TableStore,
+    private readonly spread: TableSpread,
+    private readonly metrics: Metrics,
+  ) {}
+
+  /** All rows, as JSON or as CSV. */
+  list(req: Request, res: Response): void {
+    const rows = this.table
+      .rows()
+      .filter((row) => !row.deleted)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    if ((req.headers.accept ?? '').includes('text/csv')) {
+      res.writeHead(200, { 'Content-Type': 'text/csv; charset=utf-8' });
+      res.end(toCsv(rows));
+      return;
+    }
+    sendJson(res, 200, { revisions: this.table.revisions(), rows });
+  }
+
+  get(res: Response, key: string): void {
+    const row = this.table.row(key);
+    if (!row || row.deleted) {
+      sendProblem(res, notRun('unknown_row', `there is no row ${key}`));
+      return;
+    }
+    sendJson(res, 200, row, { ETag: etagOf(row) });
+  }
+
+  async put(req: Request, res: Response, caller: Caller, key: string): Promise<void> {
+    const body = await readJson(req, MAX_ROW_BYTES);
+    if (!body.ok) return sendProblem(res, body.error);
+    await this.change(req, res, caller, key, body.value);
+  }
+
+  async delete(req: Request, res: Response, caller: Caller, key: string): Promise<void> {
+    await this.change(req, res, caller, key, undefined);
+  }
+
+  /** Waits until a row's revision is in force on all live instances that we hear from. */
+  async revision(req: Request, res: Response): Promise<void> {
+    const query = new URLSearchParams(req.getQuery());
+    const key = query.get('key') ?? '';
+    if (!isRowKey(key)) return sendProblem(res, notRun('bad_request', 'name a row by key='));
+    const untilMs = Date.now() + Math.min(MAX_WAIT_MS, Number(query.get('wait') ?? 0) || 0);
+    const bucket = bucketOf(key);
+    const revision = this.table.revisions()[bucket] ?? 0;
+    while (this.spread.lagging(bucket, revision).length > 0 && Date.now() < untilMs) {
+      await new Promise((resolve) => setTimeout(resolve, WAIT_STEP_MS));
+    }
+    const lagging = this.spread.lagging(bucket, revision);
+    sendJson(res, 200, { key, bucket, bucketRevision: revision, inForce: lagging.length === 0, lagging });
+  }
+
+  private async change(
+    req: Request,
+    res: Response,
+    caller: Caller,
+    key: string,
+    value: unknown,
+  ): Promise<void> {
+    const expected = expectedRevision(req);
+    if (!expected.ok) return sendProblem(res, expected.error);
+    const changedBy = caller.organisation;
+    const edited = await this.table.edit({ key, value, expectedRevision: expected.value, changedBy });
+    if (!edited.ok) return sendProblem(res, edited.error);
+    this.metrics.count('table_edits');
+    sendJson(res, 200, edited.value, { ETag: etagOf(edited.value) });
+  }
+}
+
+/** The entity tag of a row. */
+export function etagOf(row: StoredRow): string {
+  return `"${String(liveRevision(row))}"`;
+}
+
+/** `If-Match: "<revision>"`, `If-None-Match: *` for a new row, or neither for any. */
+function expectedRevision(req: Request): Outcome<number | undefined, Problem> {
+  if (req.headers['if-none-match'] === '*') return ok(0);
+  const header = req.headers['if-match'];
+  if (header === undefined || header === '*') return ok(undefined);
+  const match = /^"(\d{1,15})"$/.exec(header);
+  if (!match) return fail(notRun('bad_header', 'If-Match must be "<revision>"'));
+  return ok(Number(match[1]));
+}
+
+function toCsv(rows: readonly StoredRow[]): string {
+  const lines = rows.map((row) =>
+    [row.key, String(row.revision), JSON.stringify(row.value)].map(quoted).join(','),
+  );
+  return ['key,revision,value', ...lines].join('\r\n') + '\r\n';
+}
+
+function quoted(field: string): string {
+  return /[",\r\n]/.test(field) ? `"${field.replaceAll('"', '""')}"` : field;
+}
--- /dev/null
+++ b/packages/entry/src/completion-request.ts
@@ -0,0 +1,81 @@
+/** Checks the bodies of completion requests and forms their answers. */
+import type { Outcome, Problem } from '@fighub/core';
+import { fail, notRun, ok } from '@fighub/core';
+import { z } from 'zod';
+
+const DEFAULT_MAX_TOKENS = 128;
+
+const common = {
+  model: z.string().min(1),
+  max_tokens: z.number().int().positive().optional(),
+  stream: z.boolean().default(false),
+};
+
+const completionSchema = z.looseObject({ ...common, prompt: z.string().min(1) });
+const chatSchema = z.looseObject({
+  ...common,
+  messages: z
+    .array(z.looseObject({ role: z.enum(['system', 'user', 'assistant']), content: z.string() }))
+    .min(1),
+});
+
+/** A checked request. */
+export interface CompletionRequest {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly stream: boolean;
+  readonly chat: boolean;
+}
+
+/** Checks a body of `/v1/completions` or `/v1/chat/completions`. */
+export function checkCompletion(body: unknown, chat: boolean): Outcome<CompletionRequest, Problem> {
+  const parsed = chat ? chatSchema.safeParse(body) : completionSchema.safeParse(body);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    return fail(notRun('bad_request', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? 'not valid'}`));
+  }
+  const { data } = parsed;
+  const prompt = 'messages' in data ? promptOf(data.messages as ChatMessage[]) : (data.prompt as string);
+  return ok({
+    model: data.model,
+    prompt,
+    maxTokens: data.max_tokens ?? DEFAULT_MAX_TOKENS,
+    stream: data.stream,
+    chat,
+  });
+}
+
+interface ChatMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** The prompt of a conversation. */
+export function promptOf(messages: readonly ChatMessage[]): string {
+  return messages.map((message) => `${message.role}: ${message.content}`).join('\n');
+}
+
+/** One event of a streamed answer. */
+export function streamEvent(id: string, request: CompletionRequest, text: string, finished: boolean): string {
+  const choice = request.chat
+    ? { index: 0, delta: finished ? {} : { content: text }, finish_reason: finished ? 'stop' : null }
+    : { index: 0, text, finish_reason: finished ? 'stop' : null };
+  const object = request.chat ? 'chat.completion.chunk' : 'text_completion';
+  return `data: ${JSON.stringify({ id, object, model: request.model, choices: [choice] })}\n\n`;
+}
+
+/** The document of a whole answer. */
+export function wholeAnswer(id: string, request: CompletionRequest, tokens: readonly string[]): unknown {
+  const text = tokens.join('');
+  const choice = request.chat
+    ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' }
+    : { index: 0, text, finish_reason: 'stop' };
+  return {
+    id,
+    object: request.chat ? 'chat.completion' : 'text_completion',
+    model: request.model,
+    choices: [choice],
+    usage: { completion_tokens: tokens.length },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/direct-dispatch.ts
@@ -0,0 +1,123 @@
+/** Admission without an owner: from this instance's own last view, with a conservative limit. */
+import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
+import { fail, notRun, ok } from '@fighub/core';
+import type { ReleaseReport } from '@fighub/decisions';
+import { ReplicaHealth } from '@fighub/decisions';
+import type { MembershipRunner } from '@fighub/peers';
+import type { Engine, EngineLoad } from '@fighub/platform';
+
+import type { Place, PlaceWish } from './permit-client.js';
+import type { TableStore } from './table-store.js';
+import type { NamedUpstream } from './table-view.js';
+import type { UpstreamStates } from './upstream-states.js';
+
+interface ReplicaView {
+  inFlight: number;
+  readonly health: ReplicaHealth;
+  report?: EngineLoad;
+  readAtMs: number;
+}
+
+const REPORT_LIFETIME_MS = 1_000;
+const POOL_ID = 'direct';
+
+/** Chooses by lagging load. Serves as fallback, and as the baseline strategy of experiments. */
+export class DirectDispatch {
+  private readonly replicas = new Map<string, ReplicaView>();
+  private nextPermit = 1;
+
+  constructor(
+    private readonly selfId: string,
+    private readonly failureDomain: string,
+    private readonly table: TableStore,
+    private readonly upstreams: UpstreamStates,
+    private readonly members: () => MembershipRunner,
+    private readonly engine: Engine,
+    /** The fallback leaves places to others; the baseline trusts the reports. */
+    private readonly conservative: boolean,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+  ) {}
+
+  /** Takes a place at the replica that looks least loaded. */
+  async acquire(wish: PlaceWish): Promise<Outcome<Place, Problem>> {
+    this.metrics.count('direct_dispatches');
+    const candidates = this.candidates(wish);
+    await Promise.all(candidates.map((upstream) => this.refresh(upstream)));
+    const chosen = this.choose(candidates);
+    if (!chosen) return fail(notRun('overloaded', `no replica of ${wish.model} has a free place`, 1_000));
+    this.viewOf(chosen.upstreamId).inFlight += 1;
+    this.nextPermit += 1;
+    return ok({
+      permitId: `${this.selfId}/direct/${String(this.nextPermit)}`,
+      poolId: POOL_ID,
+      replicaId: chosen.upstreamId,
+      address: chosen.address,
+      fencingChecked: chosen.fencingChecked,
+      revoked: new AbortController().signal,
+    });
+  }
+
+  /** Takes a place back. False when the place is not one of ours. */
+  release(place: Place, report: Omit<ReleaseReport, 'permitId'>): boolean {
+    if (place.poolId !== POOL_ID) return false;
+    const view = this.viewOf(place.replicaId);
+    view.inFlight -= 1;
+    view.health.observe(report.end, this.clock.monotonicMs());
+    return true;
+  }
+
+  dump(): Record<string, unknown> {
+    return Object.fromEntries(
+      [...this.replicas.entries()].map(([id, view]) => [id, { inFlight: view.inFlight }]),
+    );
+  }
+
+  private candidates(wish: PlaceWish): NamedUpstream[] {
+    const nowMs = this.clock.monotonicMs();
+    const usable = this.table.view
+      .upstreamsOf(wish.model)
+      .filter((upstream) => !this.upstreams.isLeaving(upstream.upstreamId))
+      .filter((upstream) => !wish.excludedReplicaIds.includes(upstream.upstreamId))
+      .filter((upstream) => this.viewOf(upstream.upstreamId).health.isOpen(nowMs));
+    const own = usable.filter((upstream) => upstream.failureDomain === this.failureDomain);
+    return own.length > 0 ? own : usable;
+  }
+
+  private choose(candidates: readonly NamedUpstream[]): NamedUpstream | undefined {
+    return candidates
+      .map((upstream) => ({ upstream, load: this.loadOf(upstream) }))
+      .filter(({ load, upstream }) => load < this.limitOf(upstream))
+      .sort((a, b) => a.load - b.load)[0]?.upstream;
+  }
+
+  private loadOf(upstream: NamedUpstream): number {
+    const view = this.viewOf(upstream.upstreamId);
+    const reported = (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
+    return this.conservative ? view.inFlight : Math.max(view.inFlight, reported);
+  }
+
+  private limitOf(upstream: NamedUpstream): number {
+    if (!this.conservative) return Number.POSITIVE_INFINITY;
+    const sharers = this.members()
+      .owners()
+      .filter((m) => m.failureDomain === this.failureDomain).length;
+    return Math.max(1, Math.floor(upstream.maxConcurrency / Math.max(1, sharers)));
+  }
+
+  private async refresh(upstream: NamedUpstream): Promise<void> {
+    const view = this.viewOf(upstream.upstreamId);
+    const nowMs = this.clock.monotonicMs();
+    if (this.conservative || nowMs - view.readAtMs < REPORT_LIFETIME_MS) return;
+    view.readAtMs = nowMs;
+    view.report = await this.engine.load(upstream.address);
+  }
+
+  private viewOf(upstreamId: string): ReplicaView {
+    const known = this.replicas.get(upstreamId);
+    if (known) return known;
+    const created = { inFlight: 0, health: new ReplicaHealth(), readAtMs: Number.NEGATIVE_INFINITY };
+    this.replicas.set(upstreamId, created);
+    return created;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/http-server.ts
@@ -0,0 +1,156 @@
+/** Routes of the callers' and the operators' HTTP interface. */
+import type { AddressInfo } from 'node:net';
+
+import type { Metrics, Role } from '@fighub/core';
+import { notRun } from '@fighub/core';
+import restify from 'restify';
+
+import type { TableApi } from './admin-api.js';
+import type { Gateway } from './gateway.js';
+import type { Authenticator, Request, Response, RouteHandler } from './http-kit.js';
+import { sendJson, sendProblem } from './http-kit.js';
+import type { JobApi } from './job-api.js';
+
+/** Parts that the routes lead to. */
+export interface HttpParts {
+  readonly gateway: Gateway;
+  readonly jobs: JobApi;
+  readonly table: TableApi;
+  readonly auth: Authenticator;
+  readonly metrics: Metrics;
+  readonly dump: () => Record<string, unknown>;
+  readonly models: () => string[];
+  readonly onError: (error: unknown) => void;
+}
+
+const CALLERS: readonly Role[] = ['caller', 'operator', 'administrator'];
+const OPERATORS: readonly Role[] = ['operator', 'administrator'];
+const ADMINISTRATORS: readonly Role[] = ['administrator'];
+const KEEP_ALIVE_MS = 30_000;
+
+/** The HTTP server of an entry instance. */
+export class HttpServer {
+  private readonly server = restify.createServer({ name: 'fighub', handleUncaughtExceptions: false });
+
+  constructor(private readonly parts: HttpParts) {
+    this.server.server.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.server.on('NotFound', (_req: Request, res: Response, _error: unknown, done: () => void) => {
+      sendProblem(res, notRun('not_found', 'there is no such path'));
+      done();
+    });
+    this.server.on('MethodNotAllowed', (_req: Request, res: Response, _error: unknown, done: () => void) => {
+      sendProblem(res, notRun('method_not_allowed', 'the path does not have this method'));
+      done();
+    });
+    this.addRoutes();
+  }
+
+  /** Starts to listen and returns the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.server.once('error', reject);
+      this.server.listen(port, host, () => resolve((this.server.server.address() as AddressInfo).port));
+    });
+  }
+
+  /** Stops accepting connections and closes those that are idle. */
+  close(): void {
+    this.server.server.close();
+    this.server.server.closeIdleConnections();
+  }
+
+  /** Closes everything. */
+  destroy(): void {
+    this.server.server.closeAllConnections();
+  }
+
+  private addRoutes(): void {
+    const { gateway, jobs, table } = this.parts;
+    this.server.get('/healthz', (_req: Request, res: Response, next: () => void) => {
+      sendJson(res, 200, { status: 'ok' });
+      next();
+    });
+    this.post('/v1/completions', CALLERS, (req, res, caller) => gateway.complete(req, res, caller, false));
+    this.post('/v1/chat/completions', CALLERS, (req, res, caller) =>
+      gateway.complete(req, res, caller, true),
+    );
+    this.get('/v1/models', CALLERS, (_req, res) => {
+      const data = this.parts.models().map((id) => ({ id, object: 'model' }));
+      sendJson(res, 200, { object: 'list', data });
+      return Promise.resolve();
+    });
+    this.post('/v1/services/:service/*', CALLERS, (req, res, caller) =>
+      gateway.callService(req, res, caller, param(req, 'service'), param(req, '*')),
+    );
+    this.post('/v1/jobs', CALLERS, (req, res, caller) => jobs.create(req, res, caller));
+    this.get('/v1/jobs/:job', CALLERS, (req, res, caller) => jobs.status(res, caller, param(req, 'job')));
+    this.get('/v1/jobs/:job/results', CALLERS, (req, res, caller) =>
+      jobs.results(req, res, caller, param(req, 'job')),
+    );
+    this.post('/v1/jobs/:job/cancel', CALLERS, (req, res, caller) =>
+      jobs.cancel(res, caller, param(req, 'job')),
+    );
+    this.get('/admin/v1/jobs', OPERATORS, (_req, res) => jobs.listOpen(res));
+    this.get('/admin/v1/dump', OPERATORS, (_req, res) => {
+      sendJson(res, 200, this.parts.dump());
+      return Promise.resolve();
+    });
+    this.get('/admin/v1/table', OPERATORS, (req, res) => Promise.resolve(table.list(req, res)));
+    this.get('/admin/v1/table/revision', OPERATORS, (req, res) => table.revision(req, res));
+    this.get('/admin/v1/table/rows/*', OPERATORS, (req, res) =>
+      Promise.resolve(table.get(res, param(req, '*'))),
+    );
+    this.server.put(
+      '/admin/v1/table/rows/*',
+      this.route(OPERATORS, (req, res, caller) =>
+        this.guardRow(req, res, caller.role, () => table.put(req, res, caller, param(req, '*'))),
+      ),
+    );
+    this.server.del(
+      '/admin/v1/table/rows/*',
+      this.route(OPERATORS, (req, res, caller) =>
+        this.guardRow(req, res, caller.role, () => table.delete(req, res, caller, param(req, '*'))),
+      ),
+    );
+  }
+
+  /** Organisations, their keys and roles are the administrator's. */
+  private guardRow(req: Request, res: Response, role: Role, change: () => Promise<void>): Promise<void> {
+    if (param(req, '*').startsWith('organisation/') && !ADMINISTRATORS.includes(role)) {
+      sendProblem(res, notRun('forbidden', 'only an administrator changes organisations'));
+      return Promise.resolve();
+    }
+    return change();
+  }
+
+  private get(path: string, roles: readonly Role[], handler: RouteHandler): void {
+    this.server.get(path, this.route(roles, handler));
+  }
+
+  private post(path: string, roles: readonly Role[], handler: RouteHandler): void {
+    this.server.post(path, this.route(roles, handler));
+  }
+
+  private route(roles: readonly Role[], handler: RouteHandler) {
+    return (req: Request, res: Response, next: (error?: unknown) => void): void => {
+      const caller = this.parts.auth.authenticate(req, roles);
+      if (!caller.ok) {
+        this.parts.metrics.count('requests_unauthorised');
+        sendProblem(res, caller.error);
+        next(false);
+        return;
+      }
+      handler(req, res, caller.value)
+        .catch((error: unknown) => {
+          this.parts.onError(error);
+          sendProblem(res, { ...notRun('internal', 'an internal error'), run: 'may_have_run' });
+        })
+        .finally(() => next());
+    };
+  }
+}
+
+function param(req: Request, name: string): string {
+  const value = (req.params as Record<string, string | undefined>)[name] ?? '';
+  return value.replace(/^\//, '');
+}
--- /dev/null
+++ b/packages/entry/src/job-reader.ts
@@ -0,0 +1,211 @@
+/** Reads state and results of jobs, and cancels them. */
+import type { ChunkLedger, Clock, ItemResult, JobManifest, Outcome, Problem } from '@fighub/core';
+import { InvariantName, JobState, checkInvariant, fail, jobKeys, mayHaveRun, notRun, ok } from '@fighub/core';
+import type { RecordStore, Versioned } from '@fighub/platform';
+import { StoreErrorKind } from '@fighub/platform';
+
+import type { OpenJob } from './job-intake.js';
+
+/** State of a job as shown to callers. */
+export interface JobStatus {
+  readonly jobId: string;
+  readonly organisation: string;
+  readonly model: string;
+  readonly state: JobState;
+  readonly dueAtUnixMs: number;
+  readonly createdAtUnixMs: number;
+  readonly endedAtUnixMs?: number;
+  readonly itemCount: number;
+  readonly doneCount: number;
+  readonly failedCount: number;
+  /** Expected end at the present rate; undefined before the first results. */
+  readonly expectedEndUnixMs?: number;
+  readonly late: boolean;
+}
+
+/** A page of results. `nextCursor` is undefined when all results of an ended job were read. */
+export interface ResultPage {
+  readonly results: readonly ItemResult[];
+  readonly nextCursor?: string;
+}
+
+/** Place of a reader: a chunk, and the number of its segments that were read. */
+interface Cursor {
+  readonly chunk: number;
+  readonly segment: number;
+}
+
+const LEDGER_PAGE = 200;
+const SEGMENTS_PER_PAGE = 8;
+const CANCEL_TRIES = 5;
+
+/** Reads jobs from the key-value service; any instance can answer. */
+export class JobReader {
+  constructor(
+    private readonly store: RecordStore,
+    private readonly clock: Clock,
+    private readonly tellPeers: (jobId: string) => void,
+  ) {}
+
+  /** The manifest of a job of an organisation; another organisation's job is not found. */
+  async manifest(jobId: string, organisation: string): Promise<Outcome<Versioned<JobManifest>, Problem>> {
+    const found = await this.store.read<JobManifest>(jobKeys.manifest(jobId));
+    if (!found.ok) return fail(notRun('store_unavailable', found.error.detail, 1_000));
+    const isOwn = found.value?.value.organisation === organisation || organisation === 'fleet';
+    if (!found.value || !isOwn) return fail(notRun('unknown_job', `there is no job ${jobId}`));
+    return ok(found.value);
+  }
+
+  /** State and counts of a job. */
+  async status(jobId: string, organisation: string): Promise<Outcome<JobStatus, Problem>> {
+    const manifest = await this.manifest(jobId, organisation);
+    if (!manifest.ok) return manifest;
+    const ledgers = await this.store.listAll<ChunkLedger>(jobKeys.ledgerPrefix(jobId), LEDGER_PAGE);
+    if (!ledgers.ok) return fail(notRun('store_unavailable', ledgers.error.detail, 1_000));
+    return ok(
+      this.toStatus(
+        manifest.value.value,
+        ledgers.value.map((ledger) => ledger.value),
+      ),
+    );
+  }
+
+  /** The next results after `cursorText`, in chunk order and inside a chunk in commit order. */
+  async results(
+    jobId: string,
+    organisation: string,
+    cursorText: string,
+  ): Promise<Outcome<ResultPage, Problem>> {
+    const cursor = parseCursor(cursorText);
+    if (!cursor) return fail(notRun('bad_request', 'the cursor is not valid'));
+    const manifest = await this.manifest(jobId, organisation);
+    if (!manifest.ok) return manifest;
+    if (cursor.chunk >= manifest.value.value.chunkCount) return ok({ results: [] });
+    const ledger = await this.store.read<ChunkLedger>(jobKeys.ledger(jobId, cursor.chunk));
+    if (!ledger.ok) return fail(notRun('store_unavailable', ledger.error.detail, 1_000));
+    return this.readSegments(manifest.value.value, ledger.value?.value, cursor);
+  }
+
+  /** Cancels a job. Cancelling twice is the same as once; a finished job is a conflict. */
+  async cancel(jobId: string, organisation: string): Promise<Outcome<JobStatus, Problem>> {
+    const manifest = await this.manifest(jobId, organisation);
+    if (!manifest.ok) return manifest;
+    if (manifest.value.value.state === JobState.complete)
+      return fail(notRun('conflict', 'the job is complete'));
+    if (manifest.value.value.state === JobState.open) {
+      const ended = await this.markCancelled(jobId, CANCEL_TRIES);
+      if (!ended.ok) return ended;
+    }
+    this.tellPeers(jobId);
+    return this.status(jobId, organisation);
+  }
+
+  /** Marks the index entry first, so that holders stop, then the manifest, then drops the entry. */
+  async markCancelled(jobId: string, triesLeft: number): Promise<Outcome<void, Problem>> {
+    const entry = await this.store.read<OpenJob>(jobKeys.open(jobId));
+    if (!entry.ok) return fail(notRun('store_unavailable', entry.error.detail, 1_000));
+    if (entry.value && !entry.value.value.cancelled) {
+      const marked = { ...entry.value.value, cancelled: true };
+      const written = await this.store.write<OpenJob>(jobKeys.open(jobId), entry.value, marked);
+      if (!written.ok && triesLeft > 1) return this.markCancelled(jobId, triesLeft - 1);
+      if (!written.ok)
+        return fail(mayHaveRun('outcome_unknown', 'the job may be cancelled; cancel it again'));
+    }
+    this.tellPeers(jobId);
+    const present = await this.store.read<JobManifest>(jobKeys.manifest(jobId));
+    if (!present.ok) return fail(mayHaveRun('outcome_unknown', 'the job may be cancelled; cancel it again'));
+    if (!present.value || present.value.value.state === JobState.cancelled) return this.dropIndex(jobId);
+    if (present.value.value.state === JobState.complete)
+      return fail(notRun('conflict', 'the job is complete'));
+    const cancelled = {
+      ...present.value.value,
+      state: JobState.cancelled,
+      endedAtUnixMs: this.clock.nowUnixMs(),
+    };
+    const written = await this.store.write<JobManifest>(jobKeys.manifest(jobId), present.value, cancelled);
+    if (written.ok) return this.dropIndex(jobId);
+    if (written.error.kind === StoreErrorKind.conflict && triesLeft > 1)
+      return this.markCancelled(jobId, triesLeft - 1);
+    return fail(mayHaveRun('outcome_unknown', 'the job may be cancelled; cancel it again'));
+  }
+
+  private async dropIndex(jobId: string): Promise<Outcome<void, Problem>> {
+    const entry = await this.store.read<OpenJob>(jobKeys.open(jobId));
+    if (entry.ok && entry.value) await this.store.remove(entry.value);
+    return ok(undefined);
+  }
+
+  private async readSegments(
+    manifest: JobManifest,
+    ledger: ChunkLedger | undefined,
+    cursor: Cursor,
+  ): Promise<Outcome<ResultPage, Problem>> {
+    const segments = ledger?.segments ?? [];
+    const wanted = segments.slice(cursor.segment, cursor.segment + SEGMENTS_PER_PAGE);
+    const read = await Promise.all(
+      wanted.map((segment) => this.store.read<ItemResult[]>(jobKeys.output(manifest.jobId, segment))),
+    );
+    const failed = read.find((answer) => !answer.ok);
+    if (failed && !failed.ok) return fail(notRun('store_unavailable', failed.error.detail, 1_000));
+    const results = read.flatMap((answer) => (answer.ok ? (answer.value?.value ?? []) : []));
+    return ok({ results, nextCursor: this.nextCursor(manifest, ledger, cursor, wanted.length) });
+  }
+
+  private nextCursor(
+    manifest: JobManifest,
+    ledger: ChunkLedger | undefined,
+    cursor: Cursor,
+    segmentsRead: number,
+  ): string | undefined {
+    const segment = cursor.segment + segmentsRead;
+    const allRead = segment >= (ledger?.segments.length ?? 0);
+    const chunkEnded = ledger?.doneCount === ledger?.itemCount && ledger !== undefined;
+    const isLast = cursor.chunk + 1 >= manifest.chunkCount;
+    if (!allRead) return formatCursor({ chunk: cursor.chunk, segment });
+    if (chunkEnded || manifest.state === JobState.cancelled) {
+      return isLast ? undefined : formatCursor({ chunk: cursor.chunk + 1, segment: 0 });
+    }
+    return formatCursor({ chunk: cursor.chunk, segment });
+  }
+
+  private toStatus(manifest: JobManifest, ledgers: readonly ChunkLedger[]): JobStatus {
+    const doneCount = ledgers.reduce((sum, ledger) => sum + ledger.doneCount, 0);
+    const failedCount = ledgers.reduce((sum, ledger) => sum + ledger.failedCount, 0);
+    checkInvariant(
+      InvariantName.countsAddUp,
+      doneCount <= manifest.itemCount && failedCount <= doneCount,
+      () => ({ manifest, doneCount, failedCount }),
+    );
+    const nowUnixMs = this.clock.nowUnixMs();
+    const elapsedMs = nowUnixMs - manifest.createdAtUnixMs;
+    const expectedEndUnixMs =
+      doneCount > 0
+        ? Math.round(manifest.createdAtUnixMs + (elapsedMs * manifest.itemCount) / doneCount)
+        : undefined;
+    const { jobId, organisation, model, state, dueAtUnixMs, createdAtUnixMs, endedAtUnixMs, itemCount } =
+      manifest;
+    return {
+      jobId,
+      organisation,
+      model,
+      state,
+      dueAtUnixMs,
+      createdAtUnixMs,
+      endedAtUnixMs,
+      itemCount,
+      doneCount,
+      failedCount,
+      expectedEndUnixMs: endedAtUnixMs ?? expectedEndUnixMs,
+      late: (endedAtUnixMs ?? expectedEndUnixMs ?? nowUnixMs) > dueAtUnixMs,
+    };
+  }
+}
+
+function parseCursor(text: string): Cursor | undefined {
+  const match = /^(\d{1,6})\.(\d{1,6})$/.exec(text);
+  return match ? { chunk: Number(match[1]), segment: Number(match[2]) } : undefined;
+}
+
+function formatCursor(cursor: Cursor): string {
+  return `${String(cursor.chunk)}.${String(cursor.segment)}`;
+}
--- /dev/null
+++ b/packages/entry/src/permit-client.ts
@@ -0,0 +1,311 @@
+/** The holder's side of admission: asks owners for places, keeps and returns permits. */
+import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
+import { EntityTable, fail, notRun, ok } from '@fighub/core';
+import type { PoolLoad, ReleaseReport, WorkClass } from '@fighub/decisions';
+import { orderPools } from '@fighub/decisions';
+import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
+
+import type { DirectDispatch } from './direct-dispatch.js';
+import type { LocalHolder, PoolHost } from './pool-host.js';
+
+/** What a stream needs to get a place. */
+export interface PlaceWish {
+  readonly requestId: string;
+  readonly organisation: string;
+  readonly model: string;
+  readonly workClass: WorkClass;
+  readonly costTokens: number;
+  readonly deadlineUnixMs: number;
+  readonly prefixDigest: string;
+  readonly excludedReplicaIds: readonly string[];
+  readonly resumable: boolean;
+  readonly alone: boolean;
+}
+
+/** A place at a replica. */
+export interface Place {
+  readonly permitId: string;
+  readonly poolId: string;
+  readonly replicaId: string;
+  readonly address: string;
+  readonly fencingChecked: boolean;
+  /** Aborted when the owner wants the place back. */
+  readonly revoked: AbortSignal;
+}
+
+interface WaitingWish {
+  readonly body: AcquireBody;
+  readonly ownerId: string;
+  readonly answer: (outcome: Outcome<Place, Problem>) => void;
+}
+
+interface HeldPlace {
+  readonly poolId: string;
+  readonly held: HeldPermit;
+  readonly revoke: AbortController;
+}
+
+const RENEW_PERIOD_MS = 1_000;
+const SUMMARY_LIFETIME_MS = 2_000;
+const BATCH_RETRY_MS = 300;
+
+interface PoolSummary {
+  readonly load: PoolLoad;
+  readonly freshUntilMs: number;
+}
+
+/** Internal answer of an owner that did not take the request. */
+const NOT_TAKEN = notRun('no_upstream', 'no owner of a pool answered');
+
+/** Gets places for the streams of this instance. */
+export class PermitClient implements LocalHolder, System {
+  readonly name = 'permit client';
+  private readonly waiting = new EntityTable<WaitingWish>();
+  private readonly places = new EntityTable<HeldPlace>();
+  private readonly releases = new Map<string, ReleaseReport[]>();
+  private readonly summaries = new Map<string, PoolSummary>();
+  private nextRenewMs = 0;
+
+  constructor(
+    private readonly selfId: string,
+    private readonly failureDomain: string,
+    private readonly host: PoolHost,
+    private readonly direct: DirectDispatch,
+    private readonly members: () => MembershipRunner,
+    private readonly node: PeerNode,
+    private readonly acquireTimeoutMs: number,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly random: () => number,
+  ) {
+    node.onNotice('permit.granted', (body) => this.granted(body));
+    node.onNotice('permit.refused', (body) => this.refused(body.requestId, body.problem));
+    node.onNotice('permit.revoked', (body) => this.revoked(body.permitId));
+    node.onNotice('pool.summary', (body) => this.takeSummaries(body.loads));
+  }
+
+  /** Waits for a place. Ends early when `signal` is aborted. */
+  async acquire(wish: PlaceWish, signal: AbortSignal): Promise<Outcome<Place, Problem>> {
+    const pools = this.candidatePools(wish);
+    if (pools.length === 0) return fail(notRun('no_upstream', `no upstream serves ${wish.model}`, 1_000));
+    let last: Problem = NOT_TAKEN;
+    for (const poolId of pools) {
+      const outcome = await this.acquireFrom(poolId, wish, signal);
+      if (outcome.ok || signal.aborted) return outcome;
+      last = outcome.error;
+      if (this.clock.nowUnixMs() >= wish.deadlineUnixMs) break;
+    }
+    if (wish.workClass === 'online' && last === NOT_TAKEN) return this.direct.acquire(wish);
+    return fail(last);
+  }
+
+  /** Gives a place back. Reports to the owner are sent together each tick. */
+  release(place: Place, report: Omit<ReleaseReport, 'permitId'>): void {
+    this.places.take(place.permitId);
+    if (this.direct.release(place, report)) return;
+    const reports = this.releases.get(place.poolId) ?? [];
+    reports.push({ ...report, permitId: place.permitId });
+    this.releases.set(place.poolId, reports);
+    if (this.host.ownerOfPool(place.poolId) === this.selfId) this.sendReleases();
+  }
+
+  granted(body: GrantedBody): void {
+    const wish = this.waiting.take(body.requestId);
+    if (!wish) {
+      this.metrics.count('permits_unwanted');
+      this.returnUnwanted(body);
+      return;
+    }
+    const revoke = new AbortController();
+    const held = { permitId: body.permitId, replicaId: body.replicaId, request: wish.body };
+    this.places.set(body.permitId, { poolId: body.poolId, held, revoke });
+    wish.answer(ok({ ...body, revoked: revoke.signal }));
+  }
+
+  refused(requestId: string, problem: Problem): void {
+    this.waiting.take(requestId)?.answer(fail(problem));
+  }
+
+  revoked(permitId: string): void {
+    this.places.get(permitId)?.revoke.abort();
+  }
+
+  /** Loads of all pools, own ones included. */
+  poolLoads(): PoolLoad[] {
+    const nowMs = this.clock.monotonicMs();
+    const fresh = [...this.summaries.values()].filter((summary) => summary.freshUntilMs > nowMs);
+    const own = this.host.loads();
+    const ownIds = new Set(own.map((load) => load.poolId));
+    return [...own, ...fresh.map((summary) => summary.load).filter((load) => !ownIds.has(load.poolId))];
+  }
+
+  run(nowMs: number): void {
+    this.sendReleases();
+    this.dropMovedWishes();
+    if (nowMs >= this.nextRenewMs) this.renewAll(nowMs);
+  }
+
+  dump(): Record<string, unknown> {
+    return {
+      waiting: this.waiting.size,
+      places: this.places.all().map((place) => ({ poolId: place.poolId, ...place.held })),
+      summaries: this.poolLoads(),
+    };
+  }
+
+  private candidatePools(wish: PlaceWish): string[] {
+    const loads = new Map(this.poolLoads().map((load) => [load.poolId, load]));
+    const candidates = this.host
+      .describePools()
+      .filter((pool) => pool.model === wish.model)
+      .map((pool) => ({
+        model: pool.model,
+        failureDomain: pool.failureDomain,
+        places: loads.get(pool.poolId)?.places ?? pool.upstreams.length,
+        expectedWaitMs: this.waitOf(wish, loads.get(pool.poolId)),
+      }));
+    return orderPools(candidates, this.failureDomain, this.random).map(
+      (pool) => `${pool.model}@${pool.failureDomain}`,
+    );
+  }
+
+  /** Batch goes where it finds idle places, online where its expected wait is shortest. */
+  private waitOf(wish: PlaceWish, load: PoolLoad | undefined): number | undefined {
+    if (!load) return undefined;
+    if (wish.workClass === 'online') return load.expectedWaitMs;
+    const busy = load.onlineStreams + load.batchStreams + load.batchWaiting + load.reservedPlaces;
+    return (1_000 * busy) / Math.max(1, load.places);
+  }
+
+  private async acquireFrom(
+    poolId: string,
+    wish: PlaceWish,
+    signal: AbortSignal,
+  ): Promise<Outcome<Place, Problem>> {
+    const ownerId = this.host.ownerOfPool(poolId);
+    if (ownerId === undefined) return fail(NOT_TAKEN);
+    const body = this.toBody(poolId, wish);
+    return new Promise((resolve) => {
+      const answer = (outcome: Outcome<Place, Problem>): void => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(outcome);
+      };
+      const onAbort = (): void => {
+        if (!this.waiting.take(body.requestId)) return;
+        this.withdraw(ownerId, poolId, body.requestId);
+        answer(fail(notRun('draining', 'the caller went away')));
+      };
+      signal.addEventListener('abort', onAbort, { once: true });
+      this.waiting.set(body.requestId, { body, ownerId, answer });
+      void this.ask(ownerId, body);
+    });
+  }
+
+  private async ask(ownerId: string, body: AcquireBody): Promise<void> {
+    const accepted = await this.askOwner(ownerId, body);
+    if (accepted) return;
+    const wish = this.waiting.get(body.requestId);
+    if (wish?.body !== body) return;
+    this.waiting.take(body.requestId);
+    this.metrics.count('owners_not_answering');
+    this.withdraw(ownerId, body.poolId, body.requestId);
+    wish.answer(fail(NOT_TAKEN));
+  }
+
+  private async askOwner(ownerId: string, body: AcquireBody): Promise<boolean> {
+    if (ownerId === this.selfId) return this.host.acquire(body);
+    const member = this.members().membership.get(ownerId);
+    if (!member) return false;
+    const answer = await this.node.request(member.peerAddress, 'permit.acquire', body, this.acquireTimeoutMs);
+    return answer.ok && answer.value.accepted;
+  }
+
+  private withdraw(ownerId: string, poolId: string, requestId: string): void {
+    if (ownerId === this.selfId) {
+      this.host.withdraw(poolId, requestId);
+      return;
+    }
+    const member = this.members().membership.get(ownerId);
+    if (member) this.node.notify(member.peerAddress, 'permit.withdraw', { poolId, requestId });
+  }
+
+  /** Requests that wait at an instance which no longer owns the pool ask again elsewhere. */
+  private dropMovedWishes(): void {
+    this.waiting
+      .all()
+      .filter((wish) => this.host.ownerOfPool(wish.body.poolId) !== wish.ownerId)
+      .forEach((wish) => {
+        this.waiting.take(wish.body.requestId);
+        this.metrics.count('waits_moved');
+        this.withdraw(wish.ownerId, wish.body.poolId, wish.body.requestId);
+        wish.answer(fail(NOT_TAKEN));
+      });
+  }
+
+  private returnUnwanted(body: GrantedBody): void {
+    const reports = this.releases.get(body.poolId) ?? [];
+    reports.push({ permitId: body.permitId, end: 'cancelled', tokens: 0 });
+    this.releases.set(body.poolId, reports);
+  }
+
+  private sendReleases(): void {
+    const batches = [...this.releases.entries()];
+    this.releases.clear();
+    batches.forEach(([poolId, reports]) => {
+      const ownerId = this.host.ownerOfPool(poolId);
+      if (ownerId === this.selfId) this.host.release(poolId, reports);
+      else
+        this.notifyOwner(ownerId, (address) =>
+          this.node.notify(address, 'permit.release', { poolId, reports }),
+        );
+    });
+  }
+
+  private renewAll(nowMs: number): void {
+    this.nextRenewMs = nowMs + RENEW_PERIOD_MS;
+    const poolIds = [...new Set(this.places.all().map((place) => place.poolId))];
+    poolIds.forEach((poolId) => {
+      const permits = this.places
+        .all()
+        .filter((place) => place.poolId === poolId)
+        .map((place) => place.held);
+      const ownerId = this.host.ownerOfPool(poolId);
+      if (ownerId === this.selfId) this.host.renew(poolId, permits);
+      else
+        this.notifyOwner(ownerId, (address) =>
+          this.node.notify(address, 'permit.renew', { poolId, holder: this.selfId, permits }),
+        );
+    });
+  }
+
+  private notifyOwner(ownerId: string | undefined, notify: (address: string) => void): void {
+    const member = ownerId === undefined ? undefined : this.members().membership.get(ownerId);
+    if (member) notify(member.peerAddress);
+  }
+
+  private takeSummaries(loads: readonly PoolLoad[]): void {
+    const freshUntilMs = this.clock.monotonicMs() + SUMMARY_LIFETIME_MS;
+    loads.forEach((load) => this.summaries.set(load.poolId, { load, freshUntilMs }));
+  }
+
+  private toBody(poolId: string, wish: PlaceWish): AcquireBody {
+    return {
+      poolId,
+      requestId: `${wish.requestId}#${String(this.attempts++)}`,
+      holder: this.selfId,
+      organisation: wish.organisation,
+      workClass: wish.workClass,
+      costTokens: wish.costTokens,
+      deadlineUnixMs: wish.deadlineUnixMs,
+      prefixDigest: wish.prefixDigest,
+      excludedReplicaIds: wish.excludedReplicaIds,
+      resumable: wish.resumable,
+      alone: wish.alone,
+    };
+  }
+
+  private attempts = 0;
+
+  /** Pause before batch asks again after a refusal, in milliseconds. */
+  static readonly batchRetryMs = BATCH_RETRY_MS;
+}
--- /dev/null
+++ b/packages/entry/src/pool-host.ts
@@ -0,0 +1,293 @@
+/** The owner's side of admission: hosts the schedulers of the pools that this instance owns. */
+import type { Clock, Metrics, Problem, System } from '@fighub/core';
+import { EntityTable } from '@fighub/core';
+import type {
+  Permit,
+  PlaceRequest,
+  PoolLoad,
+  PoolOutput,
+  PoolPolicy,
+  PoolReplica,
+  ReleaseReport,
+} from '@fighub/decisions';
+import { PoolScheduler, ownerOf, poolIdOf } from '@fighub/decisions';
+import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { Engine } from '@fighub/platform';
+
+import type { NamedUpstream } from './table-view.js';
+import type { TableStore } from './table-store.js';
+import type { UpstreamStates } from './upstream-states.js';
+
+/** Receives decisions for requests of this same instance. */
+export interface LocalHolder {
+  granted(body: GrantedBody): void;
+  refused(requestId: string, problem: Problem): void;
+  revoked(permitId: string): void;
+}
+
+const SUMMARY_PERIOD_MS = 250;
+const LOAD_PERIOD_MS = 500;
+
+/** One pool as configured: a model in a failure domain. */
+export interface PoolDescription {
+  readonly poolId: string;
+  readonly model: string;
+  readonly failureDomain: string;
+  readonly upstreams: readonly NamedUpstream[];
+}
+
+/** Runs the schedulers of owned pools each tick. */
+export class PoolHost implements System {
+  readonly name = 'pool host';
+  private readonly pools = new EntityTable<PoolScheduler>();
+  private localHolder: LocalHolder | undefined;
+  private nextSummaryMs = 0;
+  private nextLoadMs = 0;
+  private wake: () => void = () => undefined;
+
+  constructor(
+    private readonly selfId: string,
+    private readonly table: TableStore,
+    private readonly upstreams: UpstreamStates,
+    private readonly members: () => MembershipRunner,
+    private readonly node: PeerNode,
+    private readonly engine: Engine,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+  ) {
+    node.onRequest('permit.acquire', (body) => ({ accepted: this.acquire(body) }));
+    node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
+    node.onNotice('permit.release', (body) => this.release(body.poolId, body.reports));
+    node.onNotice('permit.renew', (body) => this.renew(body.poolId, body.permits));
+  }
+
+  /** Connects the holder of this same instance and the tick that runs this system. */
+  connect(holder: LocalHolder, wake: () => void): void {
+    this.localHolder = holder;
+    this.wake = wake;
+  }
+
+  /** Pools as the table describes them. */
+  describePools(): PoolDescription[] {
+    const view = this.table.view;
+    return view.models().flatMap((model) => {
+      const upstreams = view.upstreamsOf(model);
+      const domains = [...new Set(upstreams.map((upstream) => upstream.failureDomain))];
+      return domains.map((failureDomain) => ({
+        poolId: poolIdOf(model, failureDomain),
+        model,
+        failureDomain,
+        upstreams: upstreams.filter((upstream) => upstream.failureDomain === failureDomain),
+      }));
+    });
+  }
+
+  /** The owner of a pool among the live members. */
+  ownerOfPool(poolId: string): string | undefined {
+    return ownerOf(poolId, poolId.slice(poolId.lastIndexOf('@') + 1), this.members().owners());
+  }
+
+  /** Takes a request for a place if this instance owns the pool. */
+  acquire(body: AcquireBody): boolean {
+    const pool = this.pools.get(body.poolId);
+    if (!pool) return false;
+    const nowMs = this.clock.monotonicMs();
+    pool.enqueue(this.toPlaceRequest(body, nowMs), nowMs);
+    this.wake();
+    return true;
+  }
+
+  withdraw(poolId: string, requestId: string): void {
+    this.pools.get(poolId)?.withdraw(requestId);
+  }
+
+  release(poolId: string, reports: readonly ReleaseReport[]): void {
+    const pool = this.pools.get(poolId);
+    reports.forEach((report) => pool?.release(report, this.clock.monotonicMs()));
+    this.wake();
+  }
+
+  renew(poolId: string, permits: readonly HeldPermit[]): void {
+    const nowMs = this.clock.monotonicMs();
+    this.pools.get(poolId)?.renew(
+      permits.map((held) => ({
+        permitId: held.permitId,
+        request: this.toPlaceRequest(held.request, nowMs),
+        replicaId: held.replicaId,
+        grantedAtMs: nowMs,
+        expiresAtMs: nowMs,
+      })),
+      nowMs,
+    );
+  }
+
+  run(nowMs: number): void {
+    this.syncPools();
+    this.pools.all().forEach((pool) => pool.run(nowMs));
+    if (nowMs >= this.nextSummaryMs) this.sendSummaries(nowMs);
+    if (nowMs >= this.nextLoadMs) this.readLoads(nowMs);
+  }
+
+  /** Loads of owned pools. */
+  loads(): PoolLoad[] {
+    const nowMs = this.clock.monotonicMs();
+    return this.pools.all().map((pool) => pool.load(nowMs));
+  }
+
+  dump(): Record<string, unknown>[] {
+    const nowMs = this.clock.monotonicMs();
+    return this.pools.all().map((pool) => pool.dump(nowMs));
+  }
+
+  /** Creates and drops schedulers so that they match ownership and the table. */
+  private syncPools(): void {
+    const owned = this.describePools().filter((pool) => this.ownerOfPool(pool.poolId) === this.selfId);
+    const ownedIds = new Set(owned.map((pool) => pool.poolId));
+    this.pools
+      .ids()
+      .filter((poolId) => !ownedIds.has(poolId))
+      .forEach((poolId) => this.pools.take(poolId));
+    owned.forEach((description) => this.syncPool(description));
+  }
+
+  private syncPool(description: PoolDescription): void {
+    const policy = this.policyOf(description.model);
+    const known = this.pools.get(description.poolId);
+    const pool =
+      known ?? new PoolScheduler(description.poolId, this.selfId, policy, this.outputOf(description));
+    if (!known) this.pools.set(description.poolId, pool);
+    pool.setPolicy(policy);
+    pool.setReplicas(
+      description.upstreams.map((upstream) => ({
+        replicaId: upstream.upstreamId,
+        address: upstream.address,
+        maxConcurrency: upstream.maxConcurrency,
+        leaving: this.upstreams.isLeaving(upstream.upstreamId),
+      })),
+    );
+  }
+
+  private policyOf(model: string): PoolPolicy {
+    const view = this.table.view;
+    const poolCount = Math.max(1, new Set(view.upstreamsOf(model).map((u) => u.failureDomain)).size);
+    return {
+      targets: view.modelOrDefault(model),
+      weightOf: (organisation) => view.share(organisation, model).weight,
+      limitsOf: (organisation) => {
+        const share = view.share(organisation, model);
+        return {
+          maxInFlight: divided(share.maxInFlight, poolCount),
+          requestsPerSecond: divided(share.requestsPerSecond, poolCount),
+          tokensPerSecond: divided(share.tokensPerSecond, poolCount),
+        };
+      },
+    };
+  }
+
+  private outputOf(description: PoolDescription): PoolOutput {
+    return {
+      granted: (permit, replica) => this.sendGrant(description, permit, replica),
+      refused: (request, problem) => this.sendRefusal(request, problem),
+      revoked: (permit) => this.sendRevocation(permit),
+    };
+  }
+
+  private sendGrant(description: PoolDescription, permit: Permit, replica: PoolReplica): void {
+    this.metrics.count(`permits_granted_${permit.request.workClass}`);
+    const body: GrantedBody = {
+      requestId: permit.request.requestId,
+      permitId: permit.permitId,
+      poolId: description.poolId,
+      replicaId: replica.replicaId,
+      address: replica.address,
+      fencingChecked:
+        description.upstreams.find((u) => u.upstreamId === replica.replicaId)?.fencingChecked ?? false,
+    };
+    this.toHolder(
+      permit.request.holder,
+      (holder) => holder.granted(body),
+      (address) => this.node.notify(address, 'permit.granted', body),
+    );
+  }
+
+  private sendRefusal(request: PlaceRequest, problem: Problem): void {
+    this.metrics.count('places_refused');
+    const requestId = request.requestId;
+    this.toHolder(
+      request.holder,
+      (holder) => holder.refused(requestId, problem),
+      (address) => this.node.notify(address, 'permit.refused', { requestId, problem }),
+    );
+  }
+
+  private sendRevocation(permit: Permit): void {
+    this.metrics.count('permits_revoked');
+    const permitId = permit.permitId;
+    this.toHolder(
+      permit.request.holder,
+      (holder) => holder.revoked(permitId),
+      (address) => this.node.notify(address, 'permit.revoked', { permitId }),
+    );
+  }
+
+  private toHolder(
+    holderId: string,
+    local: (holder: LocalHolder) => void,
+    remote: (address: string) => void,
+  ): void {
+    if (holderId === this.selfId) {
+      if (this.localHolder) local(this.localHolder);
+      return;
+    }
+    const member = this.members().membership.get(holderId);
+    if (member) remote(member.peerAddress);
+  }
+
+  private sendSummaries(nowMs: number): void {
+    this.nextSummaryMs = nowMs + SUMMARY_PERIOD_MS;
+    const loads = this.loads();
+    if (loads.length === 0) return;
+    this.members()
+      .owners()
+      .filter((member) => member.instanceId !== this.selfId)
+      .forEach((member) =>
+        this.node.notify(member.peerAddress, 'pool.summary', { from: this.selfId, loads }),
+      );
+  }
+
+  /** One owner reads a replica's load for all. */
+  private readLoads(nowMs: number): void {
+    this.nextLoadMs = nowMs + LOAD_PERIOD_MS;
+    this.pools
+      .all()
+      .forEach((pool) => pool.replicas.all().forEach((replica) => void this.readLoad(pool, replica)));
+  }
+
+  private async readLoad(pool: PoolScheduler, replica: PoolReplica): Promise<void> {
+    const report = await this.engine.load(replica.address);
+    if (!report) return;
+    replica.limit.setMaximum(report.maxConcurrency);
+    if (report.leaving) this.upstreams.markLeaving(replica.replicaId);
+    report.cachedPrefixes.forEach((prefix) => pool.prefixes.add(prefix, replica.replicaId));
+  }
+
+  private toPlaceRequest(body: AcquireBody, nowMs: number): PlaceRequest {
+    return {
+      requestId: body.requestId,
+      holder: body.holder,
+      organisation: body.organisation,
+      workClass: body.workClass,
+      costTokens: body.costTokens,
+      deadlineMs: nowMs + body.deadlineUnixMs - this.clock.nowUnixMs(),
+      prefixDigest: body.prefixDigest,
+      excludedReplicaIds: body.excludedReplicaIds,
+      resumable: body.resumable,
+      alone: body.alone,
+      enqueuedAtMs: nowMs,
+    };
+  }
+}
+
+function divided(limit: number | undefined, parts: number): number | undefined {
+  return limit === undefined ? undefined : limit / parts;
+}
--- /dev/null
+++ b/packages/entry/src/statsd-sink.ts
@@ -0,0 +1,15 @@
+/** Forwards counters and samples to a StatsD server. */
+import type { MetricsSink } from '@fighub/core';
+import { StatsD } from 'hot-shots';
+
+import type { EntrySettings } from './settings.js';
+
+/** A sink for the configured server; undefined when none is configured. */
+export function createStatsdSink(settings: EntrySettings['statsd']): MetricsSink | undefined {
+  if (!settings) return undefined;
+  const client = new StatsD({ ...settings, errorHandler: () => undefined });
+  return {
+    increment: (name, by, tags) => client.increment(name, by, [...tags]),
+    sample: (name, value) => client.histogram(name, value),
+  };
+}
--- /dev/null
+++ b/packages/lab/src/bin/demo.ts
@@ -0,0 +1,106 @@
+#!/usr/bin/env -S node --disable-warning=DEP0111
+/** Starts a small fleet on loopback and shows both main jobs: an online stream and a batch job. */
+import meow from 'meow';
+
+import { Fleet, countByStatus, waitFor } from '../fleet.js';
+
+const ITEMS = 1_000;
+const ITEM_TOKENS = 8;
+
+const cli = meow(
+  `
+  Runs a small fleet on loopback with stand-ins of the platform.
+
+  Usage
+    $ npm start [-- --once]
+
+  Options
+    --once  Exit after the summary instead of leaving the fleet up
+`,
+  { importMeta: import.meta, flags: { once: { type: 'boolean', default: false } } },
+);
+
+const say = (line: string): void => void process.stdout.write(`${line}\n`);
+
+say('Starting 3 entry instances, 6 replicas, the key-value service and the instance list …');
+const fleet = await Fleet.start();
+process.on('SIGINT', () => void fleet.stop().then(() => process.exit(0)));
+
+say('\nOnline: three callers stream through three instances.');
+const answers = await Promise.all(
+  fleet.entries.map((entry, index) =>
+    fleet
+      .caller(entry, 'obloha')
+      .stream(
+        { model: 'alert-modely', prompt: `UV alert for school ${String(index)}`, maxTokens: 12 },
+        (text) => {
+          if (index === 0) process.stdout.write(text);
+        },
+      ),
+  ),
+);
+say('');
+answers.forEach((answer, index) => {
+  const where = fleet.entry(index).name;
+  if (answer.ok)
+    say(
+      `  ${where}: ${String(answer.value.tokens)} tokens, first after ${answer.value.firstTokenMs.toFixed(0)} ms`,
+    );
+  else say(`  ${where}: failed, ${answer.error.detail}`);
+});
+
+say(`\nBatch: a job of ${String(ITEMS)} items.`);
+const lines = Array.from({ length: ITEMS }, (_, index) =>
+  JSON.stringify({
+    custom_id: `district-${String(index)}`,
+    prompt: `Bulletin ${String(index)}`,
+    max_tokens: ITEM_TOKENS,
+  }),
+);
+const startedMs = performance.now();
+const created = await fleet
+  .caller(fleet.entry(0), 'obloha')
+  .createJob({ model: 'alert-modely', lines, idempotencyKey: 'demo-job' });
+if (!created.ok) throw new Error(created.error.detail);
+const { jobId } = created.value;
+say(`  accepted as ${jobId}`);
+let lastShown = -1;
+await waitFor(
+  'the job',
+  async () => {
+    const job = await fleet.caller(fleet.entry(1), 'obloha').job(jobId);
+    if (!job.ok) return false;
+    const percent = Math.floor((job.value.doneCount * 10) / job.value.itemCount) * 10;
+    if (percent !== lastShown)
+      say(`  ${String(job.value.doneCount)} of ${String(job.value.itemCount)} items done`);
+    lastShown = percent;
+    return job.value.state === 'complete';
+  },
+  120_000,
+);
+const seconds = (performance.now() - startedMs) / 1_000;
+const results = await fleet.caller(fleet.entry(2), 'obloha').allResults(jobId);
+if (!results.ok) throw new Error(results.error.detail);
+const distinct = new Set(results.value.map((result) => result.index)).size;
+
+say('\nSummary');
+say(
+  `  online: ${String(answers.filter((answer) => answer.ok).length)} of ${String(answers.length)} answers whole`,
+);
+say(
+  `  batch: ${String(results.value.length)} results read back, ${String(distinct)} distinct, ${JSON.stringify(countByStatus(results.value))}`,
+);
+say(`  batch took ${seconds.toFixed(1)} s, ${(ITEMS / seconds).toFixed(0)} items a second`);
+const passed = distinct === ITEMS && results.value.length === ITEMS && answers.every((answer) => answer.ok);
+
+if (cli.flags.once || !passed) {
+  await fleet.stop();
+  process.exit(passed ? 0 : 1);
+}
+say('\nThe fleet stays up; stop it with Ctrl+C.');
+fleet.entries.forEach((entry) => say(`  ${entry.name}: ${entry.address}`));
+say('  key of an organisation: key-obloha   key of the administrator: admin-key-of-the-lab');
+say(`  curl -N -H 'Authorization: Bearer key-obloha' -H 'Content-Type: application/json' \\`);
+say(
+  `    -d '{"model":"alert-modely","prompt":"UV alert","max_tokens":12,"stream":true}' ${fleet.entry(0).address}/v1/completions`,
+);
--- /dev/null
+++ b/packages/lab/src/fleet.test.ts
@@ -0,0 +1,184 @@
+import type { Outcome } from '@fighub/core';
+import { tokenText } from '@fighub/standins';
+import got from 'got';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { Fleet, countByStatus, waitFor } from './fleet.js';
+
+let fleet: Fleet;
+
+beforeAll(async () => {
+  fleet = await Fleet.start({ plainService: true, throughProxy: true, replicasPerDomain: 1 });
+});
+
+afterAll(async () => {
+  await fleet.stop();
+});
+
+interface BadRequest {
+  readonly body?: string;
+  readonly json?: object;
+  readonly headers?: Record<string, string>;
+}
+
+function valueOf<T>(outcome: Outcome<T, unknown>): T {
+  if (!outcome.ok) throw new Error(JSON.stringify(outcome.error));
+  return outcome.value;
+}
+
+function wholeText(prompt: string, tokens: number): string {
+  return Array.from({ length: tokens }, (_, index) => tokenText(prompt, index)).join('');
+}
+
+describe('a fleet of real processes', () => {
+  it('streams whole answers through every instance', async () => {
+    const answers = await Promise.all(
+      fleet.entries.map((entry, index) =>
+        fleet
+          .caller(entry, 'obloha')
+          .stream({ model: 'alert-modely', prompt: `p${String(index)}`, maxTokens: 10 }),
+      ),
+    );
+    expect(answers.map((answer) => valueOf(answer).text)).toEqual(
+      answers.map((_, index) => wholeText(`p${String(index)}`, 10)),
+    );
+  });
+
+  it('completes a job and reads every result through another instance', async () => {
+    const lines = Array.from({ length: 120 }, (_, i) =>
+      JSON.stringify({ custom_id: `c${String(i)}`, prompt: `b${String(i)}`, max_tokens: 4 }),
+    );
+    const caller = fleet.caller(fleet.entry(0), 'obloha');
+    const job = valueOf(await caller.createJob({ model: 'alert-modely', lines, idempotencyKey: 'k1' }));
+    const resent = valueOf(
+      await fleet
+        .caller(fleet.entry(1), 'obloha')
+        .createJob({ model: 'alert-modely', lines, idempotencyKey: 'k1' }),
+    );
+    expect(resent.jobId).toBe(job.jobId);
+    await waitFor('the job', async () => valueOf(await caller.job(job.jobId)).state === 'complete');
+    const results = valueOf(await fleet.caller(fleet.entry(2), 'obloha').allResults(job.jobId));
+    expect(countByStatus(results)).toEqual({ succeeded: 120 });
+    expect(results.map((result) => result.index).sort((a, b) => a - b)).toEqual(
+      lines.map((_, index) => index),
+    );
+    expect(results.every((result) => result.text === wholeText(`b${String(result.index)}`, 4))).toBe(true);
+  });
+
+  it('refuses the same job key with another body, and shows no job to another organisation', async () => {
+    const caller = fleet.caller(fleet.entry(0), 'obloha');
+    const lines = [JSON.stringify({ prompt: 'one', max_tokens: 2 })];
+    const job = valueOf(await caller.createJob({ model: 'alert-modely', lines, idempotencyKey: 'k2' }));
+    const other = await caller.createJob({
+      model: 'alert-modely',
+      lines: [...lines, ...lines],
+      idempotencyKey: 'k2',
+    });
+    expect(other).toMatchObject({ ok: false, error: { status: 409, code: 'key_reused', run: 'not_run' } });
+    const foreign = await fleet.caller(fleet.entry(0), 'meteo-tatry').job(job.jobId);
+    expect(foreign).toMatchObject({ ok: false, error: { status: 404 } });
+  });
+
+  it('names the line of a broken item and keeps nothing of the job', async () => {
+    const caller = fleet.caller(fleet.entry(0), 'obloha');
+    const lines = ['{"prompt":"fine"}', '{"prompt":'];
+    const job = await caller.createJob({ model: 'alert-modely', lines, idempotencyKey: 'k3' });
+    expect(job).toMatchObject({ ok: false, error: { code: 'bad_item', run: 'not_run' } });
+    expect(job.ok ? '' : job.error.detail).toContain('line 2');
+    const fixed = await caller.createJob({
+      model: 'alert-modely',
+      lines: lines.slice(0, 1),
+      idempotencyKey: 'k3',
+    });
+    expect(fixed.ok).toBe(true);
+  });
+
+  it('runs a keyed non-idempotent call once and repeats its answer through another instance', async () => {
+    const order = { orderId: 'o-1' };
+    const first = valueOf(
+      await fleet.caller(fleet.entry(0), 'obloha').callService('print', 'orders', order, 'key-o-1'),
+    );
+    const again = valueOf(
+      await fleet.caller(fleet.entry(1), 'obloha').callService('print', 'orders', order, 'key-o-1'),
+    );
+    expect(again).toEqual(first);
+    const journal = await got(`${fleet.service?.ready.address ?? ''}/journal`).json();
+    expect(journal).toEqual({ 'o-1': 1 });
+  });
+
+  it('answers a lost non-idempotent call as may_have_run and never runs it again', async () => {
+    await fleet.setRouteFaults(['print-1'], { dropAnswers: true });
+    const order = { orderId: 'o-2' };
+    const call = fleet.caller(fleet.entry(0), 'obloha').callService('print', 'orders', order, 'key-o-2');
+    await waitFor('the order', async () => {
+      const journal = await got(`${fleet.service?.ready.address ?? ''}/journal`).json<
+        Record<string, number>
+      >();
+      return journal['o-2'] === 1;
+    });
+    await fleet.setRouteFaults(['print-1'], { cut: true });
+    expect(await call).toMatchObject({ ok: false, error: { run: 'may_have_run' } });
+    await fleet.setRouteFaults(['print-1'], { cut: false, dropAnswers: false });
+    const again = await fleet
+      .caller(fleet.entry(1), 'obloha')
+      .callService('print', 'orders', order, 'key-o-2');
+    expect(again).toMatchObject({ ok: false, error: { run: 'may_have_run' } });
+    const journal = await got(`${fleet.service?.ready.address ?? ''}/journal`).json<Record<string, number>>();
+    expect(journal['o-2']).toBe(1);
+  });
+
+  it('lets one of two racing operators win and shows the loser the present row', async () => {
+    const [first, second] = [fleet.admin(fleet.entry(0)), fleet.admin(fleet.entry(1))];
+    const created = valueOf(await first.putRow('share/obloha/race', { weight: 1 }, 0));
+    const edits = await Promise.all([
+      first.putRow('share/obloha/race', { weight: 2 }, created.revision),
+      second.putRow('share/obloha/race', { weight: 3 }, created.revision),
+    ]);
+    const loser = edits.find((edit) => !edit.ok);
+    const winner = edits.find((edit) => edit.ok);
+    expect(loser).toMatchObject({ ok: false, error: { status: 409, code: 'row_changed' } });
+    expect(loser?.ok === false && loser.error.present).toEqual(winner?.ok && winner.value);
+    expect(valueOf(await first.inForce('share/obloha/race', 10_000)).inForce).toBe(true);
+  });
+
+  it.each<[string, BadRequest, number, string]>([
+    ['broken JSON', { body: '{"model":' }, 400, 'bad_json'],
+    ['an unknown model', { json: { model: 'none', prompt: 'p' } }, 404, 'unknown_model'],
+    ['a missing prompt', { json: { model: 'alert-modely' } }, 400, 'bad_request'],
+    ['a body over the limit', { body: 'x'.repeat(1_100_000) }, 413, 'body_too_large'],
+    [
+      'a bad deadline',
+      { json: { model: 'alert-modely', prompt: 'p' }, headers: { 'fighub-deadline-unix-ms': 'soon' } },
+      400,
+      'bad_header',
+    ],
+    ['an unknown key', { json: {}, headers: { authorization: 'Bearer nobody' } }, 401, 'unauthenticated'],
+  ])('refuses %s as not run', async (_name, options, status, code) => {
+    const answer = await got.post(`${fleet.entry(0).address}/v1/completions`, {
+      throwHttpErrors: false,
+      retry: { limit: 0 },
+      ...options,
+      headers: { authorization: 'Bearer key-obloha', ...options.headers },
+    });
+    expect(answer.statusCode).toBe(status);
+    expect(answer.headers['content-type']).toBe('application/problem+json');
+    expect(JSON.parse(answer.body)).toMatchObject({ code, run: 'not_run', status });
+  });
+
+  it('takes no one into the fleet who does not know its secret', async () => {
+    const { PeerNode } = await import('@fighub/peers');
+    const { Metrics } = await import('@fighub/core');
+    const dump = valueOf(await fleet.admin(fleet.entry(0)).dump());
+    const self = (dump.members as { instanceId: string; peerAddress: string }[]).find(
+      (m) => m.instanceId === dump.instanceId,
+    );
+    const stranger = new PeerNode(
+      { instanceId: 'x', host: '127.0.0.1', port: 0, secret: 'a wrong secret, long' },
+      new Metrics(),
+      () => undefined,
+    );
+    const answer = await stranger.request(self?.peerAddress ?? '', 'permit.acquire', {} as never, 5_000);
+    expect(answer).toEqual({ ok: false, error: 'not_connected' });
+    stranger.close();
+  });
+});
--- /dev/null
+++ b/packages/lab/src/fleet.ts
@@ -0,0 +1,363 @@
+/** A small fleet on loopback: stand-ins, entry instances and the rows that connect them. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { tmpdir } from 'node:os';
+import { dirname, join } from 'node:path';
+
+import { ApiClient } from '@fighub/client';
+import type { ItemResult } from '@fighub/core';
+import { keyHash } from '@fighub/entry';
+import type {
+  EngineStandinOptions,
+  JournalEntry,
+  KvFaults,
+  KvStandinOptions,
+  RouteFaults,
+} from '@fighub/standins';
+import got from 'got';
+
+import { FleetProcess } from './child-process.js';
+
+const require = createRequire(import.meta.url);
+const ADMIN_KEY = 'admin-key-of-the-lab';
+const FLEET_SECRET = 'fleet-secret-of-the-lab';
+
+/** An organisation of an experiment; its key is `key-<name>`. */
+export interface LabOrganisation {
+  readonly name: string;
+  readonly weight: number;
+}
+
+/** What a fleet consists of. */
+export interface FleetPlan {
+  readonly failureDomains: readonly string[];
+  /** Entry instances in each failure domain. */
+  readonly entriesPerDomain: number;
+  readonly replicasPerDomain: number;
+  readonly model: string;
+  readonly engine: Partial<EngineStandinOptions>;
+  readonly keyValue: Partial<KvStandinOptions>;
+  readonly organisations: readonly LabOrganisation[];
+  /** Settings of the entries that differ from the defaults. */
+  readonly entrySettings: Record<string, unknown>;
+  /** Routes between entries, stand-ins and upstreams lead through the fault proxy. */
+  readonly throughProxy: boolean;
+  readonly plainService: boolean;
+  readonly modelRow: Record<string, unknown>;
+}
+
+/** A plan with the sizes of Slnečná Stráž. */
+export const DEFAULT_PLAN: FleetPlan = {
+  failureDomains: ['zvolen-hala', 'bystrica-hala', 'lucenec-hala'],
+  entriesPerDomain: 1,
+  replicasPerDomain: 2,
+  model: 'alert-modely',
+  engine: {},
+  keyValue: {},
+  organisations: [
+    { name: 'obloha', weight: 1 },
+    { name: 'meteo-tatry', weight: 1 },
+    { name: 'slnko-data', weight: 1 },
+  ],
+  entrySettings: {},
+  throughProxy: false,
+  plainService: false,
+  modelRow: {},
+};
+
+/** One entry instance of a fleet. */
+export interface FleetEntry {
+  readonly name: string;
+  readonly failureDomain: string;
+  process: FleetProcess;
+  address: string;
+}
+
+/** One replica of a fleet. */
+export interface FleetReplica {
+  readonly name: string;
+  readonly failureDomain: string;
+  process: FleetProcess;
+  /** Address of the process itself; callers may reach it through the proxy. */
+  address: string;
+  readonly port: number;
+}
+
+/** A running fleet. */
+export class Fleet {
+  readonly entries: FleetEntry[] = [];
+  readonly replicas: FleetReplica[] = [];
+  keyValue!: FleetProcess;
+  instances!: FleetProcess;
+  service: FleetProcess | undefined;
+  private proxy: FleetProcess | undefined;
+  private readonly others: FleetProcess[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), 'fighub-lab-'));
+  private started = 0;
+
+  private constructor(readonly plan: FleetPlan) {}
+
+  /** Starts all processes and writes the rows. */
+  static async start(changes: Partial<FleetPlan> = {}): Promise<Fleet> {
+    const fleet = new Fleet({ ...DEFAULT_PLAN, ...changes });
+    try {
+      await fleet.startAll();
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  /** A client of an entry as an organisation. */
+  caller(entry: FleetEntry, organisation: string): ApiClient {
+    return new ApiClient(entry.address, `key-${organisation}`);
+  }
+
+  /** A client of an entry as administrator. */
+  admin(entry: FleetEntry): ApiClient {
+    return new ApiClient(entry.address, ADMIN_KEY);
+  }
+
+  entry(index: number): FleetEntry {
+    const entry = this.entries[index % this.entries.length];
+    if (!entry) throw new Error('the fleet has no entries');
+    return entry;
+  }
+
+  replica(index: number): FleetReplica {
+    const replica = this.replicas[index % this.replicas.length];
+    if (!replica) throw new Error('the fleet has no replicas');
+    return replica;
+  }
+
+  /** Starts one more entry, or one in place of another. */
+  async startEntry(name: string, failureDomain: string): Promise<FleetEntry> {
+    this.started += 1;
+    const settings = {
+      instanceName: name,
+      failureDomain,
+      fleetSecret: FLEET_SECRET,
+      bootstrapAdminKey: ADMIN_KEY,
+      keyValueService: {
+        address: await this.route(`${name}-kv`, this.keyValue.ready.address ?? ''),
+        ...(this.plan.entrySettings.keyValueService as object | undefined),
+      },
+      instanceList: { address: await this.route(`${name}-list`, this.instances.ready.address ?? '') },
+      logLevel: 'info',
+      ...Object.fromEntries(
+        Object.entries(this.plan.entrySettings).filter(([key]) => key !== 'keyValueService'),
+      ),
+    };
+    const file = join(this.folder, `${name}-${String(this.started)}.jsonc`);
+    writeFileSync(file, JSON.stringify(settings, undefined, 2));
+    const process = await FleetProcess.start(name, programOf('@fighub/entry', 'fighub-entry'), [
+      '--settings',
+      file,
+      '--json',
+    ]);
+    return { name, failureDomain, process, address: process.ready.httpAddress ?? '' };
+  }
+
+  /** Replaces the process of an entry that has ended. */
+  async restartEntry(entry: FleetEntry): Promise<void> {
+    const fresh = await this.startEntry(entry.name, entry.failureDomain);
+    entry.process = fresh.process;
+    entry.address = fresh.address;
+  }
+
+  /** Starts the process of a replica again at its old port. */
+  async restartReplica(replica: FleetReplica): Promise<void> {
+    replica.process = await this.startEngine(replica.name, replica.port);
+  }
+
+  async setKeyValueFaults(faults: Partial<KvFaults>): Promise<void> {
+    await got.post(`${this.keyValue.ready.address ?? ''}/faults`, { json: faults });
+  }
+
+  async keyValueStats(): Promise<KeyValueStats> {
+    return got(`${this.keyValue.ready.address ?? ''}/stats`).json<KeyValueStats>();
+  }
+
+  async setEngineFaults(replica: FleetReplica, faults: Record<string, unknown>): Promise<void> {
+    await got.post(`${replica.address}/faults`, { json: faults });
+  }
+
+  async journal(replica: FleetReplica): Promise<JournalEntry[]> {
+    return got(`${replica.address}/journal`).json<JournalEntry[]>();
+  }
+
+  /** What every running replica saw. */
+  async journals(): Promise<JournalEntry[]> {
+    const running = this.replicas.filter((replica) => replica.process.running);
+    return (await Promise.all(running.map((replica) => this.journal(replica)))).flat();
+  }
+
+  /** Sets faults on routes of the proxy whose names match. */
+  async setRouteFaults(names: readonly string[], faults: Partial<RouteFaults>): Promise<void> {
+    await got.post(`${this.proxy?.ready.address ?? ''}/faults`, { json: { names, faults } });
+  }
+
+  /** Waits until every running entry holds the rows and knows all others. */
+  async settled(): Promise<void> {
+    await waitFor('the fleet to settle', async () => {
+      const running = this.entries.filter((entry) => entry.process.running);
+      const dumps = await Promise.all(running.map((entry) => this.admin(entry).dump()));
+      const revisions = new Set(
+        dumps.map((dump) =>
+          JSON.stringify(dump.ok ? (dump.value.table as { revisions: number[] }).revisions : 0),
+        ),
+      );
+      const complete = dumps.every((dump) => dump.ok && liveMembers(dump.value) === running.length);
+      return complete && revisions.size === 1;
+    });
+  }
+
+  /** Ends all processes. */
+  async stop(): Promise<void> {
+    const processes = [
+      ...this.entries.map((entry) => entry.process),
+      ...this.replicas.map((replica) => replica.process),
+      ...this.others,
+    ];
+    await Promise.all(processes.map((process) => process.kill()));
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  private async startAll(): Promise<void> {
+    const { plan } = this;
+    this.keyValue = await this.startStandin('key-value', plan.keyValue);
+    this.instances = await this.startStandin('instances', {});
+    if (plan.throughProxy) {
+      this.proxy = await FleetProcess.start('proxy', programOf('@fighub/standins', 'fighub-proxy'), []);
+      this.others.push(this.proxy);
+    }
+    if (plan.plainService) this.service = await this.startStandin('service', {});
+    const places = plan.failureDomains.flatMap((domain) =>
+      Array.from({ length: plan.replicasPerDomain }, (_, index) => ({ domain, index })),
+    );
+    await Promise.all(
+      places.map(({ domain, index }) => this.addReplica(`${domain}-r${String(index + 1)}`, domain)),
+    );
+    const seats = plan.failureDomains.flatMap((domain) =>
+      Array.from({ length: plan.entriesPerDomain }, (_, index) => ({ domain, index })),
+    );
+    const entries = await Promise.all(
+      seats.map(({ domain, index }) => this.startEntry(`${domain}-e${String(index + 1)}`, domain)),
+    );
+    this.entries.push(...entries);
+    await this.writeRows();
+    await this.settled();
+  }
+
+  private async addReplica(name: string, failureDomain: string): Promise<void> {
+    const process = await this.startEngine(name, 0);
+    const address = process.ready.address ?? '';
+    this.replicas.push({ name, failureDomain, process, address, port: Number(new URL(address).port) });
+  }
+
+  private startEngine(name: string, port: number): Promise<FleetProcess> {
+    const options = { models: [this.plan.model], ...this.plan.engine, port };
+    return FleetProcess.start(name, programOf('@fighub/standins', 'fighub-standin'), [
+      'engine',
+      '--options',
+      JSON.stringify(options),
+    ]);
+  }
+
+  private async startStandin(kind: string, options: object): Promise<FleetProcess> {
+    const program = programOf('@fighub/standins', 'fighub-standin');
+    const process = await FleetProcess.start(kind, program, [kind, '--options', JSON.stringify(options)]);
+    this.others.push(process);
+    return process;
+  }
+
+  /** The address that leads to a target, through the proxy if there is one. */
+  private async route(name: string, target: string): Promise<string> {
+    if (!this.proxy) return target;
+    const answer = await got
+      .post(`${this.proxy.ready.address ?? ''}/routes`, { json: { name, target: new URL(target).host } })
+      .json<{ port: number }>();
+    return `http://127.0.0.1:${String(answer.port)}`;
+  }
+
+  private async writeRows(): Promise<void> {
+    const admin = this.admin(this.entry(0));
+    const { plan } = this;
+    const upstreams = await Promise.all(
+      this.replicas.map(async (replica) => ({
+        key: `upstream/${replica.name}`,
+        value: {
+          serves: plan.model,
+          address: await this.route(replica.name, replica.address),
+          failureDomain: replica.failureDomain,
+          fencingChecked: plan.engine.checksFencing ?? false,
+          maxConcurrency: plan.engine.maxConcurrency ?? 8,
+        },
+      })),
+    );
+    const organisations = plan.organisations.flatMap((organisation) => [
+      {
+        key: `organisation/${organisation.name}`,
+        value: { keyHashes: [keyHash(`key-${organisation.name}`)] },
+      },
+      { key: `share/${organisation.name}/*`, value: { weight: organisation.weight } },
+    ]);
+    const rows = [{ key: `model/${plan.model}`, value: plan.modelRow }, ...upstreams, ...organisations];
+    if (this.service) {
+      rows.push({ key: 'service/print', value: {} });
+      rows.push({
+        key: 'upstream/print-1',
+        value: {
+          serves: 'print',
+          address: await this.route('print-1', this.service.ready.address ?? ''),
+          failureDomain: plan.failureDomains[0] ?? '',
+        } as never,
+      });
+    }
+    await rows.reduce(async (previous, row) => {
+      await previous;
+      const written = await admin.putRow(row.key, row.value);
+      if (!written.ok) throw new Error(`${row.key}: ${written.error.detail}`);
+    }, Promise.resolve());
+  }
+}
+
+/** Counters of the key-value stand-in. */
+export interface KeyValueStats {
+  readonly keys: number;
+  readonly writes: number;
+  readonly reads: number;
+  readonly writesRefused: number;
+  readonly readsRefused: number;
+  readonly answersLost: number;
+  readonly writesByKind: Readonly<Record<string, number>>;
+}
+
+/** Waits until a condition holds. */
+export async function waitFor(what: string, holds: () => Promise<boolean>, limitMs = 40_000): Promise<void> {
+  const untilMs = performance.now() + limitMs;
+  while (!(await holds())) {
+    if (performance.now() > untilMs) throw new Error(`waited too long for ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+}
+
+/** Number of live members in a dump. */
+export function liveMembers(dump: Record<string, unknown>): number {
+  const members = dump.members as { state: string }[];
+  return members.filter((member) => member.state === 'alive').length;
+}
+
+/** Results by status. */
+export function countByStatus(results: readonly ItemResult[]): Record<string, number> {
+  return results.reduce<Record<string, number>>((counts, result) => {
+    counts[result.status] = (counts[result.status] ?? 0) + 1;
+    return counts;
+  }, {});
+}
+
+function programOf(packageName: string, bin: string): string {
+  const entry = require.resolve(packageName);
+  return join(dirname(entry), 'bin', `${bin}.js`);
+}
--- /dev/null
+++ b/packages/peers/src/frame.ts
@@ -0,0 +1,78 @@
+/** Frames between instances: a length of four bytes, then one CBOR value. */
+import type { Outcome } from '@fighub/core';
+import { fail, ok } from '@fighub/core';
+import { Encoder } from 'cbor-x';
+
+/** Largest body of a frame, in bytes. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+const HEADER_BYTES = 4;
+
+/** Kinds of frames. */
+export const FrameKind = {
+  hello: 'hello',
+  proof: 'proof',
+  request: 'request',
+  response: 'response',
+  notice: 'notice',
+  heartbeat: 'heartbeat',
+} as const;
+export type FrameKind = (typeof FrameKind)[keyof typeof FrameKind];
+
+/** One frame. Unknown fields of newer releases are kept out by the handlers, not refused here. */
+export interface Frame {
+  readonly kind: FrameKind;
+  /** Name of the message, for requests and notices. */
+  readonly name?: string;
+  /** Connects a response with its request. */
+  readonly callId?: number;
+  readonly body?: unknown;
+}
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+const KINDS: ReadonlySet<unknown> = new Set(Object.values(FrameKind));
+
+/** Encodes a frame. */
+export function encodeFrame(frame: Frame): Buffer {
+  const body = encoder.encode(frame);
+  const header = Buffer.alloc(HEADER_BYTES);
+  header.writeUInt32BE(body.length);
+  return Buffer.concat([header, body]);
+}
+
+/** Collects bytes and returns whole frames. After a failure the connection has to be closed. */
+export class FrameReader {
+  private buffered: Buffer = Buffer.alloc(0);
+
+  /** Adds bytes and returns the frames that are now whole. */
+  push(part: Buffer): Outcome<Frame[], string> {
+    this.buffered = this.buffered.length === 0 ? part : Buffer.concat([this.buffered, part]);
+    const frames: Frame[] = [];
+    while (this.buffered.length >= HEADER_BYTES) {
+      const length = this.buffered.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) return fail(`a frame of ${String(length)} bytes is over the limit`);
+      if (this.buffered.length < HEADER_BYTES + length) break;
+      const frame = decodeBody(this.buffered.subarray(HEADER_BYTES, HEADER_BYTES + length));
+      if (!frame.ok) return frame;
+      frames.push(frame.value);
+      this.buffered = this.buffered.subarray(HEADER_BYTES + length);
+    }
+    return ok(frames);
+  }
+}
+
+function decodeBody(body: Buffer): Outcome<Frame, string> {
+  try {
+    const value = encoder.decode(body) as unknown;
+    return isFrame(value) ? ok(value) : fail('the value is not a frame');
+  } catch {
+    return fail('the body is not valid CBOR');
+  }
+}
+
+function isFrame(value: unknown): value is Frame {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return false;
+  const frame = value as Partial<Frame>;
+  const nameFits = frame.name === undefined || typeof frame.name === 'string';
+  const callFits = frame.callId === undefined || typeof frame.callId === 'number';
+  return KINDS.has(frame.kind) && nameFits && callFits;
+}
--- /dev/null
+++ b/packages/peers/src/membership-runner.ts
@@ -0,0 +1,177 @@
+/** Runs the membership protocol over the peers' connections. */
+import type { Metrics } from '@fighub/core';
+import type { Member, MemberUpdate } from '@fighub/decisions';
+import { MemberState, Membership } from '@fighub/decisions';
+
+import type { PeerNode } from './peer-node.js';
+import type { PingBody, TableDigest } from './peer-messages.js';
+
+/** Settings of the protocol, in milliseconds. */
+export interface MembershipOptions {
+  readonly probePeriodMs: number;
+  readonly probeTimeoutMs: number;
+  readonly suspicionMs: number;
+  readonly indirectProbes: number;
+}
+
+/** State that rides on probes. */
+export interface PiggybackSource {
+  tableDigest(): TableDigest;
+  storeDown(): boolean;
+  /** Called with the table state of a peer. */
+  onPeerTable(peer: MemberUpdate, digest: TableDigest): void;
+}
+
+/** An instance that the platform's list names. */
+export interface SeedCandidate {
+  readonly instanceId: string;
+  readonly peerAddress: string;
+}
+
+const EAGER_FANOUT = 8;
+const SEEDS_PER_ROUND = 4;
+
+/** Probes members and spreads what changes. */
+export class MembershipRunner {
+  readonly membership: Membership;
+  private timer: NodeJS.Timeout | undefined;
+  private spreadVersion = 0;
+  private readonly storeDownAtPeer = new Map<string, boolean>();
+
+  constructor(
+    private readonly self: MemberUpdate,
+    private readonly options: MembershipOptions,
+    private readonly node: PeerNode,
+    private readonly piggyback: PiggybackSource,
+    private readonly metrics: Metrics,
+    private readonly random: () => number,
+  ) {
+    this.membership = new Membership(self, options.suspicionMs, random);
+    node.onRequest('swim.ping', (body) => this.onPing(body));
+    node.onRequest('swim.indirect', async (body) => ({ reached: await this.ping(body.targetAddress) }));
+    node.onNotice('swim.update', (body) => this.membership.merge(body.updates, performance.now()));
+  }
+
+  start(): void {
+    this.scheduleProbe();
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+  }
+
+  /** Announces that this instance leaves, to a few peers at once and to the rest by probes. */
+  leave(): void {
+    this.membership.leave(performance.now());
+    this.spreadEagerly();
+  }
+
+  /** Pings listed instances that do not count as live here; those that answer join. */
+  async seed(candidates: readonly SeedCandidate[]): Promise<void> {
+    const absent = candidates
+      .filter((candidate) => candidate.instanceId !== this.self.instanceId)
+      .filter((candidate) => !this.membership.isLive(candidate.instanceId))
+      .map((candidate) => ({ candidate, key: this.random() }))
+      .sort((a, b) => a.key - b.key)
+      .slice(0, SEEDS_PER_ROUND);
+    await Promise.all(
+      absent.map(({ candidate }) =>
+        this.ping(candidate.peerAddress, this.membership.get(candidate.instanceId)),
+      ),
+    );
+  }
+
+  /** Live members, this instance included. */
+  owners(): Member[] {
+    return this.membership.owners();
+  }
+
+  /** Whether peers in every other failure domain that we reach report that the service is down. */
+  outageSeenByOtherDomains(): boolean {
+    const others = this.owners().filter((member) => member.failureDomain !== this.self.failureDomain);
+    const domains = [...new Set(others.map((member) => member.failureDomain))];
+    return (
+      domains.length > 0 &&
+      domains.every((domain) =>
+        others.some((m) => m.failureDomain === domain && this.storeDownAtPeer.get(m.instanceId) === true),
+      )
+    );
+  }
+
+  private scheduleProbe(): void {
+    const jitter = 0.75 + this.random() / 2;
+    this.timer = setTimeout(() => {
+      void this.probeOnce();
+      this.scheduleProbe();
+    }, this.options.probePeriodMs * jitter);
+  }
+
+  private async probeOnce(): Promise<void> {
+    this.membership.run(performance.now());
+    this.spreadEagerlyOnChange();
+    const target = this.membership.nextProbe();
+    if (!target || target.state === MemberState.leaving) return;
+    if (await this.ping(target.peerAddress, target)) return;
+    if (target.state !== MemberState.alive) return;
+    const helpers = this.membership.helpers(target.instanceId, this.options.indirectProbes);
+    const answers = await Promise.all(helpers.map((helper) => this.askHelper(helper, target)));
+    // A probe over a new connection tells a forgotten connection from a dead member.
+    if (answers.includes(true) || (await this.ping(target.peerAddress, target))) return;
+    this.metrics.count('members_suspected');
+    this.membership.suspect(target.instanceId, performance.now());
+  }
+
+  private async askHelper(helper: Member, target: Member): Promise<boolean> {
+    const timeoutMs = this.options.probeTimeoutMs * 2;
+    const body = { targetAddress: target.peerAddress };
+    const answer = await this.node.request(helper.peerAddress, 'swim.indirect', body, timeoutMs);
+    return answer.ok && answer.value.reached;
+  }
+
+  private async ping(address: string, target?: MemberUpdate): Promise<boolean> {
+    const body = this.pingBody(target);
+    const answer = await this.node.request(address, 'swim.ping', body, this.options.probeTimeoutMs);
+    if (!answer.ok) return false;
+    this.takeIn(answer.value);
+    return true;
+  }
+
+  private onPing(body: PingBody): PingBody {
+    this.takeIn(body);
+    return this.pingBody(this.membership.get(body.from.instanceId));
+  }
+
+  /** Always tells the receiver what we hold of it, so that it can refute a suspicion. */
+  private pingBody(receiver?: MemberUpdate): PingBody {
+    const self = this.membership.get(this.self.instanceId) ?? this.self;
+    const updates = this.membership.updatesToSpread();
+    return {
+      from: self,
+      updates: receiver ? [...updates, receiver] : updates,
+      table: this.piggyback.tableDigest(),
+      storeDown: this.piggyback.storeDown(),
+    };
+  }
+
+  private takeIn(body: PingBody): void {
+    const nowMs = performance.now();
+    this.membership.heardFrom(body.from, nowMs);
+    this.membership.merge(body.updates, nowMs);
+    this.storeDownAtPeer.set(body.from.instanceId, body.storeDown);
+    this.piggyback.onPeerTable(body.from, body.table);
+    this.spreadEagerlyOnChange();
+  }
+
+  private spreadEagerlyOnChange(): void {
+    if (this.membership.version === this.spreadVersion) return;
+    this.spreadVersion = this.membership.version;
+    this.spreadEagerly();
+  }
+
+  private spreadEagerly(): void {
+    const updates = this.membership.updatesToSpread();
+    this.membership
+      .helpers(this.self.instanceId, EAGER_FANOUT)
+      .forEach((peer) => this.node.notify(peer.peerAddress, 'swim.update', { updates }));
+  }
+}
--- /dev/null
+++ b/packages/peers/src/peer-connection.ts
@@ -0,0 +1,128 @@
+/** One TCP connection between two instances, with handshake and heartbeats. */
+import type { Socket } from 'node:net';
+
+import type { Frame } from './frame.js';
+import { FrameKind, FrameReader, encodeFrame } from './frame.js';
+import type { HelloBody } from './peer-handshake.js';
+import { isHello, newHello, proofMatches, proofOf, versionsOverlap } from './peer-handshake.js';
+
+/** A connection with nothing received for this long is closed, in milliseconds. */
+export const SILENCE_LIMIT_MS = 2_500;
+export const HEARTBEAT_PERIOD_MS = 800;
+const HANDSHAKE_LIMIT_MS = 2_000;
+const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
+
+/** Receives what happens on a connection. */
+export interface ConnectionListener {
+  onReady(connection: PeerConnection): void;
+  onFrame(connection: PeerConnection, frame: Frame): void;
+  onClosed(connection: PeerConnection, reason: string): void;
+}
+
+/** A proven connection. The dialling end sends requests, the accepting end answers them. */
+export class PeerConnection {
+  ready = false;
+  peerInstanceId = '';
+  bytesSent = 0;
+  bytesReceived = 0;
+  private readonly reader = new FrameReader();
+  private readonly ownHello: HelloBody;
+  private peerHello: HelloBody | undefined;
+  private lastReceivedMs = performance.now();
+  private readonly openedMs = performance.now();
+  private readonly timer: NodeJS.Timeout;
+  private closed = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly dialled: boolean,
+    instanceId: string,
+    private readonly secret: string,
+    private readonly listener: ConnectionListener,
+  ) {
+    this.ownHello = newHello(instanceId);
+    socket.setNoDelay(true);
+    socket.on('data', (part) => this.onData(part));
+    socket.on('error', (error) => this.close(error.message));
+    socket.on('close', () => this.close('closed by the other end'));
+    this.timer = setInterval(() => this.onTimer(), HEARTBEAT_PERIOD_MS);
+    if (!socket.connecting) this.sayHello();
+    else socket.once('connect', () => this.sayHello());
+  }
+
+  /** Whether so much is unsent that more must not be queued. */
+  get congested(): boolean {
+    return this.socket.writableLength > MAX_UNSENT_BYTES;
+  }
+
+  /** Time since something was received, in milliseconds. */
+  get silentForMs(): number {
+    return performance.now() - this.lastReceivedMs;
+  }
+
+  send(frame: Frame): void {
+    if (this.closed) return;
+    const bytes = encodeFrame(frame);
+    this.bytesSent += bytes.length;
+    this.socket.write(bytes);
+  }
+
+  close(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    clearInterval(this.timer);
+    this.socket.destroy();
+    this.listener.onClosed(this, reason);
+  }
+
+  private sayHello(): void {
+    this.send({ kind: FrameKind.hello, body: this.ownHello });
+  }
+
+  private onTimer(): void {
+    if (!this.ready && performance.now() - this.openedMs > HANDSHAKE_LIMIT_MS) this.close('no handshake');
+    else if (this.silentForMs > SILENCE_LIMIT_MS) this.close('silent past its limit');
+    else if (this.ready) this.send({ kind: FrameKind.heartbeat });
+  }
+
+  private onData(part: Buffer): void {
+    this.lastReceivedMs = performance.now();
+    this.bytesReceived += part.length;
+    const frames = this.reader.push(part);
+    if (!frames.ok) {
+      this.close(frames.error);
+      return;
+    }
+    frames.value.forEach((frame) => this.onFrame(frame));
+  }
+
+  private onFrame(frame: Frame): void {
+    if (this.closed || frame.kind === FrameKind.heartbeat) return;
+    if (this.ready) this.listener.onFrame(this, frame);
+    else if (frame.kind === FrameKind.hello) this.onHello(frame.body);
+    else if (frame.kind === FrameKind.proof) this.onProof(frame.body);
+    else this.close('a message came before the proof');
+  }
+
+  private onHello(body: unknown): void {
+    if (this.peerHello || !isHello(body) || !versionsOverlap(body)) {
+      this.close('the hello is not acceptable');
+      return;
+    }
+    this.peerHello = body;
+    const proof = proofOf(this.secret, this.ownHello, body, this.dialled ? 'dial' : 'accept');
+    this.send({ kind: FrameKind.proof, body: proof });
+  }
+
+  private onProof(body: unknown): void {
+    const peer = this.peerHello;
+    const direction = this.dialled ? 'accept' : 'dial';
+    if (!peer || !proofMatches(proofOf(this.secret, peer, this.ownHello, direction), body)) {
+      this.close('the proof of the fleet secret is wrong');
+      return;
+    }
+    this.ready = true;
+    this.peerInstanceId = peer.instanceId;
+    this.listener.onReady(this);
+  }
+}
--- /dev/null
+++ b/packages/peers/src/peer-messages.ts
@@ -0,0 +1,91 @@
+/** All messages between instances, by name. */
+import type { Problem, TableBucket } from '@fighub/core';
+import type { MemberUpdate, PoolLoad, ReleaseReport, WorkClass } from '@fighub/decisions';
+
+/** Asks the owner of a pool for a place. The answer tells only whether the owner took the request. */
+export interface AcquireBody {
+  readonly poolId: string;
+  readonly requestId: string;
+  readonly holder: string;
+  readonly organisation: string;
+  readonly workClass: WorkClass;
+  readonly costTokens: number;
+  readonly deadlineUnixMs: number;
+  readonly prefixDigest: string;
+  readonly excludedReplicaIds: readonly string[];
+  readonly resumable: boolean;
+  readonly alone: boolean;
+}
+
+/** Tells the holder that a place was granted. */
+export interface GrantedBody {
+  readonly requestId: string;
+  readonly permitId: string;
+  readonly poolId: string;
+  readonly replicaId: string;
+  readonly address: string;
+  readonly fencingChecked: boolean;
+}
+
+/** A permit as its holder describes it to the owner. */
+export interface HeldPermit {
+  readonly permitId: string;
+  readonly replicaId: string;
+  readonly request: AcquireBody;
+}
+
+/** Table state by bucket, in the order of bucket numbers. */
+export interface TableDigest {
+  readonly revisions: readonly number[];
+}
+
+/** A probe with piggybacked state. */
+export interface PingBody {
+  readonly from: MemberUpdate;
+  readonly updates: readonly MemberUpdate[];
+  readonly table: TableDigest;
+  readonly storeDown: boolean;
+}
+
+/** Requests and their responses, by name. */
+export interface PeerRequests {
+  'permit.acquire': { body: AcquireBody; answer: { accepted: boolean } };
+  'swim.ping': { body: PingBody; answer: PingBody };
+  'swim.indirect': { body: { targetAddress: string }; answer: { reached: boolean } };
+  'table.fetch': { body: { buckets: readonly number[] }; answer: { buckets: readonly TableBucket[] } };
+  'once.state': { body: { key: string }; answer: { running: boolean } };
+}
+
+/** One-way messages, by name. */
+export interface PeerNotices {
+  'permit.withdraw': { poolId: string; requestId: string };
+  'permit.release': { poolId: string; reports: readonly ReleaseReport[] };
+  'permit.renew': { poolId: string; holder: string; permits: readonly HeldPermit[] };
+  'permit.granted': GrantedBody;
+  'permit.refused': { requestId: string; problem: Problem };
+  'permit.revoked': { permitId: string };
+  'pool.summary': { from: string; loads: readonly PoolLoad[] };
+  'table.push': { bucket: TableBucket };
+  'job.cancelled': { jobId: string };
+  'swim.update': { updates: readonly MemberUpdate[] };
+}
+
+export type PeerRequestName = keyof PeerRequests;
+export type PeerNoticeName = keyof PeerNotices;
+
+/** Answers one kind of request. */
+export type RequestHandler<K extends PeerRequestName> = (
+  body: PeerRequests[K]['body'],
+) => PeerRequests[K]['answer'] | Promise<PeerRequests[K]['answer']>;
+
+/** Takes one kind of notice. */
+export type NoticeHandler<K extends PeerNoticeName> = (body: PeerNotices[K]) => void;
+
+/** Why a request to a peer has no answer. */
+export const PeerFailure = {
+  notConnected: 'not_connected',
+  timeout: 'timeout',
+  congested: 'congested',
+  closed: 'closed',
+} as const;
+export type PeerFailure = (typeof PeerFailure)[keyof typeof PeerFailure];
--- /dev/null
+++ b/packages/peers/src/peer-node.ts
@@ -0,0 +1,250 @@
+/** Sends and answers typed messages between instances. */
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+
+import type { Metrics, Outcome } from '@fighub/core';
+import { fail, ok } from '@fighub/core';
+
+import type { Frame } from './frame.js';
+import { FrameKind } from './frame.js';
+import { PeerConnection } from './peer-connection.js';
+import type {
+  NoticeHandler,
+  PeerNoticeName,
+  PeerNotices,
+  PeerRequestName,
+  PeerRequests,
+  RequestHandler,
+} from './peer-messages.js';
+import { PeerFailure } from './peer-messages.js';
+
+/** Settings of a node. */
+export interface PeerNodeOptions {
+  readonly instanceId: string;
+  readonly host: string;
+  readonly port: number;
+  readonly secret: string;
+}
+
+interface PendingCall {
+  readonly address: string;
+  readonly finish: (outcome: Outcome<unknown, PeerFailure>) => void;
+}
+
+interface Link {
+  readonly connection: PeerConnection;
+  /** Frames that wait for the end of the handshake. */
+  waiting: Frame[];
+  lastUsedMs: number;
+}
+
+const MAX_WAITING_FRAMES = 1_000;
+const IDLE_LINK_MS = 60_000;
+
+/** The listening port and the dialled connections of one instance. */
+export class PeerNode {
+  private readonly links = new Map<string, Link>();
+  private readonly accepted = new Set<PeerConnection>();
+  private readonly pending = new Map<number, PendingCall>();
+  private readonly requestHandlers = new Map<string, (body: unknown) => unknown>();
+  private readonly noticeHandlers = new Map<string, (body: unknown) => void>();
+  private server: Server | undefined;
+  private nextCallId = 1;
+
+  constructor(
+    private readonly options: PeerNodeOptions,
+    private readonly metrics: Metrics,
+    private readonly onHandlerError: (error: unknown) => void,
+  ) {}
+
+  /** Registers the handler of a request. */
+  onRequest<K extends PeerRequestName>(name: K, handler: RequestHandler<K>): void {
+    this.requestHandlers.set(name, (body) => handler(body as PeerRequests[K]['body']));
+  }
+
+  /** Registers the handler of a notice. */
+  onNotice<K extends PeerNoticeName>(name: K, handler: NoticeHandler<K>): void {
+    this.noticeHandlers.set(name, (body) => handler(body as PeerNotices[K]));
+  }
+
+  /** Starts to listen and returns the port. */
+  listen(): Promise<number> {
+    const server = createServer((socket) => this.accept(socket));
+    this.server = server;
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(this.options.port, this.options.host, () => {
+        resolve((server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Closes all connections and the port. */
+  close(): void {
+    this.server?.close();
+    [...this.links.values()].forEach((link) => link.connection.close('this instance stops'));
+    [...this.accepted].forEach((connection) => connection.close('this instance stops'));
+  }
+
+  /** Sends a request and waits for its answer. */
+  request<K extends PeerRequestName>(
+    address: string,
+    name: K,
+    body: PeerRequests[K]['body'],
+    timeoutMs: number,
+  ): Promise<Outcome<PeerRequests[K]['answer'], PeerFailure>> {
+    return new Promise((resolve) => {
+      const callId = this.nextCallId++;
+      const timer = setTimeout(() => this.onCallTimeout(callId), timeoutMs);
+      const finish = (outcome: Outcome<unknown, PeerFailure>): void => {
+        clearTimeout(timer);
+        this.pending.delete(callId);
+        resolve(outcome as Outcome<PeerRequests[K]['answer'], PeerFailure>);
+      };
+      this.pending.set(callId, { address, finish });
+      const sent = this.send(address, { kind: FrameKind.request, name, callId, body });
+      if (!sent) finish(fail(PeerFailure.congested));
+    });
+  }
+
+  /** Sends a one-way message. It may be lost. */
+  notify<K extends PeerNoticeName>(address: string, name: K, body: PeerNotices[K]): void {
+    this.send(address, { kind: FrameKind.notice, name, body });
+  }
+
+  /** Connections and traffic for the dump. */
+  dump(): Record<string, unknown> {
+    return {
+      links: [...this.links.entries()].map(([address, link]) => ({
+        address,
+        ready: link.connection.ready,
+        peerInstanceId: link.connection.peerInstanceId,
+        silentForMs: Math.round(link.connection.silentForMs),
+      })),
+      accepted: this.accepted.size,
+      pendingCalls: this.pending.size,
+    };
+  }
+
+  private send(address: string, frame: Frame): boolean {
+    const link = this.links.get(address) ?? this.dial(address);
+    link.lastUsedMs = performance.now();
+    this.metrics.count('peer_messages_sent');
+    if (link.connection.congested || link.waiting.length >= MAX_WAITING_FRAMES) {
+      this.metrics.count('peer_messages_congested');
+      return false;
+    }
+    if (link.connection.ready) link.connection.send(frame);
+    else link.waiting.push(frame);
+    return true;
+  }
+
+  private dial(address: string): Link {
+    this.closeIdleLinks();
+    const at = address.lastIndexOf(':');
+    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+    const connection = new PeerConnection(socket, true, this.options.instanceId, this.options.secret, {
+      onReady: () => this.flush(address, connection),
+      onFrame: (_, frame) => this.onAnswer(frame),
+      onClosed: (closed) => this.onLinkClosed(address, closed),
+    });
+    const link = { connection, waiting: [], lastUsedMs: performance.now() };
+    this.links.set(address, link);
+    return link;
+  }
+
+  private closeIdleLinks(): void {
+    const nowMs = performance.now();
+    [...this.links.values()]
+      .filter((link) => nowMs - link.lastUsedMs > IDLE_LINK_MS)
+      .forEach((link) => link.connection.close('idle'));
+  }
+
+  private flush(address: string, connection: PeerConnection): void {
+    const link = this.links.get(address);
+    if (link?.connection !== connection) return;
+    link.waiting.forEach((frame) => connection.send(frame));
+    link.waiting = [];
+  }
+
+  private onLinkClosed(address: string, connection: PeerConnection): void {
+    this.countTraffic(connection);
+    if (this.links.get(address)?.connection !== connection) return;
+    this.links.delete(address);
+    const reason = connection.ready ? PeerFailure.closed : PeerFailure.notConnected;
+    [...this.pending.values()]
+      .filter((call) => call.address === address)
+      .forEach((call) => call.finish(fail(reason)));
+  }
+
+  /** A connection that lets a call time out and brought nothing else may be forgotten: replace it. */
+  private onCallTimeout(callId: number): void {
+    const call = this.pending.get(callId);
+    if (!call) return;
+    call.finish(fail(PeerFailure.timeout));
+    const link = this.links.get(call.address);
+    if (link && link.connection.silentForMs > SILENT_AFTER_TIMEOUT_MS) {
+      this.metrics.count('peer_connections_replaced');
+      link.connection.close('a call timed out on a silent connection');
+    }
+  }
+
+  private onAnswer(frame: Frame): void {
+    this.metrics.count('peer_messages_received');
+    if (frame.kind !== FrameKind.response || frame.callId === undefined) return;
+    this.pending.get(frame.callId)?.finish(ok(frame.body));
+  }
+
+  private accept(socket: Socket): void {
+    const connection = new PeerConnection(socket, false, this.options.instanceId, this.options.secret, {
+      onReady: () => undefined,
+      onFrame: (source, frame) => this.onIncoming(source, frame),
+      onClosed: (closed, reason) => {
+        this.accepted.delete(closed);
+        this.countTraffic(closed);
+        if (!closed.ready) this.metrics.count('peer_connections_refused', 1, [reason]);
+      },
+    });
+    this.accepted.add(connection);
+  }
+
+  private countTraffic(connection: PeerConnection): void {
+    this.metrics.count('peer_bytes_sent', connection.bytesSent);
+    this.metrics.count('peer_bytes_received', connection.bytesReceived);
+  }
+
+  private onIncoming(connection: PeerConnection, frame: Frame): void {
+    this.metrics.count('peer_messages_received');
+    if (frame.kind === FrameKind.notice) this.onNoticeFrame(frame);
+    if (frame.kind === FrameKind.request) void this.onRequestFrame(connection, frame);
+  }
+
+  private onNoticeFrame(frame: Frame): void {
+    const handler = this.noticeHandlers.get(frame.name ?? '');
+    if (!handler) {
+      this.metrics.count('peer_messages_unknown');
+      return;
+    }
+    try {
+      handler(frame.body);
+    } catch (error) {
+      this.onHandlerError(error);
+    }
+  }
+
+  private async onRequestFrame(connection: PeerConnection, frame: Frame): Promise<void> {
+    const handler = this.requestHandlers.get(frame.name ?? '');
+    if (!handler) {
+      this.metrics.count('peer_messages_unknown');
+      return;
+    }
+    try {
+      const body = await handler(frame.body);
+      connection.send({ kind: FrameKind.response, callId: frame.callId, body });
+    } catch (error) {
+      this.onHandlerError(error);
+    }
+  }
+}
+
+const SILENT_AFTER_TIMEOUT_MS = 1_000;
--- /dev/null
+++ b/packages/platform/src/etcd-key-value.ts
@@ -0,0 +1,172 @@
+/** The key-value service over etcd's v3 JSON gateway. */
+import { Agent } from 'node:http';
+
+import type { Outcome } from '@fighub/core';
+import { fail, ok } from '@fighub/core';
+import got, { HTTPError, TimeoutError } from 'got';
+
+import type {
+  EtcdKeyValue,
+  EtcdRangeResponse,
+  EtcdRequestOp,
+  EtcdTxnResponse,
+  EtcdWatchMessage,
+} from './etcd-wire.js';
+import { fromBase64, prefixEnd, toBase64 } from './etcd-wire.js';
+import type {
+  KeyValueEntry,
+  KeyValueService,
+  StoreError,
+  WatchHandle,
+  WatchListener,
+} from './key-value-service.js';
+import { StoreErrorKind } from './key-value-service.js';
+import { isNotSent } from './not-sent.js';
+
+/** Settings of the adapter. */
+export interface EtcdOptions {
+  /** Base address, for example `http://127.0.0.1:2379`. */
+  readonly address: string;
+  /** Longest wait for the answer to one call, in milliseconds. */
+  readonly callTimeoutMs: number;
+}
+
+/** Statuses with which the service refuses a call before it takes effect. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 429]);
+
+/** Adapter to etcd's JSON gateway. */
+export class EtcdKeyValueService implements KeyValueService {
+  private agent = new Agent({ keepAlive: true, maxSockets: 32 });
+
+  constructor(private readonly options: EtcdOptions) {}
+
+  async get(key: string): Promise<Outcome<KeyValueEntry | undefined, StoreError>> {
+    const answer = await this.call<EtcdRangeResponse>('kv/range', { key: toBase64(key) }, false);
+    return answer.ok ? ok(answer.value.kvs?.map(toEntry)[0]) : answer;
+  }
+
+  async list(
+    prefix: string,
+    limit: number,
+    afterKey?: string,
+  ): Promise<Outcome<KeyValueEntry[], StoreError>> {
+    const start = afterKey === undefined ? prefix : `${afterKey}\0`;
+    const request = { key: toBase64(start), range_end: toBase64(prefixEnd(prefix)), limit };
+    const answer = await this.call<EtcdRangeResponse>('kv/range', request, false);
+    return answer.ok ? ok((answer.value.kvs ?? []).map(toEntry)) : answer;
+  }
+
+  async compareAndSwap(
+    key: string,
+    expectedRevision: number,
+    value: string,
+  ): Promise<Outcome<number, StoreError>> {
+    const put = { request_put: { key: toBase64(key), value: toBase64(value) } };
+    return this.transact(key, expectedRevision, put);
+  }
+
+  async compareAndDelete(key: string, expectedRevision: number): Promise<Outcome<void, StoreError>> {
+    const outcome = await this.transact(key, expectedRevision, {
+      request_delete_range: { key: toBase64(key) },
+    });
+    return outcome.ok ? ok(undefined) : outcome;
+  }
+
+  watch(prefix: string, listener: WatchListener): WatchHandle {
+    const stream = got.stream.post(`${this.options.address}/v3/watch`, {
+      json: { create_request: { key: toBase64(prefix), range_end: toBase64(prefixEnd(prefix)) } },
+      retry: { limit: 0 },
+      timeout: { connect: this.options.callTimeoutMs, response: this.options.callTimeoutMs },
+    });
+    let buffered = '';
+    let ended = false;
+    const end = (): void => {
+      if (ended) return;
+      ended = true;
+      stream.destroy();
+      listener.onEnd();
+    };
+    stream.on('data', (part: Buffer) => {
+      buffered += part.toString('utf8');
+      const lines = buffered.split('\n');
+      buffered = lines.pop() ?? '';
+      lines.filter((line) => line.trim() !== '').forEach((line) => emitEvents(line, listener));
+    });
+    stream.on('error', end);
+    stream.on('end', end);
+    stream.on('close', end);
+    return {
+      close: () => {
+        ended = true;
+        stream.destroy();
+      },
+    };
+  }
+
+  private async transact(
+    key: string,
+    expectedRevision: number,
+    operation: EtcdRequestOp,
+  ): Promise<Outcome<number, StoreError>> {
+    const request = {
+      compare: [
+        { key: toBase64(key), target: 'MOD', result: 'EQUAL', mod_revision: String(expectedRevision) },
+      ],
+      success: [operation],
+      failure: [{ request_range: { key: toBase64(key) } }],
+    };
+    const answer = await this.call<EtcdTxnResponse>('kv/txn', request, true);
+    if (!answer.ok) return answer;
+    if (answer.value.succeeded) return ok(Number(answer.value.header.revision));
+    const present = answer.value.responses?.[0]?.response_range?.kvs?.map(toEntry)[0];
+    return fail({ kind: StoreErrorKind.conflict, detail: `${key} has changed`, present });
+  }
+
+  private async call<T>(path: string, json: object, writes: boolean): Promise<Outcome<T, StoreError>> {
+    try {
+      const answer = await got.post(`${this.options.address}/v3/${path}`, {
+        json,
+        agent: { http: this.agent },
+        retry: { limit: 0 },
+        timeout: { request: this.options.callTimeoutMs },
+      });
+      return ok(JSON.parse(answer.body) as T);
+    } catch (error) {
+      if (error instanceof TimeoutError) this.replaceAgent();
+      return fail(toStoreError(error, writes));
+    }
+  }
+
+  /** Kept connections may have been forgotten by something in between: the next call opens a new one. */
+  private replaceAgent(): void {
+    const old = this.agent;
+    this.agent = new Agent({ keepAlive: true, maxSockets: 32 });
+    Object.values(old.freeSockets).forEach((sockets) => sockets?.forEach((socket) => socket.destroy()));
+  }
+}
+
+function emitEvents(line: string, listener: WatchListener): void {
+  const message = JSON.parse(line) as EtcdWatchMessage;
+  (message.result.events ?? []).forEach((event) =>
+    listener.onEvent({
+      key: fromBase64(event.kv.key),
+      value: event.type === 'DELETE' ? undefined : fromBase64(event.kv.value ?? ''),
+      revision: Number(event.kv.mod_revision),
+    }),
+  );
+}
+
+function toEntry(kv: EtcdKeyValue): KeyValueEntry {
+  return { key: fromBase64(kv.key), value: fromBase64(kv.value ?? ''), revision: Number(kv.mod_revision) };
+}
+
+function toStoreError(error: unknown, writes: boolean): StoreError {
+  const detail = error instanceof Error ? error.message : String(error);
+  if (error instanceof HTTPError) {
+    const status = error.response.statusCode;
+    if (status === 413) return { kind: StoreErrorKind.tooLarge, detail };
+    if (REFUSED_STATUSES.has(status) || !writes) return { kind: StoreErrorKind.unavailable, detail };
+    return { kind: StoreErrorKind.unknown, detail };
+  }
+  return { kind: isNotSent(error) || !writes ? StoreErrorKind.unavailable : StoreErrorKind.unknown, detail };
+}
--- /dev/null
+++ b/packages/platform/src/http-engine.ts
@@ -0,0 +1,189 @@
+/** Engines over an OpenAI-style HTTP interface with server-sent events. */
+import { createParser } from 'eventsource-parser';
+import got from 'got';
+
+import { ConnectionPools } from './connection-pool.js';
+import type { Engine, EngineCall, EngineChunk, EngineEnd, EngineLoad, SilenceLimits } from './engine.js';
+import { EngineEndKind } from './engine.js';
+import { isNotSent } from './not-sent.js';
+import { NEW_CONNECTIONS } from './plain-service.js';
+
+interface StreamEvent {
+  readonly id: string;
+  readonly attempt_id: string;
+  readonly token_index: number;
+  readonly choices: readonly { readonly text: string; readonly finish_reason?: string }[];
+}
+
+interface RefusalBody {
+  readonly code?: string;
+  readonly run?: string;
+  readonly detail?: string;
+}
+
+const KIND_BY_CODE: Readonly<Record<string, EngineEndKind>> = {
+  leaving: EngineEndKind.leaving,
+  overloaded: EngineEndKind.overloaded,
+  fenced: EngineEndKind.fenced,
+  rejected: EngineEndKind.rejected,
+};
+const HTTP_OK = 200;
+const LOAD_TIMEOUT_MS = 500;
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Engine adapter over HTTP. */
+export class HttpEngine implements Engine {
+  private readonly pools = new ConnectionPools();
+
+  run(
+    call: EngineCall,
+    limits: SilenceLimits,
+    onChunk: (chunk: EngineChunk) => void,
+    signal: AbortSignal,
+  ): Promise<EngineEnd> {
+    return new Promise((resolve) => {
+      new StreamRun(call, limits, onChunk, signal, this.pools, resolve).start();
+    });
+  }
+
+  async load(address: string): Promise<EngineLoad | undefined> {
+    try {
+      return await got(`${address}/load`, {
+        agent: { http: this.pools.agentFor(address) },
+        timeout: { request: LOAD_TIMEOUT_MS },
+        retry: { limit: 0 },
+      }).json<EngineLoad>();
+    } catch {
+      this.pools.replace(address);
+      return undefined;
+    }
+  }
+
+  /** Closes all kept connections. */
+  close(): void {
+    this.pools.close();
+  }
+}
+
+/** One stream from its request to its end. */
+class StreamRun {
+  private settled = false;
+  private status = 0;
+  private refusal = '';
+  private readonly parser = createParser({ onEvent: (event) => this.onEvent(event.data) });
+  private silenceTimer: NodeJS.Timeout | undefined;
+  private destroyStream: () => void = () => undefined;
+
+  constructor(
+    private readonly call: EngineCall,
+    private readonly limits: SilenceLimits,
+    private readonly onChunk: (chunk: EngineChunk) => void,
+    private readonly signal: AbortSignal,
+    private readonly pools: ConnectionPools,
+    private readonly resolve: (end: EngineEnd) => void,
+  ) {}
+
+  start(): void {
+    if (this.signal.aborted) {
+      this.finish(EngineEndKind.cancelled, 'stopped before it was sent', false);
+      return;
+    }
+    const stream = got.stream.post(`${this.call.address}/v1/completions`, {
+      json: requestBody(this.call),
+      agent: { http: this.call.idempotent ? this.pools.agentFor(this.call.address) : NEW_CONNECTIONS },
+      timeout: { connect: CONNECT_TIMEOUT_MS },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+    });
+    this.destroyStream = () => stream.destroy();
+    this.signal.addEventListener('abort', this.onAbort, { once: true });
+    stream.on('response', (response: { statusCode: number }) => {
+      this.status = response.statusCode;
+      this.armSilence(this.limits.gapMs);
+    });
+    stream.on('data', (part: Buffer) => this.onData(part));
+    stream.on('end', () => this.onEnd());
+    stream.on('error', (error: Error) => this.onError(error));
+    this.armSilence(this.limits.headersMs);
+  }
+
+  private readonly onAbort = (): void => this.finish(EngineEndKind.cancelled, 'stopped by us');
+
+  private onData(part: Buffer): void {
+    this.armSilence(this.limits.gapMs);
+    if (this.status === HTTP_OK) this.parser.feed(part.toString('utf8'));
+    else this.refusal += part.toString('utf8');
+  }
+
+  private onEnd(): void {
+    if (this.status !== HTTP_OK) this.onRefusal();
+    else this.finish(EngineEndKind.broken, 'the stream ended before its last token');
+  }
+
+  private onEvent(data: string): void {
+    if (data === '[DONE]') {
+      this.finish(EngineEndKind.completed, '');
+      return;
+    }
+    const event = JSON.parse(data) as StreamEvent;
+    const text = event.choices[0]?.text ?? '';
+    this.onChunk({
+      requestId: event.id,
+      attemptId: event.attempt_id,
+      tokenIndex: event.token_index,
+      text,
+    });
+  }
+
+  private onRefusal(): void {
+    const body = parseRefusal(this.refusal);
+    const kind = KIND_BY_CODE[body.code ?? ''] ?? EngineEndKind.broken;
+    const detail = body.detail ?? `the upstream answered ${String(this.status)}`;
+    this.finish(kind, detail, body.run !== 'not_run');
+  }
+
+  private onError(error: Error): void {
+    if (isNotSent(error)) this.finish(EngineEndKind.notConnected, error.message, false);
+    else this.finish(EngineEndKind.broken, error.message);
+  }
+
+  private armSilence(limitMs: number): void {
+    clearTimeout(this.silenceTimer);
+    this.silenceTimer = setTimeout(() => {
+      this.pools.replace(this.call.address);
+      this.finish(EngineEndKind.silent, `nothing came for ${String(limitMs)} ms`);
+    }, limitMs);
+  }
+
+  private finish(kind: EngineEndKind, detail: string, sent = true): void {
+    if (this.settled) return;
+    this.settled = true;
+    clearTimeout(this.silenceTimer);
+    this.signal.removeEventListener('abort', this.onAbort);
+    if (kind !== EngineEndKind.completed) this.destroyStream();
+    this.resolve({ kind, detail, sent });
+  }
+}
+
+function requestBody(call: EngineCall): Record<string, unknown> {
+  return {
+    model: call.model,
+    prompt: call.prompt,
+    max_tokens: call.maxTokens,
+    stream: true,
+    request_id: call.requestId,
+    attempt_id: call.attemptId,
+    organisation: call.organisation,
+    resume_from_token: call.fromToken,
+    fencing_scope: call.fencing?.scope,
+    fencing_number: call.fencing?.epoch,
+  };
+}
+
+function parseRefusal(text: string): RefusalBody {
+  try {
+    return JSON.parse(text) as RefusalBody;
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/packages/platform/src/record-store.test.ts
@@ -0,0 +1,52 @@
+import { Metrics, SystemClock } from '@fighub/core';
+import { describe, expect, it } from 'vitest';
+
+import { MemoryKeyValueService } from './memory-key-value.js';
+import { RecordStore } from './record-store.js';
+
+function setup(deadlineMs = 2_000) {
+  const service = new MemoryKeyValueService();
+  const options = { readsPerSecond: 10_000, writesPerSecond: 10_000, deadlineMs };
+  const store = new RecordStore(service, options, new SystemClock(), new Metrics(), () => 0.1);
+  return { service, store };
+}
+
+describe('RecordStore', () => {
+  it('settles a write whose answer was lost', async () => {
+    const { service, store } = setup();
+    service.loseAnswers = 1;
+    expect(await store.write('k', undefined, 1)).toMatchObject({ ok: true, value: { value: 1 } });
+    expect(service.writtenKeys).toEqual(['k']);
+  });
+
+  it('tells a lost write from another writer’s', async () => {
+    const { service, store } = setup();
+    await store.write('k', undefined, 1);
+    service.loseAnswers = 1;
+    expect(await store.write('k', undefined, 2)).toMatchObject({ ok: false, error: { kind: 'conflict' } });
+  });
+
+  it('sees that its write was applied although another came after it', async () => {
+    const { service, store } = setup();
+    service.loseAnswers = 1;
+    const pending = store.write('k', undefined, 1);
+    const other = await store.read<number>('k');
+    if (!other.ok) throw new Error('not read');
+    await store.write('k', other.value, 2);
+    expect(await pending).toMatchObject({ ok: false, error: { appliedThenChanged: true } });
+  });
+
+  it('does not say that a delayed write had no effect', async () => {
+    const { service, store } = setup(30);
+    service.delayWrites = 5;
+    expect(await store.write('k', undefined, 1)).toMatchObject({ ok: false, error: { kind: 'unknown' } });
+    service.applyDelayed();
+    expect(await store.read('k')).toMatchObject({ ok: true, value: { value: 1 } });
+  });
+
+  it('says unavailable when nothing can have been written', async () => {
+    const { service, store } = setup(30);
+    service.down = true;
+    expect(await store.write('k', undefined, 1)).toMatchObject({ ok: false, error: { kind: 'unavailable' } });
+  });
+});
--- /dev/null
+++ b/packages/standins/src/engine-standin.ts
@@ -0,0 +1,283 @@
+/** Stand-in of a model engine: continuous batching in steps, no priorities, late load reports. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { digest, prefixDigest } from '@fighub/core';
+import type { EngineLoad } from '@fighub/platform';
+
+import type { RunningServer } from './http-util.js';
+import { readJsonBody, sendJsonBody, serve } from './http-util.js';
+
+/** Settings of the stand-in. */
+export interface EngineStandinOptions {
+  readonly port: number;
+  readonly models: readonly string[];
+  readonly maxConcurrency: number;
+  /** Length of one step with one stream, in milliseconds. */
+  readonly stepMs: number;
+  /** Added to a step for each further stream, in milliseconds. */
+  readonly stepPerStreamMs: number;
+  /** Prefill time of a prompt whose prefix is not cached, in milliseconds. */
+  readonly prefillMs: number;
+  readonly cachedPrefillMs: number;
+  readonly cachedPrefixes: number;
+  /** Age of load reports, in milliseconds. */
+  readonly reportLagMs: number;
+  readonly checksFencing: boolean;
+}
+
+/** Faults that can be switched while it runs. */
+export interface EngineFaults {
+  /** Refuses new requests as leaving. */
+  leaving: boolean;
+  /** Running streams stop producing, the connections stay open. */
+  frozen: boolean;
+  /** Factor on the length of steps. */
+  slowFactor: number;
+  /** Probability that a token event is sent twice. */
+  doubleProbability: number;
+  /** Probability that an event of another request is mixed in. */
+  crossProbability: number;
+}
+
+/** Default settings. */
+export const ENGINE_DEFAULTS: EngineStandinOptions = {
+  port: 0,
+  models: ['alert-modely'],
+  maxConcurrency: 8,
+  stepMs: 20,
+  stepPerStreamMs: 0.5,
+  prefillMs: 40,
+  cachedPrefillMs: 10,
+  cachedPrefixes: 64,
+  reportLagMs: 500,
+  checksFencing: false,
+};
+
+interface CompletionBody {
+  readonly model?: string;
+  readonly prompt?: string;
+  readonly max_tokens?: number;
+  readonly request_id?: string;
+  readonly attempt_id?: string;
+  readonly organisation?: string;
+  readonly resume_from_token?: number;
+  readonly fencing_scope?: string;
+  readonly fencing_number?: number;
+}
+
+interface EngineStream {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly prompt: string;
+  readonly totalTokens: number;
+  readonly res: ServerResponse;
+  readonly entry: JournalEntry;
+  nextToken: number;
+  prefillUntilMs: number;
+  closed: boolean;
+}
+
+/** One request as the engine saw it, for checkers. */
+export interface JournalEntry {
+  readonly requestId: string;
+  readonly attemptId: string;
+  readonly organisation: string;
+  readonly promptDigest: string;
+  readonly fromToken: number;
+  readonly receivedAtUnixMs: number;
+  startedAtUnixMs?: number;
+  endedAtUnixMs?: number;
+  tokens: number;
+  end?: 'completed' | 'cancelled';
+}
+
+/** A prompt with this text ends the process that runs it. */
+export const CRASH_TEXT = 'CRASH-THE-ENGINE';
+/** A prompt with this text is refused. */
+export const REJECT_TEXT = 'REJECT-THIS-ITEM';
+
+/** Starts the stand-in. */
+export async function startEngineStandin(options: EngineStandinOptions): Promise<RunningServer> {
+  const standin = new EngineStandin(options);
+  standin.start();
+  return serve(options.port, (req, res) => void standin.handle(req, res));
+}
+
+/** The text of token `index` of the answer to `prompt`: the same at every replica. */
+export function tokenText(prompt: string, index: number): string {
+  return `w${digest(prompt, String(index)).slice(0, 4)} `;
+}
+
+class EngineStandin {
+  private running: EngineStream[] = [];
+  private waiting: EngineStream[] = [];
+  private readonly prefixes = new Map<string, true>();
+  private readonly highestEpochs = new Map<string, number>();
+  private readonly journal: JournalEntry[] = [];
+  private readonly faults: EngineFaults = {
+    leaving: false,
+    frozen: false,
+    slowFactor: 1,
+    doubleProbability: 0,
+    crossProbability: 0,
+  };
+  private report: EngineLoad;
+
+  constructor(private readonly options: EngineStandinOptions) {
+    this.report = this.loadNow();
+  }
+
+  start(): void {
+    setInterval(() => (this.report = this.loadNow()), this.options.reportLagMs).unref();
+    this.scheduleStep();
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const path = (req.url ?? '').split('?')[0];
+    if (path === '/v1/completions') this.complete(await readJsonBody<CompletionBody>(req), res);
+    else if (path === '/load') sendJsonBody(res, 200, this.report);
+    else if (path === '/journal') sendJsonBody(res, 200, this.journal);
+    else if (path === '/faults') {
+      Object.assign(this.faults, await readJsonBody<Partial<EngineFaults>>(req));
+      sendJsonBody(res, 200, this.faults);
+    } else sendJsonBody(res, 404, { code: 'not_found' });
+  }
+
+  private complete(body: CompletionBody, res: ServerResponse): void {
+    const prompt = body.prompt ?? '';
+    const refusal = this.refusalOf(body, prompt);
+    if (refusal) {
+      sendJsonBody(res, refusal.status, { code: refusal.code, run: 'not_run', detail: refusal.detail });
+      return;
+    }
+    const entry: JournalEntry = {
+      requestId: body.request_id ?? '',
+      attemptId: body.attempt_id ?? '',
+      organisation: body.organisation ?? '',
+      promptDigest: digest(prompt).slice(0, 12),
+      fromToken: body.resume_from_token ?? 0,
+      receivedAtUnixMs: Date.now(),
+      tokens: 0,
+    };
+    this.journal.push(entry);
+    const stream: EngineStream = {
+      requestId: entry.requestId,
+      attemptId: entry.attemptId,
+      prompt,
+      totalTokens: body.max_tokens ?? 16,
+      res,
+      entry,
+      nextToken: entry.fromToken,
+      prefillUntilMs: 0,
+      closed: false,
+    };
+    res.on('close', () => this.onClosed(stream));
+    res.writeHead(200, { 'Content-Type': 'text/event-stream' });
+    res.flushHeaders();
+    this.waiting.push(stream);
+    this.admit();
+  }
+
+  private refusalOf(
+    body: CompletionBody,
+    prompt: string,
+  ): { status: number; code: string; detail: string } | undefined {
+    if (this.faults.leaving) return { status: 503, code: 'leaving', detail: 'this replica is leaving' };
+    if (prompt.includes(REJECT_TEXT))
+      return { status: 422, code: 'rejected', detail: 'the prompt cannot be processed' };
+    if (!this.options.models.includes(body.model ?? '')) {
+      return { status: 422, code: 'rejected', detail: `the model ${body.model ?? ''} is not loaded` };
+    }
+    if (!this.options.checksFencing || body.fencing_scope === undefined) return undefined;
+    const highest = this.highestEpochs.get(body.fencing_scope) ?? 0;
+    if ((body.fencing_number ?? 0) < highest)
+      return { status: 409, code: 'fenced', detail: 'the epoch is old' };
+    this.highestEpochs.set(body.fencing_scope, body.fencing_number ?? 0);
+    return undefined;
+  }
+
+  private onClosed(stream: EngineStream): void {
+    stream.closed = true;
+    stream.entry.endedAtUnixMs = Date.now();
+    stream.entry.end ??= 'cancelled';
+    this.running = this.running.filter((other) => other !== stream);
+    this.waiting = this.waiting.filter((other) => other !== stream);
+    this.admit();
+  }
+
+  private admit(): void {
+    while (this.running.length < this.options.maxConcurrency) {
+      const stream = this.waiting.shift();
+      if (!stream) return;
+      const prefix = prefixDigest(this.options.models[0] ?? '', stream.prompt);
+      const cached = this.prefixes.has(prefix);
+      this.cachePrefix(prefix);
+      const prefillMs = cached ? this.options.cachedPrefillMs : this.options.prefillMs;
+      stream.prefillUntilMs = performance.now() + prefillMs * this.faults.slowFactor;
+      stream.entry.startedAtUnixMs = Date.now();
+      this.running.push(stream);
+    }
+  }
+
+  private cachePrefix(prefix: string): void {
+    this.prefixes.delete(prefix);
+    this.prefixes.set(prefix, true);
+    const oldest = this.prefixes.keys().next();
+    if (this.prefixes.size > this.options.cachedPrefixes && !oldest.done) this.prefixes.delete(oldest.value);
+  }
+
+  private scheduleStep(): void {
+    const others = Math.max(0, this.running.length - 1);
+    const lengthMs = (this.options.stepMs + this.options.stepPerStreamMs * others) * this.faults.slowFactor;
+    setTimeout(() => {
+      if (!this.faults.frozen) this.step();
+      this.scheduleStep();
+    }, lengthMs);
+  }
+
+  private step(): void {
+    const nowMs = performance.now();
+    this.running
+      .filter((stream) => stream.prefillUntilMs <= nowMs)
+      .forEach((stream) => this.emitToken(stream));
+    this.running
+      .filter((stream) => stream.nextToken >= stream.totalTokens)
+      .forEach((stream) => this.finish(stream));
+  }
+
+  private emitToken(stream: EngineStream): void {
+    if (stream.prompt.includes(CRASH_TEXT)) process.exit(17);
+    const event = {
+      id: stream.requestId,
+      attempt_id: stream.attemptId,
+      token_index: stream.nextToken,
+      choices: [{ text: tokenText(stream.prompt, stream.nextToken) }],
+    };
+    stream.nextToken += 1;
+    stream.entry.tokens += 1;
+    stream.res.write(`data: ${JSON.stringify(event)}\n\n`);
+    if (Math.random() < this.faults.doubleProbability) stream.res.write(`data: ${JSON.stringify(event)}\n\n`);
+    if (Math.random() < this.faults.crossProbability) {
+      const crossed = { ...event, id: 'req-of-someone-else', choices: [{ text: 'CROSSED' }] };
+      stream.res.write(`data: ${JSON.stringify(crossed)}\n\n`);
+    }
+  }
+
+  private finish(stream: EngineStream): void {
+    stream.entry.end = 'completed';
+    stream.res.end('data: [DONE]\n\n');
+    this.running = this.running.filter((other) => other !== stream);
+    this.admit();
+  }
+
+  private loadNow(): EngineLoad {
+    return {
+      running: this.running.length,
+      waiting: this.waiting.length,
+      maxConcurrency: this.options.maxConcurrency,
+      leaving: this.faults.leaving,
+      cachedPrefixes: [...this.prefixes.keys()],
+      models: this.options.models,
+    };
+  }
+}
--- /dev/null
+++ b/packages/standins/src/http-util.ts
@@ -0,0 +1,40 @@
+/** Small HTTP helpers of the stand-ins. */
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Reads a JSON body; an empty or broken one is an empty object. */
+export async function readJsonBody<T>(req: IncomingMessage): Promise<T> {
+  const parts: Buffer[] = [];
+  for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
+  try {
+    return JSON.parse(Buffer.concat(parts).toString('utf8')) as T;
+  } catch {
+    return {} as T;
+  }
+}
+
+/** Sends a JSON body. */
+export function sendJsonBody(res: ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { 'Content-Type': 'application/json' });
+  res.end(JSON.stringify(body));
+}
+
+/** A listening server and its address. */
+export interface RunningServer {
+  readonly address: string;
+  readonly server: Server;
+}
+
+/** Starts a server on the loopback interface. */
+export function serve(port: number, listener: RequestListener): Promise<RunningServer> {
+  const server = createServer(listener);
+  server.keepAliveTimeout = 60_000;
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, '127.0.0.1', () => {
+      const bound = (server.address() as AddressInfo).port;
+      resolve({ address: `http://127.0.0.1:${String(bound)}`, server });
+    });
+  });
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,7 @@
+/** Stand-ins of the platform and the fault-injecting proxy. */
+export * from './engine-standin.js';
+export * from './fault-proxy.js';
+export * from './http-util.js';
+export * from './instances-standin.js';
+export * from './kv-standin.js';
+export * from './service-standin.js';
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['packages/*/src/**/*.test.ts'],
+    exclude: ['**/dist/**', '**/node_modules/**'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    fileParallelism: true,
+    maxWorkers: 4,
+  },
+});
