Keep waits for places from being lost and give chunks one holder

Cause: a batch job of 2,500 items ended with 7 items that waited for ever. Two instances held chunk 6 at once: a claim re-read the ledger and took the lease without judging it again. Their place requests had the same id at the pool's owner, so the withdrawal by one removed the other's. Ruled out: lost frames and lost answers of engines (the dumps showed items that were running with neither a wait nor a permit). Change: a claim judges the ledger that it will replace. Request ids at owners name the holder. Holders ask again after 2 s and owners know a request by its id, so that a grant lost on a silent connection costs 2 s. The baseline admission was never chosen by its setting; it is now.

--- /dev/null
+++ b/packages/cli/src/bin/fighub-table.ts
@@ -0,0 +1,171 @@
+#!/usr/bin/env node
+/** Reads and edits the operators' table. */
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { ApiClient } from '@fighub/client';
+import type { StoredRow } from '@fighub/core';
+import meow from 'meow';
+
+import {
+  COMMON_FLAGS,
+  COMMON_HELP,
+  ExitCode,
+  clientOf,
+  failWith,
+  print,
+  report,
+  reportError,
+} from '../command.js';
+import type { MissingRows } from '../table-csv.js';
+import { csvChanges, tableToCsv } from '../table-csv.js';
+
+const FORCE_WAIT_MS = 20_000;
+const WATCH_PERIOD_MS = 1_000;
+
+const cli = meow(
+  `
+  Reads and edits the operators' table.
+
+  Usage
+    $ fighub-table list
+    $ fighub-table get <row>
+    $ fighub-table set <row> <JSON> [--revision N] [--wait]
+    $ fighub-table delete <row> [--revision N]
+    $ fighub-table edit              edit the table as CSV in $EDITOR
+    $ fighub-table diff <file.csv>   show what a CSV would change
+    $ fighub-table apply <file.csv>  apply a CSV row by row
+    $ fighub-table history <row>
+    $ fighub-table watch
+
+  Options${COMMON_HELP}
+    --revision  Change the row only if it still has this revision; 0 for a new row
+    --wait      Wait until the change is in force on all instances
+
+  Example
+    $ fighub-table set share/obloha/alert-modely '{"weight": 2}' --wait
+
+  Exit codes: 0 done, 1 refused, 2 wrong usage, 3 the row was changed by another, 4 no answer
+`,
+  {
+    importMeta: import.meta,
+    flags: { ...COMMON_FLAGS, revision: { type: 'number' }, wait: { type: 'boolean', default: false } },
+  },
+);
+
+const client = clientOf(cli.flags);
+const { json } = cli.flags;
+const [verb = '', first = '', second = ''] = cli.input;
+
+function rowLine(row: StoredRow): string {
+  return `${row.key}  r${String(row.revision)}  ${JSON.stringify(row.value)}`;
+}
+
+async function readRows(): Promise<StoredRow[] | undefined> {
+  const table = await client.table();
+  if (table.ok) return table.value.rows;
+  reportError(table.error, json);
+  return undefined;
+}
+
+async function list(): Promise<void> {
+  const rows = await readRows();
+  if (rows) print(json ? JSON.stringify(rows) : rows.map(rowLine).join('\n'));
+}
+
+async function set(): Promise<void> {
+  let value: unknown;
+  try {
+    value = JSON.parse(second);
+  } catch {
+    return failWith(ExitCode.usage, `the value is not JSON: ${second}`);
+  }
+  report(await client.putRow(first, value, cli.flags.revision), json, rowLine);
+  if (cli.flags.wait && !process.exitCode) await waitInForce(client);
+}
+
+async function waitInForce(api: ApiClient): Promise<void> {
+  const state = await api.inForce(first, FORCE_WAIT_MS);
+  if (!state.ok) return reportError(state.error, json);
+  if (state.value.inForce) print('in force on all instances');
+  else failWith(ExitCode.failed, `not yet in force on ${state.value.lagging.join(', ')}`);
+}
+
+async function applyCsv(text: string, dryRun: boolean, missing: MissingRows): Promise<void> {
+  const rows = await readRows();
+  if (!rows) return;
+  const changes = csvChanges(rows, text, missing);
+  if (!changes.ok) return failWith(ExitCode.usage, changes.error.join('\n'));
+  for (const change of changes.value) {
+    const shown = change.value === undefined ? 'delete' : JSON.stringify(change.value);
+    if (dryRun) {
+      print(`${change.key}: ${shown}`);
+      continue;
+    }
+    const outcome =
+      change.value === undefined
+        ? await client.deleteRow(change.key, change.expectedRevision)
+        : await client.putRow(change.key, change.value, change.expectedRevision);
+    if (outcome.ok) print(`${change.key}: done`);
+    else {
+      process.stderr.write(`${change.key}: `);
+      reportError(outcome.error, json);
+    }
+  }
+}
+
+async function edit(): Promise<void> {
+  const rows = await readRows();
+  if (!rows) return;
+  const folder = mkdtempSync(join(tmpdir(), 'fighub-table-'));
+  const file = join(folder, 'table.csv');
+  writeFileSync(file, tableToCsv(rows));
+  const editor = process.env.EDITOR ?? 'vi';
+  const ended = spawnSync(editor, [file], { stdio: 'inherit', shell: true });
+  const text = readFileSync(file, 'utf8');
+  rmSync(folder, { recursive: true });
+  if (ended.status !== 0) return failWith(ExitCode.failed, 'the editor failed; nothing was changed');
+  await applyCsv(text, false, 'delete');
+}
+
+async function watch(): Promise<void> {
+  const seen = new Map<string, number>();
+  for (;;) {
+    const rows = (await readRows()) ?? [];
+    rows.filter((row) => seen.get(row.key) !== row.revision).forEach((row) => print(rowLine(row)));
+    rows.forEach((row) => seen.set(row.key, row.revision));
+    await new Promise((resolve) => setTimeout(resolve, WATCH_PERIOD_MS));
+  }
+}
+
+function readFile(file: string): string | undefined {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    failWith(ExitCode.usage, (error as Error).message);
+    return undefined;
+  }
+}
+
+async function withFile(file: string, dryRun: boolean): Promise<void> {
+  const text = readFile(file);
+  if (text !== undefined) await applyCsv(text, dryRun, 'keep');
+}
+
+const VERBS: Readonly<Record<string, () => Promise<void>>> = {
+  list,
+  get: async () => report(await client.row(first), json, rowLine),
+  set,
+  delete: async () => report(await client.deleteRow(first, cli.flags.revision), json, rowLine),
+  edit,
+  diff: () => withFile(first, true),
+  apply: () => withFile(first, false),
+  history: async () => report(await client.rowHistory(first), json, (rows) => rows.map(rowLine).join('\n')),
+  watch,
+};
+
+const run = VERBS[verb];
+if (run) await run();
+else failWith(ExitCode.usage, `unknown command "${verb}"; see --help`);
--- /dev/null
+++ b/packages/cli/src/table-csv.test.ts
@@ -0,0 +1,54 @@
+import type { StoredRow } from '@fighub/core';
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { csvChanges, tableToCsv } from './table-csv.js';
+
+function row(key: string, value: unknown, revision = 1): StoredRow {
+  return { key, value, revision, deleted: false, changedAtUnixMs: 0, changedBy: 'x' };
+}
+
+const ROWS = [row('model/a', { deadlineMs: 5 }, 3), row('share/o/*', { weight: 1 })];
+
+describe('table CSV', () => {
+  it('asks for no change when nothing was edited, whatever the values', () => {
+    fc.assert(
+      fc.property(fc.array(fc.jsonValue(), { maxLength: 8 }), (values) => {
+        const rows = values.map((value, index) =>
+          row(`model/m${String(index)}`, JSON.parse(JSON.stringify(value))),
+        );
+        expect(csvChanges(rows, tableToCsv(rows), 'delete')).toEqual({ ok: true, value: [] });
+      }),
+      { seed: 9, numRuns: 200 },
+    );
+  });
+
+  it('asks for changed, new and deleted rows with the revisions that were seen', () => {
+    const text = 'key,revision,value\nmodel/a,3,"{""deadlineMs"":9}"\nmodel/b,,{}\n';
+    expect(csvChanges(ROWS, text, 'delete')).toEqual({
+      ok: true,
+      value: [
+        { key: 'model/a', value: { deadlineMs: 9 }, expectedRevision: 3 },
+        { key: 'model/b', value: {}, expectedRevision: 0 },
+        { key: 'share/o/*', value: undefined, expectedRevision: 1 },
+      ],
+    });
+  });
+
+  it('keeps rows that a file does not name, and the revision that the file was written with', () => {
+    const text = 'key,revision,value\nmodel/a,2,"{""deadlineMs"":9}"\nshare/o/*,1,\n';
+    expect(csvChanges([...ROWS, row('model/new', {})], text, 'keep')).toEqual({
+      ok: true,
+      value: [
+        { key: 'model/a', value: { deadlineMs: 9 }, expectedRevision: 2 },
+        { key: 'share/o/*', value: undefined, expectedRevision: 1 },
+      ],
+    });
+  });
+
+  it('names the lines that are wrong and changes nothing', () => {
+    const outcome = csvChanges(ROWS, 'key,revision,value\nnonsense,1,{}\nmodel/a,3,{\n', 'keep');
+    expect(outcome).toMatchObject({ ok: false });
+    expect(outcome.ok ? [] : outcome.error.map((fault) => fault.slice(0, 6))).toEqual(['line 2', 'line 3']);
+  });
+});
--- a/packages/client/src/api-client.ts
+++ b/packages/client/src/api-client.ts
@@ -190,6 +190,11 @@
     return this.call('get', `/admin/v1/table/rows/${key}`);
   }
 
+  /** Earlier versions of a row, the newest first. */
+  rowHistory(key: string): Promise<Outcome<StoredRow[], ApiError>> {
+    return this.call('get', `/admin/v1/table/history/${key}`);
+  }
+
   /** Changes a row. `expectedRevision` 0 asks for a new row, undefined for any. */
   putRow(key: string, value: unknown, expectedRevision?: number): Promise<Outcome<StoredRow, ApiError>> {
     const body = JSON.stringify(value);
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -24,11 +24,16 @@
 export class FairQueue<T extends QueuedRequest> {
   private readonly organisations = new Map<string, OrganisationQueue<T>>();
   private virtualTokens = 0;
-  private length = 0;
+  private readonly requestIds = new Set<string>();
 
   /** Number of waiting requests. */
   get size(): number {
-    return this.length;
+    return this.requestIds.size;
+  }
+
+  /** Whether the request waits here. */
+  has(requestId: string): boolean {
+    return this.requestIds.has(requestId);
   }
 
   /** Adds a request. `weight` is the present weight of its organisation. */
@@ -39,7 +44,7 @@
     }
     const at = queue.waiting.findIndex((other) => other.deadlineMs > request.deadlineMs);
     queue.waiting.splice(at < 0 ? queue.waiting.length : at, 0, request);
-    this.length += 1;
+    this.requestIds.add(request.requestId);
   }
 
   /** Takes the next request that `admits` accepts; a refused organisation is passed over, not charged. */
@@ -50,7 +55,7 @@
     const chosen = order.find((queue) => queue.waiting[0] !== undefined && admits(queue.waiting[0]));
     const request = chosen?.waiting.shift();
     if (!chosen || !request) return undefined;
-    this.length -= 1;
+    this.requestIds.delete(request.requestId);
     this.virtualTokens = Math.max(this.virtualTokens, chosen.servedVirtualTokens);
     chosen.servedVirtualTokens += request.costTokens / chosen.weight;
     return request;
@@ -64,12 +69,12 @@
 
   /** Removes one request that no longer waits. */
   remove(requestId: string): T | undefined {
+    if (!this.requestIds.delete(requestId)) return undefined;
     const queue = [...this.organisations.values()].find((candidate) =>
       candidate.waiting.some((request) => request.requestId === requestId),
     );
     if (!queue) return undefined;
     const at = queue.waiting.findIndex((request) => request.requestId === requestId);
-    this.length -= 1;
     return queue.waiting.splice(at, 1)[0];
   }
 
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -154,6 +154,15 @@
     this.online.push(request, this.policy.weightOf(request.organisation));
   }
 
+  /** Whether a request waits here or holds a permit. */
+  knows(requestId: string): boolean {
+    return (
+      this.online.has(requestId) ||
+      this.batch.has(requestId) ||
+      this.permits.all().some((permit) => permit.request.requestId === requestId)
+    );
+  }
+
   /** Takes back a request that still waits. */
   withdraw(requestId: string): void {
     if (!this.online.remove(requestId)) this.batch.remove(requestId);
--- a/packages/entry/src/admin-api.ts
+++ b/packages/entry/src/admin-api.ts
@@ -43,6 +43,13 @@
     sendJson(res, 200, row, { ETag: etagOf(row) });
   }
 
+  /** Earlier versions of a row. */
+  async history(res: Response, key: string): Promise<void> {
+    const rows = await this.table.history(key);
+    if (rows.ok) sendJson(res, 200, rows.value);
+    else sendProblem(res, rows.error);
+  }
+
   async put(req: Request, res: Response, caller: Caller, key: string): Promise<void> {
     const body = await readJson(req, MAX_ROW_BYTES);
     if (!body.ok) return sendProblem(res, body.error);
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -195,6 +195,8 @@
       this.store.read<ChunkLedger>(key),
     ]);
     if (!input.ok || !input.value || !ledger.ok) return;
+    // Another instance may have claimed the chunk since it was judged.
+    if (!this.isClaimable(candidate, ledger.value)) return;
     const base = ledger.value?.value ?? emptyLedger(input.value.value.items.length);
     if (isComplete(base)) return;
     const leasedAtMs = this.clock.monotonicMs();
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -179,6 +179,7 @@
       members,
       node,
       settings.peers.acquireTimeoutMs,
+      baseline,
       clock,
       metrics,
       Math.random,
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -97,6 +97,7 @@
     });
     this.get('/admin/v1/table', OPERATORS, (req, res) => Promise.resolve(table.list(req, res)));
     this.get('/admin/v1/table/revision', OPERATORS, (req, res) => table.revision(req, res));
+    this.get('/admin/v1/table/history/*', OPERATORS, (req, res) => table.history(res, param(req, '*')));
     this.get('/admin/v1/table/rows/*', OPERATORS, (req, res) =>
       Promise.resolve(table.get(res, param(req, '*'))),
     );
--- a/packages/entry/src/permit-client.ts
+++ b/packages/entry/src/permit-client.ts
@@ -36,6 +36,8 @@
 interface WaitingWish {
   readonly body: AcquireBody;
   readonly ownerId: string;
+  /** When the owner is asked again, in case it lost the request or its answer was lost. */
+  askAgainAtMs: number;
   readonly answer: (outcome: Outcome<Place, Problem>) => void;
 }
 
@@ -47,7 +49,8 @@
 
 const RENEW_PERIOD_MS = 1_000;
 const SUMMARY_LIFETIME_MS = 2_000;
-const BATCH_RETRY_MS = 300;
+const ASK_AGAIN_MS = 2_000;
+const MAX_ASKED_AGAIN = 64;
 
 interface PoolSummary {
   readonly load: PoolLoad;
@@ -65,6 +68,7 @@
   private readonly releases = new Map<string, ReleaseReport[]>();
   private readonly summaries = new Map<string, PoolSummary>();
   private nextRenewMs = 0;
+  private releasesScheduled = false;
 
   constructor(
     private readonly selfId: string,
@@ -74,6 +78,8 @@
     private readonly members: () => MembershipRunner,
     private readonly node: PeerNode,
     private readonly acquireTimeoutMs: number,
+    /** The baseline strategy: online requests never ask an owner. */
+    private readonly alwaysDirect: boolean,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly random: () => number,
@@ -86,6 +92,7 @@
 
   /** Waits for a place. Ends early when `signal` is aborted. */
   async acquire(wish: PlaceWish, signal: AbortSignal): Promise<Outcome<Place, Problem>> {
+    if (this.alwaysDirect && wish.workClass === 'online') return this.direct.acquire(wish);
     const pools = this.candidatePools(wish);
     if (pools.length === 0) return fail(notRun('no_upstream', `no upstream serves ${wish.model}`, 1_000));
     let last: Problem = NOT_TAKEN;
@@ -99,14 +106,14 @@
     return fail(last);
   }
 
-  /** Gives a place back. Reports to the owner are sent together each tick. */
+  /** Gives a place back. */
   release(place: Place, report: Omit<ReleaseReport, 'permitId'>): void {
     this.places.take(place.permitId);
     if (this.direct.release(place, report)) return;
     const reports = this.releases.get(place.poolId) ?? [];
     reports.push({ ...report, permitId: place.permitId });
     this.releases.set(place.poolId, reports);
-    if (this.host.ownerOfPool(place.poolId) === this.selfId) this.sendReleases();
+    this.scheduleReleases();
   }
 
   granted(body: GrantedBody): void {
@@ -142,6 +149,7 @@
   run(nowMs: number): void {
     this.sendReleases();
     this.dropMovedWishes();
+    this.askAgain(nowMs);
     if (nowMs >= this.nextRenewMs) this.renewAll(nowMs);
   }
 
@@ -196,7 +204,12 @@
         answer(fail(notRun('draining', 'the caller went away')));
       };
       signal.addEventListener('abort', onAbort, { once: true });
-      this.waiting.set(body.requestId, { body, ownerId, answer });
+      this.waiting.set(body.requestId, {
+        body,
+        ownerId,
+        answer,
+        askAgainAtMs: this.clock.monotonicMs() + ASK_AGAIN_MS,
+      });
       void this.ask(ownerId, body);
     });
   }
@@ -242,12 +255,34 @@
       });
   }
 
+  /** Asking twice is harmless: the owner knows the request by its id. */
+  private askAgain(nowMs: number): void {
+    this.waiting
+      .all()
+      .filter((wish) => nowMs >= wish.askAgainAtMs)
+      .slice(0, MAX_ASKED_AGAIN)
+      .forEach((wish) => {
+        wish.askAgainAtMs = nowMs + ASK_AGAIN_MS;
+        void this.ask(wish.ownerId, wish.body);
+      });
+  }
+
   private returnUnwanted(body: GrantedBody): void {
     const reports = this.releases.get(body.poolId) ?? [];
     reports.push({ permitId: body.permitId, end: 'cancelled', tokens: 0 });
     this.releases.set(body.poolId, reports);
   }
 
+  /** Releases of one turn of the event loop travel together. */
+  private scheduleReleases(): void {
+    if (this.releasesScheduled) return;
+    this.releasesScheduled = true;
+    setImmediate(() => {
+      this.releasesScheduled = false;
+      this.sendReleases();
+    });
+  }
+
   private sendReleases(): void {
     const batches = [...this.releases.entries()];
     this.releases.clear();
@@ -291,7 +326,7 @@
   private toBody(poolId: string, wish: PlaceWish): AcquireBody {
     return {
       poolId,
-      requestId: `${wish.requestId}#${String(this.attempts++)}`,
+      requestId: `${this.selfId}/${wish.requestId}/${String(this.attempts++)}`,
       holder: this.selfId,
       organisation: wish.organisation,
       workClass: wish.workClass,
@@ -305,7 +340,4 @@
   }
 
   private attempts = 0;
-
-  /** Pause before batch asks again after a refusal, in milliseconds. */
-  static readonly batchRetryMs = BATCH_RETRY_MS;
 }
--- a/packages/entry/src/pool-host.ts
+++ b/packages/entry/src/pool-host.ts
@@ -92,7 +92,7 @@
     const pool = this.pools.get(body.poolId);
     if (!pool) return false;
     const nowMs = this.clock.monotonicMs();
-    pool.enqueue(this.toPlaceRequest(body, nowMs), nowMs);
+    if (!pool.knows(body.requestId)) pool.enqueue(this.toPlaceRequest(body, nowMs), nowMs);
     this.wake();
     return true;
   }
--- a/packages/entry/src/table-store.ts
+++ b/packages/entry/src/table-store.ts
@@ -18,8 +18,11 @@
 import { TableView } from './table-view.js';
 
 /** Number of values over which the rows are spread. */
-export const BUCKET_COUNT = 16;
+export const BUCKET_COUNT = 64;
 const MAX_EDIT_TRIES = 8;
+const HISTORY_TRIES = 4;
+/** Changes that are kept for each bucket. */
+const HISTORY_LENGTH = 100;
 
 /** One change of a row, asked for by an operator. */
 export interface RowEdit {
@@ -36,6 +39,11 @@
   return `table/${String(bucket).padStart(3, '0')}`;
 }
 
+/** Key of the last changes in a bucket. */
+function historyKey(bucket: number): string {
+  return `table-history/${String(bucket).padStart(3, '0')}`;
+}
+
 /** The bucket that holds a row. */
 export function bucketOf(rowKey: string): number {
   return digestNumber('row', rowKey) % BUCKET_COUNT;
@@ -105,7 +113,27 @@
   async edit(edit: RowEdit): Promise<Outcome<StoredRow, Problem>> {
     const checked = checkEdit(edit);
     if (!checked.ok) return checked;
-    return this.tryEdit({ ...edit, value: checked.value }, MAX_EDIT_TRIES);
+    const edited = await this.tryEdit({ ...edit, value: checked.value }, MAX_EDIT_TRIES);
+    if (edited.ok) void this.keepHistory(edited.value, HISTORY_TRIES);
+    return edited;
+  }
+
+  /** Earlier versions of a row, the newest first. The history may miss changes; the table never does. */
+  async history(key: string): Promise<Outcome<StoredRow[], Problem>> {
+    const found = await this.store.read<StoredRow[]>(historyKey(bucketOf(key)));
+    if (!found.ok) return fail(notRun('store_unavailable', found.error.detail, 1_000));
+    return ok((found.value?.value ?? []).filter((row) => row.key === key));
+  }
+
+  private async keepHistory(row: StoredRow, triesLeft: number): Promise<void> {
+    const key = historyKey(bucketOf(row.key));
+    const present = await this.store.read<StoredRow[]>(key);
+    if (!present.ok) return;
+    const next = [row, ...(present.value?.value ?? [])].slice(0, HISTORY_LENGTH);
+    const written = await this.store.write(key, present.value, next);
+    if (!written.ok && written.error.kind === StoreErrorKind.conflict && triesLeft > 1) {
+      await this.keepHistory(row, triesLeft - 1);
+    }
   }
 
   private async tryEdit(edit: RowEdit, triesLeft: number): Promise<Outcome<StoredRow, Problem>> {
--- /dev/null
+++ b/packages/lab/src/online-load.ts
@@ -0,0 +1,105 @@
+/** Online load: a trace of arrivals drawn from a seed, and what became of each request. */
+import type { ApiError, StreamedAnswer } from '@fighub/client';
+import { tokenText } from '@fighub/standins';
+
+import type { Fleet } from './fleet.js';
+import type { SeededRandom } from './random.js';
+
+/** One request of a trace. */
+export interface Arrival {
+  readonly atMs: number;
+  readonly organisation: string;
+  readonly entryIndex: number;
+  readonly prompt: string;
+  readonly maxTokens: number;
+}
+
+/** A part of a trace with a constant rate. */
+export interface TracePhase {
+  readonly lengthMs: number;
+  readonly ratePerSecond: number;
+}
+
+/** What became of one request. */
+export interface OnlineResult {
+  readonly arrival: Arrival;
+  readonly sentAtUnixMs: number;
+  readonly endedAtUnixMs: number;
+  readonly answer?: StreamedAnswer;
+  readonly error?: ApiError;
+  /** The answer differs from the one that its prompt has. */
+  readonly crossed: boolean;
+  /** The caller stopped waiting for the first token. */
+  readonly gaveUp: boolean;
+}
+
+/** Answers of a caller are given up when no token has come after this time. */
+export const CALLER_PATIENCE_MS = 5_000;
+const SHARED_PREFIXES = 12;
+const PREFIX_LENGTH = 256;
+
+/** Draws Poisson arrivals. Prompts share a few prefixes, as schools share the text before their own. */
+export function drawTrace(
+  random: SeededRandom,
+  phases: readonly TracePhase[],
+  organisations: readonly string[],
+  entries: number,
+  maxTokens: number,
+): Arrival[] {
+  const arrivals: Arrival[] = [];
+  let startMs = 0;
+  phases.forEach((phase) => {
+    let atMs = startMs + random.exponentialMs(1_000 / phase.ratePerSecond);
+    while (atMs < startMs + phase.lengthMs) {
+      const prefix = `prefix ${String(random.below(SHARED_PREFIXES))} `.padEnd(PREFIX_LENGTH, '.');
+      arrivals.push({
+        atMs,
+        organisation: random.pick(organisations),
+        entryIndex: random.below(entries),
+        prompt: `${prefix} request ${String(arrivals.length)} ${String(random.below(1_000_000))}`,
+        maxTokens,
+      });
+      atMs += random.exponentialMs(1_000 / phase.ratePerSecond);
+    }
+    startMs += phase.lengthMs;
+  });
+  return arrivals;
+}
+
+/** Sends a trace and waits for all ends. */
+export function runTrace(fleet: Fleet, trace: readonly Arrival[]): Promise<OnlineResult[]> {
+  return Promise.all(trace.map((arrival) => sendAt(fleet, arrival)));
+}
+
+/** The whole text that a prompt's answer must have. */
+export function expectedText(prompt: string, tokens: number): string {
+  return Array.from({ length: tokens }, (_, index) => tokenText(prompt, index)).join('');
+}
+
+async function sendAt(fleet: Fleet, arrival: Arrival): Promise<OnlineResult> {
+  await new Promise((resolve) => setTimeout(resolve, arrival.atMs));
+  const caller = fleet.caller(fleet.entry(arrival.entryIndex), arrival.organisation);
+  const call = { model: fleet.plan.model, prompt: arrival.prompt, maxTokens: arrival.maxTokens };
+  const sentAtUnixMs = Date.now();
+  const patience = new AbortController();
+  const timer = setTimeout(() => patience.abort(), CALLER_PATIENCE_MS);
+  const outcome = await caller.stream(call, () => clearTimeout(timer), patience.signal);
+  clearTimeout(timer);
+  const base = { arrival, sentAtUnixMs, endedAtUnixMs: Date.now(), gaveUp: patience.signal.aborted };
+  if (!outcome.ok) return { ...base, error: outcome.error, crossed: false };
+  const crossed = outcome.value.text !== expectedText(arrival.prompt, arrival.maxTokens);
+  return { ...base, answer: outcome.value, crossed };
+}
+
+/** First-token times of the answered requests, in milliseconds, ascending. */
+export function firstTokenTimes(results: readonly OnlineResult[]): number[] {
+  return results
+    .flatMap((result) => (result.answer ? [result.answer.firstTokenMs] : []))
+    .sort((a, b) => a - b);
+}
+
+/** The value at a percentile of ascending values; 0 when there are none. */
+export function percentile(ascending: readonly number[], percent: number): number {
+  const index = Math.min(ascending.length - 1, Math.ceil((percent / 100) * ascending.length) - 1);
+  return ascending[Math.max(0, index)] ?? 0;
+}
--- /dev/null
+++ b/packages/lab/src/random.ts
@@ -0,0 +1,34 @@
+/** Seeded random numbers for schedules and workloads. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** A stream of random values that is the same for the same seed. */
+export class SeededRandom {
+  private readonly generator;
+
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** A number in [0, 1). */
+  next(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  /** An integer in [0, bound). */
+  below(bound: number): number {
+    return Math.floor(this.next() * bound);
+  }
+
+  /** One of the values. */
+  pick<T>(values: readonly T[]): T {
+    const value = values[this.below(values.length)];
+    if (value === undefined) throw new Error('nothing to pick from');
+    return value;
+  }
+
+  /** An exponentially distributed time with the given mean, in milliseconds. */
+  exponentialMs(meanMs: number): number {
+    return -Math.log(1 - this.next()) * meanMs;
+  }
+}
