--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -1,22 +1,31 @@
 /** Counters and histograms. The registry is always readable in the state dump. */
 
+import type { Histogram } from 'hdr-histogram-js';
+import { build } from 'hdr-histogram-js';
+
 /** Receives every counter change and sample, for example a StatsD client. */
 export interface MetricsSink {
   increment(name: string, by: number, tags: readonly string[]): void;
   sample(name: string, value: number): void;
 }
 
-/** Minimum, maximum, sum and count of a sampled value. */
+/** Distribution of a sampled value. */
 export interface SampleSummary {
-  count: number;
-  sum: number;
-  max: number;
+  readonly count: number;
+  readonly mean: number;
+  readonly p50: number;
+  readonly p95: number;
+  readonly p99: number;
+  readonly max: number;
 }
 
+/** Histograms hold whole numbers; samples are kept in thousandths. */
+const SCALE = 1_000;
+
 /** Counts events by name and forwards them to an optional sink. */
 export class Metrics {
   private readonly counters = new Map<string, number>();
-  private readonly samples = new Map<string, SampleSummary>();
+  private readonly samples = new Map<string, Histogram>();
 
   constructor(private readonly sink?: MetricsSink) {}
 
@@ -28,11 +37,10 @@
 
   /** Records one sample of `name`, in the unit that the name's suffix states. */
   sample(name: string, value: number): void {
-    const summary = this.samples.get(name) ?? { count: 0, sum: 0, max: 0 };
-    summary.count += 1;
-    summary.sum += value;
-    summary.max = Math.max(summary.max, value);
-    this.samples.set(name, summary);
+    const histogram =
+      this.samples.get(name) ?? build({ bitBucketSize: 32, numberOfSignificantValueDigits: 2 });
+    histogram.recordValue(Math.max(0, Math.round(value * SCALE)));
+    this.samples.set(name, histogram);
     this.sink?.sample(name, value);
   }
 
@@ -43,6 +51,22 @@
 
   /** All counters and sample summaries for the dump. */
   dump(): { counters: Record<string, number>; samples: Record<string, SampleSummary> } {
-    return { counters: Object.fromEntries(this.counters), samples: Object.fromEntries(this.samples) };
+    const samples = [...this.samples.entries()].map(([name, histogram]) => [name, summaryOf(histogram)]);
+    return {
+      counters: Object.fromEntries(this.counters),
+      samples: Object.fromEntries(samples) as Record<string, SampleSummary>,
+    };
   }
 }
+
+function summaryOf(histogram: Histogram): SampleSummary {
+  const at = (percent: number): number => histogram.getValueAtPercentile(percent) / SCALE;
+  return {
+    count: histogram.totalCount,
+    mean: histogram.mean / SCALE,
+    p50: at(50),
+    p95: at(95),
+    p99: at(99),
+    max: histogram.maxValue / SCALE,
+  };
+}
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -86,14 +86,16 @@
     this.apply({ ...self, state: MemberState.leaving, incarnation: self.incarnation + 1 }, nowMs);
   }
 
-  /** Declares suspects dead whose time has run out, and forgets members that are long gone. */
-  run(nowMs: number): void {
+  /** Declares suspects dead whose time has run out, and forgets members that are long gone. Returns the new dead. */
+  run(nowMs: number): number {
     this.all()
       .filter((member) => member.forgetAtMs !== undefined && member.forgetAtMs <= nowMs)
       .forEach((member) => this.members.delete(member.instanceId));
-    this.all()
-      .filter((member) => member.state === MemberState.suspect && (member.suspectUntilMs ?? 0) <= nowMs)
-      .forEach((member) => this.apply({ ...member, state: MemberState.dead }, nowMs));
+    const expired = this.all().filter(
+      (member) => member.state === MemberState.suspect && (member.suspectUntilMs ?? 0) <= nowMs,
+    );
+    expired.forEach((member) => this.apply({ ...member, state: MemberState.dead }, nowMs));
+    return expired.length;
   }
 
   /** The next member to probe: each live one is probed once in a random round. */
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -47,6 +47,8 @@
   readonly limit: ConcurrencyLimit;
   readonly health: ReplicaHealth;
   leaving: boolean;
+  /** Load reports in a row that did not come. */
+  missedReports: number;
   /** Streams that other dispatchers run there, from the load report. */
   foreignStreams: number;
 }
@@ -269,6 +271,7 @@
         places: replica.limit.places,
         inFlight: this.inFlight(replica.replicaId, nowMs),
         leaving: replica.leaving,
+        missedReports: replica.missedReports,
         open: replica.health.isOpen(nowMs),
         onProbation: replica.health.onProbation,
       })),
@@ -289,6 +292,7 @@
       limit: new ConcurrencyLimit(info.maxConcurrency),
       health: new ReplicaHealth(),
       leaving: info.leaving,
+      missedReports: 0,
       foreignStreams: 0,
     });
   }
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -4,6 +4,8 @@
 
 /** A cached prefix may cost at most this many streams of imbalance. */
 const AFFINITY_STREAMS = 2;
+/** A replica is passed over after this many missing load reports, as long as another one reports. */
+const MISSED_REPORTS_LIMIT = 2;
 
 /** The usable replica with the lowest load that has a free place; a cached prefix counts as lower load. */
 export function pickReplica(
@@ -13,7 +15,9 @@
   inFlightOf: (replicaId: string) => number,
   nowMs: number,
 ): PoolReplica | undefined {
+  const someReport = replicas.some((replica) => replica.missedReports < MISSED_REPORTS_LIMIT);
   const candidates = replicas
+    .filter((replica) => !someReport || replica.missedReports < MISSED_REPORTS_LIMIT)
     .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs))
     .filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId))
     .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) + replica.foreignStreams }))
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -83,7 +83,7 @@
     const self: MemberUpdate = {
       instanceId: this.instanceId,
       failureDomain: settings.failureDomain,
-      peerAddress: `${settings.host}:${String(peerPort)}`,
+      peerAddress: settings.announcedPeerAddress ?? `${settings.host}:${String(peerPort)}`,
       state: 'alive',
       incarnation: 1,
     };
@@ -103,7 +103,7 @@
     const { settings, container } = this;
     const clock = new SystemClock();
     const metrics = new Metrics(sink);
-    const service = new EtcdKeyValueService(settings.keyValueService);
+    const service = new EtcdKeyValueService({ ...settings.keyValueService, localAddress: settings.host });
     container.bind(Tokens.clock).toConstantValue(clock);
     container.bind(Tokens.metrics).toConstantValue(metrics);
     container.bind(Tokens.keyValueService).toConstantValue(service);
@@ -113,10 +113,11 @@
     container
       .bind(Tokens.instanceList)
       .toDynamicValue(
-        () => new HttpInstanceList(settings.instanceList.address, settings.instanceList.timeoutMs),
+        () =>
+          new HttpInstanceList(settings.instanceList.address, settings.instanceList.timeoutMs, settings.host),
       );
-    container.bind(Tokens.engine).toDynamicValue(() => new HttpEngine());
-    container.bind(Tokens.plainService).toDynamicValue(() => new HttpPlainService());
+    container.bind(Tokens.engine).toDynamicValue(() => new HttpEngine(settings.host));
+    container.bind(Tokens.plainService).toDynamicValue(() => new HttpPlainService(settings.host));
     container.bind(Tokens.peerNode).toDynamicValue(
       () =>
         new PeerNode(
@@ -274,8 +275,8 @@
     const httpPort = await server.listen(settings.host, settings.httpPort);
     await this.lifeCycle.own({
       name: 'gateway',
-      drain: (hasten) => this.drainGateway(parts, server, hasten),
-      stop: () => server.destroy(),
+      drain: (hasten) => this.drainGateway(parts, hasten),
+      stop: () => server.close(),
     });
     return httpPort;
   }
@@ -294,16 +295,17 @@
   }
 
   /** Announces the leave, keeps answering while others learn of it, then waits for open requests. */
-  private async drainGateway(parts: Parts, server: HttpServer, hasten: AbortSignal): Promise<void> {
+  private async drainGateway(parts: Parts, hasten: AbortSignal): Promise<void> {
     const untilMs = performance.now() + this.settings.drainLimitMs;
     parts.membership.leave();
     this.logger.info({ openRequests: parts.gateway.openRequests }, 'instance is leaving');
     await pause(LEAVE_NOTICE_MS);
+    // The port stays open: whoever still sends gets a true "not run" and a closing connection.
     parts.gateway.startDraining();
-    server.close();
     while (parts.gateway.openRequests > 0 && !hasten.aborted && performance.now() < untilMs) {
       await pause(DRAIN_STEP_MS);
     }
+    await pause(LEAVE_NOTICE_MS);
   }
 }
 
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -53,14 +53,9 @@
     });
   }
 
-  /** Stops accepting connections and closes those that are idle. */
+  /** Stops accepting connections and closes those that are left. */
   close(): void {
     this.server.server.close();
-    this.server.server.closeIdleConnections();
-  }
-
-  /** Closes everything. */
-  destroy(): void {
     this.server.server.closeAllConnections();
   }
 
--- a/packages/entry/src/pool-host.ts
+++ b/packages/entry/src/pool-host.ts
@@ -40,6 +40,10 @@
 export class PoolHost implements System {
   readonly name = 'pool host';
   private readonly pools = new EntityTable<PoolScheduler>();
+  /** Owners by pool at one version of the membership. */
+  private readonly owners = new Map<string, string | undefined>();
+  private ownersVersion = -1;
+  private readonly revokedAtMs = new Map<string, number>();
   private localHolder: LocalHolder | undefined;
   private nextSummaryMs = 0;
   private nextLoadMs = 0;
@@ -84,7 +88,16 @@
 
   /** The owner of a pool among the live members. */
   ownerOfPool(poolId: string): string | undefined {
-    return ownerOf(poolId, poolId.slice(poolId.lastIndexOf('@') + 1), this.members().owners());
+    const { version } = this.members().membership;
+    if (version !== this.ownersVersion) {
+      this.ownersVersion = version;
+      this.owners.clear();
+    }
+    if (!this.owners.has(poolId)) {
+      const failureDomain = poolId.slice(poolId.lastIndexOf('@') + 1);
+      this.owners.set(poolId, ownerOf(poolId, failureDomain, this.members().owners()));
+    }
+    return this.owners.get(poolId);
   }
 
   /** Takes a request for a place if this instance owns the pool. */
@@ -103,10 +116,21 @@
 
   release(poolId: string, reports: readonly ReleaseReport[]): void {
     const pool = this.pools.get(poolId);
-    reports.forEach((report) => pool?.release(report, this.clock.monotonicMs()));
+    reports.forEach((report) => {
+      pool?.release(report, this.clock.monotonicMs());
+      this.sampleFreed(report.permitId);
+    });
     this.wake();
   }
 
+  /** Time from the arrival of an online request to the end of the batch stream that gave it its place. */
+  private sampleFreed(permitId: string): void {
+    const revokedAtMs = this.revokedAtMs.get(permitId);
+    if (revokedAtMs === undefined) return;
+    this.revokedAtMs.delete(permitId);
+    this.metrics.sample('place_freed_ms', this.clock.monotonicMs() - revokedAtMs);
+  }
+
   renew(poolId: string, permits: readonly HeldPermit[]): void {
     const nowMs = this.clock.monotonicMs();
     this.pools.get(poolId)?.renew(
@@ -222,6 +246,7 @@
 
   private sendRevocation(permit: Permit): void {
     this.metrics.count('permits_revoked');
+    this.revokedAtMs.set(permit.permitId, this.clock.monotonicMs());
     const permitId = permit.permitId;
     this.toHolder(
       permit.request.holder,
@@ -265,9 +290,10 @@
 
   private async readLoad(pool: PoolScheduler, replica: PoolReplica): Promise<void> {
     const report = await this.engine.load(replica.address);
+    replica.missedReports = report ? 0 : replica.missedReports + 1;
     if (!report) return;
     replica.limit.setMaximum(report.maxConcurrency);
-    if (report.leaving) this.upstreams.markLeaving(replica.replicaId);
+    this.upstreams.applyReport(replica.replicaId, report.leaving);
     report.cachedPrefixes.forEach((prefix) => pool.prefixes.add(prefix, replica.replicaId));
   }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -22,8 +22,10 @@
   instanceName: z.string().regex(/^[\w.-]+$/),
   failureDomain: z.string().min(1),
   roles: z.array(z.enum(EntryRole)).default(['gateway', 'scheduler', 'batch']),
-  /** Address that callers and peers reach this instance by. */
+  /** Address that this instance listens on and makes its connections from. */
   host: z.string().default('127.0.0.1'),
+  /** Peer address that is announced, where others reach this instance by another one. */
+  announcedPeerAddress: z.string().optional(),
   httpPort: port.default(0),
   peerPort: port.default(0),
   /** Shared secret of the fleet. */
--- a/packages/entry/src/upstream-states.ts
+++ b/packages/entry/src/upstream-states.ts
@@ -2,12 +2,16 @@
 import type { Clock } from '@fighub/core';
 import type { ListedInstance } from '@fighub/platform';
 
-const REFUSAL_LIFETIME_MS = 15_000;
+/** Load reports lag: one that denies a refusal counts only this long after the refusal. */
+const REPORT_TRUST_AFTER_MS = 5_000;
 
-/** A listed upstream that refuses is kept out: the list lags and never brings it back by itself. */
+/**
+ * An upstream that refused stays out until its own report says for a while that it is not leaving. The
+ * instance list lags and never brings one back by itself.
+ */
 export class UpstreamStates {
   private listedLeaving = new Set<string>();
-  private readonly refusedUntilMs = new Map<string, number>();
+  private readonly refusedAtMs = new Map<string, number>();
 
   constructor(private readonly clock: Clock) {}
 
@@ -19,18 +23,25 @@
 
   /** Notes that an upstream itself said that it is leaving. */
   markLeaving(upstreamId: string): void {
-    this.refusedUntilMs.set(upstreamId, this.clock.monotonicMs() + REFUSAL_LIFETIME_MS);
+    this.refusedAtMs.set(upstreamId, this.clock.monotonicMs());
+  }
+
+  /** Takes in what a load report says. */
+  applyReport(upstreamId: string, leaving: boolean): void {
+    if (leaving) {
+      this.markLeaving(upstreamId);
+      return;
+    }
+    const refusedAtMs = this.refusedAtMs.get(upstreamId);
+    if (refusedAtMs === undefined) return;
+    if (this.clock.monotonicMs() - refusedAtMs > REPORT_TRUST_AFTER_MS) this.refusedAtMs.delete(upstreamId);
   }
 
   isLeaving(upstreamId: string): boolean {
-    if (this.listedLeaving.has(upstreamId)) return true;
-    return (this.refusedUntilMs.get(upstreamId) ?? 0) > this.clock.monotonicMs();
+    return this.listedLeaving.has(upstreamId) || this.refusedAtMs.has(upstreamId);
   }
 
   dump(): Record<string, unknown> {
-    return {
-      listedLeaving: [...this.listedLeaving],
-      refusedUntilMs: Object.fromEntries(this.refusedUntilMs),
-    };
+    return { listedLeaving: [...this.listedLeaving], refusedAtMs: Object.fromEntries(this.refusedAtMs) };
   }
 }
--- a/packages/lab/src/fleet.ts
+++ b/packages/lab/src/fleet.ts
@@ -1,6 +1,8 @@
 /** A small fleet on loopback: stand-ins, entry instances and the rows that connect them. */
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { dirname, join } from 'node:path';
 
@@ -69,6 +71,8 @@
 export interface FleetEntry {
   readonly name: string;
   readonly failureDomain: string;
+  /** Address that the instance makes its connections from. */
+  readonly host: string;
   process: FleetProcess;
   address: string;
 }
@@ -93,6 +97,9 @@
   private proxy: FleetProcess | undefined;
   private readonly others: FleetProcess[] = [];
   private readonly folder = mkdtempSync(join(tmpdir(), 'fighub-lab-'));
+  private readonly hosts = new Map<string, string>();
+  private readonly routes = new Map<string, string>();
+  private readonly peerRoutes = new Map<string, Record<string, unknown>>();
   private started = 0;
 
   private constructor(readonly plan: FleetPlan) {}
@@ -134,9 +141,13 @@
   /** Starts one more entry, or one in place of another. */
   async startEntry(name: string, failureDomain: string): Promise<FleetEntry> {
     this.started += 1;
+    const host = this.hostOf(name);
+    const peers = await this.peerPorts(name, host);
     const settings = {
       instanceName: name,
       failureDomain,
+      host,
+      ...peers,
       fleetSecret: FLEET_SECRET,
       bootstrapAdminKey: ADMIN_KEY,
       keyValueService: {
@@ -156,7 +167,7 @@
       file,
       '--json',
     ]);
-    return { name, failureDomain, process, address: process.ready.httpAddress ?? '' };
+    return { name, failureDomain, host, process, address: process.ready.httpAddress ?? '' };
   }
 
   /** Replaces the process of an entry that has ended. */
@@ -193,11 +204,49 @@
     return (await Promise.all(running.map((replica) => this.journal(replica)))).flat();
   }
 
+  /** Every request that any replica ever received, those of killed processes included. */
+  receptions(): JournalEntry[] {
+    return this.replicas
+      .map((replica) => join(this.folder, `${replica.name}.jsonl`))
+      .filter((file) => existsSync(file))
+      .flatMap((file) => readFileSync(file, 'utf8').split('\n'))
+      .filter((line) => line !== '')
+      .map((line) => JSON.parse(line) as JournalEntry);
+  }
+
   /** Sets faults on routes of the proxy whose names match. */
   async setRouteFaults(names: readonly string[], faults: Partial<RouteFaults>): Promise<void> {
     await got.post(`${this.proxy?.ready.address ?? ''}/faults`, { json: { names, faults } });
   }
 
+  /** Cuts the failure domains in `inside` off from everything else, the platform's services included. */
+  async partition(inside: readonly string[]): Promise<void> {
+    const isInside = (domain: string): boolean => inside.includes(domain);
+    const sources = (wanted: boolean): string[] =>
+      this.entries.filter((entry) => isInside(entry.failureDomain) === wanted).map((entry) => entry.host);
+    const namesOf = (wanted: boolean): string[] => [
+      ...this.entries
+        .filter((entry) => isInside(entry.failureDomain) === wanted)
+        .map((entry) => `${entry.name}-peers`),
+      ...this.replicas
+        .filter((replica) => isInside(replica.failureDomain) === wanted)
+        .map((replica) => replica.name),
+    ];
+    const platform = this.entries.flatMap((entry) => [`${entry.name}-kv`, `${entry.name}-list`]);
+    await this.setRouteFaults([...namesOf(false), ...platform], { blockedSources: sources(true) });
+    await this.setRouteFaults(namesOf(true), { blockedSources: sources(false) });
+  }
+
+  /** Silences all connections that are open now, for good. New ones work. */
+  async silenceOpenConnections(): Promise<void> {
+    await this.setRouteFaults([...this.routes.keys()], { silenceOpen: true });
+  }
+
+  /** Ends a partition. */
+  async heal(): Promise<void> {
+    await this.setRouteFaults([...this.routes.keys()], { blockedSources: [] });
+  }
+
   /** Waits until every running entry holds the rows and knows all others. */
   async settled(): Promise<void> {
     await waitFor('the fleet to settle', async () => {
@@ -257,7 +306,8 @@
   }
 
   private startEngine(name: string, port: number): Promise<FleetProcess> {
-    const options = { models: [this.plan.model], ...this.plan.engine, port };
+    const journalFile = join(this.folder, `${name}.jsonl`);
+    const options = { models: [this.plan.model], ...this.plan.engine, port, journalFile };
     return FleetProcess.start(name, programOf('@fighub/standins', 'fighub-standin'), [
       'engine',
       '--options',
@@ -272,13 +322,38 @@
     return process;
   }
 
+  /** Each entry has a loopback address of its own, so that the proxy can tell who dials. */
+  private hostOf(name: string): string {
+    const known = this.hosts.get(name);
+    if (known !== undefined) return known;
+    const host = `127.0.1.${String(this.hosts.size + 1)}`;
+    this.hosts.set(name, host);
+    return host;
+  }
+
+  /** With a proxy, peers reach an entry through a route; the entry's own port then has to be known before. */
+  private async peerPorts(name: string, host: string): Promise<Record<string, unknown>> {
+    if (!this.proxy) return {};
+    const known = this.peerRoutes.get(name);
+    if (known) return known;
+    const peerPort = await freePort(host);
+    const route = new URL(await this.route(`${name}-peers`, `http://${host}:${String(peerPort)}`));
+    const ports = { peerPort, announcedPeerAddress: route.host };
+    this.peerRoutes.set(name, ports);
+    return ports;
+  }
+
   /** The address that leads to a target, through the proxy if there is one. */
   private async route(name: string, target: string): Promise<string> {
     if (!this.proxy) return target;
+    const known = this.routes.get(name);
+    if (known !== undefined) return known;
     const answer = await got
       .post(`${this.proxy.ready.address ?? ''}/routes`, { json: { name, target: new URL(target).host } })
       .json<{ port: number }>();
-    return `http://127.0.0.1:${String(answer.port)}`;
+    const address = `http://127.0.0.1:${String(answer.port)}`;
+    this.routes.set(name, address);
+    return address;
   }
 
   private async writeRows(): Promise<void> {
@@ -334,6 +409,18 @@
   readonly writesByKind: Readonly<Record<string, number>>;
 }
 
+/** A port that is free now. */
+function freePort(host: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, host, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
 /** Waits until a condition holds. */
 export async function waitFor(what: string, holds: () => Promise<boolean>, limitMs = 40_000): Promise<void> {
   const untilMs = performance.now() + limitMs;
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -107,7 +107,8 @@
   }
 
   private async probeOnce(): Promise<void> {
-    this.membership.run(performance.now());
+    const declaredDead = this.membership.run(performance.now());
+    if (declaredDead > 0) this.metrics.count('members_declared_dead', declaredDead);
     this.spreadEagerlyOnChange();
     const target = this.membership.nextProbe();
     if (!target || target.state === MemberState.leaving) return;
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -142,7 +142,11 @@
   private dial(address: string): Link {
     this.closeIdleLinks();
     const at = address.lastIndexOf(':');
-    const socket = connect({ host: address.slice(0, at), port: Number(address.slice(at + 1)) });
+    const socket = connect({
+      host: address.slice(0, at),
+      port: Number(address.slice(at + 1)),
+      localAddress: this.options.host,
+    });
     const connection = new PeerConnection(socket, true, this.options.instanceId, this.options.secret, {
       onReady: () => this.flush(address, connection),
       onFrame: (_, frame) => this.onAnswer(frame),
--- a/packages/platform/src/connection-pool.ts
+++ b/packages/platform/src/connection-pool.ts
@@ -3,15 +3,27 @@
 
 const MAX_FREE_SOCKETS = 8;
 
+/** An agent whose calls each use a new connection: a kept one may have been forgotten by something in between. */
+export function newConnectionsAgent(localAddress?: string): Agent {
+  return new Agent({ keepAlive: false, localAddress });
+}
+
 /** Hands out agents by address. */
 export class ConnectionPools {
   private readonly agents = new Map<string, Agent>();
 
+  /** `localAddress` is the address that connections are made from. */
+  constructor(private readonly localAddress?: string) {}
+
   /** The agent whose kept connections lead to `address`. */
   agentFor(address: string): Agent {
     const known = this.agents.get(address);
     if (known) return known;
-    const created = new Agent({ keepAlive: true, maxFreeSockets: MAX_FREE_SOCKETS });
+    const created = new Agent({
+      keepAlive: true,
+      maxFreeSockets: MAX_FREE_SOCKETS,
+      localAddress: this.localAddress,
+    });
     this.agents.set(address, created);
     return created;
   }
--- a/packages/platform/src/etcd-key-value.ts
+++ b/packages/platform/src/etcd-key-value.ts
@@ -29,6 +29,8 @@
   readonly address: string;
   /** Longest wait for the answer to one call, in milliseconds. */
   readonly callTimeoutMs: number;
+  /** Address that connections are made from. */
+  readonly localAddress?: string;
 }
 
 /** Statuses with which the service refuses a call before it takes effect. */
@@ -36,9 +38,11 @@
 
 /** Adapter to etcd's JSON gateway. */
 export class EtcdKeyValueService implements KeyValueService {
-  private agent = new Agent({ keepAlive: true, maxSockets: 32 });
+  private agent: Agent;
 
-  constructor(private readonly options: EtcdOptions) {}
+  constructor(private readonly options: EtcdOptions) {
+    this.agent = this.newAgent();
+  }
 
   async get(key: string): Promise<Outcome<KeyValueEntry | undefined, StoreError>> {
     const answer = await this.call<EtcdRangeResponse>('kv/range', { key: toBase64(key) }, false);
@@ -76,6 +80,7 @@
     const stream = got.stream.post(`${this.options.address}/v3/watch`, {
       json: { create_request: { key: toBase64(prefix), range_end: toBase64(prefixEnd(prefix)) } },
       retry: { limit: 0 },
+      localAddress: this.options.localAddress,
       timeout: { connect: this.options.callTimeoutMs, response: this.options.callTimeoutMs },
     });
     let buffered = '';
@@ -137,10 +142,14 @@
     }
   }
 
+  private newAgent(): Agent {
+    return new Agent({ keepAlive: true, maxSockets: 32, localAddress: this.options.localAddress });
+  }
+
   /** Kept connections may have been forgotten by something in between: the next call opens a new one. */
   private replaceAgent(): void {
     const old = this.agent;
-    this.agent = new Agent({ keepAlive: true, maxSockets: 32 });
+    this.agent = this.newAgent();
     Object.values(old.freeSockets).forEach((sockets) => sockets?.forEach((socket) => socket.destroy()));
   }
 }
--- a/packages/platform/src/http-engine.ts
+++ b/packages/platform/src/http-engine.ts
@@ -1,12 +1,13 @@
 /** Engines over an OpenAI-style HTTP interface with server-sent events. */
+import type { Agent } from 'node:http';
+
 import { createParser } from 'eventsource-parser';
 import got from 'got';
 
-import { ConnectionPools } from './connection-pool.js';
+import { ConnectionPools, newConnectionsAgent } from './connection-pool.js';
 import type { Engine, EngineCall, EngineChunk, EngineEnd, EngineLoad, SilenceLimits } from './engine.js';
 import { EngineEndKind } from './engine.js';
 import { isNotSent } from './not-sent.js';
-import { NEW_CONNECTIONS } from './plain-service.js';
 
 interface StreamEvent {
   readonly id: string;
@@ -33,7 +34,13 @@
 
 /** Engine adapter over HTTP. */
 export class HttpEngine implements Engine {
-  private readonly pools = new ConnectionPools();
+  private readonly pools: ConnectionPools;
+  private readonly newConnections;
+
+  constructor(localAddress?: string) {
+    this.pools = new ConnectionPools(localAddress);
+    this.newConnections = newConnectionsAgent(localAddress);
+  }
 
   run(
     call: EngineCall,
@@ -42,7 +49,9 @@
     signal: AbortSignal,
   ): Promise<EngineEnd> {
     return new Promise((resolve) => {
-      new StreamRun(call, limits, onChunk, signal, this.pools, resolve).start();
+      const agent = call.idempotent ? this.pools.agentFor(call.address) : this.newConnections;
+      const replace = (): void => this.pools.replace(call.address);
+      new StreamRun(call, limits, onChunk, signal, agent, replace, resolve).start();
     });
   }
 
@@ -79,7 +88,8 @@
     private readonly limits: SilenceLimits,
     private readonly onChunk: (chunk: EngineChunk) => void,
     private readonly signal: AbortSignal,
-    private readonly pools: ConnectionPools,
+    private readonly agent: Agent,
+    private readonly replaceConnections: () => void,
     private readonly resolve: (end: EngineEnd) => void,
   ) {}
 
@@ -90,7 +100,7 @@
     }
     const stream = got.stream.post(`${this.call.address}/v1/completions`, {
       json: requestBody(this.call),
-      agent: { http: this.call.idempotent ? this.pools.agentFor(this.call.address) : NEW_CONNECTIONS },
+      agent: { http: this.agent },
       timeout: { connect: CONNECT_TIMEOUT_MS },
       retry: { limit: 0 },
       throwHttpErrors: false,
@@ -150,7 +160,7 @@
   private armSilence(limitMs: number): void {
     clearTimeout(this.silenceTimer);
     this.silenceTimer = setTimeout(() => {
-      this.pools.replace(this.call.address);
+      this.replaceConnections();
       this.finish(EngineEndKind.silent, `nothing came for ${String(limitMs)} ms`);
     }, limitMs);
   }
--- a/packages/platform/src/instance-list.ts
+++ b/packages/platform/src/instance-list.ts
@@ -29,6 +29,7 @@
   constructor(
     private readonly address: string,
     private readonly timeoutMs: number,
+    private readonly localAddress?: string,
   ) {}
 
   async read(): Promise<Outcome<ListedInstance[], string>> {
@@ -52,7 +53,7 @@
     }
   }
 
-  private options(): { timeout: { request: number }; retry: { limit: number } } {
-    return { timeout: { request: this.timeoutMs }, retry: { limit: 0 } };
+  private options(): { timeout: { request: number }; retry: { limit: number }; localAddress?: string } {
+    return { localAddress: this.localAddress, timeout: { request: this.timeoutMs }, retry: { limit: 0 } };
   }
 }
--- a/packages/platform/src/plain-service.ts
+++ b/packages/platform/src/plain-service.ts
@@ -1,13 +1,10 @@
 /** Plain services beside the engines, reached over HTTP. */
-import { Agent } from 'node:http';
-
 import got, { RequestError } from 'got';
 
+import { newConnectionsAgent } from './connection-pool.js';
 import { isNotSent } from './not-sent.js';
 
 const CONNECT_TIMEOUT_MS = 500;
-/** Every call uses a new connection: a kept one may have been forgotten by something in between. */
-export const NEW_CONNECTIONS = new Agent({ keepAlive: false });
 
 /** A call to a plain service. */
 export interface ServiceCall {
@@ -35,6 +32,12 @@
 
 /** Plain services over HTTP. */
 export class HttpPlainService implements PlainService {
+  private readonly agent;
+
+  constructor(localAddress?: string) {
+    this.agent = newConnectionsAgent(localAddress);
+  }
+
   async call(call: ServiceCall): Promise<ServiceAnswer> {
     try {
       const answer = await got.post(`${call.address}/${call.path}`, {
@@ -43,7 +46,7 @@
         timeout: { connect: CONNECT_TIMEOUT_MS, request: call.timeoutMs },
         retry: { limit: 0 },
         throwHttpErrors: false,
-        agent: { http: NEW_CONNECTIONS },
+        agent: { http: this.agent },
       });
       const contentType = answer.headers['content-type'] ?? 'application/octet-stream';
       return { status: answer.statusCode, contentType, body: answer.body, sent: true };
--- a/packages/standins/src/engine-standin.ts
+++ b/packages/standins/src/engine-standin.ts
@@ -1,4 +1,5 @@
 /** Stand-in of a model engine: continuous batching in steps, no priorities, late load reports. */
+import { appendFileSync } from 'node:fs';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { digest, prefixDigest } from '@fighub/core';
@@ -23,6 +24,8 @@
   /** Age of load reports, in milliseconds. */
   readonly reportLagMs: number;
   readonly checksFencing: boolean;
+  /** File that gets a line for each request that was received, so that it outlives the process. */
+  readonly journalFile?: string;
 }
 
 /** Faults that can be switched while it runs. */
@@ -88,6 +91,8 @@
   startedAtUnixMs?: number;
   endedAtUnixMs?: number;
   tokens: number;
+  /** Code of the refusal, if nothing was run. */
+  refusal?: string;
   end?: 'completed' | 'cancelled';
 }
 
@@ -108,6 +113,11 @@
   return `w${digest(prompt, String(index)).slice(0, 4)} `;
 }
 
+/** How journals name a prompt. */
+export function promptDigest(prompt: string): string {
+  return digest(prompt).slice(0, 12);
+}
+
 class EngineStandin {
   private running: EngineStream[] = [];
   private waiting: EngineStream[] = [];
@@ -146,20 +156,11 @@
   private complete(body: CompletionBody, res: ServerResponse): void {
     const prompt = body.prompt ?? '';
     const refusal = this.refusalOf(body, prompt);
+    const entry = this.record(body, prompt, refusal?.code);
     if (refusal) {
       sendJsonBody(res, refusal.status, { code: refusal.code, run: 'not_run', detail: refusal.detail });
       return;
     }
-    const entry: JournalEntry = {
-      requestId: body.request_id ?? '',
-      attemptId: body.attempt_id ?? '',
-      organisation: body.organisation ?? '',
-      promptDigest: digest(prompt).slice(0, 12),
-      fromToken: body.resume_from_token ?? 0,
-      receivedAtUnixMs: Date.now(),
-      tokens: 0,
-    };
-    this.journal.push(entry);
     const stream: EngineStream = {
       requestId: entry.requestId,
       attemptId: entry.attemptId,
@@ -178,6 +179,24 @@
     this.admit();
   }
 
+  private record(body: CompletionBody, prompt: string, refusal: string | undefined): JournalEntry {
+    const entry: JournalEntry = {
+      requestId: body.request_id ?? '',
+      attemptId: body.attempt_id ?? '',
+      organisation: body.organisation ?? '',
+      promptDigest: promptDigest(prompt),
+      fromToken: body.resume_from_token ?? 0,
+      receivedAtUnixMs: Date.now(),
+      tokens: 0,
+      refusal,
+    };
+    this.journal.push(entry);
+    if (this.options.journalFile !== undefined) {
+      appendFileSync(this.options.journalFile, `${JSON.stringify(entry)}\n`);
+    }
+    return entry;
+  }
+
   private refusalOf(
     body: CompletionBody,
     prompt: string,
--- a/packages/standins/src/fault-proxy.ts
+++ b/packages/standins/src/fault-proxy.ts
@@ -19,6 +19,8 @@
   delayMs: number;
   /** Bytes pass one at a time with this pause, in milliseconds; 0 is off. */
   dripMs: number;
+  /** Addresses of diallers whose connections pass nothing. */
+  blockedSources: readonly string[];
 }
 
 const NO_FAULTS: RouteFaults = {
@@ -28,12 +30,16 @@
   dropAnswers: false,
   delayMs: 0,
   dripMs: 0,
+  blockedSources: [],
 };
 
 interface Pair {
   readonly client: Socket;
   readonly target: Socket;
+  readonly source: string;
   silenced: boolean;
+  /** Bytes were dropped: the connection cannot be used when the fault ends. */
+  torn: boolean;
 }
 
 /** One listening port that leads to one target. */
@@ -59,6 +65,7 @@
   set(faults: Partial<RouteFaults>): void {
     this.faults = { ...this.faults, ...faults };
     if (faults.cut) [...this.pairs].forEach((pair) => closePair(pair));
+    [...this.pairs].filter((pair) => pair.torn && !this.isSilent(pair)).forEach((pair) => closePair(pair));
     if (faults.silenceOpen) {
       [...this.pairs].forEach((pair) => (pair.silenced = true));
       this.faults.silenceOpen = false;
@@ -71,7 +78,8 @@
       return;
     }
     const target = connect({ host: this.targetHost, port: this.targetPort });
-    const pair: Pair = { client, target, silenced: false };
+    const source = client.remoteAddress ?? '';
+    const pair: Pair = { client, target, source, silenced: false, torn: false };
     this.pairs.add(pair);
     this.pipe(pair, client, target, false);
     this.pipe(pair, target, client, true);
@@ -83,12 +91,19 @@
     from.on('error', () => closePair(pair));
     from.on('close', () => {
       this.pairs.delete(pair);
-      if (!pair.silenced && !this.faults.blackHole) setTimeout(() => to.destroy(), this.faults.delayMs);
+      if (!this.isSilent(pair)) setTimeout(() => to.destroy(), this.faults.delayMs);
     });
   }
 
+  private isSilent(pair: Pair): boolean {
+    return pair.silenced || this.faults.blackHole || this.faults.blockedSources.includes(pair.source);
+  }
+
   private pass(pair: Pair, to: Socket, part: Buffer, isAnswer: boolean): void {
-    if (pair.silenced || this.faults.blackHole || (isAnswer && this.faults.dropAnswers)) return;
+    if (this.isSilent(pair) || (isAnswer && this.faults.dropAnswers)) {
+      pair.torn = true;
+      return;
+    }
     if (this.faults.dripMs > 0) {
       part.forEach((byte, index) =>
         setTimeout(() => to.write(Buffer.from([byte])), index * this.faults.dripMs),
