Judge waits and pools by organisation

The dumps showed its queue empty in one pool and 25 deep in another, since gateways compared pools by one wait for all organisations. Ruled out: the fair queue itself (its virtual times advanced evenly in each pool). Change: expected waits count the organisation's own queue and the weights of those that wait. Summaries carry the waits of the 16 organisations that wait most and of a newcomer; gateways choose pools by them, and a deadline is no longer refused for the backlog of others.

--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -90,6 +90,18 @@
     return [...this.organisations.values()].flatMap((queue) => queue.waiting);
   }
 
+  /** Requests of an organisation that wait. */
+  waitingOf(organisation: string): number {
+    return this.organisations.get(organisation)?.waiting.length ?? 0;
+  }
+
+  /** Sum of the weights of the organisations that have waiting requests, other than `organisation`. */
+  otherActiveWeight(organisation: string): number {
+    return [...this.organisations.values()]
+      .filter((queue) => queue.waiting.length > 0 && queue.organisation !== organisation)
+      .reduce((sum, queue) => sum + queue.weight, 0);
+  }
+
   /** Waiting requests by organisation, for the dump. */
   depths(): { organisation: string; waiting: number; servedVirtualTokens: number }[] {
     return [...this.organisations.values()].map((queue) => ({
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -101,6 +101,15 @@
     expect(output.refusals[0]?.retryAfterMs).toBeGreaterThan(0);
   });
 
+  it('does not refuse an organisation for the backlog of another', () => {
+    const { output, scheduler } = pool(2);
+    Array.from({ length: 20 }, () => scheduler.enqueue(request(), 0));
+    scheduler.run(0);
+    scheduler.enqueue(request({ organisation: 'b', deadlineMs: 1_500 }), 0);
+    scheduler.enqueue(request({ organisation: 'a', deadlineMs: 1_500 }), 0);
+    expect(output.refusals).toHaveLength(1);
+  });
+
   it('gives no work to a leaving replica', () => {
     const { output, scheduler, infos } = pool(4, 2);
     scheduler.setReplicas(infos.map((info) => ({ ...info, leaving: info.replicaId === 'r0' })));
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -97,6 +97,9 @@
 const RESERVE_MAX_FRACTION = 0.08;
 /** Batch streams that cannot be stopped may hold at most this fraction of the places. */
 const FIXED_BATCH_MAX_FRACTION = 0.25;
+const MAX_ORGANISATION_WAITS = 16;
+/** Stands for any organisation without requests in the pool. */
+const NEWCOMER = '';
 const MAX_ONLINE_QUEUE = 2_000;
 const MEAN_SMOOTHING = 0.05;
 const INITIAL_MEAN_STREAM_MS = 1_000;
@@ -142,7 +145,7 @@
       return;
     }
     this.reserve.onArrival(nowMs);
-    const waitMs = this.expectedWaitMs();
+    const waitMs = this.expectedWaitMs(request.organisation);
     if (
       this.replicas.size === 0 ||
       nowMs + waitMs > request.deadlineMs ||
@@ -222,12 +225,28 @@
     this.grantBatch(nowMs);
   }
 
-  /** Expected wait of a new online request, in milliseconds. */
-  expectedWaitMs(): number {
+  /**
+   * Expected wait of a new online request of an organisation, in milliseconds. While others wait, the
+   * organisation gets its share of the places: only its own queue and the weights count.
+   */
+  expectedWaitMs(organisation: string): number {
     const places = Math.max(1, this.totalPlaces());
+    const slotMs = this.meanStreamMs / places;
+    const weight = this.policy.weightOf(organisation);
+    const share = weight / (weight + this.online.otherActiveWeight(organisation));
+    if (this.online.size > 0) return ((this.online.waitingOf(organisation) + 1) * slotMs) / share;
     const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
-    const ahead = this.online.size + Math.max(0, onlineStreams - places + 1);
-    return (ahead * this.meanStreamMs) / places;
+    return Math.max(0, onlineStreams - places + 1) * slotMs;
+  }
+
+  /** Expected waits of the organisations that wait most, and of one that has nothing here yet. */
+  private organisationWaits(): OrganisationWait[] {
+    return this.online
+      .depths()
+      .filter((depth) => depth.waiting > 0)
+      .sort((a, b) => b.waiting - a.waiting)
+      .slice(0, MAX_ORGANISATION_WAITS)
+      .map(({ organisation }) => ({ organisation, expectedWaitMs: this.expectedWaitMs(organisation) }));
   }
 
   /** Places of all replicas that may get work. */
@@ -254,7 +273,8 @@
       batchStreams: permits.filter((p) => p.request.workClass === WorkClass.batch).length,
       onlineWaiting: this.online.size,
       batchWaiting: this.batch.size,
-      expectedWaitMs: this.expectedWaitMs(),
+      newcomerWaitMs: this.expectedWaitMs(NEWCOMER),
+      organisationWaits: this.organisationWaits(),
       reservedPlaces: this.reserve.places(this.totalPlaces(), nowMs),
     };
   }
@@ -315,7 +335,7 @@
         const problem = notRun(
           'deadline_unreachable',
           'the deadline passed in the queue',
-          this.expectedWaitMs(),
+          this.expectedWaitMs(request.organisation),
         );
         this.output.refused(request, problem);
       });
@@ -409,6 +429,12 @@
   }
 }
 
+/** Expected wait of one organisation in a pool. */
+export interface OrganisationWait {
+  readonly organisation: string;
+  readonly expectedWaitMs: number;
+}
+
 /** Load of a pool as spread to peers. */
 export interface PoolLoad {
   readonly poolId: string;
@@ -417,7 +443,9 @@
   readonly batchStreams: number;
   readonly onlineWaiting: number;
   readonly batchWaiting: number;
-  readonly expectedWaitMs: number;
+  /** Expected wait of an organisation that is not in `organisationWaits`. */
+  readonly newcomerWaitMs: number;
+  readonly organisationWaits: readonly OrganisationWait[];
   readonly reservedPlaces: number;
 }
 
--- a/packages/entry/src/permit-client.ts
+++ b/packages/entry/src/permit-client.ts
@@ -180,7 +180,10 @@
   /** Batch goes where it finds idle places, online where its expected wait is shortest. */
   private waitOf(wish: PlaceWish, load: PoolLoad | undefined): number | undefined {
     if (!load) return undefined;
-    if (wish.workClass === 'online') return load.expectedWaitMs;
+    if (wish.workClass === 'online') {
+      const own = load.organisationWaits.find((wait) => wait.organisation === wish.organisation);
+      return own?.expectedWaitMs ?? load.newcomerWaitMs;
+    }
     const busy = load.onlineStreams + load.batchStreams + load.batchWaiting + load.reservedPlaces;
     return (1_000 * busy) / Math.max(1, load.places);
   }
