Keep online prefixes where they are cached while batch fills the replicas

Evicted prefixes stayed in the index for ever, and the place taken from batch was the youngest permit's, wherever the prefix was cached. Change: a replica's report replaces what the index holds of it, except dispatches newer than its lag. The batch stream to be stopped is chosen by online streams and cached prefix first, youngest second. Batch evicts prefixes by its own prompts.

--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -263,6 +263,13 @@
       .length;
   }
 
+  private onlineStreams(replicaId: string): number {
+    return this.permits
+      .all()
+      .filter((permit) => permit.replicaId === replicaId && permit.request.workClass === WorkClass.online)
+      .length;
+  }
+
   /** Queue lengths and streams, for summaries and the dump. */
   load(nowMs: number): PoolLoad {
     const permits = this.permits.all();
@@ -325,7 +332,6 @@
     if (report.firstTokenMs === undefined || report.betweenTokensMs === undefined) return;
     const measured = { firstTokenMs: report.firstTokenMs, betweenTokensMs: report.betweenTokensMs };
     replica.limit.observe(measured, this.policy.targets, this.inFlight(replica.replicaId, nowMs), nowMs);
-    this.prefixes.add(permit.request.prefixDigest, replica.replicaId);
   }
 
   private refuseLate(nowMs: number): void {
@@ -389,7 +395,7 @@
       const replica = this.replicas.get(permit.replicaId);
       return replica !== undefined && !replica.leaving && replica.health.isOpen(nowMs);
     });
-    return pickVictim(usable, request.excludedReplicaIds);
+    return pickVictim(usable, request, this.prefixes, (id) => this.onlineStreams(id));
   }
 
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
@@ -411,6 +417,7 @@
     this.nextPermit += 1;
     checkInvariant(InvariantName.permitUsedOnce, !this.permits.has(permit.permitId), () => ({ permit }));
     this.permits.set(permit.permitId, permit);
+    this.prefixes.add(request.prefixDigest, replica.replicaId, nowMs);
     this.limits.onGrant(request.organisation);
     this.limits.onStart(request, this.policy.limitsOf(request.organisation), nowMs);
     this.output.granted(permit, replica);
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -25,7 +25,7 @@
     .filter(({ streams }) => !request.alone || streams === 0)
     .map(({ replica, streams }) => ({
       replica,
-      score: streams - (prefixes.holds(request.prefixDigest, replica.replicaId) ? AFFINITY_STREAMS : 0),
+      score: streams - affinityOf(replica.replicaId, request, prefixes),
     }));
   return candidates.reduce<(typeof candidates)[number] | undefined>(
     (best, candidate) => (best === undefined || candidate.score < best.score ? candidate : best),
@@ -33,13 +33,28 @@
   )?.replica;
 }
 
-/** The batch permit whose stream loses least when it is stopped: the youngest that can be resumed. */
+/**
+ * The batch permit whose place an online request takes. Of the replicas with such a permit the one with the
+ * fewest online streams is chosen, a cached prefix counting as fewer; of its permits the youngest, since its
+ * stream loses least. Only streams that can be resumed are stopped.
+ */
 export function pickVictim(
   permits: readonly Permit[],
-  excludedReplicaIds: readonly string[],
+  request: PlaceRequest,
+  prefixes: PrefixIndex,
+  onlineStreamsOf: (replicaId: string) => number,
 ): Permit | undefined {
-  return permits
+  const ranked = permits
     .filter((permit) => permit.request.workClass === 'batch' && permit.revokedUntilMs === undefined)
-    .filter((permit) => permit.request.resumable && !excludedReplicaIds.includes(permit.replicaId))
-    .sort((a, b) => b.grantedAtMs - a.grantedAtMs)[0];
+    .filter((permit) => permit.request.resumable && !request.excludedReplicaIds.includes(permit.replicaId))
+    .map((permit) => ({
+      permit,
+      score: onlineStreamsOf(permit.replicaId) - affinityOf(permit.replicaId, request, prefixes),
+    }));
+  return ranked.sort((a, b) => a.score - b.score || b.permit.grantedAtMs - a.permit.grantedAtMs)[0]?.permit;
+}
+
+/** Streams of imbalance that a cached prefix is worth. */
+function affinityOf(replicaId: string, request: PlaceRequest, prefixes: PrefixIndex): number {
+  return prefixes.holds(request.prefixDigest, replicaId) ? AFFINITY_STREAMS : 0;
 }
--- a/packages/entry/src/pool-host.ts
+++ b/packages/entry/src/pool-host.ts
@@ -294,7 +294,7 @@
     if (!report) return;
     replica.limit.setMaximum(report.maxConcurrency);
     this.upstreams.applyReport(replica.replicaId, report.leaving);
-    report.cachedPrefixes.forEach((prefix) => pool.prefixes.add(prefix, replica.replicaId));
+    pool.prefixes.applyReport(replica.replicaId, report.cachedPrefixes, this.clock.monotonicMs());
   }
 
   private toPlaceRequest(body: AcquireBody, nowMs: number): PlaceRequest {
--- a/packages/lab/src/experiments/harm.ts
+++ b/packages/lab/src/experiments/harm.ts
@@ -3,7 +3,8 @@
 import { Fleet, waitFor } from '../fleet.js';
 import type { Arrival, OnlineResult } from '../online-load.js';
 import { drawTrace, firstTokenTimes, percentile, runTrace } from '../online-load.js';
-import { batchShareOfIdle, placeTime } from '../place-time.js';
+import type { OnlineAtReplicas } from '../place-time.js';
+import { batchShareOfIdle, onlineAtReplicas, placeTime } from '../place-time.js';
 import { sendJob } from '../batch-load.js';
 import type { SeededRandom } from '../random.js';
 
@@ -23,14 +24,16 @@
 interface Side {
   readonly results: readonly OnlineResult[];
   readonly batchShare: number;
+  readonly atReplicas: OnlineAtReplicas;
 }
 
 async function runSide(fleet: Fleet, trace: readonly Arrival[]): Promise<Side> {
   const fromUnixMs = Date.now();
   const results = await runTrace(fleet, trace);
   const lengthMs = PHASES.reduce((sum, phase) => sum + phase.lengthMs, 0);
-  const time = placeTime(await fleet.journals(), PLACES, fromUnixMs, fromUnixMs + lengthMs);
-  return { results, batchShare: batchShareOfIdle(time) };
+  const journal = await fleet.journals();
+  const time = placeTime(journal, PLACES, fromUnixMs, fromUnixMs + lengthMs);
+  return { results, batchShare: batchShareOfIdle(time), atReplicas: onlineAtReplicas(journal, fromUnixMs) };
 }
 
 async function withBatch(fleet: Fleet, trace: readonly Arrival[]): Promise<Side> {
@@ -108,6 +111,10 @@
       baselineTtftP95RatioWithBatch: ratio(95, baseline, plain),
       baselineTtftP99RatioWithBatch: ratio(99, baseline, plain),
       batchShareOfIdleCapacity: mixed.batchShare,
+      cachedFractionWithoutBatch: plain.atReplicas.cachedFraction,
+      cachedFractionWithBatch: mixed.atReplicas.cachedFraction,
+      placeWaitP99WithoutBatchMs: plain.atReplicas.placeWaitP99Ms,
+      placeWaitP99WithBatchMs: mixed.atReplicas.placeWaitP99Ms,
       callersGaveUp: all.filter((result) => result.gaveUp).length,
       baselineCallersGaveUp: baseline.results.filter((result) => result.gaveUp).length,
       refused: all.filter((result) => result.error !== undefined).length,
--- a/packages/standins/src/engine-standin.ts
+++ b/packages/standins/src/engine-standin.ts
@@ -91,6 +91,8 @@
   startedAtUnixMs?: number;
   endedAtUnixMs?: number;
   tokens: number;
+  /** Whether the prompt's prefix was cached when its prefill began. */
+  cached?: boolean;
   /** Code of the refusal, if nothing was run. */
   refusal?: string;
   end?: 'completed' | 'cancelled';
@@ -234,6 +236,7 @@
       const prefillMs = cached ? this.options.cachedPrefillMs : this.options.prefillMs;
       stream.prefillUntilMs = performance.now() + prefillMs * this.faults.slowFactor;
       stream.entry.startedAtUnixMs = Date.now();
+      stream.entry.cached = cached;
       this.running.push(stream);
     }
   }
