--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -1,11 +1,16 @@
 /** All experiments, in the order in which the issues name them. */
 import type { Experiment } from '../experiment.js';
 import { batch } from './batch.js';
+import { cancel } from './cancel.js';
+import { crash } from './crash.js';
 import { drain } from './drain.js';
+import { giveway } from './giveway.js';
 import { harm } from './harm.js';
 import { leaving } from './leaving.js';
 import { once } from './once.js';
+import { outage } from './outage.js';
 import { partition } from './partition.js';
+import { poison } from './poison.js';
 import { shares } from './shares.js';
 import { silence } from './silence.js';
 
@@ -18,4 +23,9 @@
   partition,
   leaving,
   batch,
+  crash,
+  outage,
+  poison,
+  cancel,
+  giveway,
 ];
--- a/packages/lab/src/fleet.ts
+++ b/packages/lab/src/fleet.ts
@@ -97,6 +97,7 @@
   private proxy: FleetProcess | undefined;
   private readonly others: FleetProcess[] = [];
   private readonly folder = mkdtempSync(join(tmpdir(), 'fighub-lab-'));
+  private readonly everStarted: FleetProcess[] = [];
   private readonly hosts = new Map<string, string>();
   private readonly routes = new Map<string, string>();
   private readonly peerRoutes = new Map<string, Record<string, unknown>>();
@@ -167,6 +168,7 @@
       file,
       '--json',
     ]);
+    this.everStarted.push(process);
     return { name, failureDomain, host, process, address: process.ready.httpAddress ?? '' };
   }
 
@@ -247,6 +249,13 @@
     await this.setRouteFaults([...this.routes.keys()], { blockedSources: [] });
   }
 
+  /** Log lines of entries that stopped on a broken invariant or an unexpected error. */
+  brokenInvariants(): string[] {
+    return this.everStarted.flatMap((process) =>
+      process.errors.filter((line) => line.includes('"level":60')),
+    );
+  }
+
   /** Waits until every running entry holds the rows and knows all others. */
   async settled(): Promise<void> {
     await waitFor('the fleet to settle', async () => {
