--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -400,6 +400,7 @@
     failureDomain: self.failureDomain,
     nowUnixMs: parts.clock.nowUnixMs(),
     memoryBytes: process.memoryUsage().rss,
+    processorTimeMs: (process.cpuUsage().user + process.cpuUsage().system) / 1_000,
     openRequests: parts.gateway.openRequests,
     members: parts.membership.membership.all(),
     table: { ...parts.spread.dump(), rows: parts.table.rows().length },
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -7,12 +7,16 @@
 import { giveway } from './giveway.js';
 import { harm } from './harm.js';
 import { leaving } from './leaving.js';
+import { members } from './members.js';
 import { once } from './once.js';
 import { outage } from './outage.js';
 import { partition } from './partition.js';
 import { poison } from './poison.js';
+import { rolling } from './rolling.js';
 import { shares } from './shares.js';
 import { silence } from './silence.js';
+import { slope } from './slope.js';
+import { table } from './table.js';
 
 export const experiments: readonly Experiment[] = [
   harm,
@@ -28,4 +32,8 @@
   poison,
   cancel,
   giveway,
+  table,
+  members,
+  rolling,
+  slope,
 ];
--- a/packages/lab/src/fleet.ts
+++ b/packages/lab/src/fleet.ts
@@ -22,6 +22,8 @@
 
 const require = createRequire(import.meta.url);
 const ADMIN_KEY = 'admin-key-of-the-lab';
+/** Entries that are started at the same time. */
+const STARTED_TOGETHER = 8;
 const FLEET_SECRET = 'fleet-secret-of-the-lab';
 
 /** An organisation of an experiment; its key is `key-<name>`. */
@@ -35,6 +37,8 @@
   readonly failureDomains: readonly string[];
   /** Entry instances in each failure domain. */
   readonly entriesPerDomain: number;
+  /** Further entry instances, in the failure domains in turn. */
+  readonly initialEntries: number;
   readonly replicasPerDomain: number;
   readonly model: string;
   readonly engine: Partial<EngineStandinOptions>;
@@ -52,6 +56,7 @@
 export const DEFAULT_PLAN: FleetPlan = {
   failureDomains: ['zvolen-hala', 'bystrica-hala', 'lucenec-hala'],
   entriesPerDomain: 1,
+  initialEntries: 0,
   replicasPerDomain: 2,
   model: 'alert-modely',
   engine: {},
@@ -172,6 +177,22 @@
     return { name, failureDomain, host, process, address: process.ready.httpAddress ?? '' };
   }
 
+  /** Adds entries, a few at a time, in the failure domains in turn. */
+  async addEntries(count: number): Promise<void> {
+    const domains = this.plan.failureDomains;
+    const first = this.entries.length;
+    for (let added = 0; added < count; added += STARTED_TOGETHER) {
+      const wave = Math.min(STARTED_TOGETHER, count - added);
+      const started = await Promise.all(
+        Array.from({ length: wave }, (_, index) => {
+          const number = first + added + index;
+          return this.startEntry(`entry-${String(number)}`, domains[number % domains.length] ?? '');
+        }),
+      );
+      this.entries.push(...started);
+    }
+  }
+
   /** Replaces the process of an entry that has ended. */
   async restartEntry(entry: FleetEntry): Promise<void> {
     const fresh = await this.startEntry(entry.name, entry.failureDomain);
@@ -304,6 +325,7 @@
       seats.map(({ domain, index }) => this.startEntry(`${domain}-e${String(index + 1)}`, domain)),
     );
     this.entries.push(...entries);
+    await this.addEntries(plan.initialEntries);
     await this.writeRows();
     await this.settled();
   }
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -26,6 +26,12 @@
   readonly secret: string;
 }
 
+/** Bytes on connections between instances. */
+export interface PeerTraffic {
+  readonly bytesSent: number;
+  readonly bytesReceived: number;
+}
+
 interface PendingCall {
   readonly address: string;
   readonly finish: (outcome: Outcome<unknown, PeerFailure>) => void;
@@ -50,6 +56,7 @@
   private readonly noticeHandlers = new Map<string, (body: unknown) => void>();
   private server: Server | undefined;
   private nextCallId = 1;
+  private closedTraffic: PeerTraffic = { bytesSent: 0, bytesReceived: 0 };
 
   constructor(
     private readonly options: PeerNodeOptions,
@@ -112,9 +119,22 @@
     this.send(address, { kind: FrameKind.notice, name, body });
   }
 
+  /** Bytes of all connections since the start. */
+  traffic(): PeerTraffic {
+    const open = [...[...this.links.values()].map((link) => link.connection), ...this.accepted];
+    return {
+      bytesSent: open.reduce((sum, connection) => sum + connection.bytesSent, this.closedTraffic.bytesSent),
+      bytesReceived: open.reduce(
+        (sum, connection) => sum + connection.bytesReceived,
+        this.closedTraffic.bytesReceived,
+      ),
+    };
+  }
+
   /** Connections and traffic for the dump. */
   dump(): Record<string, unknown> {
     return {
+      traffic: this.traffic(),
       links: [...this.links.entries()].map(([address, link]) => ({
         address,
         ready: link.connection.ready,
@@ -213,8 +233,10 @@
   }
 
   private countTraffic(connection: PeerConnection): void {
-    this.metrics.count('peer_bytes_sent', connection.bytesSent);
-    this.metrics.count('peer_bytes_received', connection.bytesReceived);
+    this.closedTraffic = {
+      bytesSent: this.closedTraffic.bytesSent + connection.bytesSent,
+      bytesReceived: this.closedTraffic.bytesReceived + connection.bytesReceived,
+    };
   }
 
   private onIncoming(connection: PeerConnection, frame: Frame): void {
