Make the cost of control independent of the fleet's size

Cause: owners pushed summaries to every member four times a second, every link carried heartbeats for a minute after its last use, and a joining instance learned of others by gossip that was then spread again. The idle processor time came from pools that were brought in line with the table a hundred times a second. Change: gateways ask owners for the loads of the own pool and of two random others of each model in use. Heartbeats go over links in use and are answered; idle links are closed after 10 s. A joining instance takes the whole list at once without spreading it. Pools are synchronised on change or every 200 ms, loads of replicas are read every second, every third second when idle. Probes go out every second.

--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -24,7 +24,7 @@
 }
 
 const PRECEDENCE: Record<MemberState, number> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
-const SPREAD_FACTOR = 3;
+const SPREAD_FACTOR = 2;
 const MAX_UPDATES_PER_MESSAGE = 12;
 const FORGET_AFTER_MS = 60_000;
 
@@ -68,6 +68,20 @@
     updates.forEach((update) => this.mergeOne(update, nowMs));
   }
 
+  /** Takes in the whole list of another member. It is no news there, so it is not spread further. */
+  mergeAll(updates: readonly MemberUpdate[], nowMs: number): void {
+    const known = new Set(this.members.keys());
+    this.merge(updates, nowMs);
+    this.all()
+      .filter((member) => !known.has(member.instanceId))
+      .forEach((member) => this.members.set(member.instanceId, { ...member, spreadLeft: 0 }));
+  }
+
+  /** Updates that are still to be spread. */
+  get updatesLeftToSpread(): number {
+    return this.all().filter((member) => member.spreadLeft > 0).length;
+  }
+
   /** Notes that a probe and its indirect probes had no answer. */
   suspect(instanceId: string, nowMs: number): void {
     const member = this.members.get(instanceId);
@@ -132,7 +146,7 @@
     const self = this.members.get(this.self.instanceId);
     const withSelf =
       self && !chosen.some((m) => m.instanceId === self.instanceId) ? [self, ...chosen] : chosen;
-    return withSelf.map(toUpdate);
+    return withSelf.map(updateOf);
   }
 
   private mergeOne(update: MemberUpdate, nowMs: number): void {
@@ -155,7 +169,7 @@
   private apply(update: MemberUpdate, nowMs: number): void {
     const known = this.members.get(update.instanceId);
     this.members.set(update.instanceId, {
-      ...toUpdate(update),
+      ...updateOf(update),
       suspectUntilMs: update.state === MemberState.suspect ? nowMs + this.suspicionMs : undefined,
       forgetAtMs: isGone(update.state) ? nowMs + FORGET_AFTER_MS : undefined,
       spreadLeft: SPREAD_FACTOR * Math.ceil(Math.log2(this.members.size + 2)),
@@ -181,7 +195,8 @@
   return PRECEDENCE[update.state] > PRECEDENCE[known.state];
 }
 
-function toUpdate(member: MemberUpdate): MemberUpdate {
+/** What is told about a member, without what only this instance keeps. */
+export function updateOf(member: MemberUpdate): MemberUpdate {
   return {
     instanceId: member.instanceId,
     failureDomain: member.failureDomain,
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -403,6 +403,7 @@
     processorTimeMs: (process.cpuUsage().user + process.cpuUsage().system) / 1_000,
     openRequests: parts.gateway.openRequests,
     members: parts.membership.membership.all(),
+    memberUpdatesToSpread: parts.membership.membership.updatesLeftToSpread,
     table: { ...parts.spread.dump(), rows: parts.table.rows().length },
     pools: parts.host.dump(),
     permits: parts.permits.dump(),
--- a/packages/entry/src/permit-client.ts
+++ b/packages/entry/src/permit-client.ts
@@ -6,7 +6,7 @@
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
-import type { LocalHolder, PoolHost } from './pool-host.js';
+import type { LocalHolder, PoolDescription, PoolHost } from './pool-host.js';
 
 /** What a stream needs to get a place. */
 export interface PlaceWish {
@@ -48,7 +48,13 @@
 }
 
 const RENEW_PERIOD_MS = 1_000;
-const SUMMARY_LIFETIME_MS = 2_000;
+const SUMMARY_LIFETIME_MS = 2_500;
+const SUMMARY_PERIOD_MS = 500;
+const SUMMARY_TIMEOUT_MS = 400;
+/** Pools of other failure domains that are asked for their load in one round, for each model in use. */
+const SAMPLED_POOLS = 2;
+/** A model counts as in use here for this long after its last request. */
+const MODEL_IN_USE_MS = 10_000;
 const ASK_AGAIN_MS = 2_000;
 const MAX_ASKED_AGAIN = 64;
 
@@ -68,6 +74,8 @@
   private readonly releases = new Map<string, ReleaseReport[]>();
   private readonly summaries = new Map<string, PoolSummary>();
   private nextRenewMs = 0;
+  private nextSummaryMs = 0;
+  private readonly modelUsedAtMs = new Map<string, number>();
   private releasesScheduled = false;
 
   constructor(
@@ -87,12 +95,12 @@
     node.onNotice('permit.granted', (body) => this.granted(body));
     node.onNotice('permit.refused', (body) => this.refused(body.requestId, body.problem));
     node.onNotice('permit.revoked', (body) => this.revoked(body.permitId));
-    node.onNotice('pool.summary', (body) => this.takeSummaries(body.loads));
   }
 
   /** Waits for a place. Ends early when `signal` is aborted. */
   async acquire(wish: PlaceWish, signal: AbortSignal): Promise<Outcome<Place, Problem>> {
     if (this.alwaysDirect && wish.workClass === 'online') return this.direct.acquire(wish);
+    this.modelUsedAtMs.set(wish.model, this.clock.monotonicMs());
     const pools = this.candidatePools(wish);
     if (pools.length === 0) return fail(notRun('no_upstream', `no upstream serves ${wish.model}`, 1_000));
     let last: Problem = NOT_TAKEN;
@@ -151,6 +159,7 @@
     this.dropMovedWishes();
     this.askAgain(nowMs);
     if (nowMs >= this.nextRenewMs) this.renewAll(nowMs);
+    if (nowMs >= this.nextSummaryMs) this.askForSummaries(nowMs);
   }
 
   dump(): Record<string, unknown> {
@@ -321,6 +330,45 @@
     if (member) notify(member.peerAddress);
   }
 
+  /** Marks a model as in use, so that the loads of its pools are known before the first request. */
+  useModel(model: string): void {
+    this.modelUsedAtMs.set(model, this.clock.monotonicMs());
+  }
+
+  /** Asks for the loads of the own pool and of a few random others of each model in use. */
+  private askForSummaries(nowMs: number): void {
+    this.nextSummaryMs = nowMs + SUMMARY_PERIOD_MS;
+    const wanted = this.host
+      .describePools()
+      .filter((pool) => nowMs - (this.modelUsedAtMs.get(pool.model) ?? -MODEL_IN_USE_MS) < MODEL_IN_USE_MS)
+      .filter((pool) => this.host.ownerOfPool(pool.poolId) !== this.selfId);
+    const own = wanted.filter((pool) => pool.failureDomain === this.failureDomain);
+    const others = [...new Set(wanted.map((pool) => pool.model))].flatMap((model) =>
+      this.sample(wanted.filter((pool) => pool.model === model && pool.failureDomain !== this.failureDomain)),
+    );
+    const byOwner = new Map<string, string[]>();
+    [...own, ...others].forEach((pool) => {
+      const ownerId = this.host.ownerOfPool(pool.poolId) ?? '';
+      byOwner.set(ownerId, [...(byOwner.get(ownerId) ?? []), pool.poolId]);
+    });
+    byOwner.forEach((poolIds, ownerId) => void this.askForLoads(ownerId, poolIds));
+  }
+
+  private sample(pools: readonly PoolDescription[]): PoolDescription[] {
+    return pools
+      .map((pool) => ({ pool, key: this.random() }))
+      .sort((a, b) => a.key - b.key)
+      .slice(0, SAMPLED_POOLS)
+      .map((entry) => entry.pool);
+  }
+
+  private async askForLoads(ownerId: string, poolIds: readonly string[]): Promise<void> {
+    const member = this.members().membership.get(ownerId);
+    if (!member) return;
+    const answer = await this.node.request(member.peerAddress, 'pool.load', { poolIds }, SUMMARY_TIMEOUT_MS);
+    if (answer.ok) this.takeSummaries(answer.value.loads);
+  }
+
   private takeSummaries(loads: readonly PoolLoad[]): void {
     const freshUntilMs = this.clock.monotonicMs() + SUMMARY_LIFETIME_MS;
     loads.forEach((load) => this.summaries.set(load.poolId, { load, freshUntilMs }));
--- a/packages/entry/src/pool-host.ts
+++ b/packages/entry/src/pool-host.ts
@@ -14,7 +14,7 @@
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
 import type { Engine } from '@fighub/platform';
 
-import type { NamedUpstream } from './table-view.js';
+import type { NamedUpstream, TableView } from './table-view.js';
 import type { TableStore } from './table-store.js';
 import type { UpstreamStates } from './upstream-states.js';
 
@@ -25,8 +25,11 @@
   revoked(permitId: string): void;
 }
 
-const SUMMARY_PERIOD_MS = 250;
-const LOAD_PERIOD_MS = 500;
+const LOAD_PERIOD_MS = 1_000;
+/** Pools without streams are looked at this many times more rarely. */
+const IDLE_LOAD_FACTOR = 3;
+/** Pools are brought in line with the table and the members at least this often. */
+const SYNC_PERIOD_MS = 200;
 
 /** One pool as configured: a model in a failure domain. */
 export interface PoolDescription {
@@ -45,8 +48,13 @@
   private ownersVersion = -1;
   private readonly revokedAtMs = new Map<string, number>();
   private localHolder: LocalHolder | undefined;
-  private nextSummaryMs = 0;
   private nextLoadMs = 0;
+  private loadRound = 0;
+  private describedView: TableView | undefined;
+  private described: PoolDescription[] = [];
+  private nextSyncMs = 0;
+  private syncedVersion = -1;
+  private syncedView: TableView | undefined;
   private wake: () => void = () => undefined;
 
   constructor(
@@ -60,6 +68,7 @@
     private readonly metrics: Metrics,
   ) {
     node.onRequest('permit.acquire', (body) => ({ accepted: this.acquire(body) }));
+    node.onRequest('pool.load', (body) => ({ loads: this.loadsOf(body.poolIds) }));
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
     node.onNotice('permit.release', (body) => this.release(body.poolId, body.reports));
     node.onNotice('permit.renew', (body) => this.renew(body.poolId, body.permits));
@@ -74,6 +83,14 @@
   /** Pools as the table describes them. */
   describePools(): PoolDescription[] {
     const view = this.table.view;
+    if (view !== this.describedView) {
+      this.describedView = view;
+      this.described = this.describePoolsOf(view);
+    }
+    return this.described;
+  }
+
+  private describePoolsOf(view: TableView): PoolDescription[] {
     return view.models().flatMap((model) => {
       const upstreams = view.upstreamsOf(model);
       const domains = [...new Set(upstreams.map((upstream) => upstream.failureDomain))];
@@ -146,12 +163,19 @@
   }
 
   run(nowMs: number): void {
-    this.syncPools();
+    this.syncPoolsIfDue(nowMs);
     this.pools.all().forEach((pool) => pool.run(nowMs));
-    if (nowMs >= this.nextSummaryMs) this.sendSummaries(nowMs);
     if (nowMs >= this.nextLoadMs) this.readLoads(nowMs);
   }
 
+  private loadsOf(poolIds: readonly string[]): PoolLoad[] {
+    const nowMs = this.clock.monotonicMs();
+    return poolIds.flatMap((poolId) => {
+      const pool = this.pools.get(poolId);
+      return pool ? [pool.load(nowMs)] : [];
+    });
+  }
+
   /** Loads of owned pools. */
   loads(): PoolLoad[] {
     const nowMs = this.clock.monotonicMs();
@@ -163,6 +187,16 @@
     return this.pools.all().map((pool) => pool.dump(nowMs));
   }
 
+  private syncPoolsIfDue(nowMs: number): void {
+    const { version } = this.members().membership;
+    const unchanged = version === this.syncedVersion && this.table.view === this.syncedView;
+    if (unchanged && nowMs < this.nextSyncMs) return;
+    this.syncedVersion = version;
+    this.syncedView = this.table.view;
+    this.nextSyncMs = nowMs + SYNC_PERIOD_MS;
+    this.syncPools();
+  }
+
   /** Creates and drops schedulers so that they match ownership and the table. */
   private syncPools(): void {
     const owned = this.describePools().filter((pool) => this.ownerOfPool(pool.poolId) === this.selfId);
@@ -268,23 +302,14 @@
     if (member) remote(member.peerAddress);
   }
 
-  private sendSummaries(nowMs: number): void {
-    this.nextSummaryMs = nowMs + SUMMARY_PERIOD_MS;
-    const loads = this.loads();
-    if (loads.length === 0) return;
-    this.members()
-      .owners()
-      .filter((member) => member.instanceId !== this.selfId)
-      .forEach((member) =>
-        this.node.notify(member.peerAddress, 'pool.summary', { from: this.selfId, loads }),
-      );
-  }
-
   /** One owner reads a replica's load for all. */
   private readLoads(nowMs: number): void {
     this.nextLoadMs = nowMs + LOAD_PERIOD_MS;
+    this.loadRound += 1;
+    const isIdleRound = this.loadRound % IDLE_LOAD_FACTOR === 0;
     this.pools
       .all()
+      .filter((pool) => isIdleRound || pool.permits.size > 0)
       .forEach((pool) => pool.replicas.all().forEach((replica) => void this.readLoad(pool, replica)));
   }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -46,7 +46,7 @@
   }),
   peers: z
     .strictObject({
-      probePeriodMs: durationMs.default(500),
+      probePeriodMs: durationMs.default(1_000),
       probeTimeoutMs: durationMs.default(400),
       suspicionMs: durationMs.default(3_000),
       indirectProbes: z.number().int().nonnegative().default(2),
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -1,7 +1,7 @@
 /** Runs the membership protocol over the peers' connections. */
 import type { Metrics } from '@fighub/core';
 import type { Member, MemberUpdate } from '@fighub/decisions';
-import { MemberState, Membership } from '@fighub/decisions';
+import { MemberState, Membership, updateOf } from '@fighub/decisions';
 
 import type { PeerNode } from './peer-node.js';
 import type { PingBody, TableDigest } from './peer-messages.js';
@@ -49,6 +49,7 @@
     this.membership = new Membership(self, options.suspicionMs, random);
     node.onRequest('swim.ping', (body) => this.onPing(body));
     node.onRequest('swim.indirect', async (body) => ({ reached: await this.ping(body.targetAddress) }));
+    node.onRequest('swim.members', () => ({ members: this.membership.owners().map(updateOf) }));
     node.onNotice('swim.update', (body) => this.membership.merge(body.updates, performance.now()));
   }
 
@@ -74,11 +75,20 @@
       .map((candidate) => ({ candidate, key: this.random() }))
       .sort((a, b) => a.key - b.key)
       .slice(0, SEEDS_PER_ROUND);
-    await Promise.all(
-      absent.map(({ candidate }) =>
-        this.ping(candidate.peerAddress, this.membership.get(candidate.instanceId)),
-      ),
+    await Promise.all(absent.map(({ candidate }) => this.join(candidate)));
+  }
+
+  /** Pings an instance and takes in its whole list, so that a joining instance knows all at once. */
+  private async join(candidate: SeedCandidate): Promise<void> {
+    const known = this.membership.get(candidate.instanceId);
+    if (!(await this.ping(candidate.peerAddress, known))) return;
+    const answer = await this.node.request(
+      candidate.peerAddress,
+      'swim.members',
+      {},
+      this.options.probeTimeoutMs * 2,
     );
+    if (answer.ok) this.membership.mergeAll(answer.value.members, performance.now());
   }
 
   /** Live members, this instance included. */
@@ -147,8 +157,8 @@
     const self = this.membership.get(this.self.instanceId) ?? this.self;
     const updates = this.membership.updatesToSpread();
     return {
-      from: self,
-      updates: receiver ? [...updates, receiver] : updates,
+      from: updateOf(self),
+      updates: receiver ? [...updates, updateOf(receiver)] : updates,
       table: this.piggyback.tableDigest(),
       storeDown: this.piggyback.storeDown(),
     };
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -6,9 +6,12 @@
 import type { HelloBody } from './peer-handshake.js';
 import { isHello, newHello, proofMatches, proofOf, versionsOverlap } from './peer-handshake.js';
 
-/** A connection with nothing received for this long is closed, in milliseconds. */
+/** A used connection that brings nothing for this long is closed, in milliseconds. */
 export const SILENCE_LIMIT_MS = 2_500;
 export const HEARTBEAT_PERIOD_MS = 800;
+/** Heartbeats are sent for this long after the last message; idle connections cost nothing. */
+const USED_FOR_MS = 4_000;
+const ACCEPTED_IDLE_LIMIT_MS = 60_000;
 const HANDSHAKE_LIMIT_MS = 2_000;
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
@@ -29,6 +32,8 @@
   private readonly ownHello: HelloBody;
   private peerHello: HelloBody | undefined;
   private lastReceivedMs = performance.now();
+  private lastUsedMs = performance.now();
+  private probedSinceMs: number | undefined;
   private readonly openedMs = performance.now();
   private readonly timer: NodeJS.Timeout;
   private closed = false;
@@ -62,6 +67,7 @@
 
   send(frame: Frame): void {
     if (this.closed) return;
+    if (frame.kind !== FrameKind.heartbeat) this.lastUsedMs = performance.now();
     const bytes = encodeFrame(frame);
     this.bytesSent += bytes.length;
     this.socket.write(bytes);
@@ -80,13 +86,26 @@
   }
 
   private onTimer(): void {
-    if (!this.ready && performance.now() - this.openedMs > HANDSHAKE_LIMIT_MS) this.close('no handshake');
-    else if (this.silentForMs > SILENCE_LIMIT_MS) this.close('silent past its limit');
-    else if (this.ready) this.send({ kind: FrameKind.heartbeat });
+    const nowMs = performance.now();
+    if (!this.ready && nowMs - this.openedMs > HANDSHAKE_LIMIT_MS) this.close('no handshake');
+    else if (!this.dialled && this.silentForMs > ACCEPTED_IDLE_LIMIT_MS) this.close('idle');
+    else if (this.ready && this.dialled) this.probe(nowMs);
+  }
+
+  /** The dialling end sends heartbeats while it uses the connection; the other end answers each. */
+  private probe(nowMs: number): void {
+    if (this.probedSinceMs !== undefined && nowMs - this.probedSinceMs > SILENCE_LIMIT_MS) {
+      this.close('silent past its limit');
+      return;
+    }
+    if (nowMs - this.lastUsedMs > USED_FOR_MS && this.probedSinceMs === undefined) return;
+    this.probedSinceMs ??= nowMs;
+    this.send({ kind: FrameKind.heartbeat });
   }
 
   private onData(part: Buffer): void {
     this.lastReceivedMs = performance.now();
+    this.probedSinceMs = undefined;
     this.bytesReceived += part.length;
     const frames = this.reader.push(part);
     if (!frames.ok) {
@@ -97,7 +116,11 @@
   }
 
   private onFrame(frame: Frame): void {
-    if (this.closed || frame.kind === FrameKind.heartbeat) return;
+    if (this.closed) return;
+    if (frame.kind === FrameKind.heartbeat) {
+      if (!this.dialled) this.send(frame);
+      return;
+    }
     if (this.ready) this.listener.onFrame(this, frame);
     else if (frame.kind === FrameKind.hello) this.onHello(frame.body);
     else if (frame.kind === FrameKind.proof) this.onProof(frame.body);
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -51,8 +51,10 @@
 export interface PeerRequests {
   'permit.acquire': { body: AcquireBody; answer: { accepted: boolean } };
   'swim.ping': { body: PingBody; answer: PingBody };
+  'swim.members': { body: Record<string, never>; answer: { members: readonly MemberUpdate[] } };
   'swim.indirect': { body: { targetAddress: string }; answer: { reached: boolean } };
   'table.fetch': { body: { buckets: readonly number[] }; answer: { buckets: readonly TableBucket[] } };
+  'pool.load': { body: { poolIds: readonly string[] }; answer: { loads: readonly PoolLoad[] } };
   'once.state': { body: { key: string }; answer: { running: boolean } };
 }
 
@@ -64,7 +66,6 @@
   'permit.granted': GrantedBody;
   'permit.refused': { requestId: string; problem: Problem };
   'permit.revoked': { permitId: string };
-  'pool.summary': { from: string; loads: readonly PoolLoad[] };
   'table.push': { bucket: TableBucket };
   'job.cancelled': { jobId: string };
   'swim.update': { updates: readonly MemberUpdate[] };
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -45,7 +45,7 @@
 }
 
 const MAX_WAITING_FRAMES = 1_000;
-const IDLE_LINK_MS = 60_000;
+const IDLE_LINK_MS = 10_000;
 
 /** The listening port and the dialled connections of one instance. */
 export class PeerNode {
