Add the soak, reports with plots and the comparison of runs

Change: lab soak with a schedule of 15 kinds of faults drawn from the seed, load of both deployments, and pages with plots. The generator's first value was near 1 for every small seed, so that the first run of the soak had one fault in a minute; the seed is now mixed and the first values are skipped.

--- a/packages/lab/src/bin/lab.ts
+++ b/packages/lab/src/bin/lab.ts
@@ -1,13 +1,14 @@
 #!/usr/bin/env -S node --disable-warning=DEP0111
 /** Runs experiments on fleets of real processes. */
-import { mkdirSync, writeFileSync } from 'node:fs';
-import { join } from 'node:path';
-
 import meow from 'meow';
 
+import type { Bound, ExperimentOutcome } from '../experiment.js';
 import { missedBounds } from '../experiment.js';
 import { experiments } from '../experiments/index.js';
 import { SeededRandom } from '../random.js';
+import type { StoredRun } from '../report.js';
+import { compareRuns, readRun, writeReport } from '../report.js';
+import { SOAK_BOUNDS, Soak } from '../soak.js';
 
 const USAGE_ERROR = 2;
 
@@ -17,6 +18,8 @@
 
   Usage
     $ npm run lab -- run <experiment> [--seed N] [--json] [--report <folder>]
+    $ npm run lab -- soak --seed N --minutes M [--json] [--report <folder>]
+    $ npm run lab -- compare <a.json> <b.json>
     $ npm run lab -- list
 
   Example
@@ -28,6 +31,7 @@
     importMeta: import.meta,
     flags: {
       seed: { type: 'number', default: 1 },
+      minutes: { type: 'number', default: 1 },
       json: { type: 'boolean', default: false },
       report: { type: 'string' },
     },
@@ -35,32 +39,73 @@
 );
 
 const [verb = '', name = ''] = cli.input;
-if (verb === 'list') {
-  experiments.forEach((experiment) =>
-    process.stdout.write(`${experiment.name.padEnd(10)} ${experiment.summary}\n`),
-  );
-  process.exit(0);
+const { seed } = cli.flags;
+const note = (line: string): void => void process.stderr.write(`${line}\n`);
+
+interface Run {
+  readonly experiment: string;
+  readonly bounds: readonly Bound[];
+  start(): Promise<ExperimentOutcome>;
+}
+
+function chooseRun(): Run | undefined {
+  if (verb === 'soak') {
+    const lengthMs = cli.flags.minutes * 60_000;
+    return { experiment: 'soak', bounds: SOAK_BOUNDS, start: () => new Soak(seed, lengthMs, note).run() };
+  }
+  const experiment = experiments.find((candidate) => candidate.name === name);
+  if (verb !== 'run' || !experiment) return undefined;
+  const start = (): Promise<ExperimentOutcome> => experiment.run(new SeededRandom(seed), note);
+  return { experiment: experiment.name, bounds: experiment.bounds, start };
 }
-const experiment = experiments.find((candidate) => candidate.name === name);
-if (verb !== 'run' || !experiment) {
-  process.stderr.write(`unknown command or experiment; see --help and list\n`);
-  process.exit(USAGE_ERROR);
+
+function againCommand(run: Run): string {
+  return run.experiment === 'soak'
+    ? `npm run lab -- soak --seed ${String(seed)} --minutes ${String(cli.flags.minutes)}`
+    : `npm run lab -- run ${run.experiment} --seed ${String(seed)}`;
 }
 
-const note = (line: string): void => void process.stderr.write(`${line}\n`);
-const { figures, plots } = await experiment.run(new SeededRandom(cli.flags.seed), note);
-const missed = missedBounds(experiment.bounds, figures);
-const result = { experiment: experiment.name, seed: cli.flags.seed, pass: missed.length === 0, figures };
-if (cli.flags.json) process.stdout.write(`${JSON.stringify(result)}\n`);
-else {
-  Object.entries(figures).forEach(([figure, value]) => {
-    const mark = missed.includes(figure) ? '  MISSED' : '';
-    process.stdout.write(`${figure.padEnd(34)} ${String(Math.round(value * 1_000) / 1_000)}${mark}\n`);
-  });
+async function perform(run: Run): Promise<number> {
+  const { figures, plots } = await run.start();
+  const missed = missedBounds(run.bounds, figures);
+  const result: StoredRun = { experiment: run.experiment, seed, pass: missed.length === 0, figures };
+  process.stdout.write(cli.flags.json ? `${JSON.stringify(result)}\n` : figureLines(figures, missed));
+  if (cli.flags.report !== undefined) writeReport(cli.flags.report, { ...result, missed, plots });
+  if (missed.length > 0) note(`missed: ${missed.join(', ')}\nagain: ${againCommand(run)}`);
+  return missed.length === 0 ? 0 : 1;
 }
-if (cli.flags.report !== undefined) {
-  mkdirSync(cli.flags.report, { recursive: true });
-  const file = join(cli.flags.report, `${experiment.name}-${String(cli.flags.seed)}.json`);
-  writeFileSync(file, JSON.stringify({ ...result, missed, bounds: experiment.bounds, plots }));
+
+function figureLines(figures: Readonly<Record<string, number>>, missed: readonly string[]): string {
+  return Object.entries(figures)
+    .map(([figure, value]) => {
+      const mark = missed.includes(figure) ? '  MISSED' : '';
+      return `${figure.padEnd(34)} ${String(Math.round(value * 1_000) / 1_000)}${mark}\n`;
+    })
+    .join('');
 }
-process.exit(missed.length === 0 ? 0 : 1);
+
+function listExperiments(): number {
+  experiments.forEach((entry) => process.stdout.write(`${entry.name.padEnd(10)} ${entry.summary}\n`));
+  return 0;
+}
+
+async function main(): Promise<number> {
+  if (verb === 'list') return listExperiments();
+  if (verb === 'compare') return compareFiles(name, cli.input[2] ?? '');
+  const run = chooseRun();
+  if (run) return perform(run);
+  process.stderr.write('unknown command or experiment; see --help and list\n');
+  return USAGE_ERROR;
+}
+
+function compareFiles(first: string, second: string): number {
+  try {
+    process.stdout.write(compareRuns(readRun(first), readRun(second)));
+    return 0;
+  } catch (error) {
+    process.stderr.write(`${(error as Error).message}\n`);
+    return USAGE_ERROR;
+  }
+}
+
+process.exit(await main());
--- a/packages/lab/src/fleet.ts
+++ b/packages/lab/src/fleet.ts
@@ -278,18 +278,22 @@
   }
 
   /** Waits until every running entry holds the rows and knows all others. */
-  async settled(): Promise<void> {
-    await waitFor('the fleet to settle', async () => {
-      const running = this.entries.filter((entry) => entry.process.running);
-      const dumps = await Promise.all(running.map((entry) => this.admin(entry).dump()));
-      const revisions = new Set(
-        dumps.map((dump) =>
-          JSON.stringify(dump.ok ? (dump.value.table as { revisions: number[] }).revisions : 0),
-        ),
-      );
-      const complete = dumps.every((dump) => dump.ok && liveMembers(dump.value) === running.length);
-      return complete && revisions.size === 1;
-    });
+  async settled(limitMs?: number): Promise<void> {
+    await waitFor(
+      'the fleet to settle',
+      async () => {
+        const running = this.entries.filter((entry) => entry.process.running);
+        const dumps = await Promise.all(running.map((entry) => this.admin(entry).dump()));
+        const revisions = new Set(
+          dumps.map((dump) =>
+            JSON.stringify(dump.ok ? (dump.value.table as { revisions: number[] }).revisions : 0),
+          ),
+        );
+        const complete = dumps.every((dump) => dump.ok && liveMembers(dump.value) === running.length);
+        return complete && revisions.size === 1;
+      },
+      limitMs,
+    );
   }
 
   /** Ends all processes. */
--- a/packages/lab/src/random.ts
+++ b/packages/lab/src/random.ts
@@ -2,12 +2,17 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
+const GOLDEN_RATIO_BITS = 0x9e3779b1;
+const SKIPPED_VALUES = 16;
+
 /** A stream of random values that is the same for the same seed. */
 export class SeededRandom {
   private readonly generator;
 
   constructor(seed: number) {
-    this.generator = xoroshiro128plus(seed);
+    this.generator = xoroshiro128plus(Math.imul(seed + 1, GOLDEN_RATIO_BITS));
+    // The first values of the generator are alike for small seeds.
+    Array.from({ length: SKIPPED_VALUES }, () => this.next());
   }
 
   /** A number in [0, 1). */
--- /dev/null
+++ b/packages/lab/src/refusal-check.ts
@@ -0,0 +1,15 @@
+/** Checks "not run" refusals against what the replicas received. */
+import type { JournalEntry } from '@fighub/standins';
+import { promptDigest } from '@fighub/standins';
+
+import type { OnlineResult } from './online-load.js';
+
+/** Number of requests that were refused as not run although a replica had begun to run them. */
+export function checkRefusals(results: readonly OnlineResult[], receptions: readonly JournalEntry[]): number {
+  const received = new Set(
+    receptions.filter((entry) => entry.refusal === undefined).map((entry) => entry.promptDigest),
+  );
+  return results.filter(
+    (result) => result.error?.run === 'not_run' && received.has(promptDigest(result.arrival.prompt)),
+  ).length;
+}
--- /dev/null
+++ b/packages/lab/src/soak.ts
@@ -0,0 +1,375 @@
+/** Long randomised runs: a schedule of faults and load drawn from a seed, and a check of what was seen. */
+import type { LabJob } from './batch-load.js';
+import { checkJob, sendJob, waitForJob } from './batch-load.js';
+import type { Bound, ExperimentOutcome } from './experiment.js';
+import { killEntry, killReplica, pause, pauseProcess } from './faults.js';
+import type { FleetEntry, FleetPlan } from './fleet.js';
+import { Fleet } from './fleet.js';
+import type { KeyedResult } from './keyed-load.js';
+import { checkKeyed, sendKeyed } from './keyed-load.js';
+import type { OnlineResult } from './online-load.js';
+import { drawTrace, firstTokenTimes, percentile, runTrace } from './online-load.js';
+import { SeededRandom } from './random.js';
+import { checkRefusals } from './refusal-check.js';
+
+/** Plans of the two deployments; the seed chooses. */
+const DEPLOYMENTS: readonly Partial<FleetPlan>[] = [
+  {
+    failureDomains: ['guj-west-a', 'guj-west-b', 'guj-west-c', 'guj-west-d'],
+    model: 'kit-assist',
+    entriesPerDomain: 2,
+    replicasPerDomain: 2,
+  },
+  {
+    failureDomains: ['zvolen-hala', 'bystrica-hala', 'lucenec-hala'],
+    model: 'alert-modely',
+    entriesPerDomain: 2,
+    replicasPerDomain: 2,
+  },
+];
+
+const SETTLE_LIMIT_MS = 60_000;
+const JOB_LIMIT_MS = 120_000;
+const ONLINE_TOKENS = 10;
+const JOB_ITEMS = 500;
+const JOB_PERIOD_MS = 8_000;
+const KEYED_PERIOD_MS = 250;
+const EDIT_PERIOD_MS = 400;
+const FAULT_PERIOD_MS = 3_500;
+const PAST_LEASE_MS = 6_000;
+const ALLOWED_AFTER_CANCEL_MS = 2_000;
+const RACED_ROW = 'share/obloha/soaked';
+
+/** A fault that was induced, for the report. */
+export interface FaultMark {
+  readonly atMs: number;
+  readonly label: string;
+}
+
+interface Fault {
+  readonly label: string;
+  induce(fleet: Fleet, random: SeededRandom): Promise<void>;
+}
+
+const FAULTS: readonly Fault[] = [
+  { label: 'kill entry', induce: (fleet, random) => killEntry(fleet, random.pick(fleet.entries), 500) },
+  { label: 'kill replica', induce: (fleet, random) => killReplica(fleet, random.pick(fleet.replicas), 700) },
+  { label: 'pause entry', induce: (fleet, random) => pauseProcess(random.pick(fleet.entries), 1_200) },
+  {
+    label: 'pause entry past lease',
+    induce: (fleet, random) => pauseProcess(random.pick(fleet.entries), PAST_LEASE_MS),
+  },
+  { label: 'pause replica', induce: (fleet, random) => pauseProcess(random.pick(fleet.replicas), 2_500) },
+  { label: 'drain entry', induce: (fleet, random) => drainEntry(fleet, random.pick(fleet.entries)) },
+  {
+    label: 'service down',
+    induce: (fleet) => during(4_000, (on) => fleet.setKeyValueFaults({ down: on })),
+  },
+  {
+    label: 'service slow and losing answers',
+    induce: (fleet) =>
+      during(4_000, (on) =>
+        fleet.setKeyValueFaults({ slowMs: on ? 200 : 0, loseAnswerProbability: on ? 0.3 : 0 }),
+      ),
+  },
+  {
+    label: 'watches silent',
+    induce: (fleet) => during(5_000, (on) => fleet.setKeyValueFaults({ silentWatches: on })),
+  },
+  { label: 'open connections silent', induce: (fleet) => fleet.silenceOpenConnections() },
+  {
+    label: 'partition',
+    induce: async (fleet, random) => {
+      await fleet.partition([random.pick(fleet.plan.failureDomains)]);
+      await pause(5_000);
+      await fleet.heal();
+    },
+  },
+  {
+    label: 'answers of a replica lost',
+    induce: async (fleet, random) => {
+      const { name } = random.pick(fleet.replicas);
+      await fleet.setRouteFaults([name], { dropAnswers: true });
+      await pause(800);
+      await fleet.setRouteFaults([name], { cut: true });
+      await pause(300);
+      await fleet.setRouteFaults([name], { cut: false, dropAnswers: false });
+    },
+  },
+  {
+    label: 'replica behind a slow line',
+    induce: async (fleet, random) => {
+      const { name } = random.pick(fleet.replicas);
+      await during(3_000, (on) => fleet.setRouteFaults([name], { delayMs: on ? 150 : 0 }));
+    },
+  },
+  {
+    label: 'replica doubles and crosses events',
+    induce: async (fleet, random) => {
+      const replica = random.pick(fleet.replicas);
+      await during(3_000, (on) =>
+        replica.process.running
+          ? fleet.setEngineFaults(replica, {
+              doubleProbability: on ? 0.2 : 0,
+              crossProbability: on ? 0.2 : 0,
+            })
+          : Promise.resolve(),
+      );
+    },
+  },
+  {
+    label: 'replica frozen',
+    induce: async (fleet, random) => {
+      const replica = random.pick(fleet.replicas);
+      await during(3_000, (on) =>
+        replica.process.running ? fleet.setEngineFaults(replica, { frozen: on }) : Promise.resolve(),
+      );
+    },
+  },
+];
+
+async function during(lengthMs: number, set: (on: boolean) => Promise<void>): Promise<void> {
+  await set(true);
+  await pause(lengthMs);
+  await set(false);
+}
+
+async function drainEntry(fleet: Fleet, entry: FleetEntry): Promise<void> {
+  if (!entry.process.running) return;
+  entry.process.signal('SIGTERM');
+  await entry.process.ended();
+  await fleet.restartEntry(entry);
+}
+
+interface CancelledJob {
+  readonly jobId: string;
+  readonly atUnixMs: number;
+}
+
+/** One soak run. */
+export class Soak {
+  private readonly random: SeededRandom;
+  private readonly marks: FaultMark[] = [];
+  private readonly jobs: LabJob[] = [];
+  private readonly cancelled: CancelledJob[] = [];
+  private readonly keyed: Promise<KeyedResult>[] = [];
+  private readonly busy = new Set<string>();
+  private acknowledgedEdits = 0;
+  private unknownEdits = 0;
+  private fleet!: Fleet;
+  private startedMs = 0;
+
+  constructor(
+    private readonly seed: number,
+    private readonly lengthMs: number,
+    private readonly note: (line: string) => void,
+  ) {
+    this.random = new SeededRandom(seed);
+  }
+
+  /** Runs the schedule, lets everything settle and checks. */
+  async run(): Promise<ExperimentOutcome> {
+    const deployment = DEPLOYMENTS[this.seed % DEPLOYMENTS.length];
+    this.fleet = await Fleet.start({
+      ...deployment,
+      throughProxy: true,
+      keyValue: { writesPerSecond: 300, readsPerSecond: 2_000 },
+      entrySettings: { batch: { leaseMs: 4_000, commitPeriodMs: 800, chunkItems: 100 } },
+    });
+    try {
+      await this.fleet.admin(this.fleet.entry(0)).putRow(RACED_ROW, { weight: 1 }, 0);
+      this.startedMs = performance.now();
+      const online = this.online();
+      await Promise.all([this.faults(), this.batch(), this.keyedRequests(), this.edits(), online]);
+      await this.clearFaults();
+      const settleStartedMs = performance.now();
+      await this.fleet.settled(SETTLE_LIMIT_MS);
+      await Promise.all(this.jobs.map((job) => waitForJob(this.fleet, job, JOB_LIMIT_MS)));
+      this.note(`settled after ${String(Math.round(performance.now() - settleStartedMs))} ms`);
+      return await this.check(await online);
+    } finally {
+      await this.fleet.stop();
+    }
+  }
+
+  private get running(): boolean {
+    return performance.now() - this.startedMs < this.lengthMs;
+  }
+
+  /** A steady load with a burst to five times as much in every quarter of the run. */
+  private online(): Promise<OnlineResult[]> {
+    const quarterMs = this.lengthMs / 4;
+    const phases = Array.from({ length: 4 }, () => [
+      { lengthMs: quarterMs * 0.8, ratePerSecond: 8 },
+      { lengthMs: quarterMs * 0.2, ratePerSecond: 40 },
+    ]).flat();
+    const organisations = this.fleet.plan.organisations.map((organisation) => organisation.name);
+    const trace = drawTrace(
+      new SeededRandom(this.seed + 1),
+      phases,
+      organisations,
+      this.fleet.entries.length,
+      ONLINE_TOKENS,
+    );
+    return runTrace(this.fleet, trace);
+  }
+
+  /** Faults alone, in pairs, and twice in a row. */
+  private async faults(): Promise<void> {
+    const pending: Promise<void>[] = [];
+    while (this.running) {
+      await pause(this.random.exponentialMs(FAULT_PERIOD_MS));
+      const count = this.random.pick([1, 1, 2]);
+      const chosen = Array.from({ length: count }, () => this.random.pick(FAULTS));
+      chosen.forEach((fault) => pending.push(this.induce(fault)));
+    }
+    await Promise.all(pending);
+  }
+
+  /** A kind of fault is not induced again before it has ended, since its end would end both. */
+  private async induce(fault: Fault): Promise<void> {
+    if (this.busy.has(fault.label)) return;
+    this.busy.add(fault.label);
+    const atMs = Math.round(performance.now() - this.startedMs);
+    this.marks.push({ atMs, label: fault.label });
+    try {
+      await fault.induce(this.fleet, this.random);
+    } catch (error) {
+      this.note(`${fault.label}: ${String(error)}`);
+    }
+    this.busy.delete(fault.label);
+  }
+
+  private async batch(): Promise<void> {
+    let number = 0;
+    while (this.running) {
+      const organisation = this.random.pick(this.fleet.plan.organisations).name;
+      const label = `soak-${String(number)}`;
+      const isCancelled = number % 4 === 3;
+      number += 1;
+      const job = await sendJob(this.fleet, organisation, label, JOB_ITEMS, ONLINE_TOKENS);
+      if (isCancelled) await this.cancelSoon(job);
+      else this.jobs.push(job);
+      await pause(this.random.exponentialMs(JOB_PERIOD_MS));
+    }
+  }
+
+  private async cancelSoon(job: LabJob): Promise<void> {
+    await pause(1_500);
+    const entry = this.random.pick(this.fleet.entries);
+    const cancelled = await this.fleet.caller(entry, job.organisation).cancelJob(job.jobId);
+    if (cancelled.ok) this.cancelled.push({ jobId: job.jobId, atUnixMs: Date.now() });
+  }
+
+  private async keyedRequests(): Promise<void> {
+    while (this.running) {
+      this.keyed.push(sendKeyed(this.fleet, this.random, this.keyed.length));
+      await pause(KEYED_PERIOD_MS);
+    }
+  }
+
+  private async edits(): Promise<void> {
+    while (this.running) {
+      const admin = this.fleet.admin(this.random.pick(this.fleet.entries));
+      const row = await admin.row(RACED_ROW);
+      if (row.ok) {
+        const weight = (row.value.value as { weight: number }).weight + 1;
+        const written = await admin.putRow(RACED_ROW, { weight }, row.value.revision);
+        if (written.ok) this.acknowledgedEdits += 1;
+        else if (written.error.run !== 'not_run') this.unknownEdits += 1;
+      }
+      await pause(EDIT_PERIOD_MS);
+    }
+  }
+
+  private async clearFaults(): Promise<void> {
+    const { fleet } = this;
+    await fleet.heal();
+    await fleet.setKeyValueFaults({ down: false, slowMs: 0, loseAnswerProbability: 0, silentWatches: false });
+  }
+
+  private async check(online: readonly OnlineResult[]): Promise<ExperimentOutcome> {
+    const { fleet } = this;
+    const receptions = fleet.receptions();
+    const keyed = checkKeyed(await Promise.all(this.keyed), receptions);
+    const checks = await Promise.all(this.jobs.map((job) => checkJob(fleet, job)));
+    const total = (pick: 'lost' | 'doubled' | 'wrong' | 'failed'): number =>
+      checks.reduce((sum, check) => sum + check[pick], 0);
+    const row = await fleet.admin(fleet.entry(0)).row(RACED_ROW);
+    const counted = row.ok ? (row.value.value as { weight: number }).weight - 1 : 0;
+    const late = this.cancelled.flatMap((job) =>
+      receptions.filter(
+        (entry) =>
+          entry.requestId.startsWith(job.jobId) &&
+          entry.receivedAtUnixMs > job.atUnixMs + ALLOWED_AFTER_CANCEL_MS,
+      ),
+    );
+    const broken = fleet.brokenInvariants();
+    broken.forEach((line) => this.note(line.slice(0, 1_500)));
+    const times = firstTokenTimes(online);
+    const failed = online.filter((result) => result.error !== undefined);
+    return {
+      figures: {
+        seconds: Math.round(this.lengthMs / 1_000),
+        faults: this.marks.length,
+        onlineRequests: online.length,
+        onlineAnswered: online.length - failed.length,
+        onlineCallersGaveUp: online.filter((result) => result.gaveUp).length,
+        onlineTtftP50Ms: percentile(times, 50),
+        onlineTtftP99Ms: percentile(times, 99),
+        crossedAnswers: online.filter((result) => result.crossed).length + keyed.crossedAnswers,
+        onlineFalseNotRun: checkRefusals(online, receptions),
+        keyedRequests: this.keyed.length,
+        keyedAnswered: keyed.answered,
+        keyedRanTwice: keyed.ranTwice,
+        keyedFalseNotRun: keyed.falseNotRun,
+        jobs: this.jobs.length,
+        items: this.jobs.length * JOB_ITEMS,
+        itemsLost: total('lost'),
+        itemsDoubled: total('doubled'),
+        itemsWrong: total('wrong'),
+        falseFailed: total('failed'),
+        cancelledJobs: this.cancelled.length,
+        dispatchesAfterCancel2s: late.length,
+        edits: this.acknowledgedEdits,
+        lostUpdates: Math.max(0, this.acknowledgedEdits - counted),
+        unexplainedUpdates: Math.max(0, counted - this.acknowledgedEdits - this.unknownEdits),
+        broken: broken.length,
+      },
+      plots: [this.timePlot(online)],
+    };
+  }
+
+  private timePlot(online: readonly OnlineResult[]): ExperimentOutcome['plots'][number] {
+    const answered = online.filter((result) => result.answer !== undefined);
+    return {
+      title: 'First token over time, with the faults marked',
+      xTitle: 'time, s',
+      yTitle: 'first token, ms',
+      series: [
+        {
+          name: 'online requests',
+          x: answered.map((result) => result.arrival.atMs / 1_000),
+          y: answered.map((result) => result.answer?.firstTokenMs ?? 0),
+        },
+      ],
+      marks: this.marks.map((mark) => ({ x: mark.atMs / 1_000, label: mark.label })),
+    };
+  }
+}
+
+/** What every soak run must hold. */
+export const SOAK_BOUNDS: readonly Bound[] = [
+  'crossedAnswers',
+  'onlineFalseNotRun',
+  'keyedRanTwice',
+  'keyedFalseNotRun',
+  'itemsLost',
+  'itemsDoubled',
+  'itemsWrong',
+  'falseFailed',
+  'dispatchesAfterCancel2s',
+  'lostUpdates',
+  'unexplainedUpdates',
+  'broken',
+].map((figure) => ({ figure, atMost: 0 }));
