Test the invariants and the checkers with deliberate faults; send a lost grant again

Change: an owner that is asked again sends the grant again; online requests ask again after 400 ms. Checkers and invariants each have a test with the fault that they must catch.

--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -159,13 +159,14 @@
     this.online.push(request, this.policy.weightOf(request.organisation));
   }
 
-  /** Whether a request waits here or holds a permit. */
-  knows(requestId: string): boolean {
-    return (
-      this.online.has(requestId) ||
-      this.batch.has(requestId) ||
-      this.permits.all().some((permit) => permit.request.requestId === requestId)
-    );
+  /** Whether a request waits here. */
+  isWaiting(requestId: string): boolean {
+    return this.online.has(requestId) || this.batch.has(requestId);
+  }
+
+  /** The permit that a request was granted. */
+  permitOf(requestId: string): Permit | undefined {
+    return this.permits.all().find((permit) => permit.request.requestId === requestId);
   }
 
   /** Takes back a request that still waits. */
--- /dev/null
+++ b/packages/entry/src/invariants.test.ts
@@ -0,0 +1,131 @@
+import { InvariantError, InvariantName, ManualClock, Metrics } from '@fighub/core';
+import { PoolScheduler } from '@fighub/decisions';
+import { MemoryKeyValueService, RecordStore } from '@fighub/platform';
+import { describe, expect, it } from 'vitest';
+
+import { CompletionRunner } from './completion-runner.js';
+import { JobReader } from './job-reader.js';
+import { TableStore, bucketOf } from './table-store.js';
+
+function store(service = new MemoryKeyValueService()): RecordStore {
+  const options = { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 };
+  return new RecordStore(service, options, new ManualClock(), new Metrics());
+}
+
+async function invariantOf(work: () => unknown): Promise<string> {
+  try {
+    await work();
+    return 'none';
+  } catch (error) {
+    return error instanceof InvariantError ? error.invariant : String(error);
+  }
+}
+
+describe('invariants stop the process', () => {
+  it('when a row of a newer bucket has a lower revision', async () => {
+    const table = new TableStore(store(), new Metrics(), () => 0);
+    const row = { key: 'model/a', value: {}, deleted: false, changedAtUnixMs: 0, changedBy: '' };
+    const bucket = bucketOf(row.key);
+    table.apply({ bucket, revision: 1, rows: [{ ...row, revision: 5 }] });
+    const apply = (): void => table.apply({ bucket, revision: 2, rows: [{ ...row, revision: 4 }] });
+    expect(await invariantOf(apply)).toBe(InvariantName.revisionNeverFalls);
+  });
+
+  it('when a newer bucket has lost a row', async () => {
+    const table = new TableStore(store(), new Metrics(), () => 0);
+    const row = { key: 'model/a', revision: 1, value: {}, deleted: false, changedAtUnixMs: 0, changedBy: '' };
+    const bucket = bucketOf(row.key);
+    table.apply({ bucket, revision: 1, rows: [row] });
+    expect(await invariantOf(() => table.apply({ bucket, revision: 2, rows: [] }))).toBe(
+      InvariantName.revisionNeverFalls,
+    );
+  });
+
+  it('when a job has more ended items than items', async () => {
+    const records = store();
+    const manifest = {
+      jobId: 'j',
+      organisation: 'o',
+      state: 'open',
+      itemCount: 1,
+      chunkCount: 1,
+      createdAtUnixMs: 0,
+    };
+    await records.write('jobs/j/manifest', undefined, manifest);
+    await records.write('jobs/j/ledger/000000', undefined, { doneCount: 2, failedCount: 0 });
+    const reader = new JobReader(records, new ManualClock(), () => undefined);
+    expect(await invariantOf(() => reader.status('j', 'o'))).toBe(InvariantName.countsAddUp);
+  });
+
+  it('when a permit is granted under an id that is in use', async () => {
+    const policy = {
+      targets: { firstTokenTargetMs: 1, betweenTokensTargetMs: 1 },
+      weightOf: () => 1,
+      limitsOf: () => ({}),
+    };
+    const output = { granted: () => undefined, refused: () => undefined, revoked: () => undefined };
+    const scheduler = new PoolScheduler('m@d', 'owner', policy, output);
+    scheduler.setReplicas([{ replicaId: 'r', address: 'a', maxConcurrency: 2, leaving: false }]);
+    const request = {
+      requestId: 'q',
+      organisation: 'o',
+      costTokens: 1,
+      deadlineMs: 9_999,
+      holder: 'h',
+      workClass: 'online' as const,
+      prefixDigest: '',
+      excludedReplicaIds: [],
+      resumable: true,
+      alone: false,
+      enqueuedAtMs: 0,
+    };
+    scheduler.renew(
+      [{ permitId: 'owner/m@d/1', request, replicaId: 'r', grantedAtMs: 0, expiresAtMs: 0 }],
+      0,
+    );
+    scheduler.enqueue(request, 1);
+    expect(await invariantOf(() => scheduler.run(1))).toBe(InvariantName.permitUsedOnce);
+  });
+
+  it('when a request is about to be refused as not run after a byte was sent', async () => {
+    const place = {
+      permitId: 'p',
+      poolId: 'x',
+      replicaId: 'r',
+      address: 'a',
+      fencingChecked: false,
+      revoked: new AbortController().signal,
+    };
+    const permits = { acquire: () => Promise.resolve({ ok: true, value: place }), release: () => undefined };
+    // An engine that rejects without being sent after an attempt that was sent, which no adapter may do.
+    const ends = [
+      { kind: 'broken', detail: '', sent: true },
+      { kind: 'rejected', detail: '', sent: false },
+    ];
+    const engine = { run: () => Promise.resolve(ends.shift()), load: () => Promise.resolve(undefined) };
+    const limits = { headersMs: 1, gapMs: 1 };
+    const runner = new CompletionRunner(
+      permits as never,
+      engine as never,
+      {} as never,
+      limits,
+      1,
+      new ManualClock(),
+      new Metrics(),
+    );
+    const spec = {
+      requestId: 'q',
+      organisation: 'o',
+      model: 'm',
+      prompt: 'p',
+      maxTokens: 1,
+      deadlineUnixMs: 99_999,
+      workClass: 'online' as const,
+      idempotent: true,
+      alone: false,
+      tokensSoFar: [],
+    };
+    const run = (): unknown => runner.run(spec, new AbortController().signal);
+    expect(await invariantOf(run)).toBe(InvariantName.notRunNothingSent);
+  });
+});
--- a/packages/entry/src/permit-client.ts
+++ b/packages/entry/src/permit-client.ts
@@ -55,7 +55,8 @@
 const SAMPLED_POOLS = 2;
 /** A model counts as in use here for this long after its last request. */
 const MODEL_IN_USE_MS = 10_000;
-const ASK_AGAIN_MS = 2_000;
+/** An answer may be lost on a silent connection: the owner is asked again after this time. */
+const ASK_AGAIN_MS = { online: 400, batch: 2_000 } as const;
 const MAX_ASKED_AGAIN = 64;
 
 interface PoolSummary {
@@ -126,6 +127,7 @@
 
   granted(body: GrantedBody): void {
     const wish = this.waiting.take(body.requestId);
+    if (!wish && this.places.has(body.permitId)) return;
     if (!wish) {
       this.metrics.count('permits_unwanted');
       this.returnUnwanted(body);
@@ -220,7 +222,7 @@
         body,
         ownerId,
         answer,
-        askAgainAtMs: this.clock.monotonicMs() + ASK_AGAIN_MS,
+        askAgainAtMs: this.clock.monotonicMs() + ASK_AGAIN_MS[body.workClass],
       });
       void this.ask(ownerId, body);
     });
@@ -274,7 +276,7 @@
       .filter((wish) => nowMs >= wish.askAgainAtMs)
       .slice(0, MAX_ASKED_AGAIN)
       .forEach((wish) => {
-        wish.askAgainAtMs = nowMs + ASK_AGAIN_MS;
+        wish.askAgainAtMs = nowMs + ASK_AGAIN_MS[wish.body.workClass];
         void this.ask(wish.ownerId, wish.body);
       });
   }
--- a/packages/entry/src/pool-host.ts
+++ b/packages/entry/src/pool-host.ts
@@ -122,7 +122,10 @@
     const pool = this.pools.get(body.poolId);
     if (!pool) return false;
     const nowMs = this.clock.monotonicMs();
-    if (!pool.knows(body.requestId)) pool.enqueue(this.toPlaceRequest(body, nowMs), nowMs);
+    const granted = pool.permitOf(body.requestId);
+    // A holder that asks again has not seen its grant.
+    if (granted) this.sendGrantAgain(body.poolId, granted);
+    else if (!pool.isWaiting(body.requestId)) pool.enqueue(this.toPlaceRequest(body, nowMs), nowMs);
     this.wake();
     return true;
   }
@@ -268,6 +271,12 @@
     );
   }
 
+  private sendGrantAgain(poolId: string, permit: Permit): void {
+    const description = this.describePools().find((pool) => pool.poolId === poolId);
+    const replica = this.pools.get(poolId)?.replicas.get(permit.replicaId);
+    if (description && replica) this.sendGrant(description, permit, replica);
+  }
+
   private sendRefusal(request: PlaceRequest, problem: Problem): void {
     this.metrics.count('places_refused');
     const requestId = request.requestId;
--- a/packages/lab/src/batch-load.ts
+++ b/packages/lab/src/batch-load.ts
@@ -80,13 +80,18 @@
 export async function checkJob(fleet: Fleet, job: LabJob): Promise<JobCheck> {
   const results = await runningCaller(fleet, job.organisation).allResults(job.jobId);
   if (!results.ok) throw new Error(`results of ${job.label}: ${results.error.detail}`);
-  const indexes = results.value.map((result) => result.index);
+  return compareResults(job, results.value);
+}
+
+/** Compares results with the items of a job. */
+export function compareResults(job: LabJob, results: readonly ItemResult[]): JobCheck {
+  const indexes = results.map((result) => result.index);
   const distinct = new Set(indexes);
   return {
     lost: job.items - distinct.size,
     doubled: indexes.length - distinct.size,
-    wrong: results.value.filter((result) => isWrong(result, job)).length,
-    failed: results.value.filter((result) => result.status !== 'succeeded').length,
+    wrong: results.filter((result) => isWrong(result, job)).length,
+    failed: results.filter((result) => result.status !== 'succeeded').length,
   };
 }
 
--- /dev/null
+++ b/packages/lab/src/checkers.test.ts
@@ -0,0 +1,139 @@
+import type { ItemResult } from '@fighub/core';
+import type { JournalEntry } from '@fighub/standins';
+import { promptDigest } from '@fighub/standins';
+import { describe, expect, it } from 'vitest';
+
+import { compareResults, itemPrompt } from './batch-load.js';
+import { missedBounds } from './experiment.js';
+import type { KeyedResult } from './keyed-load.js';
+import { checkKeyed } from './keyed-load.js';
+import type { OnlineResult } from './online-load.js';
+import { expectedText } from './online-load.js';
+import { batchShareOfIdle, placeTime } from './place-time.js';
+import { checkRefusals } from './refusal-check.js';
+
+function reception(prompt: string, changes: Partial<JournalEntry> = {}): JournalEntry {
+  return {
+    requestId: 'r',
+    attemptId: 'a',
+    organisation: 'o',
+    promptDigest: promptDigest(prompt),
+    fromToken: 0,
+    receivedAtUnixMs: 100,
+    tokens: 0,
+    ...changes,
+  };
+}
+
+function keyed(changes: Partial<KeyedResult> = {}): KeyedResult {
+  return { prompt: 'p', notRunAtUnixMs: [], crossed: false, ...changes };
+}
+
+const JOB = { jobId: 'j', organisation: 'o', items: 3, tokens: 2, label: 'l' };
+
+function results(): ItemResult[] {
+  return [0, 1, 2].map((index) => ({
+    index,
+    customId: String(index),
+    status: 'succeeded',
+    text: expectedText(itemPrompt('l', index), 2),
+  }));
+}
+
+describe('the checker of keyed requests', () => {
+  it('is silent when each ran once', () => {
+    expect(checkKeyed([keyed({ text: 't' })], [reception('p')])).toEqual({
+      ranTwice: 0,
+      falseNotRun: 0,
+      crossedAnswers: 0,
+      answered: 1,
+    });
+  });
+
+  it('catches a request that ran twice', () => {
+    expect(checkKeyed([keyed()], [reception('p'), reception('p')]).ranTwice).toBe(1);
+  });
+
+  it('catches a "not run" that was told after the run began', () => {
+    const lied = keyed({ notRunAtUnixMs: [200] });
+    expect(checkKeyed([lied], [reception('p')]).falseNotRun).toBe(1);
+  });
+
+  it('allows a run that began after a true "not run"', () => {
+    const resent = keyed({ notRunAtUnixMs: [50] });
+    expect(checkKeyed([resent], [reception('p')]).falseNotRun).toBe(0);
+  });
+
+  it('does not count what the replica refused', () => {
+    const receptions = [reception('p', { refusal: 'leaving' }), reception('p')];
+    expect(checkKeyed([keyed()], receptions).ranTwice).toBe(0);
+  });
+
+  it('catches a crossed answer', () => {
+    expect(checkKeyed([keyed({ crossed: true })], []).crossedAnswers).toBe(1);
+  });
+});
+
+describe('the checker of refusals', () => {
+  it('catches a "not run" of a prompt that a replica received', () => {
+    const arrival = { atMs: 0, organisation: 'o', entryIndex: 0, prompt: 'p', maxTokens: 1 };
+    const error = { status: 503, code: 'x', detail: '', run: 'not_run' };
+    const result: OnlineResult = {
+      arrival,
+      sentAtUnixMs: 0,
+      endedAtUnixMs: 1,
+      error,
+      crossed: false,
+      gaveUp: false,
+    };
+    expect(checkRefusals([result], [reception('p')])).toBe(1);
+    expect(checkRefusals([result], [reception('q')])).toBe(0);
+  });
+});
+
+describe('the checker of jobs', () => {
+  it('is silent when every item ended once', () => {
+    expect(compareResults(JOB, results())).toEqual({ lost: 0, doubled: 0, wrong: 0, failed: 0 });
+  });
+
+  it('catches a lost item', () => {
+    expect(compareResults(JOB, results().slice(1)).lost).toBe(1);
+  });
+
+  it('catches a doubled item', () => {
+    const [first] = results();
+    expect(compareResults(JOB, [...results(), ...(first ? [first] : [])]).doubled).toBe(1);
+  });
+
+  it('catches an answer of another item', () => {
+    const crossed = results().map((result) => ({ ...result, text: expectedText(itemPrompt('l', 0), 2) }));
+    expect(compareResults(JOB, crossed).wrong).toBe(2);
+  });
+
+  it('catches a healthy item that failed', () => {
+    const failed = results().map((result) => ({ ...result, status: 'failed' as const }));
+    expect(compareResults(JOB, failed).failed).toBe(3);
+  });
+});
+
+describe('bounds', () => {
+  it('count a missing or meaningless figure as missed', () => {
+    const bounds = [{ figure: 'a', atMost: 0 }];
+    expect(missedBounds(bounds, {})).toEqual(['a']);
+    expect(missedBounds(bounds, { a: Number.NaN })).toEqual(['a']);
+    expect(missedBounds(bounds, { a: 1 })).toEqual(['a']);
+    expect(missedBounds(bounds, { a: 0 })).toEqual([]);
+  });
+});
+
+describe('place time', () => {
+  it('counts only what lies in the window', () => {
+    const journal = [
+      reception('p', { requestId: 'job-1.0', startedAtUnixMs: 0, endedAtUnixMs: 150 }),
+      reception('q', { requestId: 'req-1', startedAtUnixMs: 120, endedAtUnixMs: 170 }),
+    ];
+    const time = placeTime(journal, 2, 100, 200);
+    expect(time).toEqual({ onlineMs: 50, batchMs: 50, totalMs: 200 });
+    expect(batchShareOfIdle(time)).toBeCloseTo(1 / 3);
+  });
+});
--- a/packages/lab/src/report.ts
+++ b/packages/lab/src/report.ts
@@ -105,7 +105,8 @@
     u.ctx.lineTo(x, u.bbox.top + u.bbox.height);
     u.ctx.stroke();
     u.ctx.fillStyle = '#555';
-    u.ctx.fillText(mark.label, x + 3, u.bbox.top + 12 + (index % 8) * 13);
+    u.ctx.textAlign = x > u.bbox.left + u.bbox.width * 0.8 ? 'right' : 'left';
+    u.ctx.fillText(mark.label, x + (u.ctx.textAlign === 'left' ? 3 : -3), u.bbox.top + 12 + (index % 8) * 13);
     u.ctx.restore();
   });
   new uPlot({
