Run suspects on a replica of their own, apart from the fair queue

Cause: an item that waited to run alone stood at the head of its organisation's queue and held up all behind it; on a busy pool no replica was ever empty. Change: suspects wait in a quarantine beside the queue. One replica at a time is emptied for them.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './pool-choice.js';
 export * from './pool-scheduler.js';
 export * from './prefix-index.js';
+export * from './quarantine.js';
 export * from './rendezvous.js';
 export * from './replica-choice.js';
 export * from './replica-health.js';
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -9,6 +9,7 @@
 import { FairQueue } from './fair-queue.js';
 import { OrganisationLimits } from './organisation-limits.js';
 import { PrefixIndex } from './prefix-index.js';
+import { Quarantine } from './quarantine.js';
 import type { AttemptEnd } from './replica-health.js';
 import { ReplicaHealth } from './replica-health.js';
 import { pickReplica, pickVictim } from './replica-choice.js';
@@ -113,6 +114,7 @@
   private readonly batch = new FairQueue<PlaceRequest>();
   private readonly reserve = new BurstReserve(RESERVE_MAX_FRACTION);
   private readonly limits = new OrganisationLimits();
+  private readonly quarantine = new Quarantine();
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
 
@@ -140,6 +142,10 @@
 
   /** Adds a request to its queue, or refuses it when its deadline cannot be met. */
   enqueue(request: PlaceRequest, nowMs: number): void {
+    if (request.alone) {
+      this.quarantine.push(request);
+      return;
+    }
     if (request.workClass === WorkClass.batch) {
       this.batch.push(request, this.policy.weightOf(request.organisation));
       return;
@@ -161,7 +167,7 @@
 
   /** Whether a request waits here. */
   isWaiting(requestId: string): boolean {
-    return this.online.has(requestId) || this.batch.has(requestId);
+    return this.online.has(requestId) || this.batch.has(requestId) || this.quarantine.has(requestId);
   }
 
   /** The permit that a request was granted. */
@@ -171,6 +177,7 @@
 
   /** Takes back a request that still waits. */
   withdraw(requestId: string): void {
+    this.quarantine.remove(requestId);
     if (!this.online.remove(requestId)) this.batch.remove(requestId);
   }
 
@@ -178,6 +185,7 @@
   release(report: ReleaseReport, nowMs: number): void {
     const permit = this.permits.take(report.permitId);
     if (!permit) return;
+    this.quarantine.onRelease(permit.request.requestId);
     this.limits.onRelease(permit.request.organisation);
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correct(permit.request.organisation, report.tokens - permit.request.costTokens);
@@ -203,6 +211,7 @@
   forgetHolder(holder: string): void {
     this.online.removeWhere((request) => request.holder === holder);
     this.batch.removeWhere((request) => request.holder === holder);
+    this.quarantine.removeHolder(holder);
     this.permits
       .all()
       .filter((permit) => permit.request.holder === holder)
@@ -222,6 +231,7 @@
       .filter((permit) => permit.expiresAtMs <= nowMs)
       .forEach((permit) => this.dropPermit(permit));
     this.refuseLate(nowMs);
+    this.runQuarantine(nowMs);
     this.grantOnline(nowMs);
     this.grantBatch(nowMs);
   }
@@ -280,7 +290,7 @@
       onlineStreams: permits.filter((p) => p.request.workClass === WorkClass.online).length,
       batchStreams: permits.filter((p) => p.request.workClass === WorkClass.batch).length,
       onlineWaiting: this.online.size,
-      batchWaiting: this.batch.size,
+      batchWaiting: this.batch.size + this.quarantine.size,
       newcomerWaitMs: this.expectedWaitMs(NEWCOMER),
       organisationWaits: this.organisationWaits(),
       reservedPlaces: this.reserve.places(this.totalPlaces(), nowMs),
@@ -293,6 +303,7 @@
       ...this.load(nowMs),
       meanStreamMs: this.meanStreamMs,
       onlineByOrganisation: this.online.depths(),
+      quarantine: this.quarantine.dump(),
       batchByOrganisation: this.batch.depths(),
       replicas: this.replicas.all().map((replica) => ({
         replicaId: replica.replicaId,
@@ -335,6 +346,26 @@
     replica.limit.observe(measured, this.policy.targets, this.inFlight(replica.replicaId, nowMs), nowMs);
   }
 
+  /** Empties one replica for a suspect and runs it there with nothing beside it. */
+  private runQuarantine(nowMs: number): void {
+    const usable = this.replicas.all().filter((replica) => !replica.leaving && replica.health.isOpen(nowMs));
+    const step = this.quarantine.step(usable, (id) => this.inFlight(id, nowMs), nowMs);
+    if (!step) return;
+    if (step.grant) this.grant(step.grant, step.replica, nowMs);
+    else this.stopBatchAt(step.replica.replicaId, nowMs);
+  }
+
+  private stopBatchAt(replicaId: string, nowMs: number): void {
+    this.permits
+      .all()
+      .filter((permit) => permit.replicaId === replicaId && permit.request.workClass === WorkClass.batch)
+      .filter((permit) => permit.request.resumable && permit.revokedUntilMs === undefined)
+      .forEach((permit) => {
+        permit.revokedUntilMs = nowMs;
+        this.output.revoked(permit);
+      });
+  }
+
   private refuseLate(nowMs: number): void {
     this.online
       .removeWhere((request) => request.deadlineMs <= nowMs)
@@ -388,13 +419,19 @@
   }
 
   private freeReplica(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
-    return pickReplica(this.replicas.all(), request, this.prefixes, (id) => this.inFlight(id, nowMs), nowMs);
+    const open = this.replicas.all().filter((replica) => replica.replicaId !== this.quarantine.replicaId);
+    return pickReplica(open, request, this.prefixes, (id) => this.inFlight(id, nowMs), nowMs);
   }
 
   private freePlaceByRevoking(request: PlaceRequest, nowMs: number): Permit | undefined {
     const usable = this.permits.all().filter((permit) => {
       const replica = this.replicas.get(permit.replicaId);
-      return replica !== undefined && !replica.leaving && replica.health.isOpen(nowMs);
+      return (
+        replica !== undefined &&
+        !replica.leaving &&
+        replica.replicaId !== this.quarantine.replicaId &&
+        replica.health.isOpen(nowMs)
+      );
     });
     return pickVictim(usable, request, this.prefixes, (id) => this.onlineStreams(id));
   }
@@ -427,7 +464,8 @@
   private totalFree(nowMs: number): number {
     return this.replicas
       .all()
-      .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs))
+      .filter((replica) => !replica.leaving && replica.replicaId !== this.quarantine.replicaId)
+      .filter((replica) => replica.health.isOpen(nowMs))
       .reduce((sum, replica) => sum + replica.limit.places - this.inFlight(replica.replicaId, nowMs), 0);
   }
 
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -22,7 +22,6 @@
     .filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId))
     .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) + replica.foreignStreams }))
     .filter(({ replica, streams }) => streams < (replica.health.onProbation ? 1 : replica.limit.places))
-    .filter(({ streams }) => !request.alone || streams === 0)
     .map(({ replica, streams }) => ({
       replica,
       score: streams - affinityOf(replica.replicaId, request, prefixes),
--- a/packages/entry/src/completion-runner.ts
+++ b/packages/entry/src/completion-runner.ts
@@ -35,6 +35,8 @@
   readonly tokensSoFar: readonly string[];
   /** Asked right before each dispatch; false forbids it. */
   readonly mayDispatch?: () => boolean;
+  /** Called at the moment of each dispatch, to check what must hold then. */
+  readonly onDispatch?: () => void;
   readonly onToken?: (text: string) => void;
 }
 
@@ -122,7 +124,7 @@
 }
 
 /** State of one completion. */
-class CompletionRun {
+export class CompletionRun {
   private readonly tokens: string[];
   private readonly excluded: string[] = [];
   private everSent = false;
@@ -184,6 +186,11 @@
     const gap = new AbortController();
     const onChunk = (chunk: EngineChunk): void => {
       if (!this.accepts(chunk, attemptId, gap)) return;
+      checkInvariant(
+        InvariantName.streamChunkBelongs,
+        chunk.requestId === spec.requestId && chunk.tokenIndex === this.tokens.length,
+        () => ({ requestId: spec.requestId, chunk }),
+      );
       firstTokenMs ??= this.parts.clock.monotonicMs() - startedMs;
       this.tokens.push(chunk.text);
       this.spec.onToken?.(chunk.text);
@@ -200,6 +207,7 @@
       fencing: place.fencingChecked ? spec.fencing : undefined,
       idempotent: spec.idempotent,
     };
+    spec.onDispatch?.();
     const stop = AbortSignal.any([this.signal, place.revoked, gap.signal]);
     const ran = await this.parts.engine.run(call, this.parts.limits, onChunk, stop);
     const end = gap.signal.aborted
@@ -218,7 +226,7 @@
   }
 
   /** Only the next token of this attempt is taken; anything late, doubled or crossed is dropped. */
-  private accepts(chunk: EngineChunk, attemptId: string, gap: AbortController): boolean {
+  accepts(chunk: EngineChunk, attemptId: string, gap: AbortController): boolean {
     const belongs = chunk.requestId === this.spec.requestId && chunk.attemptId === attemptId;
     const isNext = chunk.tokenIndex === this.tokens.length;
     if (belongs && chunk.tokenIndex > this.tokens.length) gap.abort();
--- a/packages/entry/src/held-chunk.ts
+++ b/packages/entry/src/held-chunk.ts
@@ -218,11 +218,20 @@
       fencing: { scope: this.id, epoch: this.ledger.value.epoch },
       tokensSoFar: progress?.tokens ?? [],
       mayDispatch: () => this.checkDispatch(),
+      onDispatch: () => this.assertLease(),
     };
     void this.runner.run(spec, this.stopping.signal).then((end) => this.onItemEnd(offset, end));
   }
 
-  private checkDispatch(): boolean {
+  private assertLease(): void {
+    const nowMs = this.clock.monotonicMs();
+    checkInvariant(InvariantName.noDispatchOnLapsedLease, !this.lost && nowMs < this.leaseUntilMs, () => ({
+      chunk: this.dump(),
+    }));
+  }
+
+  /** Whether an item may be sent to a replica now. */
+  checkDispatch(): boolean {
     const allowed = !this.lost && this.clock.monotonicMs() < this.leaseUntilMs && this.mayDispatch();
     if (!allowed) this.metrics.count('batch_dispatches_refused');
     return allowed;
@@ -316,11 +325,6 @@
     const outcome = await this.store.write(this.ledger.key, this.ledger, next);
     this.writing = false;
     if (outcome.ok) {
-      checkInvariant(
-        InvariantName.noDispatchOnLapsedLease,
-        outcome.value.value.epoch === this.ledger.value.epoch,
-        () => ({ ledger: this.ledger }),
-      );
       this.ledger = outcome.value;
       this.leaseUntilMs = sentAtMs + this.options.leaseMs * LEASE_MARGIN;
       this.nextWriteMs = this.clock.monotonicMs() + this.options.commitPeriodMs;
--- a/packages/entry/src/invariants.test.ts
+++ b/packages/entry/src/invariants.test.ts
@@ -1,9 +1,11 @@
+import type { JobManifest } from '@fighub/core';
 import { InvariantError, InvariantName, ManualClock, Metrics } from '@fighub/core';
-import { PoolScheduler } from '@fighub/decisions';
+import { PoolScheduler, emptyLedger, takeLease } from '@fighub/decisions';
 import { MemoryKeyValueService, RecordStore } from '@fighub/platform';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
-import { CompletionRunner } from './completion-runner.js';
+import { CompletionRun, CompletionRunner } from './completion-runner.js';
+import { HeldChunk } from './held-chunk.js';
 import { JobReader } from './job-reader.js';
 import { TableStore, bucketOf } from './table-store.js';
 
@@ -12,6 +14,41 @@
   return new RecordStore(service, options, new ManualClock(), new Metrics());
 }
 
+const SPEC = {
+  requestId: 'q',
+  organisation: 'o',
+  model: 'm',
+  prompt: 'p',
+  maxTokens: 1,
+  deadlineUnixMs: 99_999,
+  workClass: 'online' as const,
+  idempotent: true,
+  alone: false,
+  tokensSoFar: [],
+};
+
+function runnerWith(engine: unknown): CompletionRunner {
+  const place = {
+    permitId: 'p',
+    poolId: 'x',
+    replicaId: 'r',
+    address: 'a',
+    fencingChecked: false,
+    revoked: new AbortController().signal,
+  };
+  const permits = { acquire: () => Promise.resolve({ ok: true, value: place }), release: () => undefined };
+  const limits = { headersMs: 1, gapMs: 1 };
+  return new CompletionRunner(
+    permits as never,
+    engine as never,
+    {} as never,
+    limits,
+    1,
+    new ManualClock(),
+    new Metrics(),
+  );
+}
+
 async function invariantOf(work: () => unknown): Promise<string> {
   try {
     await work();
@@ -87,45 +124,60 @@
     expect(await invariantOf(() => scheduler.run(1))).toBe(InvariantName.permitUsedOnce);
   });
 
-  it('when a request is about to be refused as not run after a byte was sent', async () => {
-    const place = {
-      permitId: 'p',
-      poolId: 'x',
-      replicaId: 'r',
-      address: 'a',
-      fencingChecked: false,
-      revoked: new AbortController().signal,
+  it('when a token of another request reaches a stream', async () => {
+    const accepts = vi.spyOn(CompletionRun.prototype, 'accepts').mockReturnValue(true);
+    const foreign = { requestId: 'other', attemptId: 'a', tokenIndex: 0, text: 't' };
+    const engine = {
+      run: (_call: unknown, _limits: unknown, onChunk: (chunk: unknown) => void) => {
+        onChunk(foreign);
+        return Promise.resolve({ kind: 'completed', detail: '', sent: true });
+      },
     };
-    const permits = { acquire: () => Promise.resolve({ ok: true, value: place }), release: () => undefined };
+    const run = (): unknown => runnerWith(engine).run(SPEC, new AbortController().signal);
+    expect(await invariantOf(run)).toBe(InvariantName.streamChunkBelongs);
+    accepts.mockRestore();
+  });
+
+  it('when an item is dispatched after its lease has lapsed', async () => {
+    const mayDispatch = vi.spyOn(HeldChunk.prototype, 'checkDispatch').mockReturnValue(true);
+    const clock = new ManualClock();
+    const held: { onDispatch?: () => void }[] = [];
+    const runner = {
+      run: (spec: { onDispatch?: () => void }) => (held.push(spec), new Promise(() => undefined)),
+    };
+    const records = store();
+    const ledger = await records.write('l', undefined, takeLease(emptyLedger(1), 'me'));
+    if (!ledger.ok) throw new Error('not written');
+    const job = { jobId: 'j', idempotent: true } as JobManifest;
+    const input = { firstIndex: 0, items: [{ customId: 'c', prompt: 'p', maxTokens: 1 }] };
+    const options = { leaseMs: 1_000, commitPeriodMs: 100 };
+    const chunk = new HeldChunk(
+      job,
+      0,
+      input,
+      ledger.value,
+      clock.monotonicMs(),
+      options,
+      records,
+      runner as never,
+      () => true,
+      clock,
+      new Metrics(),
+    );
+    chunk.run(clock.monotonicMs());
+    clock.advance(2_000);
+    expect(await invariantOf(() => held[0]?.onDispatch?.())).toBe(InvariantName.noDispatchOnLapsedLease);
+    mayDispatch.mockRestore();
+  });
+
+  it('when a request is about to be refused as not run after a byte was sent', async () => {
     // An engine that rejects without being sent after an attempt that was sent, which no adapter may do.
     const ends = [
       { kind: 'broken', detail: '', sent: true },
       { kind: 'rejected', detail: '', sent: false },
     ];
     const engine = { run: () => Promise.resolve(ends.shift()), load: () => Promise.resolve(undefined) };
-    const limits = { headersMs: 1, gapMs: 1 };
-    const runner = new CompletionRunner(
-      permits as never,
-      engine as never,
-      {} as never,
-      limits,
-      1,
-      new ManualClock(),
-      new Metrics(),
-    );
-    const spec = {
-      requestId: 'q',
-      organisation: 'o',
-      model: 'm',
-      prompt: 'p',
-      maxTokens: 1,
-      deadlineUnixMs: 99_999,
-      workClass: 'online' as const,
-      idempotent: true,
-      alone: false,
-      tokensSoFar: [],
-    };
-    const run = (): unknown => runner.run(spec, new AbortController().signal);
+    const run = (): unknown => runnerWith(engine).run(SPEC, new AbortController().signal);
     expect(await invariantOf(run)).toBe(InvariantName.notRunNothingSent);
   });
 });
