Collect results past their retention and what dead uploads left

Cause: nothing was ever deleted from the key-value service. Change: uploads have a record, ended jobs an index. One instance collects. A collector takes the upload's record away, then reads the manifest, then deletes chunks; an upload writes the manifest, then reads its record, then acknowledges. In any interleaving an acknowledged job keeps its chunks. max_tokens that is left out is at most the model's limit; before, such a request to a model with a limit under 128 was refused.

--- a/packages/core/src/jobs.ts
+++ b/packages/core/src/jobs.ts
@@ -90,6 +90,12 @@
   ledgerPrefix: (jobId: string): string => `jobs/${jobId}/ledger/`,
   ledger: (jobId: string, chunk: number): string => `jobs/${jobId}/ledger/${padded(chunk)}`,
   output: (jobId: string, segment: string): string => `jobs/${jobId}/output/${segment}`,
+  outputPrefix: (jobId: string): string => `jobs/${jobId}/output/`,
+  allInputPrefix: (jobId: string): string => `jobs/${jobId}/input/`,
+  uploadPrefix: 'uploads/',
+  upload: (jobId: string, uploadId: string): string => `uploads/${jobId}/${uploadId}`,
+  endedPrefix: 'ended/',
+  ended: (jobId: string): string => `ended/${jobId}`,
   openPrefix: 'open/',
   open: (jobId: string): string => `open/${jobId}`,
 } as const;
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -9,6 +9,7 @@
 import type { CompletionRunner } from './completion-runner.js';
 import type { ChunkOptions } from './held-chunk.js';
 import { HeldChunk } from './held-chunk.js';
+import { moveToEnded } from './job-index.js';
 import type { OpenJob } from './job-intake.js';
 import type { JobReader } from './job-reader.js';
 import type { PermitClient } from './permit-client.js';
@@ -235,18 +236,13 @@
   private async completeJob(job: JobManifest): Promise<void> {
     const present = await this.store.read<JobManifest>(jobKeys.manifest(job.jobId));
     if (!present.ok || !present.value) return;
-    if (present.value.value.state === JobState.open) {
-      const ended = {
-        ...present.value.value,
-        state: JobState.complete,
-        endedAtUnixMs: this.clock.nowUnixMs(),
-      };
-      const written = await this.store.write<JobManifest>(present.value.key, present.value, ended);
-      if (!written.ok) return;
-      this.metrics.count('jobs_completed');
-    }
-    const entry = await this.store.read<OpenJob>(jobKeys.open(job.jobId));
-    if (entry.ok && entry.value) await this.store.remove(entry.value);
+    const { value: manifest } = present.value;
+    if (manifest.state !== JobState.open) return moveToEnded(this.store, manifest);
+    const ended = { ...manifest, state: JobState.complete, endedAtUnixMs: this.clock.nowUnixMs() };
+    const written = await this.store.write<JobManifest>(present.value.key, present.value, ended);
+    if (!written.ok) return;
+    this.metrics.count('jobs_completed');
+    await moveToEnded(this.store, ended);
   }
 
   private memberIds(): string[] {
--- a/packages/entry/src/completion-request.ts
+++ b/packages/entry/src/completion-request.ts
@@ -29,7 +29,11 @@
 }
 
 /** Checks a body of `/v1/completions` or `/v1/chat/completions`. */
-export function checkCompletion(body: unknown, chat: boolean): Outcome<CompletionRequest, Problem> {
+export function checkCompletion(
+  body: unknown,
+  chat: boolean,
+  modelMaxTokens: (model: string) => number | undefined,
+): Outcome<CompletionRequest, Problem> {
   const parsed = chat ? chatSchema.safeParse(body) : completionSchema.safeParse(body);
   if (!parsed.success) {
     const issue = parsed.error.issues[0];
@@ -40,7 +44,8 @@
   return ok({
     model: data.model,
     prompt,
-    maxTokens: data.max_tokens ?? DEFAULT_MAX_TOKENS,
+    maxTokens:
+      data.max_tokens ?? Math.min(DEFAULT_MAX_TOKENS, modelMaxTokens(data.model) ?? DEFAULT_MAX_TOKENS),
     stream: data.stream,
     chat,
   });
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -24,6 +24,7 @@
 import { Authenticator } from './http-kit.js';
 import { HttpServer } from './http-server.js';
 import { JobApi } from './job-api.js';
+import { JobCollector } from './job-collector.js';
 import { JobIntake } from './job-intake.js';
 import { JobReader } from './job-reader.js';
 import { OnceRecords } from './once-records.js';
@@ -272,6 +273,16 @@
     });
     await this.lifeCycle.own({ name: 'tick', start: () => tick.start(), stop: () => tick.stop() });
     await this.lifeCycle.own({ name: 'batch', drain: () => parts.batch.drain() });
+    await this.lifeCycle.own(
+      new JobCollector(
+        self.instanceId,
+        parts.store,
+        parts.table,
+        () => parts.membership.owners(),
+        parts.clock,
+        parts.metrics,
+      ),
+    );
     const httpPort = await server.listen(settings.host, settings.httpPort);
     await this.lifeCycle.own({
       name: 'gateway',
--- a/packages/entry/src/gateway.ts
+++ b/packages/entry/src/gateway.ts
@@ -141,7 +141,8 @@
     body: unknown,
     chat: boolean,
   ): Outcome<{ completion: CompletionRequest; options: RequestOptions }, Problem> {
-    const completion = checkCompletion(body, chat);
+    const maxTokensOf = (name: string): number | undefined => this.table.view.model(name)?.maxTokens;
+    const completion = checkCompletion(body, chat, maxTokensOf);
     if (!completion.ok) return completion;
     const model = this.table.view.model(completion.value.model);
     if (!model) return fail(notRun('unknown_model', `there is no model ${completion.value.model}`));
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -4,7 +4,7 @@
 
 import type { Clock, JobChunk, JobItem, JobManifest, Metrics, Outcome, Problem } from '@fighub/core';
 import { JobState, digest, fail, jobKeys, mayHaveRun, newId, notRun, ok } from '@fighub/core';
-import type { RecordStore } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/platform';
 import { StoreErrorKind } from '@fighub/platform';
 import { z } from 'zod';
 
@@ -37,6 +37,13 @@
   readonly createdAtUnixMs: number;
 }
 
+/** An upload that has begun. */
+export interface UploadRecord {
+  readonly jobId: string;
+  readonly uploadId: string;
+  readonly startedAtUnixMs: number;
+}
+
 const DEFAULT_MAX_TOKENS = 128;
 const message = z.looseObject({ role: z.string(), content: z.string() });
 const bodySchema = z.looseObject({
@@ -65,6 +72,8 @@
     const present = await this.store.read<JobManifest>(jobKeys.manifest(jobId));
     if (!present.ok) return fail(notAccepted(present.error.detail));
     const upload = new JobUpload(jobId, offer, this.limits, this.store, present.value === undefined);
+    const begun = await upload.begin(this.clock.nowUnixMs());
+    if (!begun.ok) return begun;
     const outcome = await upload.readAll(body);
     if (!outcome.ok) {
       await upload.discard();
@@ -99,7 +108,7 @@
       return indexed;
     }
     const written = await this.store.write(jobKeys.manifest(jobId), undefined, manifest);
-    if (written.ok) return this.acknowledge(manifest);
+    if (written.ok) return this.acknowledgeIfKept(written.value, upload);
     if (written.error.present) {
       const present = written.error.present.value;
       if (present.uploadId !== upload.uploadId) await upload.discard();
@@ -112,6 +121,23 @@
     return fail(notAccepted(written.error.detail));
   }
 
+  /**
+   * A collector takes the record of an upload away before it deletes chunks, and reads the manifest in
+   * between. So a record that is still there after the manifest was written means that the chunks stay.
+   */
+  private async acknowledgeIfKept(
+    written: Versioned<JobManifest>,
+    upload: JobUpload,
+  ): Promise<Outcome<JobManifest, Problem>> {
+    const record = await this.store.read<UploadRecord>(jobKeys.upload(written.value.jobId, upload.uploadId));
+    if (!record.ok) {
+      return fail(mayHaveRun('outcome_unknown', 'the job may be accepted; send it again with the same key'));
+    }
+    if (record.value) return this.acknowledge(written.value);
+    await this.store.remove(written);
+    return fail(notAccepted('the upload took too long'));
+  }
+
   /** The index entry is checked once more after the manifest, in case a collector took it away. */
   private async acknowledge(manifest: JobManifest): Promise<Outcome<JobManifest, Problem>> {
     const indexed = await this.ensureIndexed(manifest);
@@ -167,6 +193,14 @@
     private readonly keep: boolean,
   ) {}
 
+  /** Writes the record by which a collector finds the chunks if the upload dies. */
+  async begin(startedAtUnixMs: number): Promise<Outcome<void, Problem>> {
+    if (!this.keep) return ok(undefined);
+    const record: UploadRecord = { jobId: this.jobId, uploadId: this.uploadId, startedAtUnixMs };
+    const written = await this.store.write(jobKeys.upload(this.jobId, this.uploadId), undefined, record);
+    return written.ok ? ok(undefined) : fail(notAccepted(written.error.detail));
+  }
+
   async readAll(body: NodeJS.ReadableStream): Promise<Outcome<UploadSummary, Problem>> {
     const lines = createInterface({ input: body, crlfDelay: Infinity });
     let lineNumber = 0;
@@ -233,7 +267,7 @@
     const prompt = body.prompt ?? (body.messages ? promptOf(body.messages) : undefined);
     if (prompt === undefined)
       return fail(notRun('bad_item', `line ${String(lineNumber)}: prompt or messages is missing`));
-    const maxTokens = body.max_tokens ?? DEFAULT_MAX_TOKENS;
+    const maxTokens = body.max_tokens ?? Math.min(DEFAULT_MAX_TOKENS, this.offer.maxTokens);
     if (maxTokens > this.offer.maxTokens) {
       return fail(
         notRun('bad_item', `line ${String(lineNumber)}: max_tokens is over ${String(this.offer.maxTokens)}`),
--- a/packages/entry/src/job-reader.ts
+++ b/packages/entry/src/job-reader.ts
@@ -4,6 +4,7 @@
 import type { RecordStore, Versioned } from '@fighub/platform';
 import { StoreErrorKind } from '@fighub/platform';
 
+import { moveToEnded } from './job-index.js';
 import type { OpenJob } from './job-intake.js';
 
 /** State of a job as shown to callers. */
@@ -114,7 +115,8 @@
     this.tellPeers(jobId);
     const present = await this.store.read<JobManifest>(jobKeys.manifest(jobId));
     if (!present.ok) return fail(mayHaveRun('outcome_unknown', 'the job may be cancelled; cancel it again'));
-    if (!present.value || present.value.value.state === JobState.cancelled) return this.dropIndex(jobId);
+    if (!present.value) return fail(notRun('unknown_job', `there is no job ${jobId}`));
+    if (present.value.value.state === JobState.cancelled) return this.closeIndex(present.value.value);
     if (present.value.value.state === JobState.complete)
       return fail(notRun('conflict', 'the job is complete'));
     const cancelled = {
@@ -123,15 +125,14 @@
       endedAtUnixMs: this.clock.nowUnixMs(),
     };
     const written = await this.store.write<JobManifest>(jobKeys.manifest(jobId), present.value, cancelled);
-    if (written.ok) return this.dropIndex(jobId);
+    if (written.ok) return this.closeIndex(cancelled);
     if (written.error.kind === StoreErrorKind.conflict && triesLeft > 1)
       return this.markCancelled(jobId, triesLeft - 1);
     return fail(mayHaveRun('outcome_unknown', 'the job may be cancelled; cancel it again'));
   }
 
-  private async dropIndex(jobId: string): Promise<Outcome<void, Problem>> {
-    const entry = await this.store.read<OpenJob>(jobKeys.open(jobId));
-    if (entry.ok && entry.value) await this.store.remove(entry.value);
+  private async closeIndex(manifest: JobManifest): Promise<Outcome<void, Problem>> {
+    await moveToEnded(this.store, manifest);
     return ok(undefined);
   }
 
