Keep an unknown path from ending the process; add the operators' page and keys of organisations

Cause: the page was tried in a browser and the entry stopped: for a path or method that no route has, the HTTP library answered after our handler had answered, and the error of the second answer was taken for a fault. Any caller could stop an instance with GET /favicon.ico. Change: the library sends its own errors once, in our problem document.

--- a/packages/client/src/api-client.ts
+++ b/packages/client/src/api-client.ts
@@ -63,6 +63,13 @@
   readonly nextCursor?: string;
 }
 
+/** A key that was made. */
+export interface NewKey {
+  readonly organisation: string;
+  readonly key: string;
+  readonly keyHash: string;
+}
+
 interface StreamEventBody {
   readonly id: string;
   readonly choices: readonly { readonly text?: string; readonly finish_reason?: string | null }[];
@@ -210,6 +217,25 @@
     return this.call('get', `/admin/v1/table/revision?key=${encodeURIComponent(key)}&wait=${String(waitMs)}`);
   }
 
+  /** Creates an organisation; its key is shown only here. */
+  createOrganisation(name: string, role: string): Promise<Outcome<NewKey, ApiError>> {
+    const body = JSON.stringify({ role });
+    return this.call('put', `/admin/v1/organisations/${name}`, { 'content-type': 'application/json' }, body);
+  }
+
+  /** Adds a key to an organisation; the others stay valid. */
+  addKey(name: string): Promise<Outcome<NewKey, ApiError>> {
+    return this.call('post', `/admin/v1/organisations/${name}/keys`);
+  }
+
+  removeKey(name: string, hash: string): Promise<Outcome<unknown, ApiError>> {
+    return this.call('delete', `/admin/v1/organisations/${name}/keys/${hash}`);
+  }
+
+  retireOrganisation(name: string): Promise<Outcome<unknown, ApiError>> {
+    return this.call('delete', `/admin/v1/organisations/${name}`);
+  }
+
   dump(): Promise<Outcome<Record<string, unknown>, ApiError>> {
     return this.call('get', '/admin/v1/dump');
   }
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -28,6 +28,7 @@
 import { JobIntake } from './job-intake.js';
 import { JobReader } from './job-reader.js';
 import { OnceRecords } from './once-records.js';
+import { OrganisationApi } from './organisation-api.js';
 import { PermitClient } from './permit-client.js';
 import { PoolHost } from './pool-host.js';
 import type { EntrySettings } from './settings.js';
@@ -297,6 +298,7 @@
       gateway: parts.gateway,
       jobs: new JobApi(parts.intake, parts.reader, parts.store, parts.table, parts.clock),
       table: new TableApi(parts.table, parts.spread, parts.metrics),
+      organisations: new OrganisationApi(parts.table),
       auth: new Authenticator(parts.table, this.settings.bootstrapAdminKey),
       metrics: parts.metrics,
       dump: () => dumpOf(parts, self),
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -1,21 +1,24 @@
 /** Routes of the callers' and the operators' HTTP interface. */
 import type { AddressInfo } from 'node:net';
 
-import type { Metrics, Role } from '@fighub/core';
-import { notRun } from '@fighub/core';
+import type { Metrics, Problem, Role } from '@fighub/core';
+import { notRun, problemDocument } from '@fighub/core';
 import restify from 'restify';
 
 import type { TableApi } from './admin-api.js';
+import { ADMIN_PAGE } from './admin-page.js';
 import type { Gateway } from './gateway.js';
 import type { Authenticator, Request, Response, RouteHandler } from './http-kit.js';
 import { sendJson, sendProblem } from './http-kit.js';
 import type { JobApi } from './job-api.js';
+import type { OrganisationApi } from './organisation-api.js';
 
 /** Parts that the routes lead to. */
 export interface HttpParts {
   readonly gateway: Gateway;
   readonly jobs: JobApi;
   readonly table: TableApi;
+  readonly organisations: OrganisationApi;
   readonly auth: Authenticator;
   readonly metrics: Metrics;
   readonly dump: () => Record<string, unknown>;
@@ -28,18 +31,36 @@
 const ADMINISTRATORS: readonly Role[] = ['administrator'];
 const KEEP_ALIVE_MS = 30_000;
 
+const PROBLEM_TYPE = 'application/problem+json';
+
+/** An error that the library raises before any route runs. */
+interface LibraryError extends Error {
+  readonly statusCode: number;
+  problem?: Problem;
+}
+
+const LIBRARY_PROBLEMS: Readonly<Record<number, Problem>> = {
+  404: notRun('not_found', 'there is no such path'),
+  405: notRun('method_not_allowed', 'the path does not have this method'),
+};
+
 /** The HTTP server of an entry instance. */
 export class HttpServer {
-  private readonly server = restify.createServer({ name: 'fighub', handleUncaughtExceptions: false });
+  private readonly server = restify.createServer({
+    name: 'fighub',
+    handleUncaughtExceptions: false,
+    formatters: {
+      [PROBLEM_TYPE]: (_req: Request, _res: Response, body: LibraryError) =>
+        JSON.stringify(problemDocument(body.problem ?? notRun('bad_request', body.message))),
+    },
+  });
 
   constructor(private readonly parts: HttpParts) {
     this.server.server.keepAliveTimeout = KEEP_ALIVE_MS;
-    this.server.on('NotFound', (_req: Request, res: Response, _error: unknown, done: () => void) => {
-      sendProblem(res, notRun('not_found', 'there is no such path'));
-      done();
-    });
-    this.server.on('MethodNotAllowed', (_req: Request, res: Response, _error: unknown, done: () => void) => {
-      sendProblem(res, notRun('method_not_allowed', 'the path does not have this method'));
+    // Errors of the library itself get our document in place of its own.
+    this.server.on('restifyError', (_req: Request, res: Response, error: LibraryError, done: () => void) => {
+      error.problem = LIBRARY_PROBLEMS[error.statusCode] ?? notRun('bad_request', error.message);
+      if (!res.headersSent) res.setHeader('Content-Type', PROBLEM_TYPE);
       done();
     });
     this.addRoutes();
@@ -65,6 +86,12 @@
       sendJson(res, 200, { status: 'ok' });
       next();
     });
+    this.server.get('/admin', (_req: Request, res: Response, next: () => void) => {
+      res.writeHead(200, { 'Content-Type': 'text/html; charset=utf-8' });
+      res.end(ADMIN_PAGE);
+      next();
+    });
+    this.addOrganisationRoutes();
     this.post('/v1/completions', CALLERS, (req, res, caller) => gateway.complete(req, res, caller, false));
     this.post('/v1/chat/completions', CALLERS, (req, res, caller) =>
       gateway.complete(req, res, caller, true),
@@ -110,6 +137,29 @@
     );
   }
 
+  private addOrganisationRoutes(): void {
+    const { organisations } = this.parts;
+    const name = (req: Request): string => param(req, 'name');
+    const path = '/admin/v1/organisations/:name';
+    this.server.put(
+      path,
+      this.route(ADMINISTRATORS, (req, res, caller) => organisations.create(req, res, caller, name(req))),
+    );
+    this.server.del(
+      path,
+      this.route(ADMINISTRATORS, (req, res, caller) => organisations.retire(res, caller, name(req))),
+    );
+    this.post(`${path}/keys`, ADMINISTRATORS, (req, res, caller) =>
+      organisations.addKey(res, caller, name(req)),
+    );
+    this.server.del(
+      `${path}/keys/:hash`,
+      this.route(ADMINISTRATORS, (req, res, caller) =>
+        organisations.removeKey(res, caller, name(req), param(req, 'hash')),
+      ),
+    );
+  }
+
   /** Organisations, their keys and roles are the administrator's. */
   private guardRow(req: Request, res: Response, role: Role, change: () => Promise<void>): Promise<void> {
     if (param(req, '*').startsWith('organisation/') && !ADMINISTRATORS.includes(role)) {
--- /dev/null
+++ b/packages/entry/src/organisation-api.ts
@@ -0,0 +1,94 @@
+/** Administration of organisations and their keys. */
+import { randomBytes } from 'node:crypto';
+
+import type { OrganisationRow, Outcome, Problem, StoredRow } from '@fighub/core';
+import { Role, fail, notRun, ok, organisationSchema } from '@fighub/core';
+import { z } from 'zod';
+
+import type { Caller, Request, Response } from './http-kit.js';
+import { keyHash, readJson, sendJson, sendProblem } from './http-kit.js';
+import type { TableStore } from './table-store.js';
+import { liveRevision } from './table-store.js';
+
+const KEY_BYTES = 24;
+const MAX_BODY_BYTES = 10_000;
+const MAX_EDIT_TRIES = 4;
+const createSchema = z.strictObject({ role: z.enum(Role).default(Role.caller) });
+
+/** Handles `/admin/v1/organisations`. Keys are shown once and stored hashed. */
+export class OrganisationApi {
+  constructor(private readonly table: TableStore) {}
+
+  /** Creates an organisation with its first key. */
+  async create(req: Request, res: Response, caller: Caller, name: string): Promise<void> {
+    const body = await readJson(req, MAX_BODY_BYTES);
+    if (!body.ok) return sendProblem(res, body.error);
+    const parsed = createSchema.safeParse(body.value);
+    if (!parsed.success) return sendProblem(res, notRun('bad_request', 'the body may have the field role'));
+    const key = newKey();
+    const value = { keyHashes: [keyHash(key)], role: parsed.data.role };
+    const edit = { key: rowKey(name), value, expectedRevision: 0, changedBy: caller.organisation };
+    const edited = await this.table.edit(edit);
+    if (edited.ok) sendJson(res, 201, { organisation: name, key, keyHash: keyHash(key) });
+    else sendProblem(res, edited.error);
+  }
+
+  /** Adds a key. The old ones stay valid until they are removed, so that rotation leaves no gap. */
+  async addKey(res: Response, caller: Caller, name: string): Promise<void> {
+    const key = newKey();
+    const added = await this.change(name, caller, (row) => ({
+      ...row,
+      keyHashes: [...row.keyHashes, keyHash(key)],
+    }));
+    if (added.ok) sendJson(res, 201, { organisation: name, key, keyHash: keyHash(key) });
+    else sendProblem(res, added.error);
+  }
+
+  /** Removes a key by its hash. */
+  async removeKey(res: Response, caller: Caller, name: string, hash: string): Promise<void> {
+    const removed = await this.change(name, caller, (row) => ({
+      ...row,
+      keyHashes: row.keyHashes.filter((candidate) => candidate !== hash),
+    }));
+    if (removed.ok) sendJson(res, 200, { organisation: name, removed: hash });
+    else sendProblem(res, removed.error);
+  }
+
+  /** Retires an organisation: its keys are no longer accepted, its jobs and results stay. */
+  async retire(res: Response, caller: Caller, name: string): Promise<void> {
+    const retired = await this.change(name, caller, (row) => ({ ...row, retired: true }));
+    if (retired.ok) sendJson(res, 200, { organisation: name, retired: true });
+    else sendProblem(res, retired.error);
+  }
+
+  private async change(
+    name: string,
+    caller: Caller,
+    change: (row: OrganisationRow) => OrganisationRow,
+    triesLeft = MAX_EDIT_TRIES,
+  ): Promise<Outcome<StoredRow, Problem>> {
+    const row = this.table.row(rowKey(name));
+    if (!row || row.deleted) return fail(notRun('unknown_row', `there is no organisation ${name}`));
+    const value = change(organisationSchema.parse(row.value));
+    const edit = {
+      key: rowKey(name),
+      value,
+      expectedRevision: liveRevision(row),
+      changedBy: caller.organisation,
+    };
+    const edited = await this.table.edit(edit);
+    if (edited.ok) return ok(edited.value);
+    // A lost race has brought the present row: the change is made again on top of it.
+    if (edited.error.code === 'row_changed' && triesLeft > 1)
+      return this.change(name, caller, change, triesLeft - 1);
+    return edited;
+  }
+}
+
+function rowKey(name: string): string {
+  return `organisation/${name}`;
+}
+
+function newKey(): string {
+  return `fh-${randomBytes(KEY_BYTES).toString('base64url')}`;
+}
--- a/packages/lab/src/fleet.test.ts
+++ b/packages/lab/src/fleet.test.ts
@@ -1,5 +1,9 @@
+import { connect } from 'node:net';
+
+import { ApiClient } from '@fighub/client';
 import type { Outcome } from '@fighub/core';
 import { tokenText } from '@fighub/standins';
+import fc from 'fast-check';
 import got from 'got';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
@@ -30,6 +34,18 @@
   return Array.from({ length: tokens }, (_, index) => tokenText(prompt, index)).join('');
 }
 
+/** Sends bytes as they are and returns what comes back; the sending side is closed at once. */
+function rawRequest(text: string): Promise<string> {
+  const { hostname, port } = new URL(fleet.entry(0).address);
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    const socket = connect(Number(port), hostname, () => socket.end(text));
+    socket.on('data', (part) => parts.push(part));
+    socket.on('error', () => resolve(''));
+    socket.on('close', () => resolve(Buffer.concat(parts).toString('utf8')));
+  });
+}
+
 describe('a fleet of real processes', () => {
   it('streams whole answers through every instance', async () => {
     const answers = await Promise.all(
@@ -141,6 +157,40 @@
     expect(valueOf(await first.inForce('share/obloha/race', 10_000)).inForce).toBe(true);
   });
 
+  it('rotates the key of an organisation without a gap and retires it', async () => {
+    const admin = fleet.admin(fleet.entry(0));
+    const first = valueOf(await admin.createOrganisation('okresy', 'caller'));
+    const asks = (key: string) =>
+      new ApiClient(fleet.entry(0).address, key).complete({
+        model: 'alert-modely',
+        prompt: 'p',
+        maxTokens: 1,
+      });
+    const second = valueOf(await admin.addKey('okresy'));
+    expect([(await asks(first.key)).ok, (await asks(second.key)).ok]).toEqual([true, true]);
+    valueOf(await admin.removeKey('okresy', first.keyHash));
+    expect([(await asks(first.key)).ok, (await asks(second.key)).ok]).toEqual([false, true]);
+    valueOf(await admin.retireOrganisation('okresy'));
+    expect(await asks(second.key)).toMatchObject({ ok: false, error: { status: 401 } });
+  });
+
+  it('keeps callers from the operators’ routes and operators from organisations', async () => {
+    const caller = fleet.caller(fleet.entry(0), 'obloha');
+    expect(await caller.table()).toMatchObject({ ok: false, error: { status: 403 } });
+    expect(await caller.dump()).toMatchObject({ ok: false, error: { status: 403 } });
+    const { key } = valueOf(await fleet.admin(fleet.entry(0)).createOrganisation('dispecing', 'operator'));
+    const operator = new ApiClient(fleet.entry(0).address, key);
+    expect((await operator.putRow('share/obloha/ops', { weight: 2 })).ok).toBe(true);
+    expect(await operator.putRow('organisation/mine', { keyHashes: [] })).toMatchObject({
+      ok: false,
+      error: { status: 403 },
+    });
+    expect(await operator.createOrganisation('mine', 'administrator')).toMatchObject({
+      ok: false,
+      error: { status: 403 },
+    });
+  });
+
   it.each<[string, BadRequest, number, string]>([
     ['broken JSON', { body: '{"model":' }, 400, 'bad_json'],
     ['an unknown model', { json: { model: 'none', prompt: 'p' } }, 404, 'unknown_model'],
@@ -165,6 +215,42 @@
     expect(JSON.parse(answer.body)).toMatchObject({ code, run: 'not_run', status });
   });
 
+  it.each<[string, string, number, string]>([
+    ['GET', '/favicon.ico', 404, 'not_found'],
+    ['POST', '/healthz', 405, 'method_not_allowed'],
+    ['GET', '/v1/jobs/%ZZ', 404, 'not_found'],
+  ])('answers %s %s with %i', async (method, path, status, code) => {
+    const answer = await rawRequest(`${method} ${path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n`);
+    expect(answer).toContain(`HTTP/1.1 ${String(status)}`);
+    expect(answer).toContain(`"code":"${code}"`);
+    expect(answer).toContain('"run":"not_run"');
+  });
+
+  it('survives arbitrary requests', async () => {
+    const method = fc.constantFrom('GET', 'POST', 'PUT', 'DELETE', 'PATCH', 'BREW');
+    const path = fc.oneof(
+      fc.constantFrom(
+        '/v1/completions',
+        '/v1/jobs',
+        '/v1/jobs?model=alert-modely',
+        '/admin/v1/table/rows/model/a',
+      ),
+      fc.webPath(),
+      fc.string(),
+    );
+    const body = fc.oneof(fc.string(), fc.json());
+    await fc.assert(
+      fc.asyncProperty(method, path, body, fc.boolean(), async (verb, target, text, isTrue) => {
+        const length = isTrue ? Buffer.byteLength(text) : text.length + 3;
+        const head = `${verb} ${target} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-obloha\r\n`;
+        await rawRequest(`${head}Connection: close\r\nContent-Length: ${String(length)}\r\n\r\n${text}`);
+      }),
+      { seed: 13, numRuns: 150 },
+    );
+    expect(fleet.brokenInvariants()).toEqual([]);
+    expect(fleet.entries.every((entry) => entry.process.running)).toBe(true);
+  });
+
   it('takes no one into the fleet who does not know its secret', async () => {
     const { PeerNode } = await import('@fighub/peers');
     const { Metrics } = await import('@fighub/core');
