Issue orders to engines one at a time a replica; measure ways to commit and memory of intake

Cause: orders were missing, and group commit was chosen without a measurement. Change: an order is recorded as issued with the next fencing number before it is sent. A replica that does not check the number gets no further order until its own report settles the last one. The weight store's rate is held for the fleet by a record, and the last usable replica of a pool is never taken.

--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -9,6 +9,7 @@
 import {
   EtcdKeyValueService,
   HttpEngine,
+  HttpEngineOrders,
   HttpInstanceList,
   HttpPlainService,
   RecordStore,
@@ -28,6 +29,8 @@
 import { JobIntake } from './job-intake.js';
 import { JobReader } from './job-reader.js';
 import { OnceRecords } from './once-records.js';
+import { OrderApi } from './order-api.js';
+import { OrderDesk } from './order-desk.js';
 import { OrganisationApi } from './organisation-api.js';
 import { PermitClient } from './permit-client.js';
 import { PoolHost } from './pool-host.js';
@@ -299,6 +302,7 @@
       jobs: new JobApi(parts.intake, parts.reader, parts.store, parts.table, parts.clock),
       table: new TableApi(parts.table, parts.spread, parts.metrics),
       organisations: new OrganisationApi(parts.table),
+      orders: new OrderApi(this.buildOrderDesk(parts)),
       auth: new Authenticator(parts.table, this.settings.bootstrapAdminKey),
       metrics: parts.metrics,
       dump: () => dumpOf(parts, self),
@@ -307,6 +311,18 @@
     });
   }
 
+  private buildOrderDesk(parts: Parts): OrderDesk {
+    return new OrderDesk(
+      parts.store,
+      new HttpEngineOrders(this.settings.host),
+      parts.table,
+      parts.upstreams,
+      this.settings.weightStoreLoadsPerMinute,
+      parts.clock,
+      parts.metrics,
+    );
+  }
+
   /** Announces the leave, keeps answering while others learn of it, then waits for open requests. */
   private async drainGateway(parts: Parts, hasten: AbortSignal): Promise<void> {
     const untilMs = performance.now() + this.settings.drainLimitMs;
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/http-server.ts
@@ -11,6 +11,7 @@
 import type { Authenticator, Request, Response, RouteHandler } from './http-kit.js';
 import { sendJson, sendProblem } from './http-kit.js';
 import type { JobApi } from './job-api.js';
+import type { OrderApi } from './order-api.js';
 import type { OrganisationApi } from './organisation-api.js';
 
 /** Parts that the routes lead to. */
@@ -19,6 +20,7 @@
   readonly jobs: JobApi;
   readonly table: TableApi;
   readonly organisations: OrganisationApi;
+  readonly orders: OrderApi;
   readonly auth: Authenticator;
   readonly metrics: Metrics;
   readonly dump: () => Record<string, unknown>;
@@ -92,6 +94,13 @@
       next();
     });
     this.addOrganisationRoutes();
+    const upstream = (req: Request): string => param(req, 'upstream');
+    this.post('/admin/v1/upstreams/:upstream/orders', OPERATORS, (req, res, caller) =>
+      this.parts.orders.issue(req, res, caller, upstream(req)),
+    );
+    this.get('/admin/v1/upstreams/:upstream/orders', OPERATORS, (req, res) =>
+      this.parts.orders.last(res, upstream(req)),
+    );
     this.post('/v1/completions', CALLERS, (req, res, caller) => gateway.complete(req, res, caller, false));
     this.post('/v1/chat/completions', CALLERS, (req, res, caller) =>
       gateway.complete(req, res, caller, true),
--- /dev/null
+++ b/packages/entry/src/order-api.ts
@@ -0,0 +1,43 @@
+/** The operators' API for orders to engines. */
+import { notRun } from '@fighub/core';
+import { OrderKind } from '@fighub/platform';
+import { z } from 'zod';
+
+import type { Caller, Request, Response } from './http-kit.js';
+import { readJson, sendJson, sendProblem } from './http-kit.js';
+import type { OrderDesk } from './order-desk.js';
+
+const MAX_BODY_BYTES = 10_000;
+const orderSchema = z.strictObject({ kind: z.enum(OrderKind), argument: z.string().min(1).max(200) });
+
+/** Handles `/admin/v1/upstreams/<name>/orders`. */
+export class OrderApi {
+  constructor(private readonly desk: OrderDesk) {}
+
+  async issue(req: Request, res: Response, caller: Caller, upstreamId: string): Promise<void> {
+    const body = await readJson(req, MAX_BODY_BYTES);
+    if (!body.ok) return sendProblem(res, body.error);
+    const parsed = orderSchema.safeParse(body.value);
+    if (!parsed.success) {
+      return sendProblem(
+        res,
+        notRun('bad_request', `send kind (${Object.values(OrderKind).join(', ')}) and argument`),
+      );
+    }
+    const issued = await this.desk.issue(
+      upstreamId,
+      parsed.data.kind,
+      parsed.data.argument,
+      caller.organisation,
+    );
+    if (issued.ok) sendJson(res, 200, issued.value);
+    else sendProblem(res, issued.error);
+  }
+
+  async last(res: Response, upstreamId: string): Promise<void> {
+    const last = await this.desk.last(upstreamId);
+    if (!last.ok) sendProblem(res, last.error);
+    else if (!last.value) sendProblem(res, notRun('unknown_row', `${upstreamId} has had no order`));
+    else sendJson(res, 200, last.value);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/order-desk.test.ts
@@ -0,0 +1,84 @@
+import { ManualClock, Metrics } from '@fighub/core';
+import type { EngineOrder, EngineOrders } from '@fighub/platform';
+import { MemoryKeyValueService, OrderEnd, RecordStore } from '@fighub/platform';
+import { describe, expect, it } from 'vitest';
+
+import { OrderDesk } from './order-desk.js';
+import { TableStore } from './table-store.js';
+import { UpstreamStates } from './upstream-states.js';
+
+class FakeOrders implements EngineOrders {
+  readonly sent: EngineOrder[] = [];
+  end: OrderEnd = OrderEnd.done;
+  carriedOut = 0;
+
+  send(_address: string, order: EngineOrder): Promise<{ end: OrderEnd; detail: string }> {
+    this.sent.push(order);
+    if (this.end === OrderEnd.done) this.carriedOut = order.sequence;
+    return Promise.resolve({ end: this.end, detail: '' });
+  }
+
+  lastSequence(): Promise<number | undefined> {
+    return Promise.resolve(this.carriedOut);
+  }
+}
+
+async function setup(fencingChecked: boolean, replicas = 2) {
+  const clock = new ManualClock();
+  const options = { readsPerSecond: 10_000, writesPerSecond: 10_000, deadlineMs: 100 };
+  const store = new RecordStore(new MemoryKeyValueService(), options, clock, new Metrics());
+  const table = new TableStore(store, new Metrics(), () => 0);
+  for (let index = 0; index < replicas; index += 1) {
+    const value = { serves: 'm', address: `http://r${String(index)}`, failureDomain: 'd', fencingChecked };
+    await table.edit({ key: `upstream/r${String(index)}`, value, changedBy: '' });
+  }
+  const orders = new FakeOrders();
+  const desk = new OrderDesk(store, orders, table, new UpstreamStates(clock), 60, clock, new Metrics());
+  const issue = async () => {
+    clock.advance(2_000);
+    return desk.issue('r0', 'load_model', 'v2', 'ops');
+  };
+  return { clock, orders, desk, issue };
+}
+
+describe('OrderDesk', () => {
+  it('numbers the orders of a replica upwards', async () => {
+    const { orders, issue } = await setup(false);
+    await issue();
+    await issue();
+    expect(orders.sent.map((order) => order.sequence)).toEqual([1, 2]);
+  });
+
+  it('sends nothing more to an unchecked replica while an order may still arrive', async () => {
+    const { orders, issue } = await setup(false);
+    orders.end = OrderEnd.unknown;
+    expect(await issue()).toMatchObject({ ok: false, error: { run: 'may_have_run' } });
+    orders.end = OrderEnd.done;
+    expect(await issue()).toMatchObject({ ok: false, error: { code: 'in_progress', run: 'not_run' } });
+    expect(orders.sent).toHaveLength(1);
+    orders.carriedOut = 1;
+    expect((await issue()).ok).toBe(true);
+  });
+
+  it('fences a lost order at a replica that checks the number', async () => {
+    const { orders, issue } = await setup(true);
+    orders.end = OrderEnd.unknown;
+    await issue();
+    orders.end = OrderEnd.done;
+    expect((await issue()).ok).toBe(true);
+    expect(orders.sent.map((order) => order.sequence)).toEqual([1, 2]);
+  });
+
+  it('never takes the last replica of a pool', async () => {
+    const { orders, issue } = await setup(false, 1);
+    expect(await issue()).toMatchObject({ ok: false, error: { code: 'conflict' } });
+    expect(orders.sent).toEqual([]);
+  });
+
+  it('holds the rate of the weight store for the fleet', async () => {
+    const { desk, issue } = await setup(false);
+    await issue();
+    const second = await desk.issue('r1', 'load_model', 'v2', 'ops');
+    expect(second).toMatchObject({ ok: false, error: { code: 'limit_reached' } });
+  });
+});
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -73,6 +73,8 @@
       maxHeldChunks: z.number().int().positive().default(4),
     })
     .prefault({}),
+  /** Loads from the weight store that the whole fleet may begin in a minute. */
+  weightStoreLoadsPerMinute: z.number().positive().default(6),
   statsd: z.strictObject({ host: z.string(), port, prefix: z.string().default('fighub.') }).optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
   /** How long a graceful shutdown waits for streams. */
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -2,10 +2,12 @@
 import type { Experiment } from '../experiment.js';
 import { batch } from './batch.js';
 import { cancel } from './cancel.js';
+import { commit } from './commit.js';
 import { crash } from './crash.js';
 import { drain } from './drain.js';
 import { giveway } from './giveway.js';
 import { harm } from './harm.js';
+import { intake } from './intake.js';
 import { leaving } from './leaving.js';
 import { members } from './members.js';
 import { once } from './once.js';
@@ -32,6 +34,8 @@
   poison,
   cancel,
   giveway,
+  commit,
+  intake,
   table,
   members,
   rolling,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,6 +2,7 @@
 export * from './call-budget.js';
 export * from './call-guard.js';
 export * from './engine.js';
+export * from './engine-orders.js';
 export * from './etcd-key-value.js';
 export * from './etcd-wire.js';
 export * from './http-engine.js';
--- a/packages/standins/src/engine-standin.ts
+++ b/packages/standins/src/engine-standin.ts
@@ -24,6 +24,8 @@
   /** Age of load reports, in milliseconds. */
   readonly reportLagMs: number;
   readonly checksFencing: boolean;
+  /** Time that an order takes. */
+  readonly orderMs: number;
   /** File that gets a line for each request that was received, so that it outlives the process. */
   readonly journalFile?: string;
 }
@@ -54,8 +56,13 @@
   cachedPrefixes: 64,
   reportLagMs: 500,
   checksFencing: false,
+  orderMs: 500,
 };
 
+interface OrderBody {
+  readonly sequence: number;
+}
+
 interface CompletionBody {
   readonly model?: string;
   readonly prompt?: string;
@@ -133,6 +140,7 @@
     doubleProbability: 0,
     crossProbability: 0,
   };
+  private lastSequence = 0;
   private report: EngineLoad;
 
   constructor(private readonly options: EngineStandinOptions) {
@@ -148,6 +156,9 @@
     const path = (req.url ?? '').split('?')[0];
     if (path === '/v1/completions') this.complete(await readJsonBody<CompletionBody>(req), res);
     else if (path === '/load') sendJsonBody(res, 200, this.report);
+    else if (path === '/orders' && req.method === 'POST')
+      await this.order(await readJsonBody<OrderBody>(req), res);
+    else if (path === '/orders') sendJsonBody(res, 200, { lastSequence: this.lastSequence });
     else if (path === '/journal') sendJsonBody(res, 200, this.journal);
     else if (path === '/faults') {
       Object.assign(this.faults, await readJsonBody<Partial<EngineFaults>>(req));
@@ -155,6 +166,19 @@
     } else sendJsonBody(res, 404, { code: 'not_found' });
   }
 
+  /** Carries out an order: no new work is taken meanwhile. */
+  private async order(body: OrderBody, res: ServerResponse): Promise<void> {
+    if (this.options.checksFencing && body.sequence <= this.lastSequence) {
+      sendJsonBody(res, 409, { code: 'fenced', run: 'not_run', detail: 'a newer order was carried out' });
+      return;
+    }
+    this.faults.leaving = true;
+    await new Promise((resolve) => setTimeout(resolve, this.options.orderMs));
+    this.faults.leaving = false;
+    this.lastSequence = body.sequence;
+    sendJsonBody(res, 200, { lastSequence: this.lastSequence });
+  }
+
   private complete(body: CompletionBody, res: ServerResponse): void {
     const prompt = body.prompt ?? '';
     const refusal = this.refusalOf(body, prompt);
