--- a/packages/lab/src/bin/lab.ts
+++ b/packages/lab/src/bin/lab.ts
@@ -51,7 +51,7 @@
 function chooseRun(): Run | undefined {
   if (verb === 'soak') {
     const lengthMs = cli.flags.minutes * 60_000;
-    return { experiment: 'soak', bounds: SOAK_BOUNDS, start: () => new Soak(seed, lengthMs, note).run() };
+    return { experiment: 'soak', bounds: SOAK_BOUNDS, start: () => new Soak(seed, { lengthMs }, note).run() };
   }
   const experiment = experiments.find((candidate) => candidate.name === name);
   if (verb !== 'run' || !experiment) return undefined;
--- a/packages/lab/src/soak.ts
+++ b/packages/lab/src/soak.ts
@@ -146,9 +146,16 @@
   readonly atUnixMs: number;
 }
 
+/** When a run's schedule ends: after a time, or after a number of faults. */
+export type SoakLimit = { readonly lengthMs: number } | { readonly faults: number };
+
+/** Length of the online trace of a run that ends by faults. */
+const TRACE_LENGTH_MS = 8_000;
+
 /** One soak run. */
 export class Soak {
   private readonly random: SeededRandom;
+  private readonly lengthMs: number;
   private readonly marks: FaultMark[] = [];
   private readonly jobs: LabJob[] = [];
   private readonly cancelled: CancelledJob[] = [];
@@ -161,10 +168,11 @@
 
   constructor(
     private readonly seed: number,
-    private readonly lengthMs: number,
+    private readonly limit: SoakLimit,
     private readonly note: (line: string) => void,
   ) {
     this.random = new SeededRandom(seed);
+    this.lengthMs = 'lengthMs' in limit ? limit.lengthMs : TRACE_LENGTH_MS;
   }
 
   /** Runs the schedule, lets everything settle and checks. */
@@ -193,6 +201,7 @@
   }
 
   private get running(): boolean {
+    if ('faults' in this.limit) return this.marks.length < this.limit.faults;
     return performance.now() - this.startedMs < this.lengthMs;
   }
 
