--- /dev/null
+++ b/packages/entry/src/entry-container.ts
@@ -0,0 +1,292 @@
+/** Binds the parts of an entry instance. */
+import 'reflect-metadata';
+
+import { Metrics, SystemClock } from '@fighub/core';
+import type { MetricsSink } from '@fighub/core';
+import type { MemberUpdate } from '@fighub/decisions';
+import { MembershipRunner, PeerNode } from '@fighub/peers';
+import {
+  EtcdKeyValueService,
+  HttpEngine,
+  HttpEngineOrders,
+  HttpInstanceList,
+  HttpPlainService,
+  RecordStore,
+} from '@fighub/platform';
+import type { ServiceIdentifier } from 'inversify';
+import { Container } from 'inversify';
+
+import { BatchRunner } from './batch-runner.js';
+import { CompletionRunner } from './completion-runner.js';
+import { DirectDispatch } from './direct-dispatch.js';
+import { Gateway } from './gateway.js';
+import { JobCollector } from './job-collector.js';
+import { JobIntake } from './job-intake.js';
+import { JobReader } from './job-reader.js';
+import { OnceRecords } from './once-records.js';
+import { OrderDesk } from './order-desk.js';
+import { PermitClient } from './permit-client.js';
+import { PoolHost } from './pool-host.js';
+import type { EntrySettings } from './settings.js';
+import { AdmissionStrategy } from './settings.js';
+import { TableSpread } from './table-spread.js';
+import { TableStore } from './table-store.js';
+import type { Crash } from './tokens.js';
+import { Tokens } from './tokens.js';
+import { UpstreamStates } from './upstream-states.js';
+
+/** What is known before any part is built. */
+export interface ContainerInput {
+  readonly settings: EntrySettings;
+  readonly instanceId: string;
+  readonly crash: Crash;
+  readonly sink?: MetricsSink;
+}
+
+/** A container with all parts but `Tokens.self`, which is bound when the peer port is known. */
+export function buildContainer(input: ContainerInput): Container {
+  const container = new Container({ defaultScope: 'Singleton' });
+  container.bind(Tokens.settings).toConstantValue(input.settings);
+  container.bind(Tokens.crash).toConstantValue(input.crash);
+  container.bind(Tokens.clock).toConstantValue(new SystemClock());
+  container.bind(Tokens.metrics).toConstantValue(new Metrics(input.sink));
+  bindPlatform(container);
+  bindPeers(container, input.instanceId);
+  bindTable(container);
+  bindOnline(container);
+  bindBatch(container);
+  return container;
+}
+
+/** Binds `Tokens.self`. */
+export function bindSelf(container: Container, self: MemberUpdate): void {
+  container.bind(Tokens.self).toConstantValue(self);
+}
+
+type Get = <T>(identifier: ServiceIdentifier<T>) => T;
+
+/** Binds a part by the function that builds it once. */
+function part<T>(container: Container, identifier: ServiceIdentifier<T>, build: (get: Get) => T): void {
+  const get: Get = (wanted) => container.get(wanted);
+  container.bind(identifier).toDynamicValue(() => build(get));
+}
+
+function bindPlatform(container: Container): void {
+  part(container, Tokens.keyValueService, (get) => {
+    const { keyValueService, host } = get(Tokens.settings);
+    return new EtcdKeyValueService({ ...keyValueService, localAddress: host });
+  });
+  part(container, Tokens.store, (get) => {
+    const options = get(Tokens.settings).keyValueService;
+    return new RecordStore(get(Tokens.keyValueService), options, get(Tokens.clock), get(Tokens.metrics));
+  });
+  part(container, Tokens.instanceList, (get) => {
+    const { instanceList, host } = get(Tokens.settings);
+    return new HttpInstanceList(instanceList.address, instanceList.timeoutMs, host);
+  });
+  part(container, Tokens.engine, (get) => new HttpEngine(get(Tokens.settings).host));
+  part(container, Tokens.plainService, (get) => new HttpPlainService(get(Tokens.settings).host));
+  part(container, Tokens.upstreams, (get) => new UpstreamStates(get(Tokens.clock)));
+  part(
+    container,
+    Tokens.orders,
+    (get) =>
+      new OrderDesk(
+        get(Tokens.store),
+        new HttpEngineOrders(get(Tokens.settings).host),
+        get(Tokens.table),
+        get(Tokens.upstreams),
+        get(Tokens.settings).weightStoreLoadsPerMinute,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+}
+
+function bindPeers(container: Container, instanceId: string): void {
+  part(container, Tokens.peerNode, (get) => {
+    const { host, peerPort, fleetSecret } = get(Tokens.settings);
+    const options = { instanceId, host, port: peerPort, secret: fleetSecret };
+    return new PeerNode(options, get(Tokens.metrics), get(Tokens.crash));
+  });
+  part(container, Tokens.membership, (get) => {
+    const spread = get(Tokens.spread);
+    const piggyback = {
+      tableDigest: () => ({ revisions: get(Tokens.table).revisions() }),
+      storeDown: () => get(Tokens.store).isDown,
+      onPeerTable: spread.onPeerTable.bind(spread),
+    };
+    const options = get(Tokens.settings).peers;
+    const node = get(Tokens.peerNode);
+    return new MembershipRunner(get(Tokens.self), options, node, piggyback, get(Tokens.metrics), Math.random);
+  });
+}
+
+function bindTable(container: Container): void {
+  part(
+    container,
+    Tokens.table,
+    (get) => new TableStore(get(Tokens.store), get(Tokens.metrics), () => get(Tokens.clock).nowUnixMs()),
+  );
+  part(
+    container,
+    Tokens.spread,
+    (get) =>
+      new TableSpread(
+        get(Tokens.table),
+        get(Tokens.store),
+        get(Tokens.peerNode),
+        () => get(Tokens.membership),
+        get(Tokens.self),
+        get(Tokens.metrics),
+      ),
+  );
+}
+
+function bindOnline(container: Container): void {
+  const isBaseline = (get: Get): boolean =>
+    get(Tokens.settings).online.admission === AdmissionStrategy.laggingLoad;
+  part(
+    container,
+    Tokens.host,
+    (get) =>
+      new PoolHost(
+        get(Tokens.self).instanceId,
+        get(Tokens.table),
+        get(Tokens.upstreams),
+        () => get(Tokens.membership),
+        get(Tokens.peerNode),
+        get(Tokens.engine),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+  part(
+    container,
+    Tokens.direct,
+    (get) =>
+      new DirectDispatch(
+        get(Tokens.self).instanceId,
+        get(Tokens.self).failureDomain,
+        get(Tokens.table),
+        get(Tokens.upstreams),
+        () => get(Tokens.membership),
+        get(Tokens.engine),
+        !isBaseline(get),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+  part(
+    container,
+    Tokens.permits,
+    (get) =>
+      new PermitClient(
+        get(Tokens.self).instanceId,
+        get(Tokens.self).failureDomain,
+        get(Tokens.host),
+        get(Tokens.direct),
+        () => get(Tokens.membership),
+        get(Tokens.peerNode),
+        get(Tokens.settings).peers.acquireTimeoutMs,
+        isBaseline(get),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        Math.random,
+      ),
+  );
+  part(container, Tokens.runner, (get) => {
+    const { headersLimitMs, gapLimitMs, retryFraction } = get(Tokens.settings).online;
+    return new CompletionRunner(
+      get(Tokens.permits),
+      get(Tokens.engine),
+      get(Tokens.upstreams),
+      { headersMs: headersLimitMs, gapMs: gapLimitMs },
+      retryFraction,
+      get(Tokens.clock),
+      get(Tokens.metrics),
+    );
+  });
+  part(
+    container,
+    Tokens.once,
+    (get) =>
+      new OnceRecords(
+        get(Tokens.self).instanceId,
+        get(Tokens.store),
+        get(Tokens.peerNode),
+        () => get(Tokens.membership),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+  part(
+    container,
+    Tokens.gateway,
+    (get) =>
+      new Gateway(
+        get(Tokens.table),
+        get(Tokens.runner),
+        get(Tokens.plainService),
+        get(Tokens.once),
+        get(Tokens.settings).online.maxBodyBytes,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+}
+
+function bindBatch(container: Container): void {
+  part(
+    container,
+    Tokens.intake,
+    (get) =>
+      new JobIntake(get(Tokens.store), get(Tokens.settings).batch, get(Tokens.clock), get(Tokens.metrics)),
+  );
+  part(
+    container,
+    Tokens.reader,
+    (get) => new JobReader(get(Tokens.store), get(Tokens.clock), (jobId) => tellOfCancel(get, jobId)),
+  );
+  part(
+    container,
+    Tokens.batch,
+    (get) =>
+      new BatchRunner(
+        get(Tokens.self).instanceId,
+        get(Tokens.store),
+        get(Tokens.runner),
+        get(Tokens.reader),
+        get(Tokens.permits),
+        get(Tokens.table),
+        () => get(Tokens.membership),
+        get(Tokens.peerNode),
+        get(Tokens.settings).batch,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+  part(
+    container,
+    Tokens.collector,
+    (get) =>
+      new JobCollector(
+        get(Tokens.self).instanceId,
+        get(Tokens.store),
+        get(Tokens.table),
+        () => get(Tokens.membership).owners(),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+}
+
+/** Tells all live instances that a job is cancelled; those that miss it see it in the index. */
+function tellOfCancel(get: Get, jobId: string): void {
+  const { instanceId } = get(Tokens.self);
+  get(Tokens.membership)
+    .owners()
+    .filter((member) => member.instanceId !== instanceId)
+    .forEach((member) => get(Tokens.peerNode).notify(member.peerAddress, 'job.cancelled', { jobId }));
+  get(Tokens.batch).onCancelled(jobId);
+}
--- a/packages/entry/src/tokens.ts
+++ b/packages/entry/src/tokens.ts
@@ -1,19 +1,58 @@
-/** Tokens of the dependency injection container. */
+/** Tokens of the dependency injection container, each with the type that it stands for. */
+import type { Clock, Metrics } from '@fighub/core';
+import type { MemberUpdate } from '@fighub/decisions';
+import type { MembershipRunner, PeerNode } from '@fighub/peers';
+import type { HttpEngine, InstanceList, KeyValueService, PlainService, RecordStore } from '@fighub/platform';
+import type { ServiceIdentifier } from 'inversify';
 
-export const Tokens = {
-  settings: Symbol.for('settings'),
-  clock: Symbol.for('clock'),
-  metrics: Symbol.for('metrics'),
-  logger: Symbol.for('logger'),
-  self: Symbol.for('self'),
-  keyValueService: Symbol.for('keyValueService'),
-  store: Symbol.for('store'),
-  instanceList: Symbol.for('instanceList'),
-  engine: Symbol.for('engine'),
-  plainService: Symbol.for('plainService'),
-  peerNode: Symbol.for('peerNode'),
-  crash: Symbol.for('crash'),
-} as const;
+import type { BatchRunner } from './batch-runner.js';
+import type { CompletionRunner } from './completion-runner.js';
+import type { DirectDispatch } from './direct-dispatch.js';
+import type { Gateway } from './gateway.js';
+import type { JobCollector } from './job-collector.js';
+import type { JobIntake } from './job-intake.js';
+import type { JobReader } from './job-reader.js';
+import type { OnceRecords } from './once-records.js';
+import type { OrderDesk } from './order-desk.js';
+import type { PermitClient } from './permit-client.js';
+import type { PoolHost } from './pool-host.js';
+import type { EntrySettings } from './settings.js';
+import type { TableSpread } from './table-spread.js';
+import type { TableStore } from './table-store.js';
+import type { UpstreamStates } from './upstream-states.js';
 
 /** Stops the process because of an error that must not be survived. */
 export type Crash = (error: unknown) => void;
+
+function token<T>(name: string): ServiceIdentifier<T> {
+  return Symbol.for(`fighub/${name}`) as ServiceIdentifier<T>;
+}
+
+export const Tokens = {
+  settings: token<EntrySettings>('settings'),
+  self: token<MemberUpdate>('self'),
+  crash: token<Crash>('crash'),
+  clock: token<Clock>('clock'),
+  metrics: token<Metrics>('metrics'),
+  keyValueService: token<KeyValueService>('keyValueService'),
+  store: token<RecordStore>('store'),
+  instanceList: token<InstanceList>('instanceList'),
+  engine: token<HttpEngine>('engine'),
+  plainService: token<PlainService>('plainService'),
+  peerNode: token<PeerNode>('peerNode'),
+  membership: token<MembershipRunner>('membership'),
+  upstreams: token<UpstreamStates>('upstreams'),
+  table: token<TableStore>('table'),
+  spread: token<TableSpread>('spread'),
+  host: token<PoolHost>('host'),
+  direct: token<DirectDispatch>('direct'),
+  permits: token<PermitClient>('permits'),
+  runner: token<CompletionRunner>('runner'),
+  once: token<OnceRecords>('once'),
+  gateway: token<Gateway>('gateway'),
+  intake: token<JobIntake>('intake'),
+  reader: token<JobReader>('reader'),
+  batch: token<BatchRunner>('batch'),
+  collector: token<JobCollector>('collector'),
+  orders: token<OrderDesk>('orders'),
+} as const;
