Keep the types of a pool apart from its scheduler

Cause: the scheduler's file had 504 lines, a fifth of them types that four other modules import. Change: pool-types holds them.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './organisation-limits.js';
 export * from './pool-choice.js';
 export * from './pool-scheduler.js';
+export * from './pool-types.js';
 export * from './prefix-index.js';
 export * from './quarantine.js';
 export * from './rendezvous.js';
--- a/packages/decisions/src/organisation-limits.ts
+++ b/packages/decisions/src/organisation-limits.ts
@@ -1,5 +1,5 @@
 /** Limits of organisations in one pool: streams in flight, requests a second, tokens a second. */
-import type { OrganisationLimitSettings, PlaceRequest } from './pool-scheduler.js';
+import type { OrganisationLimitSettings, PlaceRequest } from './pool-types.js';
 import { TokenBucket } from './token-bucket.js';
 
 interface OrganisationUse {
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -1,8 +1,8 @@
 import type { Problem } from '@fighub/core';
 import { describe, expect, it } from 'vitest';
 
-import type { Permit, PlaceRequest, PoolOutput, PoolPolicy } from './pool-scheduler.js';
 import { PERMIT_LIFETIME_MS, PoolScheduler } from './pool-scheduler.js';
+import type { Permit, PlaceRequest, PoolOutput, PoolPolicy } from './pool-types.js';
 
 class Recorder implements PoolOutput {
   readonly permits: Permit[] = [];
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -1,97 +1,27 @@
 /** Admission to one pool: the replicas of one model in one failure domain. */
-import type { Problem } from '@fighub/core';
 import { EntityTable, InvariantName, checkInvariant, notRun } from '@fighub/core';
 
 import { BurstReserve } from './burst-reserve.js';
-import type { LatencyTargets } from './concurrency.js';
 import { ConcurrencyLimit } from './concurrency.js';
-import type { QueuedRequest } from './fair-queue.js';
 import { FairQueue } from './fair-queue.js';
 import { OrganisationLimits } from './organisation-limits.js';
+import type {
+  OrganisationWait,
+  Permit,
+  PlaceRequest,
+  PoolLoad,
+  PoolOutput,
+  PoolPolicy,
+  PoolReplica,
+  ReleaseReport,
+  ReplicaInfo,
+} from './pool-types.js';
+import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
 import { Quarantine } from './quarantine.js';
-import type { AttemptEnd } from './replica-health.js';
 import { ReplicaHealth } from './replica-health.js';
 import { pickReplica, pickVictim } from './replica-choice.js';
 
-/** Online requests are served before batch items. */
-export const WorkClass = { online: 'online', batch: 'batch' } as const;
-export type WorkClass = (typeof WorkClass)[keyof typeof WorkClass];
-
-/** A request that asks for a place at a replica. Times are monotonic times of the owner. */
-export interface PlaceRequest extends QueuedRequest {
-  readonly holder: string;
-  readonly workClass: WorkClass;
-  readonly prefixDigest: string;
-  readonly excludedReplicaIds: readonly string[];
-  readonly resumable: boolean;
-  /** Set when the item must run without other suspects beside it. */
-  readonly alone: boolean;
-  readonly enqueuedAtMs: number;
-}
-
-/** The right to run one stream at one replica. */
-export interface Permit {
-  readonly permitId: string;
-  readonly request: PlaceRequest;
-  readonly replicaId: string;
-  readonly grantedAtMs: number;
-  expiresAtMs: number;
-  /** Set when the holder was told to stop; the place counts as free until this time. */
-  revokedUntilMs?: number;
-}
-
-/** One replica as the owner sees it. */
-export interface PoolReplica {
-  readonly replicaId: string;
-  readonly address: string;
-  readonly limit: ConcurrencyLimit;
-  readonly health: ReplicaHealth;
-  leaving: boolean;
-  /** Load reports in a row that did not come. */
-  missedReports: number;
-  /** Streams that other dispatchers run there, from the load report. */
-  foreignStreams: number;
-}
-
-/** Static data of a replica. */
-export interface ReplicaInfo {
-  readonly replicaId: string;
-  readonly address: string;
-  readonly maxConcurrency: number;
-  readonly leaving: boolean;
-}
-
-/** What the holder tells when it gives a place back. */
-export interface ReleaseReport {
-  readonly permitId: string;
-  readonly end: AttemptEnd;
-  readonly tokens: number;
-  readonly firstTokenMs?: number;
-  readonly betweenTokensMs?: number;
-}
-
-/** Receives the decisions of the scheduler. */
-export interface PoolOutput {
-  granted(permit: Permit, replica: PoolReplica): void;
-  refused(request: PlaceRequest, problem: Problem): void;
-  revoked(permit: Permit): void;
-}
-
-/** Values from the operators' table, read at each decision. */
-export interface PoolPolicy {
-  readonly targets: LatencyTargets;
-  weightOf(organisation: string): number;
-  limitsOf(organisation: string): OrganisationLimitSettings;
-}
-
-/** Limits of one organisation in this pool. */
-export interface OrganisationLimitSettings {
-  readonly maxInFlight?: number;
-  readonly requestsPerSecond?: number;
-  readonly tokensPerSecond?: number;
-}
-
 /** How long a permit lives without renewal, in milliseconds. */
 export const PERMIT_LIFETIME_MS = 4_000;
 const REVOKE_GRACE_MS = 300;
@@ -475,26 +405,6 @@
   }
 }
 
-/** Expected wait of one organisation in a pool. */
-export interface OrganisationWait {
-  readonly organisation: string;
-  readonly expectedWaitMs: number;
-}
-
-/** Load of a pool as spread to peers. */
-export interface PoolLoad {
-  readonly poolId: string;
-  readonly places: number;
-  readonly onlineStreams: number;
-  readonly batchStreams: number;
-  readonly onlineWaiting: number;
-  readonly batchWaiting: number;
-  /** Expected wait of an organisation that is not in `organisationWaits`. */
-  readonly newcomerWaitMs: number;
-  readonly organisationWaits: readonly OrganisationWait[];
-  readonly reservedPlaces: number;
-}
-
 function isFreed(permit: Permit, nowMs: number): boolean {
   return permit.revokedUntilMs !== undefined && nowMs < permit.revokedUntilMs;
 }
--- a/packages/decisions/src/quarantine.test.ts
+++ b/packages/decisions/src/quarantine.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import type { PlaceRequest, PoolReplica } from './pool-scheduler.js';
+import type { PlaceRequest, PoolReplica } from './pool-types.js';
 import { Quarantine } from './quarantine.js';
 
 const REPLICAS = ['r0', 'r1'].map((replicaId) => ({ replicaId }) as PoolReplica);
--- a/packages/decisions/src/quarantine.ts
+++ b/packages/decisions/src/quarantine.ts
@@ -1,5 +1,5 @@
 /** Runs batch items that may end the process that runs them, one at a time, on a replica of their own. */
-import type { PlaceRequest, PoolReplica } from './pool-scheduler.js';
+import type { PlaceRequest, PoolReplica } from './pool-types.js';
 
 /** What the scheduler should do now. */
 export interface QuarantineStep {
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -1,6 +1,6 @@
 /** Chooses the replica for a stream, and the batch stream that gives its place to an online one. */
 import type { PrefixIndex } from './prefix-index.js';
-import type { Permit, PlaceRequest, PoolReplica } from './pool-scheduler.js';
+import type { Permit, PlaceRequest, PoolReplica } from './pool-types.js';
 
 /** A cached prefix may cost at most this many streams of imbalance. */
 const AFFINITY_STREAMS = 2;
