Run idle systems more rarely and measure what a request and an item cost

Cause: by the slope an idle node at 330 spends 2.4% of a core (limit 2%); the tick ran a hundred times a second with nothing to do, and every instance read the index of jobs every 0.7 s. Change: a loop without work ticks every 50 ms and is woken by requests; an instance without chunks looks for work every 1.4 s and at once after a claim.

--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -95,6 +95,11 @@
     this.online.push(request, this.policy.weightOf(request.organisation));
   }
 
+  /** Whether anything waits or runs here. */
+  get busy(): boolean {
+    return this.permits.size + this.online.size + this.batch.size + this.quarantine.size > 0;
+  }
+
   /** Whether a request waits here. */
   isWaiting(requestId: string): boolean {
     return this.online.has(requestId) || this.batch.has(requestId) || this.quarantine.has(requestId);
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -27,6 +27,8 @@
 }
 
 const DISCOVERY_PERIOD_MS = 700;
+/** An instance that holds no chunk looks for work more rarely; it has nothing that a cancel could stop. */
+const IDLE_DISCOVERY_PERIOD_MS = 1_400;
 /** Dispatch stops when the index of open jobs was not read for this long. */
 const INDEX_FRESH_MS = 1_600;
 const OPEN_JOBS_PAGE = 500;
@@ -62,6 +64,10 @@
     node.onNotice('job.cancelled', (body) => this.onCancelled(body.jobId));
   }
 
+  get busy(): boolean {
+    return this.held.size > 0;
+  }
+
   run(nowMs: number): void {
     this.held
       .all()
@@ -70,7 +76,7 @@
     this.held.all().forEach((chunk) => chunk.run(nowMs));
     if (this.stopped) return;
     if (nowMs < this.nextDiscoveryMs || this.discovering) return;
-    this.nextDiscoveryMs = nowMs + DISCOVERY_PERIOD_MS;
+    this.nextDiscoveryMs = nowMs + (this.held.size > 0 ? DISCOVERY_PERIOD_MS : IDLE_DISCOVERY_PERIOD_MS);
     this.discovering = true;
     void this.discover().finally(() => (this.discovering = false));
   }
@@ -222,6 +228,8 @@
       this.metrics,
     );
     this.held.set(held.id, held);
+    // Also keeps the reading of the index fresh, which dispatches depend on.
+    this.nextDiscoveryMs = 0;
   }
 
   private onFinished(chunk: HeldChunk): void {
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -18,7 +18,7 @@
 import type { Crash } from './tokens.js';
 import { Tokens } from './tokens.js';
 
-const TICK_PERIOD_MS = 10;
+const TICK_PERIODS = { busyMs: 10, idleMs: 50 } as const;
 const DRAIN_STEP_MS = 20;
 /** Time in which peers and balancers learn that this instance leaves. */
 const LEAVE_NOTICE_MS = 300;
@@ -128,7 +128,7 @@
       permits,
       ...(roles.includes(EntryRole.batch) ? [batch] : []),
     ];
-    const tick = new TickLoop(systems, TICK_PERIOD_MS, container.get(Tokens.crash));
+    const tick = new TickLoop(systems, TICK_PERIODS, container.get(Tokens.crash));
     host.connect(permits, () => tick.wake());
     await this.own({ name: 'tick', start: () => tick.start(), stop: () => tick.stop() });
     await this.own({ name: 'batch', drain: () => batch.drain() });
--- a/packages/entry/src/permit-client.ts
+++ b/packages/entry/src/permit-client.ts
@@ -157,6 +157,10 @@
     return [...own, ...fresh.map((summary) => summary.load).filter((load) => !ownIds.has(load.poolId))];
   }
 
+  get busy(): boolean {
+    return this.waiting.size + this.places.size + this.releases.size > 0;
+  }
+
   run(nowMs: number): void {
     this.sendReleases();
     this.dropMovedWishes();
--- a/packages/entry/src/pool-host.ts
+++ b/packages/entry/src/pool-host.ts
@@ -165,6 +165,10 @@
     );
   }
 
+  get busy(): boolean {
+    return this.pools.all().some((pool) => pool.busy);
+  }
+
   run(nowMs: number): void {
     this.syncPoolsIfDue(nowMs);
     this.pools.all().forEach((pool) => pool.run(nowMs));
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -3,6 +3,7 @@
 import { batch } from './batch.js';
 import { cancel } from './cancel.js';
 import { commit } from './commit.js';
+import { cost } from './cost.js';
 import { crash } from './crash.js';
 import { drain } from './drain.js';
 import { giveway } from './giveway.js';
@@ -36,6 +37,7 @@
   giveway,
   commit,
   intake,
+  cost,
   table,
   members,
   rolling,
--- a/packages/lab/src/experiments/slope.ts
+++ b/packages/lab/src/experiments/slope.ts
@@ -1,7 +1,8 @@
 /** Cost of control a node at growing sizes, and the fitted line at the size to design for. */
+import type { EntryReading } from '../entry-reading.js';
+import { readEntry } from '../entry-reading.js';
 import type { Experiment, ExperimentOutcome } from '../experiment.js';
 import { pause } from '../faults.js';
-import type { FleetEntry } from '../fleet.js';
 import { Fleet, waitFor } from '../fleet.js';
 import type { SeededRandom } from '../random.js';
 
@@ -18,31 +19,6 @@
   readonly serviceCallsPerSecond: number;
 }
 
-interface Reading {
-  readonly bytes: number;
-  readonly messages: number;
-  readonly processorTimeMs: number;
-  readonly memoryBytes: number;
-  readonly serviceCalls: number;
-  readonly atMs: number;
-}
-
-async function read(fleet: Fleet, entry: FleetEntry): Promise<Reading> {
-  const dump = await fleet.admin(entry).dump();
-  if (!dump.ok) throw new Error(dump.error.detail);
-  const { counters } = dump.value.metrics as { counters: Record<string, number> };
-  const { traffic } = dump.value.peers as { traffic: { bytesSent: number; bytesReceived: number } };
-  const count = (name: string): number => counters[name] ?? 0;
-  return {
-    bytes: traffic.bytesSent + traffic.bytesReceived,
-    messages: count('peer_messages_sent') + count('peer_messages_received'),
-    processorTimeMs: dump.value.processorTimeMs as number,
-    memoryBytes: dump.value.memoryBytes as number,
-    serviceCalls: count('store_reads') + count('store_writes'),
-    atMs: performance.now(),
-  };
-}
-
 /** Whether the sampled entries have told all that they know. */
 async function isSpread(fleet: Fleet): Promise<boolean> {
   const dumps = await Promise.all(fleet.entries.slice(0, SIZES[0]).map((entry) => fleet.admin(entry).dump()));
@@ -52,10 +28,10 @@
 /** Mean cost of the first entries over one window. */
 async function measure(fleet: Fleet): Promise<NodeCost> {
   const sampled = fleet.entries.slice(0, SIZES[0]);
-  const before = await Promise.all(sampled.map((entry) => read(fleet, entry)));
+  const before = await Promise.all(sampled.map((entry) => readEntry(fleet, entry)));
   await pause(WINDOW_MS);
-  const after = await Promise.all(sampled.map((entry) => read(fleet, entry)));
-  const mean = (cost: (a: Reading, b: Reading, seconds: number) => number): number =>
+  const after = await Promise.all(sampled.map((entry) => readEntry(fleet, entry)));
+  const mean = (cost: (a: EntryReading, b: EntryReading, seconds: number) => number): number =>
     after.reduce((sum, reading, index) => {
       const earlier = before[index] ?? reading;
       return sum + cost(reading, earlier, (reading.atMs - earlier.atMs) / 1_000);
