Leave instances that do not schedule out of the ownership of pools

Cause: settings can switch the scheduler off, but such an instance could still win a pool by rendezvous; every request to it would have gone to the fallback. Change: members tell whether they schedule; a message without the field, of an older release, counts as yes. Measured: tests on owners and on the order of pools; 55 tests of decisions and entry pass.

--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -11,6 +11,8 @@
   readonly peerAddress: string;
   readonly state: MemberState;
   readonly incarnation: number;
+  /** False for an instance that owns no pools. Absent in messages of older releases, which all own pools. */
+  readonly schedules?: boolean;
 }
 
 /** A member as this instance knows it. */
@@ -203,5 +205,6 @@
     peerAddress: member.peerAddress,
     state: member.state,
     incarnation: member.incarnation,
+    schedules: member.schedules,
   };
 }
--- /dev/null
+++ b/packages/decisions/src/pool-choice.test.ts
@@ -0,0 +1,47 @@
+import { describe, expect, it } from 'vitest';
+
+import type { PoolCandidate } from './pool-choice.js';
+import { orderPools, ownerOf } from './pool-choice.js';
+
+const MEMBERS = [
+  { instanceId: 'a1', failureDomain: 'a' },
+  { instanceId: 'a2', failureDomain: 'a', schedules: false },
+  { instanceId: 'b1', failureDomain: 'b' },
+];
+
+function pool(failureDomain: string, expectedWaitMs?: number): PoolCandidate {
+  return { model: 'm', failureDomain, places: 8, expectedWaitMs };
+}
+
+describe('ownerOf', () => {
+  it('chooses in the domain of the pool, among those that schedule', () => {
+    expect(ownerOf('m@a', 'a', MEMBERS)).toBe('a1');
+  });
+
+  it('goes to another domain when the own one has no scheduler', () => {
+    expect(ownerOf('m@a', 'a', MEMBERS.slice(1))).toBe('b1');
+    expect(ownerOf('m@a', 'a', MEMBERS.slice(1, 2))).toBeUndefined();
+  });
+});
+
+describe('orderPools', () => {
+  const first = (candidates: PoolCandidate[], random: () => number): string | undefined =>
+    orderPools(candidates, 'a', random)[0]?.failureDomain;
+
+  it('prefers the own domain while its wait is not longer than the way to another', () => {
+    expect(first([pool('a', 5), pool('b', 0)], () => 0)).toBe('a');
+    expect(first([pool('a', 500), pool('b', 0)], () => 0)).toBe('b');
+  });
+
+  it('does not send everyone to the pool that looks best', () => {
+    const others = ['b', 'c', 'd', 'e'].map((domain) => pool(domain, domain === 'b' ? 0 : 10));
+    let turn = 0;
+    const random = (): number => ((turn += 7) % 11) / 11;
+    const chosen = Array.from({ length: 40 }, () => first([pool('a', 500), ...others], random));
+    expect(new Set(chosen).size).toBeGreaterThan(1);
+  });
+
+  it('passes over pools without places', () => {
+    expect(orderPools([{ ...pool('a'), places: 0 }], 'a', () => 0)).toEqual([]);
+  });
+});
--- a/packages/decisions/src/pool-choice.ts
+++ b/packages/decisions/src/pool-choice.ts
@@ -5,6 +5,8 @@
 export interface FleetMember {
   readonly instanceId: string;
   readonly failureDomain: string;
+  /** False for an instance that owns no pools. */
+  readonly schedules?: boolean;
 }
 
 /** A pool as candidates for a request. */
@@ -31,8 +33,9 @@
   failureDomain: string,
   members: readonly FleetMember[],
 ): string | undefined {
-  const inDomain = members.filter((member) => member.failureDomain === failureDomain);
-  const candidates = inDomain.length > 0 ? inDomain : members;
+  const schedulers = members.filter((member) => member.schedules !== false);
+  const inDomain = schedulers.filter((member) => member.failureDomain === failureDomain);
+  const candidates = inDomain.length > 0 ? inDomain : schedulers;
   return winnerOf(
     poolId,
     candidates.map((member) => member.instanceId),
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/entry-instance.ts
@@ -84,7 +84,15 @@
     await this.own({ name: 'peers', stop: () => node.close() });
     const peerAddress = settings.announcedPeerAddress ?? `${settings.host}:${String(peerPort)}`;
     const { failureDomain } = settings;
-    bindSelf(container, { instanceId, failureDomain, peerAddress, state: 'alive', incarnation: 1 });
+    const schedules = settings.roles.includes(EntryRole.scheduler);
+    bindSelf(container, {
+      instanceId,
+      failureDomain,
+      peerAddress,
+      state: 'alive',
+      incarnation: 1,
+      schedules,
+    });
     return peerAddress;
   }
 
