--- a/packages/cli/src/bin/fighub-load.ts
+++ b/packages/cli/src/bin/fighub-load.ts
@@ -41,9 +41,8 @@
 
 const addresses = cli.flags.address.split(',');
 const bounded = cli.flags.rate <= MAX_RATE_PER_SECOND && cli.flags.seconds <= MAX_SECONDS;
-const isLocal = addresses.every((address) =>
-  ['127.0.0.1', 'localhost', '[::1]'].includes(new URL(address).hostname),
-);
+const LOOPBACK = /^(127(\.\d{1,3}){3}|localhost|\[::1\])$/;
+const isLocal = addresses.every((address) => LOOPBACK.test(new URL(address).hostname));
 
 async function run(): Promise<void> {
   const histogram = build();
