Declare a member dead when another answers at its address

An instance that is replaced within a probe's period by one on the same port left a member that stayed alive for ever, since the new process answered the probes of the old one; such a member could own pools, relays and chunks. Reproduced by killing and restarting four entries of six at once on their ports: the dump showed two members alive at one address, and the fleet had not settled after 20 s. Change: a probe counts only when the instance that was meant answers; others at that address are declared dead.

--- a/packages/decisions/src/membership.test.ts
+++ b/packages/decisions/src/membership.test.ts
@@ -46,6 +46,19 @@
     expect(members.owners().map((owner) => owner.instanceId)).toEqual(['self']);
   });
 
+  it('declares a member dead when another one answers at its address', () => {
+    const members = membership();
+    members.merge([member('a', { peerAddress: 'x:1' }), member('b')], 0);
+    members.answeredAt(member('a2', { peerAddress: 'x:1' }), 1);
+    expect(members.get('a')?.state).toBe('dead');
+    expect(
+      members
+        .owners()
+        .map((owner) => owner.instanceId)
+        .sort(),
+    ).toEqual(['a2', 'b', 'self']);
+  });
+
   it('does not let an old update bring back a leaving member', () => {
     const members = membership();
     members.merge([member('a', { state: 'leaving', incarnation: 2 })], 0);
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -96,6 +96,20 @@
     this.mergeOne(update, nowMs);
   }
 
+  /**
+   * Notes that `update` answered at its address. Another member with that address is gone: its process was
+   * replaced by one that listens on the same port.
+   */
+  answeredAt(update: MemberUpdate, nowMs: number): void {
+    this.mergeOne(update, nowMs);
+    this.all()
+      .filter(
+        (member) => member.peerAddress === update.peerAddress && member.instanceId !== update.instanceId,
+      )
+      .filter((member) => !isGone(member.state))
+      .forEach((member) => this.apply({ ...member, state: MemberState.dead }, nowMs));
+  }
+
   /** Announces that this instance leaves. */
   leave(nowMs: number): void {
     const self = this.members.get(this.self.instanceId) ?? { ...this.self, spreadLeft: 0 };
--- a/packages/lab/src/fleet.test.ts
+++ b/packages/lab/src/fleet.test.ts
@@ -276,6 +276,17 @@
     expect(fleet.entries.every((entry) => entry.process.running)).toBe(true);
   });
 
+  it('forgets an instance whose port another one has taken over', async () => {
+    const entry = fleet.entry(2);
+    await entry.process.kill();
+    await fleet.restartEntry(entry);
+    await fleet.settled();
+    expect(
+      (await fleet.caller(entry, 'obloha').stream({ model: 'alert-modely', prompt: 'again', maxTokens: 2 }))
+        .ok,
+    ).toBe(true);
+  });
+
   it('takes no one into the fleet who does not know its secret', async () => {
     const { PeerNode } = await import('@fighub/peers');
     const { Metrics } = await import('@fighub/core');
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -143,8 +143,9 @@
     const body = this.pingBody(target);
     const answer = await this.node.request(address, 'swim.ping', body, this.options.probeTimeoutMs);
     if (!answer.ok) return false;
+    this.membership.answeredAt(answer.value.from, performance.now());
     this.takeIn(answer.value);
-    return true;
+    return target === undefined || target.instanceId === answer.value.from.instanceId;
   }
 
   private onPing(body: PingBody): PingBody {
