Take out what nothing uses and keep one copy of what stood twice

Cause: a reading of the whole change. Nothing read the service's state that rode on probes, two ways took the same update in, replicas counted foreign streams that were always 0, and a branch for pools without replicas had become unreachable; waits were written out beside core's sleep, and two binaries ran their commands by a copy. Change: these are gone or call the one piece. Probes carry one field less, which no receiver used; behaviour is otherwise unchanged, and no test was edited.

--- a/packages/cli/src/bin/fighub-job.ts
+++ b/packages/cli/src/bin/fighub-job.ts
@@ -6,6 +6,7 @@
 import type { JobView } from '@fighub/client';
 import meow from 'meow';
 
+import type { Command } from '../command.js';
 import {
   COMMON_FLAGS,
   COMMON_HELP,
@@ -15,6 +16,7 @@
   print,
   report,
   reportError,
+  runCommand,
 } from '../command.js';
 
 const WAIT_PERIOD_MS = 1_000;
@@ -90,7 +92,7 @@
   all.value.forEach((result) => print(JSON.stringify(result)));
 }
 
-const VERBS: Readonly<Record<string, () => Promise<void>>> = {
+const VERBS: Readonly<Record<string, Command>> = {
   submit,
   status: async () => report(await client.job(subject), json, jobLine),
   wait,
@@ -99,6 +101,4 @@
   list: async () => report(await client.listJobs(), json, (jobs) => JSON.stringify(jobs, undefined, 2)),
 };
 
-const run = VERBS[verb];
-if (run) await run();
-else failWith(ExitCode.usage, `unknown command "${verb}"; see --help`);
+await runCommand(VERBS, verb);
--- a/packages/cli/src/bin/fighub-table.ts
+++ b/packages/cli/src/bin/fighub-table.ts
@@ -9,6 +9,7 @@
 import type { StoredRow } from '@fighub/core';
 import meow from 'meow';
 
+import type { Command } from '../command.js';
 import {
   COMMON_FLAGS,
   COMMON_HELP,
@@ -18,6 +19,7 @@
   print,
   report,
   reportError,
+  runCommand,
 } from '../command.js';
 import type { MissingRows } from '../table-csv.js';
 import { csvChanges, tableToCsv } from '../table-csv.js';
@@ -154,7 +156,7 @@
   if (text !== undefined) await applyCsv(text, dryRun, 'keep');
 }
 
-const VERBS: Readonly<Record<string, () => Promise<void>>> = {
+const VERBS: Readonly<Record<string, Command>> = {
   list,
   get: async () => report(await client.row(first), json, rowLine),
   set,
@@ -166,6 +168,4 @@
   watch,
 };
 
-const run = VERBS[verb];
-if (run) await run();
-else failWith(ExitCode.usage, `unknown command "${verb}"; see --help`);
+await runCommand(VERBS, verb);
--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -35,6 +35,16 @@
   return new ApiClient(flags.address, flags.key);
 }
 
+/** Runs one command of a binary. */
+export type Command = () => Promise<void>;
+
+/** Runs the command that the first word names. */
+export async function runCommand(commands: Readonly<Record<string, Command>>, verb: string): Promise<void> {
+  const run = commands[verb];
+  if (run) await run();
+  else failWith(ExitCode.usage, `unknown command "${verb}"; see --help`);
+}
+
 /** Prints a line on standard output. */
 export function print(line: string): void {
   process.stdout.write(`${line}\n`);
--- a/packages/decisions/src/chunk-ledger.ts
+++ b/packages/decisions/src/chunk-ledger.ts
@@ -77,11 +77,6 @@
   return next;
 }
 
-/** Whether the item at `offset` has ended. */
-export function isDone(ledger: ChunkLedger, offset: number): boolean {
-  return bitAt(Buffer.from(ledger.doneBitmap, 'base64'), offset);
-}
-
 /** Offsets of items that have not ended. */
 export function openOffsets(ledger: ChunkLedger): number[] {
   const bitmap = Buffer.from(ledger.doneBitmap, 'base64');
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -91,11 +91,6 @@
     this.apply({ ...member, state: MemberState.suspect }, nowMs);
   }
 
-  /** Notes a direct answer. A dead or suspect member refutes by a higher incarnation, not by this. */
-  heardFrom(update: MemberUpdate, nowMs: number): void {
-    this.mergeOne(update, nowMs);
-  }
-
   /**
    * Notes that `update` answered at its address. Another member with that address is gone: its process was
    * replaced by one that listens on the same port.
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -88,14 +88,9 @@
     }
     this.reserve.onArrival(nowMs);
     const waitMs = this.expectedWaitMs(request.organisation);
-    if (
-      this.replicas.size === 0 ||
-      nowMs + waitMs > request.deadlineMs ||
-      this.online.size >= MAX_ONLINE_QUEUE
-    ) {
-      const code = this.replicas.size === 0 ? 'no_upstream' : 'deadline_unreachable';
+    if (nowMs + waitMs > request.deadlineMs || this.online.size >= MAX_ONLINE_QUEUE) {
       const detail = `expected wait of ${String(Math.round(waitMs))} ms in pool ${this.poolId}`;
-      this.output.refused(request, notRun(code, detail, Math.max(1_000, waitMs)));
+      this.output.refused(request, notRun('deadline_unreachable', detail, Math.max(1_000, waitMs)));
       return;
     }
     this.online.push(request, this.policy.weightOf(request.organisation));
@@ -274,7 +269,6 @@
       health: new ReplicaHealth(),
       leaving: info.leaving,
       missedReports: 0,
-      foreignStreams: 0,
     });
   }
 
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -41,8 +41,6 @@
   leaving: boolean;
   /** Load reports in a row that did not come. */
   missedReports: number;
-  /** Streams that other dispatchers run there, from the load report. */
-  foreignStreams: number;
 }
 
 /** Static data of a replica. */
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -25,7 +25,7 @@
     .filter((replica) => !someReport || hasReported(replica))
     .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs))
     .filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId))
-    .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) + replica.foreignStreams }))
+    .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) }))
     .filter(({ replica, streams }) => streams < (replica.health.onProbation ? 1 : replica.limit.places))
     .map(({ replica, streams }) => ({
       replica,
--- a/packages/decisions/src/token-bucket.ts
+++ b/packages/decisions/src/token-bucket.ts
@@ -20,13 +20,6 @@
     return Math.min(this.burst, ((nowMs - this.emptyAtMs) * this.ratePerSecond) / 1_000);
   }
 
-  /** Takes `units` if they are available. */
-  tryTake(units: number, nowMs: number): boolean {
-    if (this.available(nowMs) < units) return false;
-    this.take(units, nowMs);
-    return true;
-  }
-
   /** Takes `units` even when they are not available. */
   take(units: number, nowMs: number): void {
     const left = this.available(nowMs) - units;
--- a/packages/entry/src/admin-api.ts
+++ b/packages/entry/src/admin-api.ts
@@ -1,6 +1,6 @@
 /** The operators' API on the table, jobs and state. */
 import type { Metrics, Outcome, Problem, StoredRow } from '@fighub/core';
-import { fail, isRowKey, notRun, ok } from '@fighub/core';
+import { fail, isRowKey, notRun, ok, sleep } from '@fighub/core';
 
 import type { Caller, Request, Response } from './http-kit.js';
 import { readJson, sendJson, sendProblem } from './http-kit.js';
@@ -69,7 +69,7 @@
     const bucket = bucketOf(key);
     const revision = this.table.revisions()[bucket] ?? 0;
     while (this.spread.lagging(bucket, revision).length > 0 && Date.now() < untilMs) {
-      await new Promise((resolve) => setTimeout(resolve, WAIT_STEP_MS));
+      await sleep(WAIT_STEP_MS);
     }
     const lagging = this.spread.lagging(bucket, revision);
     sendJson(res, 200, { key, bucket, bucketRevision: revision, inForce: lagging.length === 0, lagging });
--- a/packages/entry/src/entry-container.ts
+++ b/packages/entry/src/entry-container.ts
@@ -113,7 +113,6 @@
     const spread = get(Tokens.spread);
     const piggyback = {
       tableDigest: () => ({ revisions: get(Tokens.table).revisions() }),
-      storeDown: () => get(Tokens.store).isDown,
       onPeerTable: spread.onPeerTable.bind(spread),
     };
     const options = get(Tokens.settings).peers;
--- a/packages/entry/src/held-chunk.ts
+++ b/packages/entry/src/held-chunk.ts
@@ -9,7 +9,7 @@
   Metrics,
   Outcome,
 } from '@fighub/core';
-import { InvariantName, ItemStatus, checkInvariant, fail, jobKeys, newId, ok } from '@fighub/core';
+import { InvariantName, ItemStatus, checkInvariant, fail, jobKeys, newId, ok, sleep } from '@fighub/core';
 import {
   applyCommit,
   isComplete,
@@ -129,7 +129,7 @@
   async release(): Promise<void> {
     // Non-idempotent items cannot be taken up again: their streams are waited for.
     if (this.job.idempotent) this.stopping.abort();
-    while (this.writing || this.running.size > 0) await new Promise((resolve) => setTimeout(resolve, 10));
+    while (this.writing || this.running.size > 0) await sleep(10);
     if (!this.lost) await this.commit(true);
     this.lost = true;
   }
--- a/packages/entry/src/once-records.ts
+++ b/packages/entry/src/once-records.ts
@@ -1,6 +1,6 @@
 /** Records that make a keyed request run at most once, whichever instance it reaches. */
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
-import { digest, fail, mayHaveRun, notRun, ok } from '@fighub/core';
+import { digest, fail, mayHaveRun, notRun, ok, sleep } from '@fighub/core';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/platform';
 import { StoreErrorKind } from '@fighub/platform';
@@ -68,7 +68,7 @@
   async drain(hasten: AbortSignal): Promise<void> {
     while (this.unsettled.size > 0 && !hasten.aborted) {
       await this.settleAll();
-      await new Promise((resolve) => setTimeout(resolve, SETTLE_PAUSE_MS));
+      await sleep(SETTLE_PAUSE_MS);
     }
   }
 
--- a/packages/lab/src/experiments/shares.ts
+++ b/packages/lab/src/experiments/shares.ts
@@ -1,6 +1,7 @@
 /** Shares of three overloaded organisations, then with one idle, then with it back. */
 import { ClosedLoop } from '../closed-loop.js';
 import type { Experiment, ExperimentOutcome, Series } from '../experiment.js';
+import { pause } from '../faults.js';
 import { Fleet } from '../fleet.js';
 import type { SeededRandom } from '../random.js';
 
@@ -106,10 +107,6 @@
   }
 }
 
-function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
-
 /** `lab run shares`. */
 export const shares: Experiment = {
   name: 'shares',
--- a/packages/lab/src/faults.ts
+++ b/packages/lab/src/faults.ts
@@ -1,4 +1,6 @@
 /** Faults that experiments induce on a fleet. */
+import { sleep as pause } from '@fighub/core';
+
 import type { Fleet, FleetEntry, FleetReplica } from './fleet.js';
 
 /** Kills a replica and starts it again after a while, as the platform's supervisor would. */
@@ -53,7 +55,4 @@
   }
 }
 
-/** Resolves after `delayMs`. */
-export function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, delayMs));
-}
+export { sleep as pause } from '@fighub/core';
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -17,7 +17,6 @@
 /** State that rides on probes. */
 export interface PiggybackSource {
   tableDigest(): TableDigest;
-  storeDown(): boolean;
   /** Called with the table state of a peer. */
   onPeerTable(peer: MemberUpdate, digest: TableDigest): void;
 }
@@ -36,7 +35,6 @@
   readonly membership: Membership;
   private timer: NodeJS.Timeout | undefined;
   private spreadVersion = 0;
-  private readonly storeDownAtPeer = new Map<string, boolean>();
 
   constructor(
     private readonly self: MemberUpdate,
@@ -96,18 +94,6 @@
     return this.membership.owners();
   }
 
-  /** Whether peers in every other failure domain that we reach report that the service is down. */
-  outageSeenByOtherDomains(): boolean {
-    const others = this.owners().filter((member) => member.failureDomain !== this.self.failureDomain);
-    const domains = [...new Set(others.map((member) => member.failureDomain))];
-    return (
-      domains.length > 0 &&
-      domains.every((domain) =>
-        others.some((m) => m.failureDomain === domain && this.storeDownAtPeer.get(m.instanceId) === true),
-      )
-    );
-  }
-
   private scheduleProbe(): void {
     const jitter = 0.75 + this.random() / 2;
     this.timer = setTimeout(() => {
@@ -161,15 +147,12 @@
       from: updateOf(self),
       updates: receiver ? [...updates, updateOf(receiver)] : updates,
       table: this.piggyback.tableDigest(),
-      storeDown: this.piggyback.storeDown(),
     };
   }
 
   private takeIn(body: PingBody): void {
     const nowMs = performance.now();
-    this.membership.heardFrom(body.from, nowMs);
-    this.membership.merge(body.updates, nowMs);
-    this.storeDownAtPeer.set(body.from.instanceId, body.storeDown);
+    this.membership.merge([body.from, ...body.updates], nowMs);
     this.piggyback.onPeerTable(body.from, body.table);
     this.spreadEagerlyOnChange();
   }
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -44,7 +44,6 @@
   readonly from: MemberUpdate;
   readonly updates: readonly MemberUpdate[];
   readonly table: TableDigest;
-  readonly storeDown: boolean;
 }
 
 /** Requests and their responses, by name. */
--- a/packages/platform/src/record-store.ts
+++ b/packages/platform/src/record-store.ts
@@ -72,16 +72,6 @@
     this.writes = new CallBudget(options.writesPerSecond, clock);
   }
 
-  /** Whether the breaker is open. */
-  get isDown(): boolean {
-    return this.guard.isOpen;
-  }
-
-  /** Monotonic time of the last call that the service answered. */
-  get lastAnsweredMs(): number {
-    return this.lastSuccessMs;
-  }
-
   /** Reads one record. Concurrent reads of a key share one call. */
   async read<T>(key: string): Promise<Outcome<Versioned<T> | undefined, StoreError>> {
     const shared = this.pendingReads.get(key) ?? this.startRead(key);
