Move admission into a package of its own and add transactions to the store

Cause: a second door to the fleet needs pools, permits and the store without the operators' table. Change: packages/platform becomes packages/outside (interfaces and our own adapters); permit client, pool host and direct dispatch move to packages/admission behind PoolCatalogue, which ends the circle between direct dispatch and the permit client; KeyValueService and RecordStore get multi-key transactions.

--- a/packages/entry/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -4,12 +4,10 @@
 import type { ReleaseReport } from '@fighub/decisions';
 import { ReplicaHealth } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
-import type { Engine, EngineLoad } from '@fighub/platform';
+import type { EngineLoad, LoadReader } from '@fighub/outside';
 
-import type { Place, PlaceWish } from './permit-client.js';
-import type { TableStore } from './table-store.js';
-import type { NamedUpstream } from './table-view.js';
-import type { UpstreamStates } from './upstream-states.js';
+import type { Place, PlaceWish } from './place.js';
+import type { CataloguedUpstream, PoolCatalogue } from './pool-catalogue.js';
 
 interface ReplicaView {
   inFlight: number;
@@ -30,10 +28,9 @@
   constructor(
     private readonly selfId: string,
     private readonly failureDomain: string,
-    private readonly table: TableStore,
-    private readonly upstreams: UpstreamStates,
+    private readonly catalogue: PoolCatalogue,
     private readonly members: () => MembershipRunner,
-    private readonly engine: Engine,
+    private readonly loads: LoadReader,
     /** The fallback leaves places to others; the baseline trusts the reports. */
     private readonly conservative: boolean,
     private readonly clock: Clock,
@@ -82,38 +79,40 @@
 
   /** Without an owner an instance allows an even part of a limit in flight, and at least one stream. */
   private admits(wish: PlaceWish): boolean {
-    const limit = this.table.view.share(wish.organisation, wish.model).maxInFlight;
+    const limit = this.catalogue.limitsOf(wish.organisation, wish.model).maxInFlight;
     if (limit === undefined || !this.conservative) return true;
     const part = Math.max(1, Math.floor(limit / Math.max(1, this.members().owners().length)));
     const inFlight = [...this.organisationByPermit.values()].filter((name) => name === wish.organisation);
     return limit > 0 && inFlight.length < part;
   }
 
-  private candidates(wish: PlaceWish): NamedUpstream[] {
+  private candidates(wish: PlaceWish): CataloguedUpstream[] {
     const nowMs = this.clock.monotonicMs();
-    const usable = this.table.view
-      .upstreamsOf(wish.model)
-      .filter((upstream) => !this.upstreams.isLeaving(upstream.upstreamId))
+    const usable = this.catalogue
+      .pools()
+      .filter((pool) => pool.model === wish.model)
+      .flatMap((pool) => pool.upstreams)
+      .filter((upstream) => !this.catalogue.isLeaving(upstream.upstreamId))
       .filter((upstream) => !wish.excludedReplicaIds.includes(upstream.upstreamId))
       .filter((upstream) => this.viewOf(upstream.upstreamId).health.isOpen(nowMs));
     const own = usable.filter((upstream) => upstream.failureDomain === this.failureDomain);
     return own.length > 0 ? own : usable;
   }
 
-  private choose(candidates: readonly NamedUpstream[]): NamedUpstream | undefined {
+  private choose(candidates: readonly CataloguedUpstream[]): CataloguedUpstream | undefined {
     return candidates
       .map((upstream) => ({ upstream, load: this.loadOf(upstream) }))
       .filter(({ load, upstream }) => load < this.limitOf(upstream))
       .sort((a, b) => a.load - b.load)[0]?.upstream;
   }
 
-  private loadOf(upstream: NamedUpstream): number {
+  private loadOf(upstream: CataloguedUpstream): number {
     const view = this.viewOf(upstream.upstreamId);
     const reported = (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
     return this.conservative ? view.inFlight : Math.max(view.inFlight, reported);
   }
 
-  private limitOf(upstream: NamedUpstream): number {
+  private limitOf(upstream: CataloguedUpstream): number {
     if (!this.conservative) return Number.POSITIVE_INFINITY;
     const sharers = this.members()
       .owners()
@@ -121,12 +120,12 @@
     return Math.max(1, Math.floor(upstream.maxConcurrency / Math.max(1, sharers)));
   }
 
-  private async refresh(upstream: NamedUpstream): Promise<void> {
+  private async refresh(upstream: CataloguedUpstream): Promise<void> {
     const view = this.viewOf(upstream.upstreamId);
     const nowMs = this.clock.monotonicMs();
     if (this.conservative || nowMs - view.readAtMs < REPORT_LIFETIME_MS) return;
     view.readAtMs = nowMs;
-    view.report = await this.engine.load(upstream.address);
+    view.report = await this.loads.load(upstream.address);
   }
 
   private viewOf(upstreamId: string): ReplicaView {
--- a/packages/entry/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -1,37 +1,14 @@
 /** The holder's side of admission: asks owners for places, keeps and returns permits. */
 import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
 import { EntityTable, fail, notRun, ok } from '@fighub/core';
-import type { PoolLoad, ReleaseReport, WorkClass } from '@fighub/decisions';
+import type { PoolLoad, ReleaseReport } from '@fighub/decisions';
 import { orderPools } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
-import type { LocalHolder, PoolDescription, PoolHost } from './pool-host.js';
-
-/** What a stream needs to get a place. */
-export interface PlaceWish {
-  readonly requestId: string;
-  readonly organisation: string;
-  readonly model: string;
-  readonly workClass: WorkClass;
-  readonly costTokens: number;
-  readonly deadlineUnixMs: number;
-  readonly prefixDigest: string;
-  readonly excludedReplicaIds: readonly string[];
-  readonly resumable: boolean;
-  readonly alone: boolean;
-}
-
-/** A place at a replica. */
-export interface Place {
-  readonly permitId: string;
-  readonly poolId: string;
-  readonly replicaId: string;
-  readonly address: string;
-  readonly fencingChecked: boolean;
-  /** Aborted when the owner wants the place back. */
-  readonly revoked: AbortSignal;
-}
+import type { Place, PlaceWish } from './place.js';
+import type { PoolDescription } from './pool-catalogue.js';
+import type { LocalHolder, PoolHost } from './pool-host.js';
 
 interface WaitingWish {
   readonly body: AcquireBody;
--- a/packages/entry/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -6,16 +6,14 @@
   PlaceRequest,
   PoolLoad,
   PoolOutput,
-  PoolPolicy,
   PoolReplica,
   ReleaseReport,
 } from '@fighub/decisions';
-import { PoolScheduler, ownerOf, partOfRate, partOfStreams, poolIdOf } from '@fighub/decisions';
+import { PoolScheduler, ownerOf } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
-import type { Engine } from '@fighub/platform';
+import type { LoadReader } from '@fighub/outside';
 
-import type { NamedUpstream, TableView } from './table-view.js';
-import type { TableStore } from './table-store.js';
+import type { PoolCatalogue, PoolDescription } from './pool-catalogue.js';
 import type { UpstreamStates } from './upstream-states.js';
 
 /** Receives decisions for requests of this same instance. */
@@ -31,14 +29,6 @@
 /** Pools are brought in line with the table and the members at least this often. */
 const SYNC_PERIOD_MS = 200;
 
-/** One pool as configured: a model in a failure domain. */
-export interface PoolDescription {
-  readonly poolId: string;
-  readonly model: string;
-  readonly failureDomain: string;
-  readonly upstreams: readonly NamedUpstream[];
-}
-
 /** Runs the schedulers of owned pools each tick. */
 export class PoolHost implements System {
   readonly name = 'pool host';
@@ -50,20 +40,19 @@
   private localHolder: LocalHolder | undefined;
   private nextLoadMs = 0;
   private loadRound = 0;
-  private describedView: TableView | undefined;
-  private described: PoolDescription[] = [];
   private nextSyncMs = 0;
   private syncedVersion = -1;
-  private syncedView: TableView | undefined;
+  private syncedCatalogue: unknown;
   private wake: () => void = () => undefined;
 
   constructor(
     private readonly selfId: string,
-    private readonly table: TableStore,
+    private readonly catalogue: PoolCatalogue,
     private readonly upstreams: UpstreamStates,
     private readonly members: () => MembershipRunner,
     private readonly node: PeerNode,
-    private readonly engine: Engine,
+    /** Undefined where reports are not to be read: the pool then goes by its own permits. */
+    private readonly loadReader: LoadReader | undefined,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
   ) {
@@ -80,27 +69,9 @@
     this.wake = wake;
   }
 
-  /** Pools as the table describes them. */
-  describePools(): PoolDescription[] {
-    const view = this.table.view;
-    if (view !== this.describedView) {
-      this.describedView = view;
-      this.described = this.describePoolsOf(view);
-    }
-    return this.described;
-  }
-
-  private describePoolsOf(view: TableView): PoolDescription[] {
-    return view.models().flatMap((model) => {
-      const upstreams = view.upstreamsOf(model);
-      const domains = [...new Set(upstreams.map((upstream) => upstream.failureDomain))];
-      return domains.map((failureDomain) => ({
-        poolId: poolIdOf(model, failureDomain),
-        model,
-        failureDomain,
-        upstreams: upstreams.filter((upstream) => upstream.failureDomain === failureDomain),
-      }));
-    });
+  /** Pools as configured. */
+  describePools(): readonly PoolDescription[] {
+    return this.catalogue.pools();
   }
 
   /** The owner of a pool among the live members. */
@@ -172,7 +143,7 @@
   run(nowMs: number): void {
     this.syncPoolsIfDue(nowMs);
     this.pools.all().forEach((pool) => pool.run(nowMs));
-    if (nowMs >= this.nextLoadMs) this.readLoads(nowMs);
+    if (this.loadReader && nowMs >= this.nextLoadMs) this.readLoads(nowMs);
   }
 
   private loadsOf(poolIds: readonly string[]): PoolLoad[] {
@@ -196,10 +167,10 @@
 
   private syncPoolsIfDue(nowMs: number): void {
     const { version } = this.members().membership;
-    const unchanged = version === this.syncedVersion && this.table.view === this.syncedView;
+    const unchanged = version === this.syncedVersion && this.catalogue.version === this.syncedCatalogue;
     if (unchanged && nowMs < this.nextSyncMs) return;
     this.syncedVersion = version;
-    this.syncedView = this.table.view;
+    this.syncedCatalogue = this.catalogue.version;
     this.nextSyncMs = nowMs + SYNC_PERIOD_MS;
     this.syncPools();
   }
@@ -216,7 +187,7 @@
   }
 
   private syncPool(description: PoolDescription): void {
-    const policy = this.policyOf(description);
+    const policy = this.catalogue.policyOf(description);
     const known = this.pools.get(description.poolId);
     const pool =
       known ?? new PoolScheduler(description.poolId, this.selfId, policy, this.outputOf(description));
@@ -227,47 +198,15 @@
         replicaId: upstream.upstreamId,
         address: upstream.address,
         maxConcurrency: upstream.maxConcurrency,
-        leaving: this.upstreams.isLeaving(upstream.upstreamId),
+        failureDomain: upstream.failureDomain,
+        leaving: this.catalogue.isLeaving(upstream.upstreamId),
       })),
     );
   }
 
-  private policyOf(description: PoolDescription): PoolPolicy {
-    const view = this.table.view;
-    const { model, poolId } = description;
-    const poolIds = this.poolIdsOf(model);
-    const rate = (limit: number | undefined): number | undefined =>
-      limit === undefined ? undefined : partOfRate(limit, poolIds.length);
-    return {
-      targets: view.modelOrDefault(model),
-      weightOf: (organisation) => view.share(organisation, model).weight,
-      limitsOf: (organisation) => {
-        const share = view.share(organisation, model);
-        return {
-          maxInFlight:
-            share.maxInFlight === undefined
-              ? undefined
-              : partOfStreams(share.maxInFlight, organisation, poolId, poolIds),
-          requestsPerSecond: rate(share.requestsPerSecond),
-          tokensPerSecond: rate(share.tokensPerSecond),
-        };
-      },
-    };
-  }
-
-  private poolIdsOf(model: string): string[] {
-    return this.describePools()
-      .filter((pool) => pool.model === model)
-      .map((pool) => pool.poolId);
-  }
-
   /** Pools of a model in which an organisation may run anything at all. */
-  poolsOpenTo(organisation: string, model: string): PoolDescription[] {
-    const limit = this.table.view.share(organisation, model).maxInFlight;
-    const pools = this.describePools().filter((pool) => pool.model === model);
-    if (limit === undefined) return pools;
-    const poolIds = pools.map((pool) => pool.poolId);
-    return pools.filter((pool) => partOfStreams(limit, organisation, pool.poolId, poolIds) > 0);
+  poolsOpenTo(organisation: string, model: string): readonly PoolDescription[] {
+    return this.catalogue.poolsOpenTo(organisation, model);
   }
 
   private outputOf(description: PoolDescription): PoolOutput {
@@ -348,7 +287,7 @@
   }
 
   private async readLoad(pool: PoolScheduler, replica: PoolReplica): Promise<void> {
-    const report = await this.engine.load(replica.address);
+    const report = await this.loadReader?.load(replica.address);
     replica.missedReports = report ? 0 : replica.missedReports + 1;
     if (!report) return;
     replica.limit.setMaximum(report.maxConcurrency);
--- a/packages/entry/src/upstream-states.ts
+++ b/packages/admission/src/upstream-states.ts
@@ -1,6 +1,6 @@
 /** Which upstreams are leaving, from the lagging instance list and from what the upstreams say. */
 import type { Clock } from '@fighub/core';
-import type { ListedInstance } from '@fighub/platform';
+import type { ListedInstance } from '@fighub/outside';
 
 /** Load reports lag: one that denies a refusal counts only this long after the refusal. */
 const REPORT_TRUST_AFTER_MS = 5_000;
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -34,6 +34,7 @@
   const infos = Array.from({ length: replicas }, (_, index) => ({
     replicaId: `r${String(index)}`,
     address: `http://r${String(index)}`,
+    failureDomain: 'd',
     maxConcurrency: places,
     leaving: false,
   }));
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -265,6 +265,7 @@
     this.replicas.set(info.replicaId, {
       replicaId: info.replicaId,
       address: info.address,
+      failureDomain: info.failureDomain,
       limit: new ConcurrencyLimit(info.maxConcurrency),
       health: new ReplicaHealth(),
       leaving: info.leaving,
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -36,6 +36,7 @@
 export interface PoolReplica {
   readonly replicaId: string;
   readonly address: string;
+  readonly failureDomain: string;
   readonly limit: ConcurrencyLimit;
   readonly health: ReplicaHealth;
   leaving: boolean;
@@ -47,6 +48,7 @@
 export interface ReplicaInfo {
   readonly replicaId: string;
   readonly address: string;
+  readonly failureDomain: string;
   readonly maxConcurrency: number;
   readonly leaving: boolean;
 }
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch-runner.ts
@@ -1,10 +1,11 @@
 /** Leases chunks of open jobs and keeps them running. */
+import type { PermitClient } from '@fighub/admission';
 import type { ChunkLedger, Clock, JobChunk, JobManifest, Metrics, System } from '@fighub/core';
 import { EntityTable, JobState, jobKeys } from '@fighub/core';
 import type { OpenChunk } from '@fighub/decisions';
 import { emptyLedger, isComplete, orderChunks, prefersChunk, takeLease } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
-import type { RecordStore, Versioned } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
 
 import type { CompletionRunner } from './completion-runner.js';
 import type { ChunkOptions } from './held-chunk.js';
@@ -12,7 +13,6 @@
 import { moveToEnded } from './job-index.js';
 import type { OpenJob } from './job-intake.js';
 import type { JobReader } from './job-reader.js';
-import type { PermitClient } from './permit-client.js';
 import type { TableStore } from './table-store.js';
 
 /** Settings of the batch runner. */
--- a/packages/entry/src/completion-runner.ts
+++ b/packages/entry/src/completion-runner.ts
@@ -1,4 +1,5 @@
 /** Runs one completion to its end: places, attempts, resumption and the evidence for refusals. */
+import type { PermitClient, Place, UpstreamStates } from '@fighub/admission';
 import type { Clock, Metrics, Problem } from '@fighub/core';
 import {
   InvariantName,
@@ -11,11 +12,8 @@
 } from '@fighub/core';
 import type { AttemptEnd, WorkClass } from '@fighub/decisions';
 import { AttemptEnd as Ends, RetryBudget } from '@fighub/decisions';
-import type { Engine, EngineChunk, EngineEnd, Fencing, SilenceLimits } from '@fighub/platform';
-import { EngineEndKind } from '@fighub/platform';
-
-import type { PermitClient, Place } from './permit-client.js';
-import type { UpstreamStates } from './upstream-states.js';
+import type { Engine, EngineChunk, EngineEnd, Fencing, SilenceLimits } from '@fighub/outside';
+import { EngineEndKind } from '@fighub/outside';
 
 /** A completion that is wanted. */
 export interface CompletionSpec {
--- a/packages/entry/src/entry-container.ts
+++ b/packages/entry/src/entry-container.ts
@@ -1,6 +1,7 @@
 /** Binds the parts of an entry instance. */
 import 'reflect-metadata';
 
+import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
 import { Metrics, SystemClock } from '@fighub/core';
 import type { MetricsSink } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
@@ -12,28 +13,25 @@
   HttpInstanceList,
   HttpPlainService,
   RecordStore,
-} from '@fighub/platform';
+} from '@fighub/outside';
 import type { ServiceIdentifier } from 'inversify';
 import { Container } from 'inversify';
 
 import { BatchRunner } from './batch-runner.js';
 import { CompletionRunner } from './completion-runner.js';
-import { DirectDispatch } from './direct-dispatch.js';
 import { Gateway } from './gateway.js';
 import { JobCollector } from './job-collector.js';
 import { JobIntake } from './job-intake.js';
 import { JobReader } from './job-reader.js';
 import { OnceRecords } from './once-records.js';
 import { OrderDesk } from './order-desk.js';
-import { PermitClient } from './permit-client.js';
-import { PoolHost } from './pool-host.js';
 import type { EntrySettings } from './settings.js';
 import { AdmissionStrategy } from './settings.js';
+import { TablePoolCatalogue } from './table-pool-catalogue.js';
 import { TableSpread } from './table-spread.js';
 import { TableStore } from './table-store.js';
 import type { Crash } from './tokens.js';
 import { Tokens } from './tokens.js';
-import { UpstreamStates } from './upstream-states.js';
 
 /** What is known before any part is built. */
 export interface ContainerInput {
@@ -122,6 +120,11 @@
 }
 
 function bindTable(container: Container): void {
+  part(
+    container,
+    Tokens.catalogue,
+    (get) => new TablePoolCatalogue(get(Tokens.table), get(Tokens.upstreams)),
+  );
   part(
     container,
     Tokens.table,
@@ -151,7 +154,7 @@
     (get) =>
       new PoolHost(
         get(Tokens.self).instanceId,
-        get(Tokens.table),
+        get(Tokens.catalogue),
         get(Tokens.upstreams),
         () => get(Tokens.membership),
         get(Tokens.peerNode),
@@ -167,8 +170,7 @@
       new DirectDispatch(
         get(Tokens.self).instanceId,
         get(Tokens.self).failureDomain,
-        get(Tokens.table),
-        get(Tokens.upstreams),
+        get(Tokens.catalogue),
         () => get(Tokens.membership),
         get(Tokens.engine),
         !isBaseline(get),
--- a/packages/entry/src/gateway.ts
+++ b/packages/entry/src/gateway.ts
@@ -11,7 +11,7 @@
   ok,
   problemDocument,
 } from '@fighub/core';
-import type { PlainService, Versioned } from '@fighub/platform';
+import type { PlainService, Versioned } from '@fighub/outside';
 
 import type { CompletionRequest } from './completion-request.js';
 import { checkCompletion, streamEvent, wholeAnswer } from './completion-request.js';
--- a/packages/entry/src/held-chunk.ts
+++ b/packages/entry/src/held-chunk.ts
@@ -18,8 +18,8 @@
   releaseLease,
   renewLease,
 } from '@fighub/decisions';
-import type { RecordStore, Versioned } from '@fighub/platform';
-import { StoreErrorKind } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
 
 import type { CompletionEnd, CompletionRunner } from './completion-runner.js';
 import { CompletionKind } from './completion-runner.js';
--- a/packages/entry/src/instance-list-poller.ts
+++ b/packages/entry/src/instance-list-poller.ts
@@ -1,10 +1,9 @@
 /** Registers this instance in the platform's list and reads who else is there. */
+import type { UpstreamStates } from '@fighub/admission';
 import type { ManagedPart, Metrics } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
-import type { InstanceList, ListedState } from '@fighub/platform';
-
-import type { UpstreamStates } from './upstream-states.js';
+import type { InstanceList, ListedState } from '@fighub/outside';
 
 /** Reads the list periodically. */
 export class InstanceListPoller implements ManagedPart {
--- a/packages/entry/src/invariants.test.ts
+++ b/packages/entry/src/invariants.test.ts
@@ -1,7 +1,7 @@
 import type { JobManifest } from '@fighub/core';
 import { InvariantError, InvariantName, ManualClock, Metrics } from '@fighub/core';
 import { PoolScheduler, emptyLedger, takeLease } from '@fighub/decisions';
-import { MemoryKeyValueService, RecordStore } from '@fighub/platform';
+import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import { describe, expect, it, vi } from 'vitest';
 
 import { CompletionRun, CompletionRunner } from './completion-runner.js';
@@ -102,7 +102,9 @@
     };
     const output = { granted: () => undefined, refused: () => undefined, revoked: () => undefined };
     const scheduler = new PoolScheduler('m@d', 'owner', policy, output);
-    scheduler.setReplicas([{ replicaId: 'r', address: 'a', maxConcurrency: 2, leaving: false }]);
+    scheduler.setReplicas([
+      { replicaId: 'r', address: 'a', failureDomain: 'd', maxConcurrency: 2, leaving: false },
+    ]);
     const request = {
       requestId: 'q',
       organisation: 'o',
--- a/packages/entry/src/job-api.ts
+++ b/packages/entry/src/job-api.ts
@@ -2,7 +2,7 @@
 import type { Clock, Problem } from '@fighub/core';
 import { fail, jobKeys, notRun, ok } from '@fighub/core';
 import type { Outcome } from '@fighub/core';
-import type { RecordStore } from '@fighub/platform';
+import type { RecordStore } from '@fighub/outside';
 
 import type { Caller, Request, Response } from './http-kit.js';
 import { sendJson, sendProblem, textHeader } from './http-kit.js';
--- a/packages/entry/src/job-collector.test.ts
+++ b/packages/entry/src/job-collector.test.ts
@@ -2,7 +2,7 @@
 
 import type { Clock, JobManifest } from '@fighub/core';
 import { ManualClock, Metrics, SystemClock, jobKeys } from '@fighub/core';
-import { MemoryKeyValueService, RecordStore } from '@fighub/platform';
+import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import { describe, expect, it } from 'vitest';
 
 import { JobCollector } from './job-collector.js';
--- a/packages/entry/src/job-collector.ts
+++ b/packages/entry/src/job-collector.ts
@@ -3,7 +3,7 @@
 import { jobKeys } from '@fighub/core';
 import type { FleetMember } from '@fighub/decisions';
 import { winnerOf } from '@fighub/decisions';
-import type { RecordStore, Versioned } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
 
 import type { EndedJob } from './job-index.js';
 import type { UploadRecord } from './job-intake.js';
--- a/packages/entry/src/job-index.ts
+++ b/packages/entry/src/job-index.ts
@@ -1,7 +1,7 @@
 /** Moves a job from the index of open jobs to that of ended ones. */
 import type { JobManifest } from '@fighub/core';
 import { jobKeys } from '@fighub/core';
-import type { RecordStore } from '@fighub/platform';
+import type { RecordStore } from '@fighub/outside';
 
 import type { OpenJob } from './job-intake.js';
 
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/job-intake.ts
@@ -4,8 +4,8 @@
 
 import type { Clock, JobChunk, JobItem, JobManifest, Metrics, Outcome, Problem } from '@fighub/core';
 import { JobState, digest, fail, jobKeys, mayHaveRun, newId, notRun, ok } from '@fighub/core';
-import type { RecordStore, Versioned } from '@fighub/platform';
-import { StoreErrorKind } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
 import { z } from 'zod';
 
 import { promptOf } from './completion-request.js';
--- a/packages/entry/src/job-reader.ts
+++ b/packages/entry/src/job-reader.ts
@@ -1,8 +1,8 @@
 /** Reads state and results of jobs, and cancels them. */
 import type { ChunkLedger, Clock, ItemResult, JobManifest, Outcome, Problem } from '@fighub/core';
 import { InvariantName, JobState, checkInvariant, fail, jobKeys, mayHaveRun, notRun, ok } from '@fighub/core';
-import type { RecordStore, Versioned } from '@fighub/platform';
-import { StoreErrorKind } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
 
 import { moveToEnded } from './job-index.js';
 import type { OpenJob } from './job-intake.js';
--- a/packages/entry/src/once-records.ts
+++ b/packages/entry/src/once-records.ts
@@ -2,8 +2,8 @@
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { digest, fail, mayHaveRun, notRun, ok, sleep } from '@fighub/core';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
-import type { RecordStore, Versioned } from '@fighub/platform';
-import { StoreErrorKind } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
 
 /** States of a keyed request. */
 export const OnceState = {
--- a/packages/entry/src/order-api.ts
+++ b/packages/entry/src/order-api.ts
@@ -1,6 +1,6 @@
 /** The operators' API for orders to engines. */
 import { notRun } from '@fighub/core';
-import { OrderKind } from '@fighub/platform';
+import { OrderKind } from '@fighub/outside';
 import { z } from 'zod';
 
 import type { Caller, Request, Response } from './http-kit.js';
--- a/packages/entry/src/order-desk.test.ts
+++ b/packages/entry/src/order-desk.test.ts
@@ -1,11 +1,11 @@
+import { UpstreamStates } from '@fighub/admission';
 import { ManualClock, Metrics } from '@fighub/core';
-import type { EngineOrder, EngineOrders } from '@fighub/platform';
-import { MemoryKeyValueService, OrderEnd, RecordStore } from '@fighub/platform';
+import type { EngineOrder, EngineOrders } from '@fighub/outside';
+import { MemoryKeyValueService, OrderEnd, RecordStore } from '@fighub/outside';
 import { describe, expect, it } from 'vitest';
 
 import { OrderDesk } from './order-desk.js';
 import { TableStore } from './table-store.js';
-import { UpstreamStates } from './upstream-states.js';
 
 class FakeOrders implements EngineOrders {
   readonly sent: EngineOrder[] = [];
--- a/packages/entry/src/order-desk.ts
+++ b/packages/entry/src/order-desk.ts
@@ -1,12 +1,12 @@
 /** Issues orders to engines, one at a time a replica, fenced by a number from the key-value service. */
+import type { UpstreamStates } from '@fighub/admission';
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { fail, mayHaveRun, notRun, ok } from '@fighub/core';
-import type { EngineOrders, OrderKind, RecordStore, Versioned } from '@fighub/platform';
-import { OrderEnd, StoreErrorKind } from '@fighub/platform';
+import type { EngineOrders, OrderKind, RecordStore, Versioned } from '@fighub/outside';
+import { OrderEnd, StoreErrorKind } from '@fighub/outside';
 
 import type { TableStore } from './table-store.js';
 import type { NamedUpstream } from './table-view.js';
-import type { UpstreamStates } from './upstream-states.js';
 
 /** States of the last order of a replica. */
 export const OrderState = { issued: 'issued', done: 'done', refused: 'refused' } as const;
--- a/packages/entry/src/table-spread.ts
+++ b/packages/entry/src/table-spread.ts
@@ -3,8 +3,8 @@
 import type { MemberUpdate } from '@fighub/decisions';
 import { rankMembers } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, TableDigest } from '@fighub/peers';
-import type { WatchHandle } from '@fighub/platform';
-import { RecordStore } from '@fighub/platform';
+import type { WatchHandle } from '@fighub/outside';
+import { RecordStore } from '@fighub/outside';
 
 import type { TableStore } from './table-store.js';
 
--- a/packages/entry/src/table-store.ts
+++ b/packages/entry/src/table-store.ts
@@ -12,8 +12,8 @@
   rowKindOf,
   rowSchemas,
 } from '@fighub/core';
-import type { RecordStore, Versioned } from '@fighub/platform';
-import { StoreErrorKind } from '@fighub/platform';
+import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
 
 import { TableView } from './table-view.js';
 
--- a/packages/entry/src/tokens.ts
+++ b/packages/entry/src/tokens.ts
@@ -1,25 +1,28 @@
 /** Tokens of the dependency injection container, each with the type that it stands for. */
+import type {
+  DirectDispatch,
+  PermitClient,
+  PoolCatalogue,
+  PoolHost,
+  UpstreamStates,
+} from '@fighub/admission';
 import type { Clock, Metrics } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
-import type { HttpEngine, InstanceList, KeyValueService, PlainService, RecordStore } from '@fighub/platform';
+import type { HttpEngine, InstanceList, KeyValueService, PlainService, RecordStore } from '@fighub/outside';
 import type { ServiceIdentifier } from 'inversify';
 
 import type { BatchRunner } from './batch-runner.js';
 import type { CompletionRunner } from './completion-runner.js';
-import type { DirectDispatch } from './direct-dispatch.js';
 import type { Gateway } from './gateway.js';
 import type { JobCollector } from './job-collector.js';
 import type { JobIntake } from './job-intake.js';
 import type { JobReader } from './job-reader.js';
 import type { OnceRecords } from './once-records.js';
 import type { OrderDesk } from './order-desk.js';
-import type { PermitClient } from './permit-client.js';
-import type { PoolHost } from './pool-host.js';
 import type { EntrySettings } from './settings.js';
 import type { TableSpread } from './table-spread.js';
 import type { TableStore } from './table-store.js';
-import type { UpstreamStates } from './upstream-states.js';
 
 /** Stops the process because of an error that must not be survived. */
 export type Crash = (error: unknown) => void;
@@ -44,6 +47,7 @@
   upstreams: token<UpstreamStates>('upstreams'),
   table: token<TableStore>('table'),
   spread: token<TableSpread>('spread'),
+  catalogue: token<PoolCatalogue>('catalogue'),
   host: token<PoolHost>('host'),
   direct: token<DirectDispatch>('direct'),
   permits: token<PermitClient>('permits'),
--- a/packages/lab/src/experiments/commit.ts
+++ b/packages/lab/src/experiments/commit.ts
@@ -2,8 +2,8 @@
 import type { ChunkLedger, ItemResult, Outcome } from '@fighub/core';
 import { Metrics, SystemClock, newId } from '@fighub/core';
 import { applyCommit, emptyLedger, isComplete, openOffsets, takeLease } from '@fighub/decisions';
-import type { RecordError, Versioned } from '@fighub/platform';
-import { EtcdKeyValueService, RecordStore } from '@fighub/platform';
+import type { RecordError, Versioned } from '@fighub/outside';
+import { EtcdKeyValueService, RecordStore } from '@fighub/outside';
 import { KV_DEFAULTS, startKvStandin } from '@fighub/standins';
 import got from 'got';
 
--- a/packages/platform/src/engine.ts
+++ b/packages/outside/src/engine.ts
@@ -76,8 +76,14 @@
   readonly models: readonly string[];
 }
 
+/** Reads load reports. */
+export interface LoadReader {
+  /** The report of the engine at `address`; undefined when there is no answer. */
+  load(address: string): Promise<EngineLoad | undefined>;
+}
+
 /** Runs streams at engines. */
-export interface Engine {
+export interface Engine extends LoadReader {
   /** Runs one stream; each token is passed to `onChunk`. Never rejects. */
   run(
     call: EngineCall,
@@ -85,6 +91,4 @@
     onChunk: (chunk: EngineChunk) => void,
     signal: AbortSignal,
   ): Promise<EngineEnd>;
-  /** Reads the load report; undefined when there is no answer. */
-  load(address: string): Promise<EngineLoad | undefined>;
 }
--- a/packages/platform/src/etcd-key-value.ts
+++ b/packages/outside/src/etcd-key-value.ts
@@ -14,6 +14,7 @@
 } from './etcd-wire.js';
 import { fromBase64, prefixEnd, toBase64 } from './etcd-wire.js';
 import type {
+  KeyChange,
   KeyValueEntry,
   KeyValueService,
   StoreError,
@@ -65,14 +66,11 @@
     expectedRevision: number,
     value: string,
   ): Promise<Outcome<number, StoreError>> {
-    const put = { request_put: { key: toBase64(key), value: toBase64(value) } };
-    return this.transact(key, expectedRevision, put);
+    return this.transact([{ key, expectedRevision, value }]);
   }
 
   async compareAndDelete(key: string, expectedRevision: number): Promise<Outcome<void, StoreError>> {
-    const outcome = await this.transact(key, expectedRevision, {
-      request_delete_range: { key: toBase64(key) },
-    });
+    const outcome = await this.transact([{ key, expectedRevision }]);
     return outcome.ok ? ok(undefined) : outcome;
   }
 
@@ -108,23 +106,25 @@
     };
   }
 
-  private async transact(
-    key: string,
-    expectedRevision: number,
-    operation: EtcdRequestOp,
-  ): Promise<Outcome<number, StoreError>> {
+  async transact(changes: readonly KeyChange[]): Promise<Outcome<number, StoreError>> {
     const request = {
-      compare: [
-        { key: toBase64(key), target: 'MOD', result: 'EQUAL', mod_revision: String(expectedRevision) },
-      ],
-      success: [operation],
-      failure: [{ request_range: { key: toBase64(key) } }],
+      compare: changes.map(({ key, expectedRevision }) => ({
+        key: toBase64(key),
+        target: 'MOD',
+        result: 'EQUAL',
+        mod_revision: String(expectedRevision),
+      })),
+      success: changes.filter((change) => !change.compareOnly).map(toOperation),
+      failure: changes.map(({ key }) => ({ request_range: { key: toBase64(key) } })),
     };
     const answer = await this.call<EtcdTxnResponse>('kv/txn', request, true);
     if (!answer.ok) return answer;
     if (answer.value.succeeded) return ok(Number(answer.value.header.revision));
-    const present = answer.value.responses?.[0]?.response_range?.kvs?.map(toEntry)[0];
-    return fail({ kind: StoreErrorKind.conflict, detail: `${key} has changed`, present });
+    const presentEntries = (answer.value.responses ?? []).flatMap((response) =>
+      (response.response_range?.kvs ?? []).map(toEntry),
+    );
+    const detail = `${changes.map((change) => change.key).join(', ')} changed`;
+    return fail({ kind: StoreErrorKind.conflict, detail, present: presentEntries[0], presentEntries });
   }
 
   private async call<T>(path: string, json: object, writes: boolean): Promise<Outcome<T, StoreError>> {
@@ -154,6 +154,11 @@
   }
 }
 
+function toOperation({ key, value }: KeyChange): EtcdRequestOp {
+  if (value === undefined) return { request_delete_range: { key: toBase64(key) } };
+  return { request_put: { key: toBase64(key), value: toBase64(value) } };
+}
+
 function emitEvents(line: string, listener: WatchListener): void {
   const message = JSON.parse(line) as EtcdWatchMessage;
   (message.result.events ?? []).forEach((event) =>
--- a/packages/platform/src/key-value-service.ts
+++ b/packages/outside/src/key-value-service.ts
@@ -27,6 +27,19 @@
   readonly kind: StoreErrorKind;
   readonly detail: string;
   readonly present?: KeyValueEntry;
+  /** For a transaction: all of its keys that exist. */
+  readonly presentEntries?: readonly KeyValueEntry[];
+}
+
+/** One key of a transaction. */
+export interface KeyChange {
+  readonly key: string;
+  /** The transaction has an effect only if each key is at its expected revision. */
+  readonly expectedRevision: number;
+  /** The new value; undefined deletes the key. */
+  readonly value?: string;
+  /** Set when the key is only compared. */
+  readonly compareOnly?: boolean;
 }
 
 /** A change seen by a watch. `value` is undefined for a delete. */
@@ -57,5 +70,7 @@
   compareAndSwap(key: string, expectedRevision: number, value: string): Promise<Outcome<number, StoreError>>;
   /** Deletes if the key's revision is `expectedRevision`. */
   compareAndDelete(key: string, expectedRevision: number): Promise<Outcome<void, StoreError>>;
+  /** Applies all changes or none. Returns the new revision of the written keys. */
+  transact(changes: readonly KeyChange[]): Promise<Outcome<number, StoreError>>;
   watch(prefix: string, listener: WatchListener): WatchHandle;
 }
--- a/packages/platform/src/memory-key-value.ts
+++ b/packages/outside/src/memory-key-value.ts
@@ -3,6 +3,7 @@
 import { fail, ok } from '@fighub/core';
 
 import type {
+  KeyChange,
   KeyValueEntry,
   KeyValueService,
   StoreError,
@@ -44,16 +45,29 @@
 
   compareAndSwap(key: string, expectedRevision: number, value: string): Promise<Outcome<number, StoreError>> {
     return Promise.resolve(
-      this.write(key, expectedRevision, () => {
+      this.write(new Map([[key, expectedRevision]]), () => {
         this.entries.set(key, { key, value, revision: this.revision });
         this.notify(key, value);
       }),
     );
   }
 
+  transact(changes: readonly KeyChange[]): Promise<Outcome<number, StoreError>> {
+    const expected = new Map(changes.map((change) => [change.key, change.expectedRevision]));
+    const apply = (): void =>
+      changes
+        .filter((change) => !change.compareOnly)
+        .forEach(({ key, value }) => {
+          if (value === undefined) this.entries.delete(key);
+          else this.entries.set(key, { key, value, revision: this.revision });
+          this.notify(key, value);
+        });
+    return Promise.resolve(this.write(expected, apply));
+  }
+
   async compareAndDelete(key: string, expectedRevision: number): Promise<Outcome<void, StoreError>> {
     const outcome = await Promise.resolve(
-      this.write(key, expectedRevision, () => {
+      this.write(new Map([[key, expectedRevision]]), () => {
         this.entries.delete(key);
         this.notify(key, undefined);
       }),
@@ -72,14 +86,14 @@
     this.delayed.splice(0).forEach((apply) => apply());
   }
 
-  private write(key: string, expectedRevision: number, apply: () => void): Outcome<number, StoreError> {
+  private write(expected: ReadonlyMap<string, number>, apply: () => void): Outcome<number, StoreError> {
     if (this.down) return fail(unavailable());
     if (this.delayWrites > 0) {
       this.delayWrites -= 1;
-      this.delayed.push(() => this.applyIfUnchanged(key, expectedRevision, apply));
+      this.delayed.push(() => this.applyIfUnchanged(expected, apply));
       return fail({ kind: StoreErrorKind.unknown, detail: 'the answer was lost' });
     }
-    const outcome = this.applyIfUnchanged(key, expectedRevision, apply);
+    const outcome = this.applyIfUnchanged(expected, apply);
     if (outcome.ok && this.loseAnswers > 0) {
       this.loseAnswers -= 1;
       return fail({ kind: StoreErrorKind.unknown, detail: 'the answer was lost' });
@@ -88,20 +102,26 @@
   }
 
   private applyIfUnchanged(
-    key: string,
-    expectedRevision: number,
+    expected: ReadonlyMap<string, number>,
     apply: () => void,
   ): Outcome<number, StoreError> {
-    const present = this.entries.get(key);
-    if ((present?.revision ?? 0) !== expectedRevision) {
-      return fail({ kind: StoreErrorKind.conflict, detail: `${key} has changed`, present });
+    const changed = [...expected].find(([key, revision]) => this.revisionOf(key) !== revision);
+    if (changed) {
+      const presentEntries = [...expected.keys()].flatMap((key) => this.entries.get(key) ?? []);
+      const present = this.entries.get(changed[0]);
+      const detail = `${changed[0]} has changed`;
+      return fail({ kind: StoreErrorKind.conflict, detail, present, presentEntries });
     }
     this.revision += 1;
-    this.writtenKeys.push(key);
+    this.writtenKeys.push(...expected.keys());
     apply();
     return ok(this.revision);
   }
 
+  private revisionOf(key: string): number {
+    return this.entries.get(key)?.revision ?? 0;
+  }
+
   private notify(key: string, value: string | undefined): void {
     [...this.watchers]
       .filter((watcher) => key.startsWith(watcher.prefix))
--- a/packages/platform/src/record-store.ts
+++ b/packages/outside/src/record-store.ts
@@ -8,6 +8,7 @@
 
 import { CallGuard } from './call-guard.js';
 import type {
+  KeyChange,
   KeyValueEntry,
   KeyValueService,
   StoreError,
@@ -38,6 +39,23 @@
   readonly appliedThenChanged?: boolean;
 }
 
+/** One record of a transaction. */
+export interface RecordChange {
+  readonly key: string;
+  /** The record as it was read; undefined when it must not exist. */
+  readonly previous?: Versioned<unknown>;
+  /** The new value; undefined deletes the record. */
+  readonly value?: unknown;
+}
+
+/** A transaction that was refused, or that may have been applied. */
+export interface TransactionError {
+  readonly kind: StoreErrorKind;
+  readonly detail: string;
+  /** For conflicts: the records of the transaction that exist. */
+  readonly present: readonly Versioned<unknown>[];
+}
+
 /** Settings of the store's client. */
 export interface RecordStoreOptions {
   readonly readsPerSecond: number;
@@ -120,6 +138,34 @@
     return this.writeSettled<T>(key, previous?.revision ?? 0, envelope, writeId, value, deadlineMs, false);
   }
 
+  /**
+   * Applies all changes or none. Lost answers are settled as in `write`: the same transaction is repeated, and
+   * a conflict with our own write id means that it was applied. At least one change must have a value.
+   */
+  async transact(
+    changes: readonly RecordChange[],
+  ): Promise<Outcome<ReadonlyMap<string, Versioned<unknown>>, TransactionError>> {
+    const writeId = newId('w');
+    const encoded = changes.map((change) => this.toKeyChange(change, writeId));
+    const deadlineMs = this.clock.monotonicMs() + this.options.deadlineMs;
+    let unsettled = false;
+    for (;;) {
+      const outcome = await this.guarded('writes', this.writes, () => this.service.transact(encoded));
+      if (outcome.ok) return ok(writtenRecords(changes, encoded, outcome.value));
+      const { kind, detail } = outcome.error;
+      if (kind === StoreErrorKind.conflict)
+        return settleTransaction(outcome.error, changes, encoded, writeId);
+      if (kind === StoreErrorKind.tooLarge) return fail({ kind, detail, present: [] });
+      unsettled ||= kind === StoreErrorKind.unknown;
+      if (kind === StoreErrorKind.unknown) this.metrics.count('store_answers_lost');
+      if (this.clock.monotonicMs() + RETRY_PAUSE_MS >= deadlineMs) {
+        const last = unsettled ? StoreErrorKind.unknown : StoreErrorKind.unavailable;
+        return fail({ kind: last, detail, present: [] });
+      }
+      await sleep(RETRY_PAUSE_MS * (1 + this.random()));
+    }
+  }
+
   /** Deletes a record if it is still `previous`. A lost answer is repeated; an absent record is success. */
   async remove<T>(previous: Versioned<T>): Promise<Outcome<void, RecordError<T>>> {
     const outcome = await this.guarded('writes', this.writes, () =>
@@ -194,6 +240,14 @@
     return fail(toRecordError<T>(error));
   }
 
+  private toKeyChange(change: RecordChange, writeId: string): KeyChange {
+    const { key, previous, value } = change;
+    const expectedRevision = previous?.revision ?? 0;
+    if (value === undefined) return { key, expectedRevision };
+    const writeIds = this.writeIdsFor(previous, writeId);
+    return { key, expectedRevision, value: JSON.stringify({ writeIds, value }) };
+  }
+
   private writeIdsFor<T>(previous: Versioned<T> | undefined, writeId: string): string[] {
     const known = previous ? (writeIdsOf.get(previous) ?? []) : [];
     return [writeId, ...known].slice(0, KEPT_WRITE_IDS);
@@ -252,6 +306,32 @@
   return versioned;
 }
 
+function writtenRecords(
+  changes: readonly RecordChange[],
+  encoded: readonly KeyChange[],
+  revision: number,
+): ReadonlyMap<string, Versioned<unknown>> {
+  return new Map(
+    changes.flatMap(({ key, value }, index) => {
+      const envelope = encoded[index]?.value;
+      return envelope === undefined ? [] : [[key, written(key, revision, value, envelope)] as const];
+    }),
+  );
+}
+
+function settleTransaction(
+  error: StoreError,
+  changes: readonly RecordChange[],
+  encoded: readonly KeyChange[],
+  writeId: string,
+): Outcome<ReadonlyMap<string, Versioned<unknown>>, TransactionError> {
+  const entries = error.presentEntries ?? [];
+  const own = entries.find((entry) => parseEnvelope(entry.value).writeIds[0] === writeId);
+  if (own) return ok(writtenRecords(changes, encoded, own.revision));
+  const present = entries.map((entry) => toVersioned<unknown>(entry));
+  return fail({ kind: StoreErrorKind.conflict, detail: error.detail, present });
+}
+
 function toRecordError<T>(error: StoreError): RecordError<T> {
   return {
     kind: error.kind,
--- a/packages/standins/src/engine-standin.ts
+++ b/packages/standins/src/engine-standin.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { digest, prefixDigest } from '@fighub/core';
-import type { EngineLoad } from '@fighub/platform';
+import type { EngineLoad } from '@fighub/outside';
 
 import type { RunningServer } from './http-util.js';
 import { readJsonBody, sendJsonBody, serve } from './http-util.js';
--- a/packages/standins/src/instances-standin.ts
+++ b/packages/standins/src/instances-standin.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the platform's instance list: HTTP with JSON, answers lag. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { ListedInstance } from '@fighub/platform';
+import type { ListedInstance } from '@fighub/outside';
 
 import type { RunningServer } from './http-util.js';
 import { readJsonBody, sendJsonBody, serve } from './http-util.js';
--- a/packages/standins/src/kv-standin.ts
+++ b/packages/standins/src/kv-standin.ts
@@ -8,8 +8,8 @@
   EtcdRequestOp,
   EtcdTxnRequest,
   EtcdWatchMessage,
-} from '@fighub/platform';
-import { fromBase64, toBase64 } from '@fighub/platform';
+} from '@fighub/outside';
+import { fromBase64, toBase64 } from '@fighub/outside';
 
 import type { RunningServer } from './http-util.js';
 import { readJsonBody, sendJsonBody, serve } from './http-util.js';
