--- /dev/null
+++ b/deploy/rolldown.config.js
@@ -0,0 +1,17 @@
+import { readdirSync } from 'node:fs';
+import { resolve } from 'node:path';
+
+import { defineConfig } from 'rolldown';
+
+const sources = Object.fromEntries([
+  ...readdirSync('packages').map((name) => [`@fighub/${name}`, resolve('packages', name, 'src/index.ts')]),
+  ['@fighub/platform', resolve('platform/src/index.ts')],
+]);
+
+export default defineConfig({
+  input: 'platform/src/bin/fighub-node.ts',
+  platform: 'node',
+  resolve: { mainFields: ['module', 'main'], alias: sources, extensionAlias: { '.js': ['.ts', '.js'] } },
+  external: ['cbor-extract'],
+  output: { file: 'target/fighub-node.mjs', format: 'esm', codeSplitting: false },
+});
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,12 +2,12 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'reports/**', 'target/**'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -52,6 +52,7 @@
   private readonly releases = new Map<string, ReleaseReport[]>();
   private readonly summaries = new Map<string, PoolSummary>();
   private nextRenewMs = 0;
+  private renewedVersion = 0;
   private nextSummaryMs = 0;
   private readonly modelUsedAtMs = new Map<string, number>();
   private releasesScheduled = false;
@@ -142,7 +143,9 @@
     this.sendReleases();
     this.dropMovedWishes();
     this.askAgain(nowMs);
-    if (nowMs >= this.nextRenewMs) this.renewAll(nowMs);
+    // A new owner learns at once what its predecessor had granted.
+    const { version } = this.members().membership;
+    if (nowMs >= this.nextRenewMs || version !== this.renewedVersion) this.renewAll(nowMs);
     if (nowMs >= this.nextSummaryMs) this.askForSummaries(nowMs);
   }
 
@@ -291,6 +294,7 @@
 
   private renewAll(nowMs: number): void {
     this.nextRenewMs = nowMs + RENEW_PERIOD_MS;
+    this.renewedVersion = this.members().membership.version;
     const poolIds = [...new Set(this.places.all().map((place) => place.poolId))];
     poolIds.forEach((poolId) => {
       const permits = this.places
@@ -356,6 +360,7 @@
   }
 
   private toBody(poolId: string, wish: PlaceWish): AcquireBody {
+    const nowUnixMs = this.clock.nowUnixMs();
     return {
       poolId,
       requestId: `${this.selfId}/${wish.requestId}/${String(this.attempts++)}`,
@@ -363,7 +368,8 @@
       organisation: wish.organisation,
       workClass: wish.workClass,
       costTokens: wish.costTokens,
-      deadlineUnixMs: wish.deadlineUnixMs,
+      startInMs: wish.startByUnixMs === undefined ? undefined : wish.startByUnixMs - nowUnixMs,
+      deadlineInMs: wish.deadlineUnixMs - nowUnixMs,
       prefixDigest: wish.prefixDigest,
       excludedReplicaIds: wish.excludedReplicaIds,
       resumable: wish.resumable,
--- a/packages/admission/src/place.ts
+++ b/packages/admission/src/place.ts
@@ -8,6 +8,9 @@
   readonly model: string;
   readonly workClass: WorkClass;
   readonly costTokens: number;
+  /** Refused at once when it cannot be expected to start by this time; undefined to wait in any case. */
+  readonly startByUnixMs?: number;
+  /** Refused when it has not started by this time. */
   readonly deadlineUnixMs: number;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,7 @@
 /** Domain types and small building blocks without I/O. */
+export * from './batch-jobs.js';
 export * from './clock.js';
+export * from './decision-log.js';
 export * from './entity-table.js';
 export * from './ids.js';
 export * from './invariant.js';
@@ -8,6 +10,7 @@
 export * from './metrics.js';
 export * from './outcome.js';
 export * from './problem.js';
+export * from './routing.js';
 export * from './settings.js';
 export * from './table-rows.js';
 export * from './tick.js';
--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -23,6 +23,7 @@
   in_progress: 409,
   row_changed: 409,
   body_too_large: 413,
+  headers_too_large: 431,
   precondition_required: 428,
   limit_reached: 429,
   overloaded: 503,
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -88,7 +88,7 @@
     }
     this.reserve.onArrival(nowMs);
     const waitMs = this.expectedWaitMs(request.organisation);
-    if (nowMs + waitMs > request.deadlineMs || this.online.size >= MAX_ONLINE_QUEUE) {
+    if (nowMs + waitMs > (request.startByMs ?? request.deadlineMs) || this.online.size >= MAX_ONLINE_QUEUE) {
       const detail = `expected wait of ${String(Math.round(waitMs))} ms in pool ${this.poolId}`;
       this.output.refused(request, notRun('deadline_unreachable', detail, Math.max(1_000, waitMs)));
       return;
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -12,6 +12,10 @@
 /** A request that asks for a place at a replica. Times are monotonic times of the owner. */
 export interface PlaceRequest extends QueuedRequest {
   readonly holder: string;
+  /** Where the holder is: replicas there are nearer. */
+  readonly failureDomain?: string;
+  /** Refused at once when the expected wait is longer; undefined to wait until the deadline. */
+  readonly startByMs?: number;
   readonly workClass: WorkClass;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -4,6 +4,8 @@
 
 /** A cached prefix may cost at most this many streams of imbalance. */
 const AFFINITY_STREAMS = 2;
+/** A replica in another failure domain loses to an equally loaded one that is near. */
+const DISTANCE_STREAMS = 0.5;
 /** A replica is passed over after this many missing load reports, as long as another one reports. */
 const MISSED_REPORTS_LIMIT = 2;
 
@@ -29,7 +31,7 @@
     .filter(({ replica, streams }) => streams < (replica.health.onProbation ? 1 : replica.limit.places))
     .map(({ replica, streams }) => ({
       replica,
-      score: streams - affinityOf(replica.replicaId, request, prefixes),
+      score: streams - affinityOf(replica.replicaId, request, prefixes) + distanceOf(replica, request),
     }));
   return candidates.reduce<(typeof candidates)[number] | undefined>(
     (best, candidate) => (best === undefined || candidate.score < best.score ? candidate : best),
@@ -58,6 +60,11 @@
   return ranked.sort((a, b) => a.score - b.score || b.permit.grantedAtMs - a.permit.grantedAtMs)[0]?.permit;
 }
 
+function distanceOf(replica: PoolReplica, request: PlaceRequest): number {
+  const isFar = request.failureDomain !== undefined && replica.failureDomain !== request.failureDomain;
+  return isFar ? DISTANCE_STREAMS : 0;
+}
+
 /** Streams of imbalance that a cached prefix is worth. */
 function affinityOf(replicaId: string, request: PlaceRequest, prefixes: PrefixIndex): number {
   return prefixes.holds(request.prefixDigest, replicaId) ? AFFINITY_STREAMS : 0;
--- a/packages/outside/src/index.ts
+++ b/packages/outside/src/index.ts
@@ -1,13 +1,15 @@
 /** Interfaces to what the platform gives, and their adapters. */
 export * from './call-budget.js';
 export * from './call-guard.js';
-export * from './engine.js';
+export * from './connection-pool.js';
 export * from './engine-orders.js';
+export * from './engine.js';
 export * from './etcd-key-value.js';
 export * from './etcd-wire.js';
 export * from './http-engine.js';
 export * from './instance-list.js';
 export * from './key-value-service.js';
 export * from './memory-key-value.js';
+export * from './not-sent.js';
 export * from './plain-service.js';
 export * from './record-store.js';
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -76,6 +76,13 @@
     await Promise.all(absent.map(({ candidate }) => this.join(candidate)));
   }
 
+  /** Pings addresses at which no live member is known; whoever answers joins. */
+  async seedAddresses(addresses: readonly string[]): Promise<void> {
+    const known = new Set(this.membership.owners().map((member) => member.peerAddress));
+    const unknown = addresses.filter((address) => !known.has(address));
+    await Promise.all(unknown.map((peerAddress) => this.join({ instanceId: '', peerAddress })));
+  }
+
   /** Pings an instance and takes in its whole list, so that a joining instance knows all at once. */
   private async join(candidate: SeedCandidate): Promise<void> {
     const known = this.membership.get(candidate.instanceId);
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -1,5 +1,11 @@
 /** All messages between instances, by name. */
-import type { Problem, TableBucket } from '@fighub/core';
+import type {
+  DirectorySnapshot,
+  Problem,
+  RoutingConfiguration,
+  StoredResult,
+  TableBucket,
+} from '@fighub/core';
 import type { MemberUpdate, PoolLoad, ReleaseReport, WorkClass } from '@fighub/decisions';
 
 /** Asks the owner of a pool for a place. The answer tells only whether the owner took the request. */
@@ -10,7 +16,9 @@
   readonly organisation: string;
   readonly workClass: WorkClass;
   readonly costTokens: number;
-  readonly deadlineUnixMs: number;
+  /** Times are sent as what is left of them, since clocks of instances may differ. */
+  readonly startInMs?: number;
+  readonly deadlineInMs: number;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
   readonly resumable: boolean;
@@ -39,6 +47,29 @@
   readonly revisions: readonly number[];
 }
 
+/** What a relay knows of the fleet. */
+export interface FleetViewBody {
+  readonly configurationVersion: number;
+  /** Left out when the receiver probably has this version. */
+  readonly configuration?: RoutingConfiguration;
+  readonly directory: DirectorySnapshot;
+  /** Time since the sender read the directory from the store. */
+  readonly ageMs: number;
+}
+
+/** A page of a job's results as its holder has committed them. */
+export interface JobResultsBody {
+  readonly jobId: string;
+  readonly afterPosition: number;
+}
+
+/** Answer of a holder; `held` is false when the job is not held there. */
+export interface JobResultsAnswer {
+  readonly held: boolean;
+  readonly itemCount: number;
+  readonly results: readonly StoredResult[];
+}
+
 /** A probe with piggybacked state. */
 export interface PingBody {
   readonly from: MemberUpdate;
@@ -54,6 +85,8 @@
   'swim.indirect': { body: { targetAddress: string }; answer: { reached: boolean } };
   'table.fetch': { body: { buckets: readonly number[] }; answer: { buckets: readonly TableBucket[] } };
   'pool.load': { body: { poolIds: readonly string[] }; answer: { loads: readonly PoolLoad[] } };
+  'view.fetch': { body: Record<string, never>; answer: FleetViewBody };
+  'job.results': { body: JobResultsBody; answer: JobResultsAnswer };
   'once.state': { body: { key: string }; answer: { running: boolean } };
 }
 
@@ -67,6 +100,8 @@
   'permit.revoked': { permitId: string };
   'table.push': { bucket: TableBucket };
   'job.cancelled': { jobId: string };
+  'job.offered': { jobId: string };
+  'view.pushed': FleetViewBody;
   'swim.update': { updates: readonly MemberUpdate[] };
 }
 
--- /dev/null
+++ b/packages/serving/src/batch/job-reader.ts
@@ -0,0 +1,171 @@
+/** Reads results and items of batch jobs at any instance, and ends jobs. */
+import type {
+  DecisionLog,
+  JobProgress,
+  Metrics,
+  Outcome,
+  Problem,
+  ResultSegment,
+  StoredResult,
+} from '@fighub/core';
+import { LogWeight, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
+import { committedResults, endJob, isClosed } from '@fighub/decisions';
+import type { JobResultsAnswer, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
+
+import type { InputCache } from './input-cache.js';
+
+/** A page of results. */
+export interface ResultPage {
+  readonly itemCount: number;
+  readonly nextPosition: number;
+  readonly results: readonly StoredResult[];
+}
+
+/** Jobs of which this instance knows the holder, or the whole closed progress. */
+interface KnownJob {
+  readonly holder: string;
+  readonly closed?: JobProgress;
+}
+
+const HOLDER_TIMEOUT_MS = 250;
+const MAX_KNOWN_JOBS = 500;
+/** Segments in memory; at most about 100 KB each. */
+const MAX_KEPT_SEGMENTS = 60;
+/** Text in one page, in characters; a page ends at 1 MB. */
+const PAGE_CHARACTERS = 800_000;
+const STORE_RETRY_MS = 1_000;
+const END_TRIES = 6;
+
+/** Answers readers from the job's holder if it is reached, else from the store. */
+export class JobReader {
+  private readonly known = new Map<string, KnownJob>();
+  private readonly segments = new Map<string, readonly StoredResult[]>();
+
+  constructor(
+    private readonly selfId: () => string,
+    private readonly store: RecordStore,
+    private readonly inputs: InputCache,
+    private readonly members: () => MembershipRunner,
+    private readonly node: PeerNode,
+    private readonly local: (jobId: string, afterPosition: number) => JobResultsAnswer,
+    private readonly cancelLocal: (jobId: string) => void,
+    private readonly metrics: Metrics,
+    private readonly log: DecisionLog,
+  ) {}
+
+  /** Results from `afterPosition` on. */
+  async results(jobId: string, afterPosition: number): Promise<Outcome<ResultPage, Problem>> {
+    const fromHolder = await this.askHolder(jobId, afterPosition);
+    if (fromHolder?.held) return ok(toPage(fromHolder.itemCount, afterPosition, fromHolder.results));
+    const progress = await this.progress(jobId);
+    if (!progress.ok) return progress;
+    return this.readSegments(progress.value, afterPosition);
+  }
+
+  /** The body of an item, decoded. */
+  async itemBody(jobId: string, itemId: string): Promise<Outcome<Buffer, Problem>> {
+    const progress = await this.progress(jobId);
+    if (!progress.ok) return progress;
+    const items = await this.inputs.read(jobId, progress.value.inputPartCount);
+    if (!items.ok) return fail(notRun('store_unavailable', items.error.detail, STORE_RETRY_MS));
+    const item = items.value.find((candidate) => candidate.itemId === itemId);
+    if (!item) return fail(notRun('not_found', `job ${jobId} has no item ${itemId}`));
+    return ok(Buffer.from(item.bodyBase64, 'base64'));
+  }
+
+  /** Ends a job. Ending it twice is the same as once. */
+  async end(jobId: string, triesLeft = END_TRIES): Promise<Outcome<void, Problem>> {
+    const record = await this.store.read<JobProgress>(batchJobKeys.progress(jobId));
+    if (!record.ok) return fail(notRun('store_unavailable', record.error.detail, STORE_RETRY_MS));
+    if (!record.value) return fail(notRun('unknown_job', `there is no job ${jobId}`));
+    if (isClosed(record.value.value)) return this.ended(record.value.value);
+    const written = await this.store.write(record.value.key, record.value, endJob(record.value.value));
+    if (written.ok) return this.ended(written.value.value);
+    if (written.error.kind === StoreErrorKind.conflict && triesLeft > 1)
+      return this.end(jobId, triesLeft - 1);
+    return fail(mayHaveRun('outcome_unknown', 'the job may be ended; end it again'));
+  }
+
+  private ended(progress: JobProgress): Outcome<void, Problem> {
+    const { jobId, holder } = progress;
+    this.log.record(LogWeight.routine, 'job_ended', { jobId, holder, sequence: progress.sequence });
+    this.remember(progress);
+    this.cancelLocal(jobId);
+    const member = this.members().membership.get(holder);
+    if (member && holder !== this.selfId()) this.node.notify(member.peerAddress, 'job.cancelled', { jobId });
+    return ok(undefined);
+  }
+
+  private async askHolder(jobId: string, afterPosition: number): Promise<JobResultsAnswer | undefined> {
+    const own = this.local(jobId, afterPosition);
+    if (own.held) return own;
+    const known = this.known.get(jobId);
+    if (!known || known.closed || known.holder === this.selfId()) return undefined;
+    const member = this.members().membership.get(known.holder);
+    if (!member || !this.members().membership.isLive(known.holder)) return undefined;
+    const body = { jobId, afterPosition };
+    const answer = await this.node.request(member.peerAddress, 'job.results', body, HOLDER_TIMEOUT_MS);
+    if (!answer.ok) this.metrics.count('job_holders_not_answering');
+    return answer.ok ? answer.value : undefined;
+  }
+
+  private async progress(jobId: string): Promise<Outcome<JobProgress, Problem>> {
+    const closed = this.known.get(jobId)?.closed;
+    if (closed) return ok(closed);
+    const record = await this.store.read<JobProgress>(batchJobKeys.progress(jobId));
+    if (!record.ok) return fail(notRun('store_unavailable', record.error.detail, STORE_RETRY_MS));
+    if (!record.value) return fail(notRun('unknown_job', `there is no job ${jobId}`));
+    this.remember(record.value.value);
+    return ok(record.value.value);
+  }
+
+  /** Notes who holds a job. */
+  remember(progress: JobProgress): void {
+    if (this.known.size >= MAX_KNOWN_JOBS) this.known.clear();
+    const closed = isClosed(progress) && !progress.ended ? progress : undefined;
+    this.known.set(progress.jobId, { holder: progress.holder, closed });
+  }
+
+  private async readSegments(
+    progress: JobProgress,
+    afterPosition: number,
+  ): Promise<Outcome<ResultPage, Problem>> {
+    let first = 0;
+    const wanted = progress.segments.filter((segment) => {
+      first += segment.count;
+      return first > afterPosition;
+    });
+    const skipped = committedResults(progress) - wanted.reduce((sum, segment) => sum + segment.count, 0);
+    const read = await Promise.all(wanted.map((segment) => this.segment(segment.key)));
+    const failed = read.find((outcome) => !outcome.ok);
+    if (failed && !failed.ok) return failed;
+    const results = read.flatMap((outcome) => (outcome.ok ? outcome.value : []));
+    return ok(toPage(progress.itemCount, afterPosition, results.slice(Math.max(0, afterPosition - skipped))));
+  }
+
+  private async segment(key: string): Promise<Outcome<readonly StoredResult[], Problem>> {
+    const kept = this.segments.get(key);
+    if (kept) return ok(kept);
+    const record: Outcome<Versioned<ResultSegment> | undefined, { detail: string }> =
+      await this.store.read<ResultSegment>(key);
+    if (!record.ok) return fail(notRun('store_unavailable', record.error.detail, STORE_RETRY_MS));
+    if (!record.value) return fail(notRun('store_unavailable', `segment ${key} is missing`, STORE_RETRY_MS));
+    const { results } = record.value.value;
+    this.segments.set(key, results);
+    const oldest = this.segments.keys().next();
+    if (this.segments.size > MAX_KEPT_SEGMENTS && !oldest.done) this.segments.delete(oldest.value);
+    return ok(results);
+  }
+}
+
+/** As many results as fit into one page, and at least one. */
+function toPage(itemCount: number, afterPosition: number, results: readonly StoredResult[]): ResultPage {
+  let characters = 0;
+  const fitting = results.filter((result, index) => {
+    characters += result.output.length;
+    return index === 0 || characters <= PAGE_CHARACTERS;
+  });
+  return { itemCount, nextPosition: afterPosition + fitting.length, results: fitting };
+}
--- /dev/null
+++ b/packages/serving/src/batch/job-runner.ts
@@ -0,0 +1,247 @@
+/** Finds the batch jobs that this instance should run, and runs them. */
+import type {
+  Clock,
+  DecisionLog,
+  JobProgress,
+  Metrics,
+  ResultSegment,
+  StoredResult,
+  System,
+} from '@fighub/core';
+import { EntityTable, LogWeight, batchJobKeys } from '@fighub/core';
+import { claimJob, isClosed, shouldClaim, winnerOf } from '@fighub/decisions';
+import type { JobResultsAnswer, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { RecordStore, Versioned } from '@fighub/outside';
+
+import type { InputCache } from './input-cache.js';
+import type { ItemParts } from './item-run.js';
+import { RunningJob } from './running-job.js';
+
+/** When a job's progress was first seen as it is. */
+interface Sighting {
+  readonly sequence: number;
+  readonly seenAtMs: number;
+}
+
+/** Periods of the listing of jobs, in milliseconds. */
+const LIST_PERIOD_MS = 1_000;
+const IDLE_LIST_PERIOD_MS = 2_000;
+const PROGRESS_PAGE = 500;
+/** Without a listing for this long a job may have been ended unseen, in milliseconds. */
+const LISTING_FRESH_MS = 2_400;
+/** While the store is away nobody can end a job; runs go on for this long, in milliseconds. */
+const OUTAGE_DISPATCH_MS = 12_000;
+/** Finished jobs are kept for readers, in milliseconds. */
+const KEEP_FINISHED_MS = 20_000;
+
+const NOT_HELD: JobResultsAnswer = { held: false, itemCount: 0, results: [] };
+
+/** Claims jobs and runs those that are held. */
+export class JobRunner implements System {
+  readonly name = 'job runner';
+  private readonly jobs = new EntityTable<RunningJob>();
+  private readonly loading = new Set<string>();
+  private readonly finishedAtMs = new Map<string, number>();
+  private readonly sightings = new Map<string, Sighting>();
+  private readonly endedIds = new Set<string>();
+  private listedAtMs = Number.NEGATIVE_INFINITY;
+  private listFailedAtMs: number | undefined;
+  private nextListMs = 0;
+  private listing = false;
+  private stopped = false;
+  private readonly startedMs: number;
+
+  constructor(
+    private readonly selfId: () => string,
+    private readonly claimsJobs: boolean,
+    private readonly store: RecordStore,
+    private readonly inputs: InputCache,
+    private readonly members: () => MembershipRunner,
+    private readonly node: PeerNode,
+    private readonly itemParts: ItemParts,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly log: DecisionLog,
+  ) {
+    this.startedMs = clock.monotonicMs();
+    node.onNotice('job.offered', (body) => void this.take(body.jobId));
+    node.onNotice('job.cancelled', (body) => this.onEnded(body.jobId));
+    node.onRequest('job.results', (body) => this.results(body.jobId, body.afterPosition));
+  }
+
+  get busy(): boolean {
+    return this.jobs.all().some((job) => !job.finished);
+  }
+
+  /** Hands a job to its holder, which may be this instance. */
+  offer(progress: JobProgress): void {
+    if (progress.holder === this.selfId()) {
+      void this.take(progress.jobId);
+      return;
+    }
+    const member = this.members().membership.get(progress.holder);
+    if (member) this.node.notify(member.peerAddress, 'job.offered', { jobId: progress.jobId });
+  }
+
+  /** Results of a job that is held here. */
+  results(jobId: string, afterPosition: number): JobResultsAnswer {
+    return this.jobs.get(jobId)?.results(afterPosition) ?? NOT_HELD;
+  }
+
+  /** Stops a job that its caller has ended. */
+  onEnded(jobId: string): void {
+    this.endedIds.add(jobId);
+    this.jobs.take(jobId)?.stop('the job was ended by its caller');
+  }
+
+  run(nowMs: number): void {
+    this.jobs.all().forEach((job) => job.run(nowMs));
+    this.dropFinished(nowMs);
+    const isIdle = !this.busy;
+    if (this.stopped || this.listing || nowMs < this.nextListMs) return;
+    if (!this.claimsJobs && isIdle) return;
+    this.nextListMs = nowMs + (isIdle ? IDLE_LIST_PERIOD_MS : LIST_PERIOD_MS);
+    this.listing = true;
+    void this.list().finally(() => (this.listing = false));
+  }
+
+  /** Gives all jobs back. */
+  async drain(): Promise<void> {
+    this.stopped = true;
+    const held = this.jobs.all().filter((job) => !job.finished);
+    await Promise.all(held.map((job) => job.release()));
+    const others = this.claimers().filter((id) => id !== this.selfId());
+    held.forEach((job) => {
+      const member = this.members().membership.get(winnerOf(job.jobId, others) ?? '');
+      if (member) this.node.notify(member.peerAddress, 'job.offered', { jobId: job.jobId });
+    });
+  }
+
+  dump(): Record<string, unknown> {
+    return {
+      jobs: this.jobs.all().map((job) => job.dump()),
+      listedAgoMs: Math.round(this.clock.monotonicMs() - this.listedAtMs),
+    };
+  }
+
+  private mayDispatch(): boolean {
+    if (this.stopped) return false;
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs - this.listedAtMs < LISTING_FRESH_MS) return true;
+    return this.listFailedAtMs !== undefined && nowMs - this.listFailedAtMs < OUTAGE_DISPATCH_MS;
+  }
+
+  private async list(): Promise<void> {
+    const askedAtMs = this.clock.monotonicMs();
+    const listed = await this.store.listAll<JobProgress>(batchJobKeys.progressPrefix, PROGRESS_PAGE);
+    if (!listed.ok) {
+      this.listFailedAtMs ??= askedAtMs;
+      // What was seen before an outage says nothing about who was at work during it.
+      this.sightings.clear();
+      return;
+    }
+    this.listedAtMs = askedAtMs;
+    this.listFailedAtMs = undefined;
+    listed.value.forEach((record) => this.judge(record.value));
+  }
+
+  private judge(progress: JobProgress): void {
+    const { jobId, sequence } = progress;
+    const held = this.jobs.get(jobId);
+    if (held) {
+      held.observe(progress);
+      return;
+    }
+    if (isClosed(progress) || this.endedIds.has(jobId)) return;
+    const nowMs = this.clock.monotonicMs();
+    const known = this.sightings.get(jobId);
+    if (known?.sequence !== sequence) this.sightings.set(jobId, { sequence, seenAtMs: nowMs });
+    const unchangedMs = known?.sequence === sequence ? nowMs - known.seenAtMs : 0;
+    const isOwn = progress.holder === this.selfId();
+    if (isOwn || (this.claimsJobs && this.wantsToClaim(progress, unchangedMs))) void this.take(jobId);
+  }
+
+  private wantsToClaim(progress: JobProgress, unchangedMs: number): boolean {
+    return shouldClaim(progress, {
+      holderIsLive: this.members().membership.isLive(progress.holder),
+      unchangedMs,
+      memberForMs: this.clock.monotonicMs() - this.startedMs,
+      isPreferred: winnerOf(progress.jobId, this.claimers()) === this.selfId(),
+    });
+  }
+
+  /** Reads the job, claims it if it is another's, and starts it. */
+  private async take(jobId: string): Promise<void> {
+    if (this.stopped || this.loading.has(jobId) || this.jobs.has(jobId) || this.endedIds.has(jobId)) return;
+    this.loading.add(jobId);
+    try {
+      const record = await this.store.read<JobProgress>(batchJobKeys.progress(jobId));
+      if (!record.ok || !record.value || isClosed(record.value.value)) return;
+      const own = await this.claim(record.value);
+      if (own) await this.start(own);
+    } finally {
+      this.loading.delete(jobId);
+    }
+  }
+
+  private async claim(record: Versioned<JobProgress>): Promise<Versioned<JobProgress> | undefined> {
+    const { jobId, holder, epoch } = record.value;
+    if (holder === this.selfId()) return record;
+    const claimed = await this.store.write(record.key, record, claimJob(record.value, this.selfId()));
+    this.log.record(LogWeight.state, 'job_claimed', {
+      jobId,
+      from: holder,
+      epoch: epoch + 1,
+      sequence: record.value.sequence,
+      won: claimed.ok,
+      detail: claimed.ok ? '' : claimed.error.detail,
+    });
+    if (!claimed.ok) return undefined;
+    this.metrics.count('batch_jobs_claimed');
+    return claimed.value;
+  }
+
+  private async start(record: Versioned<JobProgress>): Promise<void> {
+    const { jobId, inputPartCount, segments } = record.value;
+    const [items, committed] = await Promise.all([
+      this.inputs.read(jobId, inputPartCount),
+      Promise.all(segments.map((segment) => this.store.read<ResultSegment>(segment.key))),
+    ]);
+    const results = committed.map((segment) => (segment.ok ? segment.value?.value.results : undefined));
+    if (!items.ok || results.includes(undefined) || this.endedIds.has(jobId) || this.stopped) return;
+    const job = new RunningJob(
+      record,
+      items.value,
+      results.flatMap((part) => part ?? ([] as StoredResult[])),
+      this.store,
+      this.itemParts,
+      () => this.mayDispatch(),
+    );
+    this.jobs.set(jobId, job);
+    // The progress was read just now, so the job is known to be open.
+    if (this.listFailedAtMs === undefined)
+      this.listedAtMs = Math.max(this.listedAtMs, this.clock.monotonicMs());
+    job.run(this.clock.monotonicMs());
+  }
+
+  private dropFinished(nowMs: number): void {
+    this.jobs
+      .all()
+      .filter((job) => job.finished)
+      .forEach((job) => {
+        const finishedAtMs = this.finishedAtMs.get(job.jobId) ?? nowMs;
+        this.finishedAtMs.set(job.jobId, finishedAtMs);
+        const isStopped = job.stopped;
+        if (!isStopped && nowMs - finishedAtMs < KEEP_FINISHED_MS) return;
+        this.jobs.take(job.jobId);
+        this.finishedAtMs.delete(job.jobId);
+      });
+  }
+
+  private claimers(): string[] {
+    return this.members()
+      .owners()
+      .filter((member) => member.schedules !== false)
+      .map((member) => member.instanceId);
+  }
+}
--- /dev/null
+++ b/packages/serving/src/batch/running-job.ts
@@ -0,0 +1,309 @@
+/** One batch job that this instance runs: its items, the results that wait for commit, and its progress. */
+import type { Clock, DecisionLog, JobProgress, Metrics, StoredItem, StoredResult } from '@fighub/core';
+import { InvariantName, LogWeight, batchJobKeys, checkInvariant } from '@fighub/core';
+import type { EndedItem } from '@fighub/decisions';
+import {
+  commitResults,
+  giveBackJob,
+  isClosed,
+  nextSegmentKey,
+  shouldCommit,
+  touchJob,
+} from '@fighub/decisions';
+import type { JobResultsAnswer } from '@fighub/peers';
+import type { RecordChange, RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
+
+import type { ItemOutput, ItemParts, ItemRunEnd } from './item-run.js';
+import { ItemEnd, runItem } from './item-run.js';
+
+interface RunningItem {
+  readonly index: number;
+  readonly item: StoredItem;
+  readonly output: ItemOutput;
+  readonly excludedReplicaIds: string[];
+  failedAttempts: number;
+  retryAtMs: number;
+  running: boolean;
+}
+
+/** Pauses before an interrupted item is tried again, in milliseconds. */
+const INTERRUPTED_PAUSE_MS = 150;
+const FAILED_PAUSE_MS = 300;
+const EXCLUDED_AT_MOST = 2;
+/** Characters of output in one commit; a stored value ends at 1 MiB. */
+const COMMIT_CHARACTERS = 500_000;
+/** After a failed write the next one waits this long, in milliseconds. */
+const WRITE_PAUSE_MS = 400;
+
+/** Runs the open items of a job. Only the stored progress decides what has ended. */
+export class RunningJob {
+  private readonly items = new Map<number, RunningItem>();
+  private readonly committed: StoredResult[];
+  private pending: EndedItem[] = [];
+  private oldestPendingMs = 0;
+  private lastWriteMs: number;
+  private retryWriteAtMs = 0;
+  private writing: Promise<void> | undefined;
+  private readonly stopping = new AbortController();
+  private failuresChanged = false;
+  private closed = false;
+  private readonly dueMs: number;
+
+  constructor(
+    private record: Versioned<JobProgress>,
+    items: readonly StoredItem[],
+    committed: readonly StoredResult[],
+    private readonly store: RecordStore,
+    private readonly parts: ItemParts,
+    private readonly mayDispatch: () => boolean,
+  ) {
+    this.committed = [...committed];
+    this.lastWriteMs = this.clock.monotonicMs();
+    this.dueMs = this.lastWriteMs + record.value.dueAtUnixMs - this.clock.nowUnixMs();
+    const finished = new Set(record.value.finishedIndexes);
+    const failures = new Map(record.value.failures.map((entry) => [entry.index, entry.failedAttempts]));
+    items.forEach((item, index) => {
+      if (finished.has(index)) return;
+      const output: ItemOutput = { events: [] };
+      const failedAttempts = failures.get(index) ?? 0;
+      this.items.set(index, {
+        index,
+        item,
+        output,
+        excludedReplicaIds: [],
+        failedAttempts,
+        retryAtMs: 0,
+        running: false,
+      });
+    });
+  }
+
+  get jobId(): string {
+    return this.record.value.jobId;
+  }
+
+  /** Whether there is nothing more to do here. */
+  get finished(): boolean {
+    return this.closed || (isClosed(this.record.value) && this.writing === undefined);
+  }
+
+  /** Whether the job was given up here before its end. */
+  get stopped(): boolean {
+    return this.closed;
+  }
+
+  /** Results that anybody may read: those in the stored progress. */
+  results(afterPosition: number): JobResultsAnswer {
+    return {
+      held: true,
+      itemCount: this.record.value.itemCount,
+      results: this.committed.slice(afterPosition),
+    };
+  }
+
+  /** Starts items that may run and commits when it is time. */
+  run(nowMs: number): void {
+    if (this.finished) return;
+    this.abandonLate();
+    if (this.writing === undefined && nowMs >= this.retryWriteAtMs && this.shouldWrite(nowMs)) this.commit();
+    if (!this.mayDispatch()) return;
+    [...this.items.values()]
+      .filter((entry) => !entry.running && entry.retryAtMs <= nowMs)
+      .forEach((entry) => void this.start(entry));
+  }
+
+  /** Compares with the stored progress as it was just listed. */
+  observe(listed: JobProgress): void {
+    const isOurs = listed.epoch === this.record.value.epoch;
+    if (listed.ended) this.stop('the job was ended by its caller');
+    else if (!isOurs && listed.epoch > this.record.value.epoch) this.stop('another instance holds the job');
+  }
+
+  /** Stops all runs; what is not committed is forgotten. */
+  stop(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.parts.log.record(LogWeight.state, 'job_stopped', {
+      jobId: this.jobId,
+      reason,
+      epoch: this.record.value.epoch,
+      itemsLeft: this.items.size,
+    });
+    this.stopping.abort();
+  }
+
+  /** Commits what has ended and gives the job back for another instance. */
+  async release(): Promise<void> {
+    this.stopping.abort();
+    await this.writing;
+    if (!this.closed && this.pending.length > 0) {
+      this.commit();
+      await this.writing;
+    }
+    if (this.finished) return;
+    const { value } = this.record;
+    await this.store.write(batchJobKeys.progress(value.jobId), this.record, giveBackJob(value));
+    this.stop('this instance leaves');
+  }
+
+  dump(): Record<string, unknown> {
+    const running = [...this.items.values()].filter((entry) => entry.running).length;
+    const { jobId, epoch, sequence, itemCount } = this.record.value;
+    return {
+      jobId,
+      epoch,
+      sequence,
+      itemCount,
+      left: this.items.size,
+      running,
+      pending: this.pending.length,
+    };
+  }
+
+  private get clock(): Clock {
+    return this.parts.clock;
+  }
+
+  private get metrics(): Metrics {
+    return this.parts.metrics;
+  }
+
+  private get log(): DecisionLog {
+    return this.parts.log;
+  }
+
+  private shouldWrite(nowMs: number): boolean {
+    if (this.failuresChanged) return true;
+    return shouldCommit(
+      {
+        pendingResults: this.pending.length,
+        oldestPendingMs: this.oldestPendingMs,
+        itemsLeft: this.items.size,
+        lastWriteMs: this.lastWriteMs,
+        dueMs: this.dueMs,
+      },
+      nowMs,
+    );
+  }
+
+  private async start(entry: RunningItem): Promise<void> {
+    const { value } = this.record;
+    entry.running = true;
+    const end = await runItem(
+      {
+        jobId: value.jobId,
+        host: value.host,
+        item: entry.item,
+        output: entry.output,
+        dueAtUnixMs: value.dueAtUnixMs,
+        excludedReplicaIds: entry.excludedReplicaIds,
+        mayDispatch: () => !this.closed && this.items.has(entry.index) && this.mayDispatch(),
+      },
+      this.parts,
+      this.stopping.signal,
+    );
+    entry.running = false;
+    if (!this.closed && this.items.has(entry.index)) this.onEnd(entry, end);
+  }
+
+  private onEnd(entry: RunningItem, { end, brokenReplicaId, givenWay }: ItemRunEnd): void {
+    if (end === ItemEnd.done) this.addResult(entry, true, entry.output.events.join('\n'));
+    else if (end === ItemEnd.impossible || end === ItemEnd.noRoute) this.giveUp(entry, end);
+    else if (end === ItemEnd.failed) this.onFailure(entry);
+    else {
+      if (brokenReplicaId !== undefined) {
+        entry.excludedReplicaIds.push(brokenReplicaId);
+        entry.excludedReplicaIds.splice(0, entry.excludedReplicaIds.length - EXCLUDED_AT_MOST);
+      }
+      entry.retryAtMs = givenWay ? 0 : this.clock.monotonicMs() + INTERRUPTED_PAUSE_MS;
+    }
+  }
+
+  private onFailure(entry: RunningItem): void {
+    entry.failedAttempts += 1;
+    entry.retryAtMs = this.clock.monotonicMs() + FAILED_PAUSE_MS;
+    this.failuresChanged = true;
+    if (entry.failedAttempts >= this.record.value.maxAttempts) this.giveUp(entry, ItemEnd.failed);
+  }
+
+  private giveUp(entry: RunningItem, cause: string): void {
+    this.log.record(LogWeight.failure, 'item_given_up', {
+      jobId: this.jobId,
+      itemId: entry.item.itemId,
+      cause,
+      failedAttempts: entry.failedAttempts,
+    });
+    this.addResult(entry, false, '');
+  }
+
+  /** Items whose time is up are given up even when they run. */
+  private abandonLate(): void {
+    if (this.clock.nowUnixMs() < this.record.value.abandonAtUnixMs) return;
+    [...this.items.values()].forEach((entry) => this.giveUp(entry, 'it waited too long'));
+    this.stopping.abort();
+  }
+
+  private addResult(entry: RunningItem, succeeded: boolean, output: string): void {
+    this.items.delete(entry.index);
+    if (this.pending.length === 0) this.oldestPendingMs = this.clock.monotonicMs();
+    const result = { itemId: entry.item.itemId, succeeded, output };
+    this.pending.push({ index: entry.index, tokens: entry.item.tokens, result });
+    this.metrics.count(succeeded ? 'batch_items_done' : 'batch_items_given_up');
+  }
+
+  private commit(): void {
+    this.writing = this.write().finally(() => (this.writing = undefined));
+  }
+
+  /** Writes results and progress in one transaction. */
+  private async write(): Promise<void> {
+    const batch = this.nextBatch();
+    const { value } = this.record;
+    const failures = [...this.items.values()]
+      .filter((entry) => entry.failedAttempts > 0)
+      .map(({ index, failedAttempts }) => ({ index, failedAttempts }));
+    const next = batch.length > 0 ? commitResults(value, batch, failures) : touchJob(value, failures);
+    const key = batchJobKeys.progress(value.jobId);
+    const results = batch.map((entry) => entry.result);
+    const changes: RecordChange[] = [
+      { key, previous: this.record, value: next },
+      ...(batch.length > 0 ? [{ key: nextSegmentKey(value), value: { results } }] : []),
+    ];
+    this.failuresChanged = false;
+    const written = await this.store.transact(changes);
+    if (!written.ok) {
+      this.onWriteFailed(written.error.kind, written.error.detail);
+      return;
+    }
+    const record = written.value.get(key) as Versioned<JobProgress> | undefined;
+    checkInvariant(InvariantName.countsAddUp, record !== undefined, () => ({ key }));
+    if (record) this.record = record;
+    this.lastWriteMs = this.clock.monotonicMs();
+    this.pending = this.pending.filter((entry) => !batch.includes(entry));
+    this.oldestPendingMs = this.lastWriteMs;
+    this.committed.push(...results);
+    this.metrics.count('batch_commits');
+    this.log.record(LogWeight.routine, 'job_committed', {
+      jobId: value.jobId,
+      epoch: value.epoch,
+      results: results.length,
+      itemsLeft: this.items.size,
+    });
+  }
+
+  private onWriteFailed(kind: StoreErrorKind, detail: string): void {
+    this.retryWriteAtMs = this.clock.monotonicMs() + WRITE_PAUSE_MS;
+    this.metrics.count('batch_commits_failed');
+    this.log.record(LogWeight.failure, 'job_commit_failed', { jobId: this.jobId, kind, detail });
+    if (kind === StoreErrorKind.conflict) this.stop('its progress was changed by another instance');
+  }
+
+  private nextBatch(): EndedItem[] {
+    let characters = 0;
+    return this.pending.filter((entry, index) => {
+      characters += entry.result.output.length;
+      return index === 0 || characters <= COMMIT_CHARACTERS;
+    });
+  }
+}
--- /dev/null
+++ b/packages/serving/src/index.ts
@@ -0,0 +1,10 @@
+/** Serves opaque requests and batch jobs through replicas, on any platform that gives the adapters. */
+export * from './batch/job-acceptance.js';
+export * from './batch/job-reader.js';
+export * from './online/forward-runner.js';
+export * from './online/forwarding.js';
+export * from './routing/fleet-source.js';
+export * from './routing/fleet-view.js';
+export * from './routing/route-table.js';
+export * from './serving-instance.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/serving/src/member-finder.ts
@@ -0,0 +1,75 @@
+/** Finds other instances: by the platform's list, and by seed addresses while the list is away. */
+import type { DecisionLog, ManagedPart } from '@fighub/core';
+import { LogWeight } from '@fighub/core';
+import type { MemberUpdate } from '@fighub/decisions';
+import type { MembershipRunner } from '@fighub/peers';
+import type { InstanceList } from '@fighub/outside';
+
+const PERIOD_MS = 2_000;
+/** Until the first other instance is found, in milliseconds. */
+const ALONE_PERIOD_MS = 300;
+
+/** Announces this instance and seeds the membership. */
+export class MemberFinder implements ManagedPart {
+  readonly name = 'member finder';
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+  private listReachable = true;
+
+  constructor(
+    private readonly list: InstanceList,
+    private readonly seedAddresses: readonly string[],
+    private readonly self: MemberUpdate,
+    private readonly membership: MembershipRunner,
+    private readonly log: DecisionLog,
+  ) {}
+
+  start(): void {
+    void this.round();
+  }
+
+  async drain(): Promise<void> {
+    this.stopped = true;
+    clearTimeout(this.timer);
+    await this.announce('leaving');
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  private async round(): Promise<void> {
+    await Promise.all([this.readList(), this.membership.seedAddresses(this.seedAddresses)]);
+    if (this.stopped) return;
+    const isAlone = this.membership.owners().length < 2;
+    this.timer = setTimeout(() => void this.round(), isAlone ? ALONE_PERIOD_MS : PERIOD_MS);
+  }
+
+  private async readList(): Promise<void> {
+    await this.announce('live');
+    const listed = await this.list.read();
+    if (listed.ok !== this.listReachable) {
+      this.listReachable = listed.ok;
+      const detail = listed.ok ? '' : listed.error;
+      this.log.record(LogWeight.state, listed.ok ? 'instance_list_regained' : 'instance_list_lost', {
+        detail,
+      });
+    }
+    if (!listed.ok) return;
+    const live = listed.value.filter((item) => item.kind === 'entry' && item.state === 'live');
+    await this.membership.seed(
+      live.map((item) => ({ instanceId: item.instanceId, peerAddress: item.address })),
+    );
+  }
+
+  private async announce(state: 'live' | 'leaving'): Promise<void> {
+    await this.list.announce({
+      instanceId: this.self.instanceId,
+      kind: 'entry',
+      failureDomain: this.self.failureDomain,
+      address: this.self.peerAddress,
+      state,
+    });
+  }
+}
--- /dev/null
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -0,0 +1,71 @@
+/** Pools as the routing configuration and the directory describe them: one for each service. */
+import type { PoolCatalogue, PoolDescription } from '@fighub/admission';
+import type { OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
+import { poolIdOf } from '@fighub/decisions';
+
+import type { FleetView } from './fleet-view.js';
+
+/** A pool that spans all failure domains has an owner anywhere in the fleet. */
+const WHOLE_FLEET = '';
+const NO_LIMITS: OrganisationLimitSettings = {};
+/** Weights and limits by organisation are not part of this configuration. */
+const EVEN_POLICY: PoolPolicy = {
+  targets: { firstTokenTargetMs: Number.POSITIVE_INFINITY, betweenTokensTargetMs: Number.POSITIVE_INFINITY },
+  weightOf: () => 1,
+  limitsOf: () => NO_LIMITS,
+};
+
+/** Reads pools from the fleet view. */
+export class ServicePoolCatalogue implements PoolCatalogue {
+  private describedVersion = -1;
+  private described: readonly PoolDescription[] = [];
+
+  constructor(private readonly view: FleetView) {}
+
+  get version(): unknown {
+    return this.view.version;
+  }
+
+  pools(): readonly PoolDescription[] {
+    if (this.view.version !== this.describedVersion) {
+      this.describedVersion = this.view.version;
+      this.described = this.describe();
+    }
+    return this.described;
+  }
+
+  policyOf(): PoolPolicy {
+    return EVEN_POLICY;
+  }
+
+  poolsOpenTo(_organisation: string, service: string): readonly PoolDescription[] {
+    return this.pools().filter((pool) => pool.model === service);
+  }
+
+  limitsOf(): OrganisationLimitSettings {
+    return NO_LIMITS;
+  }
+
+  isLeaving(upstreamId: string): boolean {
+    return !this.view.isUsable(upstreamId);
+  }
+
+  private describe(): PoolDescription[] {
+    const { replicas } = this.view.replicas;
+    const services = [...new Set(replicas.map((replica) => replica.service))];
+    return services.map((service) => ({
+      poolId: poolIdOf(service, WHOLE_FLEET),
+      model: service,
+      failureDomain: WHOLE_FLEET,
+      upstreams: replicas
+        .filter((replica) => replica.service === service)
+        .map((replica) => ({
+          upstreamId: replica.replicaId,
+          address: replica.address,
+          failureDomain: replica.failureDomain,
+          maxConcurrency: replica.slots,
+          fencingChecked: false,
+        })),
+    }));
+  }
+}
--- /dev/null
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -0,0 +1,208 @@
+/**
+ * Keeps the fleet view fresh. Relays read the store and push to the instances of their failure domain; an
+ * instance that hears no fresh relay reads the store itself, so that a cut between them costs calls and not
+ * freshness.
+ */
+import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
+import { LogWeight, sleep } from '@fighub/core';
+import type { MemberUpdate } from '@fighub/decisions';
+import { ReplicaDirectory } from '@fighub/decisions';
+import type { FleetViewBody, MembershipRunner, PeerNode, PiggybackSource, TableDigest } from '@fighub/peers';
+
+import type { FleetSource } from './fleet-source.js';
+import type { FleetView } from './fleet-view.js';
+
+/** Periods, in milliseconds. The platform wants changes in force within 2 s. */
+const DIRECTORY_PERIOD_MS = 500;
+const CONFIGURATION_WAIT_MS = 2_000;
+const PUSH_PERIOD_MS = 400;
+/** A view whose last reading is older than this is not fresh. */
+const FRESH_MS = 1_300;
+const FAILURE_PAUSE_MS = 250;
+const FETCH_TIMEOUT_MS = 600;
+
+/** Reads, pushes and takes in views. */
+export class ViewKeeper implements System, PiggybackSource {
+  readonly name = 'view keeper';
+  readonly busy = false;
+  private readonly directory = new ReplicaDirectory();
+  private readAtMs = Number.NEGATIVE_INFINITY;
+  private heardAtMs = Number.NEGATIVE_INFINITY;
+  private nextPushMs = 0;
+  private nextDirectoryMs = 0;
+  private readingDirectory = false;
+  private readingConfiguration = false;
+  private configurationRevision = 0;
+  private pushedConfigurationVersion = 0;
+  private fetchingFrom: string | undefined;
+  private storeReachable = true;
+  private stopped = false;
+
+  constructor(
+    private readonly view: FleetView,
+    private readonly source: FleetSource,
+    private readonly node: PeerNode,
+    private readonly members: () => MembershipRunner,
+    private readonly self: () => MemberUpdate,
+    private readonly isRelay: boolean,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly log: DecisionLog,
+  ) {
+    node.onNotice('view.pushed', (body) => this.onPushed(body));
+    node.onRequest('view.fetch', () => this.body(true));
+  }
+
+  /** Time since the directory was read from the store, here or by a relay. */
+  get ageMs(): number {
+    return this.clock.monotonicMs() - Math.max(this.readAtMs, this.heardAtMs);
+  }
+
+  /** Whether this instance reads the store itself at present. */
+  get reads(): boolean {
+    return this.isRelay || this.clock.monotonicMs() - this.heardAtMs > FRESH_MS;
+  }
+
+  run(nowMs: number): void {
+    if (this.stopped) return;
+    if (this.reads) this.startReading(nowMs);
+    if (this.isRelay && nowMs >= this.nextPushMs) this.push(nowMs);
+  }
+
+  stop(): void {
+    this.stopped = true;
+  }
+
+  tableDigest(): TableDigest {
+    return { revisions: [this.view.configurationVersion] };
+  }
+
+  /** A peer with a newer configuration is asked for it. */
+  onPeerTable(peer: MemberUpdate, digest: TableDigest): void {
+    if ((digest.revisions[0] ?? 0) > this.view.configurationVersion) void this.fetchFrom(peer.peerAddress);
+  }
+
+  dump(): Record<string, unknown> {
+    return {
+      relay: this.isRelay,
+      reads: this.reads,
+      storeReachable: this.storeReachable,
+      ageMs: Math.round(this.ageMs),
+      configurationVersion: this.view.configurationVersion,
+      directoryRevision: this.view.replicas.revision,
+      replicas: this.view.replicas.replicas,
+    };
+  }
+
+  private startReading(nowMs: number): void {
+    if (!this.readingConfiguration) void this.readConfiguration();
+    if (this.readingDirectory || nowMs < this.nextDirectoryMs) return;
+    this.nextDirectoryMs = nowMs + DIRECTORY_PERIOD_MS;
+    void this.readDirectory();
+  }
+
+  private async readConfiguration(): Promise<void> {
+    this.readingConfiguration = true;
+    const waitMs = this.configurationRevision === 0 ? 0 : CONFIGURATION_WAIT_MS;
+    const reading = await this.source.nextConfiguration(this.configurationRevision, waitMs);
+    if (reading.ok) {
+      this.configurationRevision = reading.value.revision;
+      if (reading.value.configuration) this.takeConfiguration(reading.value.configuration, 'store');
+    }
+    if (!reading.ok || (waitMs === 0 && !reading.value.configuration)) await sleep(FAILURE_PAUSE_MS);
+    this.readingConfiguration = false;
+  }
+
+  private async readDirectory(): Promise<void> {
+    this.readingDirectory = true;
+    const askedAtMs = this.clock.monotonicMs();
+    const reading = await this.source.readDirectory();
+    this.readingDirectory = false;
+    this.noteStore(reading.ok, reading.ok ? '' : reading.error.detail);
+    if (!reading.ok) {
+      this.directory.onReadFailed(this.clock.monotonicMs());
+      return;
+    }
+    this.readAtMs = askedAtMs;
+    this.directory.apply(reading.value, this.clock.monotonicMs());
+    this.takeDirectory(this.directory.snapshot, 'store');
+  }
+
+  private noteStore(reachable: boolean, detail: string): void {
+    if (reachable === this.storeReachable) return;
+    this.storeReachable = reachable;
+    this.log.record(LogWeight.state, reachable ? 'store_regained' : 'store_lost', { detail });
+  }
+
+  private takeConfiguration(configuration: FleetViewBody['configuration'], from: string): void {
+    if (!configuration || !this.view.applyConfiguration(configuration)) return;
+    this.nextPushMs = 0;
+    const { version, routes } = configuration;
+    this.log.record(LogWeight.state, 'configuration_applied', { version, routes: routes.length, from });
+  }
+
+  private takeDirectory(directory: FleetViewBody['directory'], from: string): void {
+    if (!this.view.applyDirectory(directory)) return;
+    this.nextPushMs = 0;
+    this.log.record(LogWeight.state, 'directory_changed', {
+      from,
+      revision: directory.revision,
+      replicas: directory.replicas.map(
+        (replica) => `${replica.replicaId}${replica.leaving ? ' leaving' : ''}`,
+      ),
+    });
+  }
+
+  private push(nowMs: number): void {
+    this.nextPushMs = nowMs + PUSH_PERIOD_MS;
+    if (this.view.replicas.revision === 0) return;
+    const isNew = this.view.configurationVersion !== this.pushedConfigurationVersion;
+    this.pushedConfigurationVersion = this.view.configurationVersion;
+    const body = this.body(isNew);
+    this.receivers().forEach((member) => this.node.notify(member.peerAddress, 'view.pushed', body));
+  }
+
+  /** Instances of the own failure domain, and of domains that have no relay. */
+  private receivers(): readonly MemberUpdate[] {
+    const self = this.self();
+    const owners = this.members().owners();
+    const withRelay = new Set(
+      owners.filter((member) => member.schedules !== false).map((member) => member.failureDomain),
+    );
+    return owners
+      .filter((member) => member.instanceId !== self.instanceId)
+      .filter(
+        (member) => member.failureDomain === self.failureDomain || !withRelay.has(member.failureDomain),
+      );
+  }
+
+  private body(withConfiguration: boolean): FleetViewBody {
+    return {
+      configurationVersion: this.view.configurationVersion,
+      configuration: withConfiguration ? this.view.configuration : undefined,
+      directory: this.view.replicas,
+      ageMs: Math.min(this.ageMs, Number.MAX_SAFE_INTEGER),
+    };
+  }
+
+  private onPushed(body: FleetViewBody): void {
+    this.takeConfiguration(body.configuration, 'relay');
+    this.takeDirectory(body.directory, 'relay');
+    if (body.configurationVersion > this.view.configurationVersion) this.metrics.count('views_behind');
+    const isCurrent = body.configurationVersion <= this.view.configurationVersion;
+    const isNewest = body.directory.revision >= this.view.replicas.revision;
+    if (isCurrent && isNewest) {
+      this.heardAtMs = Math.max(this.heardAtMs, this.clock.monotonicMs() - body.ageMs);
+    }
+  }
+
+  private async fetchFrom(address: string): Promise<void> {
+    if (this.fetchingFrom !== undefined) return;
+    this.fetchingFrom = address;
+    const answer = await this.node.request(address, 'view.fetch', {}, FETCH_TIMEOUT_MS);
+    this.fetchingFrom = undefined;
+    if (!answer.ok) return;
+    this.takeConfiguration(answer.value.configuration, 'peer');
+    this.takeDirectory(answer.value.directory, 'peer');
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ['packages/*/src/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
     exclude: ['**/dist/**', '**/node_modules/**'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
