--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -9,6 +9,8 @@
   readonly bodyBase64: string;
   /** Prompt and output tokens at most. */
   readonly tokens: number;
+  /** Output tokens at most, if the item says so. */
+  readonly outputTokens?: number;
 }
 
 /** The result of one item. */
--- a/packages/decisions/src/burst-reserve.ts
+++ b/packages/decisions/src/burst-reserve.ts
@@ -10,9 +10,6 @@
   private peakArrivals = 0;
   private peakAtMs = 0;
 
-  /** `maximumFraction` bounds the reserve as a fraction of the pool's places. */
-  constructor(private readonly maximumFraction: number) {}
-
   /** Counts one online arrival. */
   onArrival(nowMs: number): void {
     if (nowMs >= this.windowEndsAtMs) {
@@ -26,10 +23,10 @@
     }
   }
 
-  /** Places to keep free of batch, out of `totalPlaces`. */
-  places(totalPlaces: number, nowMs: number): number {
+  /** Places to keep free of batch, out of `totalPlaces` and at most `maximumFraction` of them. */
+  places(totalPlaces: number, maximumFraction: number, nowMs: number): number {
     const wanted = Math.round(this.decayedPeak(nowMs));
-    return Math.min(wanted, Math.floor(totalPlaces * this.maximumFraction));
+    return Math.min(wanted, Math.floor(totalPlaces * maximumFraction));
   }
 
   private decayedPeak(nowMs: number): number {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,5 @@
 /** Pure policy: every decision of the system, without I/O and timers. */
+export * from './batch-queue.js';
 export * from './burst-reserve.js';
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
@@ -19,4 +20,5 @@
 export * from './replica-directory.js';
 export * from './replica-health.js';
 export * from './retry-budget.js';
+export * from './run-time-estimate.js';
 export * from './token-bucket.js';
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -23,6 +23,7 @@
 }
 
 const POLICY: PoolPolicy = {
+  reserveMaxFraction: 0.08,
   targets: { firstTokenTargetMs: 570, betweenTokensTargetMs: 33 },
   weightOf: () => 1,
   limitsOf: () => ({}),
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -2,6 +2,7 @@
 import type { Problem } from '@fighub/core';
 import { EntityTable, InvariantName, checkInvariant, notRun } from '@fighub/core';
 
+import { BatchQueue } from './batch-queue.js';
 import { BurstReserve } from './burst-reserve.js';
 import { ConcurrencyLimit } from './concurrency.js';
 import { FairQueue } from './fair-queue.js';
@@ -26,7 +27,6 @@
 /** How long a permit lives without renewal, in milliseconds. */
 export const PERMIT_LIFETIME_MS = 4_000;
 const REVOKE_GRACE_MS = 300;
-const RESERVE_MAX_FRACTION = 0.08;
 /** Batch streams that cannot be stopped may hold at most this fraction of the places. */
 const FIXED_BATCH_MAX_FRACTION = 0.25;
 const MAX_ORGANISATION_WAITS = 16;
@@ -43,8 +43,8 @@
   readonly permits = new EntityTable<Permit>();
   readonly prefixes = new PrefixIndex();
   private readonly online = new FairQueue<PlaceRequest>();
-  private readonly batch = new FairQueue<PlaceRequest>();
-  private readonly reserve = new BurstReserve(RESERVE_MAX_FRACTION);
+  private readonly batch = new BatchQueue<PlaceRequest>();
+  private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   private readonly quarantine = new Quarantine();
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
@@ -83,7 +83,7 @@
       return;
     }
     if (request.workClass === WorkClass.batch) {
-      this.batch.push(request, this.policy.weightOf(request.organisation));
+      this.batch.push(request, this.policy.weightOf(request.organisation), nowMs);
       return;
     }
     this.reserve.onArrival(nowMs);
@@ -211,13 +211,6 @@
       .length;
   }
 
-  private onlineStreams(replicaId: string): number {
-    return this.permits
-      .all()
-      .filter((permit) => permit.replicaId === replicaId && permit.request.workClass === WorkClass.online)
-      .length;
-  }
-
   /** Queue lengths and streams, for summaries and the dump. */
   load(nowMs: number): PoolLoad {
     const permits = this.permits.all();
@@ -230,7 +223,7 @@
       batchWaiting: this.batch.size + this.quarantine.size,
       newcomerWaitMs: this.expectedWaitMs(NEWCOMER),
       organisationWaits: this.organisationWaits(),
-      reservedPlaces: this.reserve.places(this.totalPlaces(), nowMs),
+      reservedPlaces: this.reserve.places(this.totalPlaces(), this.policy.reserveMaxFraction, nowMs),
     };
   }
 
@@ -352,13 +345,16 @@
   private grantBatch(nowMs: number): void {
     if (this.online.size > 0 && this.totalFree(nowMs) <= 0) return;
     repeatWhile(() => {
-      const spare = this.totalFree(nowMs) - this.reserve.places(this.totalPlaces(), nowMs);
+      const spare =
+        this.totalFree(nowMs) -
+        this.reserve.places(this.totalPlaces(), this.policy.reserveMaxFraction, nowMs);
       if (spare <= 0) return false;
       const request = this.batch.takeNext(
         (candidate) =>
           this.limits.admits(candidate, this.policy.limitsOf(candidate.organisation), nowMs) &&
           (candidate.resumable || this.fixedBatchFits()) &&
           this.freeReplica(candidate, nowMs) !== undefined,
+        nowMs,
       );
       const replica = request && this.freeReplica(request, nowMs);
       if (!request || !replica) return false;
@@ -389,7 +385,7 @@
         replica.health.isOpen(nowMs)
       );
     });
-    return pickVictim(usable, request, this.prefixes, (id) => this.onlineStreams(id));
+    return pickVictim(usable, request, nowMs);
   }
 
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -2,7 +2,7 @@
 import type { Problem } from '@fighub/core';
 
 import type { ConcurrencyLimit, LatencyTargets } from './concurrency.js';
-import type { QueuedRequest } from './fair-queue.js';
+import type { QueuedItem } from './batch-queue.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
 
 /** Online requests are served before batch items. */
@@ -10,7 +10,7 @@
 export type WorkClass = (typeof WorkClass)[keyof typeof WorkClass];
 
 /** A request that asks for a place at a replica. Times are monotonic times of the owner. */
-export interface PlaceRequest extends QueuedRequest {
+export interface PlaceRequest extends QueuedItem {
   readonly holder: string;
   /** Where the holder is: replicas there are nearer. */
   readonly failureDomain?: string;
@@ -75,6 +75,8 @@
 
 /** Values from the operators' table, read at each decision. */
 export interface PoolPolicy {
+  /** Places that batch leaves free for sudden online arrivals, at most, as a fraction of all. */
+  readonly reserveMaxFraction: number;
   readonly targets: LatencyTargets;
   weightOf(organisation: string): number;
   limitsOf(organisation: string): OrganisationLimitSettings;
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -40,24 +40,25 @@
 }
 
 /**
- * The batch permit whose place an online request takes. Of the replicas with such a permit the one with the
- * fewest online streams is chosen, a cached prefix counting as fewer; of its permits the youngest, since its
- * stream loses least. Only streams that can be resumed are stopped.
+ * The batch permit whose place an online request takes: one that will be late anyway, else the one that is due
+ * last, else the youngest, whose stream loses least. Only streams that can be resumed are stopped.
  */
 export function pickVictim(
   permits: readonly Permit[],
   request: PlaceRequest,
-  prefixes: PrefixIndex,
-  onlineStreamsOf: (replicaId: string) => number,
+  nowMs: number,
 ): Permit | undefined {
-  const ranked = permits
+  const candidates = permits
     .filter((permit) => permit.request.workClass === 'batch' && permit.revokedUntilMs === undefined)
-    .filter((permit) => permit.request.resumable && !request.excludedReplicaIds.includes(permit.replicaId))
-    .map((permit) => ({
-      permit,
-      score: onlineStreamsOf(permit.replicaId) - affinityOf(permit.replicaId, request, prefixes),
-    }));
-  return ranked.sort((a, b) => a.score - b.score || b.permit.grantedAtMs - a.permit.grantedAtMs)[0]?.permit;
+    .filter((permit) => permit.request.resumable && !request.excludedReplicaIds.includes(permit.replicaId));
+  const dueMs = ({ request: item, grantedAtMs }: Permit): number => {
+    const endMs = Math.max(nowMs, grantedAtMs + (item.expectedRunMs ?? 0));
+    return endMs > item.deadlineMs ? Number.POSITIVE_INFINITY : item.deadlineMs;
+  };
+  return candidates.reduce<Permit | undefined>((best, candidate) => {
+    if (best === undefined || dueMs(candidate) > dueMs(best)) return candidate;
+    return dueMs(candidate) === dueMs(best) && candidate.grantedAtMs > best.grantedAtMs ? candidate : best;
+  }, undefined);
 }
 
 function distanceOf(replica: PoolReplica, request: PlaceRequest): number {
--- a/packages/entry/src/invariants.test.ts
+++ b/packages/entry/src/invariants.test.ts
@@ -96,6 +96,7 @@
 
   it('when a permit is granted under an id that is in use', async () => {
     const policy = {
+      reserveMaxFraction: 0,
       targets: { firstTokenTargetMs: 1, betweenTokensTargetMs: 1 },
       weightOf: () => 1,
       limitsOf: () => ({}),
--- a/packages/entry/src/table-pool-catalogue.ts
+++ b/packages/entry/src/table-pool-catalogue.ts
@@ -6,6 +6,9 @@
 import type { TableStore } from './table-store.js';
 import type { TableView } from './table-view.js';
 
+/** Places kept free of batch: an online request then starts without waiting for a stream to give way. */
+const RESERVE_MAX_FRACTION = 0.08;
+
 /** Reads pools and policies from the table. */
 export class TablePoolCatalogue implements PoolCatalogue {
   private describedView: TableView | undefined;
@@ -36,6 +39,7 @@
     const rate = (limit: number | undefined): number | undefined =>
       limit === undefined ? undefined : partOfRate(limit, poolIds.length);
     return {
+      reserveMaxFraction: RESERVE_MAX_FRACTION,
       targets: view.modelOrDefault(model),
       weightOf: (organisation) => view.share(organisation, model).weight,
       limitsOf: (organisation) => {
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -12,6 +12,7 @@
   sleep,
 } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
+import { RunTimeEstimate } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
 import { RecordStore } from '@fighub/outside';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
@@ -99,6 +100,7 @@
   direct: token<DirectDispatch>('direct'),
   permits: token<PermitClient>('permits'),
   runner: token<ForwardRunner>('runner'),
+  runTimes: token<RunTimeEstimate>('runTimes'),
   inputs: token<InputCache>('inputs'),
   jobs: token<JobRunner>('jobs'),
   reader: token<JobReader>('reader'),
@@ -139,6 +141,7 @@
   container.bind(Tokens.metrics).toConstantValue(metrics);
   container.bind(Tokens.log).toConstantValue(log);
   container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onError));
+  container.bind(Tokens.runTimes).toConstantValue(new RunTimeEstimate());
   container.bind(Tokens.view).toConstantValue(new FleetView());
   container.bind(Tokens.self).toConstantValue({
     instanceId,
@@ -263,6 +266,7 @@
     metrics: get(Tokens.metrics),
     log: get(Tokens.log),
     random: Math.random,
+    runTimes: get(Tokens.runTimes),
   };
 }
 
