--- a/packages/decisions/src/batch-queue.ts
+++ b/packages/decisions/src/batch-queue.ts
@@ -1,21 +1,13 @@
-/**
- * Batch items in the order of their due times. Items that can no longer be in time wait behind all others: when
- * more is due than fits, finishing some in time is worth more than finishing all late.
- */
+/** Batch items in the order of their due times; items that are left to be late wait behind all others. */
 import type { QueuedRequest } from './fair-queue.js';
 import { FairQueue } from './fair-queue.js';
 
 /** A batch item that waits. */
 export interface QueuedItem extends QueuedRequest {
-  /** How long the rest of the item is expected to run, in milliseconds. */
+  /** How long the rest of the item runs, in milliseconds. */
   readonly expectedRunMs?: number;
 }
 
-/** Whether an item that starts now cannot be finished by its due time. */
-export function isTooLate(item: QueuedItem, nowMs: number): boolean {
-  return nowMs + (item.expectedRunMs ?? 0) > item.deadlineMs;
-}
-
 /** Two fair queues: items that can be in time, and those that are late. */
 export class BatchQueue<T extends QueuedItem> {
   private readonly timely = new FairQueue<T>();
@@ -30,17 +22,24 @@
     return this.timely.has(requestId) || this.late.has(requestId);
   }
 
-  push(item: T, weight: number, nowMs: number): void {
+  push(item: T, weight: number): void {
     this.weights.set(item.organisation, weight);
-    (isTooLate(item, nowMs) ? this.late : this.timely).push(item, weight);
+    this.timely.push(item, weight);
   }
 
   /** Takes the next item that `admits` accepts, a late one only when no timely one is accepted. */
-  takeNext(admits: (item: T) => boolean, nowMs: number): T | undefined {
-    this.demote(nowMs);
+  takeNext(admits: (item: T) => boolean): T | undefined {
     return this.timely.takeNext(admits) ?? this.late.takeNext(admits);
   }
 
+  /** Moves items between the queues so that exactly those in `late` wait behind. */
+  setLate(late: ReadonlySet<string>): void {
+    const back = this.late.removeWhere((item) => !late.has(item.requestId));
+    const behind = this.timely.removeWhere((item) => late.has(item.requestId));
+    back.forEach((item) => this.timely.push(item, this.weightOf(item)));
+    behind.forEach((item) => this.late.push(item, this.weightOf(item)));
+  }
+
   correct(organisation: string, deltaTokens: number): void {
     this.timely.correct(organisation, deltaTokens);
   }
@@ -53,13 +52,15 @@
     return [...this.timely.removeWhere(matches), ...this.late.removeWhere(matches)];
   }
 
+  all(): T[] {
+    return [...this.timely.all(), ...this.late.all()];
+  }
+
   depths(): { organisation: string; waiting: number; servedVirtualTokens: number }[] {
     return [...this.timely.depths(), ...this.late.depths()];
   }
 
-  private demote(nowMs: number): void {
-    this.timely
-      .removeWhere((item) => isTooLate(item, nowMs))
-      .forEach((item) => this.late.push(item, this.weights.get(item.organisation) ?? 1));
+  private weightOf(item: T): number {
+    return this.weights.get(item.organisation) ?? 1;
   }
 }
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -2,6 +2,7 @@
 import type { Problem } from '@fighub/core';
 import { EntityTable, InvariantName, checkInvariant, notRun } from '@fighub/core';
 
+import { BatchPlaces, chooseLateItems } from './batch-plan.js';
 import { BatchQueue } from './batch-queue.js';
 import { BurstReserve } from './burst-reserve.js';
 import { ConcurrencyLimit } from './concurrency.js';
@@ -32,6 +33,7 @@
 const MAX_ORGANISATION_WAITS = 16;
 /** Stands for any organisation without requests in the pool. */
 const NEWCOMER = '';
+const PLAN_PERIOD_MS = 250;
 const MAX_ONLINE_QUEUE = 2_000;
 const NO_UPSTREAM_RETRY_MS = 1_000;
 const MEAN_SMOOTHING = 0.05;
@@ -47,6 +49,9 @@
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   private readonly quarantine = new Quarantine();
+  private readonly batchPlaces = new BatchPlaces();
+  private lateItems: ReadonlySet<string> = new Set();
+  private nextPlanMs = 0;
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
 
@@ -83,7 +88,7 @@
       return;
     }
     if (request.workClass === WorkClass.batch) {
-      this.batch.push(request, this.policy.weightOf(request.organisation), nowMs);
+      this.batch.push(request, this.policy.weightOf(request.organisation));
       return;
     }
     this.reserve.onArrival(nowMs);
@@ -168,6 +173,7 @@
       .forEach((permit) => this.dropPermit(permit));
     this.refuseLate(nowMs);
     if (!this.hasUsableReplica(nowMs)) this.refuseAll();
+    this.planBatch(nowMs);
     this.runQuarantine(nowMs);
     this.grantOnline(nowMs);
     this.grantBatch(nowMs);
@@ -342,6 +348,24 @@
     });
   }
 
+  /** Decides which items are left to be late, among those that wait and those that run. */
+  private planBatch(nowMs: number): void {
+    if (nowMs < this.nextPlanMs || this.batch.size === 0) return;
+    this.nextPlanMs = nowMs + PLAN_PERIOD_MS;
+    const running = this.permits.all().filter((permit) => permit.request.workClass === WorkClass.batch);
+    this.batchPlaces.observe(running.length, nowMs);
+    const items = [
+      ...this.batch.all().map((item) => ({ item, ranMs: 0 })),
+      ...running.map((permit) => ({ item: permit.request, ranMs: nowMs - permit.grantedAtMs })),
+    ].map(({ item, ranMs }) => ({
+      requestId: item.requestId,
+      dueMs: item.deadlineMs,
+      runMs: Math.max(0, (item.expectedRunMs ?? 0) - ranMs),
+    }));
+    this.lateItems = chooseLateItems(items, this.batchPlaces.meanOr(this.totalPlaces() / 2), nowMs);
+    this.batch.setLate(this.lateItems);
+  }
+
   private grantBatch(nowMs: number): void {
     if (this.online.size > 0 && this.totalFree(nowMs) <= 0) return;
     repeatWhile(() => {
@@ -354,7 +378,6 @@
           this.limits.admits(candidate, this.policy.limitsOf(candidate.organisation), nowMs) &&
           (candidate.resumable || this.fixedBatchFits()) &&
           this.freeReplica(candidate, nowMs) !== undefined,
-        nowMs,
       );
       const replica = request && this.freeReplica(request, nowMs);
       if (!request || !replica) return false;
@@ -385,7 +408,7 @@
         replica.health.isOpen(nowMs)
       );
     });
-    return pickVictim(usable, request, nowMs);
+    return pickVictim(usable, request, this.lateItems);
   }
 
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -46,15 +46,13 @@
 export function pickVictim(
   permits: readonly Permit[],
   request: PlaceRequest,
-  nowMs: number,
+  lateItems: ReadonlySet<string>,
 ): Permit | undefined {
   const candidates = permits
     .filter((permit) => permit.request.workClass === 'batch' && permit.revokedUntilMs === undefined)
     .filter((permit) => permit.request.resumable && !request.excludedReplicaIds.includes(permit.replicaId));
-  const dueMs = ({ request: item, grantedAtMs }: Permit): number => {
-    const endMs = Math.max(nowMs, grantedAtMs + (item.expectedRunMs ?? 0));
-    return endMs > item.deadlineMs ? Number.POSITIVE_INFINITY : item.deadlineMs;
-  };
+  const dueMs = ({ request: item }: Permit): number =>
+    lateItems.has(item.requestId) ? Number.POSITIVE_INFINITY : item.deadlineMs;
   return candidates.reduce<Permit | undefined>((best, candidate) => {
     if (best === undefined || dueMs(candidate) > dueMs(best)) return candidate;
     return dueMs(candidate) === dueMs(best) && candidate.grantedAtMs > best.grantedAtMs ? candidate : best;
--- a/packages/decisions/src/run-time-estimate.ts
+++ b/packages/decisions/src/run-time-estimate.ts
@@ -3,12 +3,8 @@
 const SMOOTHING = 0.05;
 /** Until a run has been measured, in milliseconds a token; a full replica's step by the sheets. */
 const INITIAL_MS_PER_TOKEN = 3.2;
-/** An item gives way in the bursts of online traffic: from start to end it takes this many times its run. */
-const INTERRUPTED_FACTOR = 1.75;
-/** What is left of a started item is worth finishing: it keeps a small margin only. */
-const STARTED_FACTOR = 1.1;
 
-/** Mean time for one token of one stream, and what follows for items of batch jobs. */
+/** Mean time for one token of one stream. */
 export class RunTimeEstimate {
   private msPerToken = INITIAL_MS_PER_TOKEN;
 
@@ -18,9 +14,8 @@
     this.msPerToken += SMOOTHING * (ranMs / tokens - this.msPerToken);
   }
 
-  /** Time until an item has its last `tokensLeft` tokens, with the times in which it gives way. */
-  elapsedMs(tokensLeft: number, isStarted: boolean): number {
-    const factor = isStarted ? STARTED_FACTOR : INTERRUPTED_FACTOR;
-    return Math.max(0, tokensLeft) * this.msPerToken * factor;
+  /** Time in which a stream makes `tokens`, in milliseconds. */
+  runMs(tokens: number): number {
+    return Math.max(0, tokens) * this.msPerToken;
   }
 }
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -169,7 +169,7 @@
 function expectedRunMs(request: ItemRequest, service: string, parts: ItemParts): number | undefined {
   if (request.outputTokens === undefined) return undefined;
   const made = request.output.events.length * tokensPerEventOf(parts.view, service);
-  return parts.runTimes.elapsedMs(request.outputTokens - made, made > 0);
+  return parts.runTimes.runMs(request.outputTokens - made);
 }
 
 function attemptEndOf(end: UpstreamEnd, verdict: ItemEnd, broke: boolean): Ends {
