Test the platform's path on an emulator; admit bursts that take the places of batch

Cause: requests that waited for one scheduling round counted as a queue of full streams, so the third request of a burst was refused although batch streams would have given way; a request that every replica had failed once waited until it was given up. Change: stand-ins of the platform's store and replicas, a fleet of real processes on them with 25 tests, and both mends in the scheduler with tests that failed first.

--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -183,4 +183,31 @@
     scheduler.run(1);
     expect(output.revocations.map((permit) => permit.replicaId)).toEqual(['r0']);
   });
+
+  it('admits a burst that takes the places of batch streams, although it waits for one round', () => {
+    const { output, scheduler } = pool(8);
+    Array.from({ length: 8 }, () => scheduler.enqueue(request({ workClass: 'batch' }), 0));
+    scheduler.run(0);
+    const burst = Array.from({ length: 8 }, () => request({ startByMs: 225 }));
+    burst.forEach((online) => scheduler.enqueue(online, 10));
+    scheduler.run(10);
+    expect(output.refusals).toHaveLength(0);
+    expect(output.revocations).toHaveLength(8);
+  });
+
+  it('refuses at once what cannot be expected to start in time', () => {
+    const { output, scheduler } = pool(2);
+    Array.from({ length: 2 }, () => scheduler.enqueue(request(), 0));
+    scheduler.run(0);
+    const late = request({ startByMs: 225 });
+    scheduler.enqueue(late, 10);
+    expect(output.refusals).toHaveLength(1);
+  });
+
+  it('goes on with any replica when a request has been failed by all of them', () => {
+    const { output, scheduler } = pool(2, 2);
+    scheduler.enqueue(request({ excludedReplicaIds: ['r0', 'r1'] }), 0);
+    scheduler.run(0);
+    expect(output.permits).toHaveLength(1);
+  });
 });
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -185,11 +185,13 @@
    */
   expectedWaitMs(organisation: string): number {
     const places = Math.max(1, this.totalPlaces());
+    const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
+    // Those that wait only for the next round get a free place, or that of a batch stream.
+    if (onlineStreams + this.online.size + this.fixedBatchStreams() < places) return 0;
     const slotMs = this.meanStreamMs / places;
     const weight = this.policy.weightOf(organisation);
     const share = weight / (weight + this.online.otherActiveWeight(organisation));
     if (this.online.size > 0) return ((this.online.waitingOf(organisation) + 1) * slotMs) / share;
-    const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
     return Math.max(0, onlineStreams - places + 1) * slotMs;
   }
 
@@ -387,10 +389,13 @@
   }
 
   private fixedBatchFits(): boolean {
-    const fixed = this.permits
-      .all()
-      .filter((p) => p.request.workClass === WorkClass.batch && !p.request.resumable);
-    return fixed.length + 1 <= Math.max(1, this.totalPlaces() * FIXED_BATCH_MAX_FRACTION);
+    return this.fixedBatchStreams() + 1 <= Math.max(1, this.totalPlaces() * FIXED_BATCH_MAX_FRACTION);
+  }
+
+  /** Batch streams that cannot be stopped. */
+  private fixedBatchStreams(): number {
+    return this.permits.all().filter((p) => p.request.workClass === WorkClass.batch && !p.request.resumable)
+      .length;
   }
 
   private freeReplica(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -23,10 +23,12 @@
   nowMs: number,
 ): PoolReplica | undefined {
   const someReport = replicas.some(hasReported);
-  const candidates = replicas
+  const open = replicas
     .filter((replica) => !someReport || hasReported(replica))
-    .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs))
-    .filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId))
+    .filter((replica) => !replica.leaving && replica.health.isOpen(nowMs));
+  const others = open.filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId));
+  // A request that every replica has failed once goes on with any of them.
+  const candidates = (others.length > 0 ? others : open)
     .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) }))
     .filter(({ replica, streams }) => streams < (replica.health.onProbation ? 1 : replica.limit.places))
     .map(({ replica, streams }) => ({
--- /dev/null
+++ b/packages/lab/src/platform-fleet.test.ts
@@ -0,0 +1,338 @@
+import { eventData } from '@fighub/standins';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import type { Answer, FleetNode, PlatformFleetOptions } from './platform-fleet.js';
+import { PlatformFleet, eventually } from './platform-fleet.js';
+
+let fleet: PlatformFleet;
+
+async function start(options: Partial<PlatformFleetOptions> = {}): Promise<PlatformFleet> {
+  fleet = await PlatformFleet.start({ entries: 2, coordinators: 1, replicas: 2, ...options });
+  return fleet;
+}
+
+afterEach(() => fleet.stop());
+
+function entry(index: number): FleetNode {
+  const node = fleet.entries[index];
+  if (!node) throw new Error(`there is no entry ${String(index)}`);
+  return node;
+}
+
+function stream(path: string, requestId: string, index = 0, headers = {}): Promise<Answer> {
+  return fleet.call(
+    entry(index),
+    'POST',
+    path,
+    {
+      'Attempt-Id': requestId,
+      'Deadline-Ms': 5_000,
+      'Token-Count': '10,84',
+      ...headers,
+    },
+    'prompt',
+  );
+}
+
+function wholeStream(requestId: string, count = 12): string {
+  return Array.from(
+    { length: count },
+    (_, index) => `id: ${String(index + 1)}\ndata: ${eventData(requestId, index + 1)}\n\n`,
+  ).join('');
+}
+
+function outputOf(itemId: string, count = 12): string {
+  return Array.from({ length: count }, (_, index) => eventData(itemId, index + 1)).join('\n');
+}
+
+function submit(jobId: string, itemIds: readonly string[], index = 0, tokens = 100): Promise<Answer> {
+  const items = itemIds.map((id) => ({
+    id,
+    path: `/jobs/x/${id}`,
+    headers: { Model: 'm', 'Token-Count': '10,84' },
+    body: Buffer.from(`body of ${id}`).toString('base64'),
+    tokens,
+  }));
+  return fleet.call(
+    entry(index),
+    'POST',
+    `/jobs/${jobId}`,
+    { 'Attempt-Id': jobId },
+    JSON.stringify({ items }),
+  );
+}
+
+interface Results {
+  readonly total: number;
+  readonly next: number;
+  readonly results: { id: string; state: string; output: string }[];
+}
+
+async function results(jobId: string, index = 0, after = 0): Promise<Results> {
+  const answer = await fleet.call(entry(index), 'GET', `/api/lots/${jobId}?after=${String(after)}`);
+  return answer.status === 200 ? (JSON.parse(answer.body) as Results) : { total: 0, next: 0, results: [] };
+}
+
+describe('online requests on the platform', () => {
+  it('says "not run" before there is a configuration, and serves as soon as there is one', async () => {
+    await start({ configured: false });
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 503 });
+    expect(await fleet.isReady(entry(0))).toBe(false);
+    fleet.configure();
+    await fleet.whole();
+    expect(await stream('/once/a', 'q2')).toMatchObject({ status: 200, body: wholeStream('q2') });
+    expect(await stream('/nowhere/a', 'q3')).toMatchObject({ status: 404 });
+  });
+
+  it('passes a stream on unchanged, with the time that is left', async () => {
+    await start();
+    await fleet.whole();
+    const answer = await stream('/once/a?b=c', 'q1');
+    expect(answer).toMatchObject({ status: 200, body: wholeStream('q1'), complete: true });
+    expect(answer.headers['response-seal']).toBe('seal-q1');
+    const runs = fleet.replicas.flatMap((replica) => replica.runs);
+    expect(runs).toHaveLength(1);
+    expect(runs[0]?.body).toBe('prompt');
+    expect(runs[0]?.deadlineMs).toBeLessThanOrEqual(5_000);
+  });
+
+  it('sends a refused request to another replica', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.refuse = 1));
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 200, body: wholeStream('q1') });
+  });
+
+  it('never runs a request twice that must not be, and does not call it "not run"', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.crossed = 1));
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 502 });
+    expect(fleet.replicas.flatMap((replica) => replica.runs)).toHaveLength(1);
+  });
+
+  it('breaks a stream off visibly when it cannot be resumed', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.breakOff = 1));
+    expect(await stream('/once/a', 'q1')).toMatchObject({ complete: false });
+  });
+
+  it('resumes a broken stream at another replica without a gap', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.breakOff = 1));
+    expect(await stream('/resumable/a', 'q1')).toMatchObject({ complete: true, body: wholeStream('q1') });
+    const runs = fleet.replicas.flatMap((replica) => replica.runs);
+    expect(runs.map((run) => run.resumeAfter).sort()).toEqual([0, 2, 4]);
+  });
+
+  it('gives no new work to a replica that is draining', async () => {
+    await start();
+    await fleet.whole();
+    fleet.setState('r0', 'draining');
+    await eventually(async () => JSON.stringify(await fleet.dump(entry(0))).includes('"leaving":true'));
+    const before = fleet.replicas[0]?.runs.length;
+    await Promise.all(Array.from({ length: 10 }, (_, index) => stream('/once/a', `q${String(index)}`)));
+    expect(fleet.replicas[0]?.runs.length).toBe(before);
+  });
+
+  it('ends the replica’s work when the caller goes away', async () => {
+    await start({ eventCount: 1_000 });
+    await fleet.whole();
+    const leave = new AbortController();
+    const answer = fleet
+      .call(entry(0), 'POST', '/once/a', { 'Attempt-Id': 'q1', 'Deadline-Ms': 5_000 }, '', leave.signal)
+      .catch(() => undefined);
+    await eventually(() => fleet.replicas.some((replica) => replica.runs.length > 0));
+    leave.abort();
+    await answer;
+    await eventually(() => fleet.replicas.every((replica) => replica.runs.every((run) => run.closed)));
+  });
+
+  it('serves on while the store is silent, and takes a new configuration after it is back', async () => {
+    await start();
+    await fleet.whole();
+    fleet.store.faults.silent = true;
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 200 });
+    fleet.store.faults.silent = false;
+    const added = {
+      name: 'new',
+      hostname: 'school.example',
+      prefix: '/new/',
+      kind: 'safe',
+      timeoutMs: 5_000,
+    };
+    fleet.configure([{ ...added, service: 'alert-modely' }]);
+    await eventually(async () => (await stream('/new/a', 'q2')).status === 200);
+    await eventually(async () => (await stream('/new/a', 'q3', 1)).status === 200);
+  });
+
+  it('ignores entries that name no replica', async () => {
+    await start();
+    fleet.store.write('servers/broken', 'not JSON');
+    fleet.store.write('servers/odd', { service: 'alert-modely', address: 7, capacity: 'x', state: 'asleep' });
+    await fleet.whole();
+    expect((await fleet.dump(entry(0))).view.replicas).toHaveLength(2);
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 200 });
+  });
+
+  it('answers every request that was sent before and during a graceful stop', async () => {
+    await start({ eventCount: 60 });
+    await fleet.whole();
+    const answers = Array.from({ length: 6 }, (_, index) => stream('/once/a', `q${String(index)}`));
+    await eventually(() => fleet.replicas.reduce((sum, replica) => sum + replica.runs.length, 0) === 6);
+    entry(0).process.signal('SIGTERM');
+    const late = stream('/once/a', 'late');
+    expect((await Promise.all([...answers, late])).every((answer) => answer.complete)).toBe(true);
+    await entry(0).process.ended();
+    expect(entry(0).process.exitCode).toBe(0);
+  });
+
+  it('goes on without the owner of the pool', async () => {
+    await start();
+    await fleet.whole();
+    await fleet.coordinators[0]?.process.kill();
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 200, body: wholeStream('q1') });
+  });
+});
+
+describe('batch jobs on the platform', () => {
+  it('runs a job and reads its results at any instance, in fixed positions', async () => {
+    await start();
+    await fleet.whole();
+    expect((await submit('j1', ['a', 'b', 'c'])).status).toBe(202);
+    await eventually(async () => (await results('j1', 1)).next === 3);
+    const first = await results('j1', 0);
+    expect(first).toEqual(await results('j1', 1));
+    expect(first.total).toBe(3);
+    expect(Object.fromEntries(first.results.map(({ id, output }) => [id, output]))).toEqual({
+      a: outputOf('a'),
+      b: outputOf('b'),
+      c: outputOf('c'),
+    });
+    expect((await results('j1', 1, 2)).results).toEqual(first.results.slice(2));
+  });
+
+  it('accepts a job once, however often and wherever it is sent', async () => {
+    await start();
+    await fleet.whole();
+    const answers = await Promise.all([submit('j1', ['a', 'b'], 0), submit('j1', ['a', 'b'], 1)]);
+    expect(answers.map((answer) => answer.status)).toEqual([202, 202]);
+    await eventually(async () => (await results('j1')).next === 2);
+    expect((await submit('j1', ['a', 'b'], 1)).status).toBe(202);
+    expect((await results('j1')).results).toHaveLength(2);
+  });
+
+  it('accepts a job whose acceptance lost its answer', async () => {
+    await start();
+    await fleet.whole();
+    fleet.store.faults.loseAnswers = 1;
+    expect((await submit('j1', ['a'])).status).toBe(202);
+    await eventually(async () => (await results('j1')).next === 1);
+  });
+
+  it('refuses a job that does not fit, and says that nothing of it runs', async () => {
+    await start();
+    await fleet.whole();
+    expect((await submit('j1', ['a'], 0, 100_001)).status).toBe(429);
+    expect(fleet.store.keys('progress/')).toEqual([]);
+  });
+
+  it('refuses jobs while the store is down', async () => {
+    await start();
+    await fleet.whole();
+    fleet.store.faults.down = true;
+    expect((await submit('j1', ['a'])).status).toBe(503);
+  });
+
+  it('gives an item up after as many failures as the route allows', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.status = 500));
+    await submit('j1', ['a']);
+    await eventually(async () => (await results('j1')).next === 1);
+    expect((await results('j1')).results).toEqual([{ id: 'a', state: 'dead_letter', output: '' }]);
+    expect(fleet.replicas.flatMap((replica) => replica.runs)).toHaveLength(3);
+  });
+
+  it('gives an item up at once that a replica calls impossible', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.status = 422));
+    await submit('j1', ['a']);
+    await eventually(async () => (await results('j1')).next === 1);
+    expect(fleet.replicas.flatMap((replica) => replica.runs)).toHaveLength(1);
+  });
+
+  it('goes on with an item after its replica broke off, at the very next event', async () => {
+    await start();
+    await fleet.whole();
+    fleet.replicas.forEach((replica) => (replica.faults.breakOff = 1));
+    await submit('j1', ['a']);
+    await eventually(async () => (await results('j1')).next === 1);
+    expect((await results('j1')).results[0]?.output).toBe(outputOf('a'));
+  });
+
+  it('stops a job that is ended at another instance', async () => {
+    await start({ eventCount: 100_000 });
+    await fleet.whole();
+    await submit('j1', ['a', 'b'], 0);
+    await eventually(() => fleet.replicas.flatMap((replica) => replica.runs).length === 2);
+    expect((await fleet.call(entry(1), 'DELETE', '/api/lots/j1')).status).toBe(200);
+    await eventually(() => fleet.replicas.every((replica) => replica.runs.every((run) => run.closed)));
+    expect((await fleet.call(entry(1), 'DELETE', '/api/lots/j1')).status).toBe(200);
+  });
+
+  it('gives the body of an item back, and 404 for what does not exist', async () => {
+    await start();
+    await fleet.whole();
+    await submit('j1', ['a']);
+    const body = await fleet.call(entry(1), 'GET', '/api/items/j1?id=a');
+    expect(body).toMatchObject({ status: 200, body: 'body of a' });
+    expect((await fleet.call(entry(1), 'GET', '/api/items/j1?id=z')).status).toBe(404);
+    expect((await fleet.call(entry(1), 'GET', '/api/lots/j2?after=0')).status).toBe(404);
+  });
+
+  it('finishes a job whose holder was killed', async () => {
+    await start({ coordinators: 2, eventCount: 150 });
+    await fleet.whole();
+    await submit('j1', ['a', 'b']);
+    await eventually(() => fleet.replicas.flatMap((replica) => replica.runs).length === 2);
+    const progress = JSON.parse(fleet.store.read('progress/j1') ?? '{}') as { value: { holder: string } };
+    const holder = fleet.coordinators.find((node) => progress.value.holder.startsWith(node.name));
+    await holder?.process.kill();
+    await eventually(async () => (await results('j1')).next === 2);
+    expect((await results('j1')).results.map((result) => result.output).sort()).toEqual([
+      outputOf('a', 150),
+      outputOf('b', 150),
+    ]);
+  });
+
+  it('gives way to online requests and finishes the items afterwards', async () => {
+    await start({ replicas: 1, eventCount: 60 });
+    await fleet.whole();
+    const ids = Array.from({ length: 8 }, (_, index) => `i${String(index)}`);
+    await submit('j1', ids);
+    await eventually(() => fleet.replicas[0]?.runs.length === 8);
+    const answers = await Promise.all(
+      Array.from({ length: 4 }, (_, index) => stream('/once/a', `q${String(index)}`)),
+    );
+    expect(answers.map((answer) => answer.status)).toEqual([200, 200, 200, 200]);
+    expect(answers.map((answer) => answer.body)).toEqual(
+      answers.map((_, index) => wholeStream(`q${String(index)}`, 60)),
+    );
+    await eventually(async () => (await results('j1')).next === 8);
+    const outputs = (await results('j1')).results.map(({ id, output }) => [id, output]);
+    expect(Object.fromEntries(outputs)).toEqual(Object.fromEntries(ids.map((id) => [id, outputOf(id, 60)])));
+  });
+
+  it('tells the operator when a coordinator is empty', async () => {
+    await start({ coordinators: 2 });
+    await fleet.whole();
+    fleet.store.write('op/retire/coordinator-0', { durationS: 10 });
+    await eventually(() => fleet.store.read('status/retire/coordinator-0') === '{"state":"done"}');
+    await submit('j1', ['a']);
+    await eventually(async () => (await results('j1')).next === 1);
+  });
+});
--- /dev/null
+++ b/packages/lab/src/platform-fleet.ts
@@ -0,0 +1,277 @@
+/** A fleet of real processes on our stand-in of the users' platform. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { request } from 'node:http';
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import type { RunningServer } from '@fighub/standins';
+import { PlatformStoreStandin, ReplicaStandin } from '@fighub/standins';
+
+import { FleetProcess } from './child-process.js';
+
+const PROGRAM = fileURLToPath(
+  import.meta.resolve('@fighub/platform').replace('index.js', 'bin/fighub-node.js'),
+);
+const SECRET = 'a-secret-of-this-test-fleet';
+const SERVICE = 'alert-modely';
+
+/** Host of the routes. */
+export const HOST = 'school.example';
+
+/** Size of a fleet. */
+export interface PlatformFleetOptions {
+  readonly entries: number;
+  readonly coordinators: number;
+  readonly replicas: number;
+  readonly eventCount?: number;
+  readonly eventMs?: number;
+  /** Without it the fleet starts before there is a configuration. */
+  readonly configured?: boolean;
+}
+
+/** An answer of an entry instance. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** Whether the answer ended properly. */
+  readonly complete: boolean;
+}
+
+/** A process with its addresses. */
+export interface FleetNode {
+  readonly name: string;
+  readonly process: FleetProcess;
+  readonly callerAddress: string;
+  readonly statusAddress: string;
+}
+
+/** Starts and ends the fleet's processes and stand-ins. */
+export class PlatformFleet {
+  readonly store: PlatformStoreStandin;
+  readonly nodes: FleetNode[] = [];
+  readonly replicas: ReplicaStandin[] = [];
+  private readonly servers: RunningServer[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), 'fighub-platform-'));
+  private seeds: string[] = [];
+  private version = 0;
+
+  private constructor(
+    store: PlatformStoreStandin,
+    private readonly storeServer: RunningServer,
+    private readonly options: PlatformFleetOptions,
+  ) {
+    this.store = store;
+    this.servers.push(storeServer);
+  }
+
+  static async start(options: PlatformFleetOptions): Promise<PlatformFleet> {
+    const { standin, running } = await PlatformStoreStandin.start();
+    const fleet = new PlatformFleet(standin, running, options);
+    for (let index = 0; index < options.replicas; index += 1) await fleet.addReplica(`r${String(index)}`);
+    if (options.configured !== false) fleet.configure();
+    const names = [
+      ...Array.from({ length: options.coordinators }, (_, index) => `coordinator-${String(index)}`),
+      ...Array.from({ length: options.entries }, (_, index) => `entry-${String(index)}`),
+    ];
+    await Promise.all(names.map((name) => fleet.startNode(name)));
+    return fleet;
+  }
+
+  /** Entry instances, in order. */
+  get entries(): readonly FleetNode[] {
+    return this.nodes.filter((node) => node.name.startsWith('entry'));
+  }
+
+  get coordinators(): readonly FleetNode[] {
+    return this.nodes.filter((node) => node.name.startsWith('coordinator'));
+  }
+
+  async addReplica(replicaId: string): Promise<ReplicaStandin> {
+    const replica = new ReplicaStandin(replicaId, this.options.eventCount ?? 12, this.options.eventMs ?? 5);
+    const running = await replica.start();
+    this.servers.push(running);
+    this.replicas.push(replica);
+    this.register(replicaId, running.address, 'ready');
+    return replica;
+  }
+
+  register(replicaId: string, address: string, state: 'ready' | 'draining'): void {
+    this.store.write(`servers/${replicaId}`, {
+      service: SERVICE,
+      address: address.replace('http://', ''),
+      zone: 'zvolen-hala',
+      version: 'v1',
+      capacity: 8,
+      state,
+      coldLeftMs: 0,
+      sequence: 0,
+    });
+  }
+
+  /** Changes the state of a replica's entry. */
+  setState(replicaId: string, state: 'ready' | 'draining'): void {
+    const entry = JSON.parse(this.store.read(`servers/${replicaId}`) ?? '{}') as { address: string };
+    this.register(replicaId, entry.address, state);
+  }
+
+  /** Writes the next configuration; `routes` are added to those that every fleet has. */
+  configure(routes: readonly object[] = []): void {
+    this.version += 3;
+    const common = { hostname: HOST, service: SERVICE, priority: 0, goalMs: 300, sticky: true };
+    this.store.write('op/config', {
+      version: this.version,
+      routes: [
+        { ...common, name: 'once', prefix: '/once/', kind: 'streaming', timeoutMs: 5_000, maxAttempts: 1 },
+        {
+          ...common,
+          name: 'resumable',
+          prefix: '/resumable/',
+          kind: 'streaming',
+          timeoutMs: 5_000,
+          maxAttempts: 3,
+          resumable: true,
+        },
+        { ...common, name: 'safe', prefix: '/safe/', kind: 'safe', timeoutMs: 5_000, maxAttempts: 2 },
+        {
+          ...common,
+          name: 'jobs',
+          prefix: '/jobs/',
+          kind: 'batch',
+          timeoutMs: 5_000,
+          maxAttempts: 3,
+          resumable: true,
+          priority: 2,
+          dueMs: 18_000,
+          maxWaitS: 60,
+          cap: 100_000,
+        },
+        ...routes,
+      ],
+      services: [{ name: SERVICE, healthPath: '/health', maxConns: 300, engine: { capacity: 8, stride: 7 } }],
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 100_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  async startNode(name: string): Promise<FleetNode> {
+    const [peerPort, callerPort, statusPort] = await freePorts(3);
+    const isEntry = name.startsWith('entry');
+    const peerAddress = `127.0.0.1:${String(peerPort)}`;
+    const callerAddress = `127.0.0.1:${String(callerPort)}`;
+    const statusAddress = `127.0.0.1:${String(statusPort)}`;
+    this.seeds = [...this.seeds, peerAddress].slice(0, 3);
+    const file = join(this.folder, `${name}.jsonc`);
+    const settings = {
+      instanceName: name,
+      failureDomain: 'zvolen-hala',
+      host: '127.0.0.1',
+      peerAddress,
+      ...(isEntry ? { callerAddress } : {}),
+      statusAddress,
+      seedAddresses: this.seeds,
+      fleetSecret: SECRET,
+      coordinates: !isEntry,
+      store: {
+        address: this.storeServer.address.replace('http://', ''),
+        readsPerSecond: 2_000,
+        writesPerSecond: 400,
+      },
+      shutdown: { graceMs: 8_000, noticeMs: 300 },
+    };
+    writeFileSync(file, `// One instance of a test fleet.\n${JSON.stringify(settings)}`);
+    const process = await FleetProcess.start(name, PROGRAM, ['--settings', file]);
+    const node = { name, process, callerAddress, statusAddress };
+    this.nodes.push(node);
+    return node;
+  }
+
+  /** Sends a request to an instance. Rejects when there is no answer at all. */
+  call(
+    node: FleetNode,
+    method: string,
+    path: string,
+    headers: OutgoingHttpHeaders = {},
+    body = '',
+    signal?: AbortSignal,
+  ): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      const req = request(`http://${node.callerAddress}${path}`, {
+        method,
+        headers: { Host: HOST, 'Content-Length': Buffer.byteLength(body), ...headers },
+        agent: false,
+        signal,
+      });
+      req.once('error', reject);
+      req.once('response', (res) => {
+        let text = '';
+        const finish = (complete: boolean): void =>
+          resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text, complete });
+        res.on('data', (part: Buffer) => (text += part.toString('utf8')));
+        res.once('end', () => finish(res.complete));
+        res.once('error', () => finish(false));
+      });
+      req.end(body);
+    });
+  }
+
+  /** The state dump of an instance. */
+  async dump(node: FleetNode): Promise<{ members: { state: string }[]; view: { replicas: unknown[] } }> {
+    const answer = await this.call({ ...node, callerAddress: node.statusAddress }, 'GET', '/dump');
+    return JSON.parse(answer.body) as { members: { state: string }[]; view: { replicas: unknown[] } };
+  }
+
+  /** Whether an instance says that it is ready. */
+  async isReady(node: FleetNode): Promise<boolean> {
+    const answer = await this.call({ ...node, callerAddress: node.statusAddress }, 'GET', '/api/ready');
+    return answer.status === 200;
+  }
+
+  /** Waits until all entry instances are ready and know all instances. */
+  async whole(): Promise<void> {
+    await eventually(async () => {
+      const dumps = await Promise.all(this.nodes.map((node) => this.dump(node)));
+      const counts = dumps.map(({ members }) => members.filter((member) => member.state === 'alive').length);
+      const ready = await Promise.all(this.entries.map((node) => this.isReady(node)));
+      return counts.every((count) => count === this.nodes.length) && ready.every(Boolean);
+    });
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map((node) => node.process.kill()));
+    this.servers.forEach(({ server }) => {
+      server.closeAllConnections();
+      server.close();
+    });
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+}
+
+/** Waits for a condition; the test's own time limit ends a wait that is in vain. */
+export async function eventually(condition: () => Promise<boolean> | boolean): Promise<void> {
+  while (!(await Promise.resolve(condition()))) await new Promise((resolve) => setTimeout(resolve, 25));
+}
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer();
+          server.listen(0, '127.0.0.1', () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,4 +4,6 @@
 export * from './http-util.js';
 export * from './instances-standin.js';
 export * from './kv-standin.js';
+export * from './platform-store-standin.js';
+export * from './replica-standin.js';
 export * from './service-standin.js';
--- /dev/null
+++ b/packages/standins/src/platform-store-standin.ts
@@ -0,0 +1,230 @@
+/** Stand-in of the users' platform's metadata store, with faults that can be switched while it runs. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { RunningServer } from './http-util.js';
+import { readJsonBody, sendJsonBody, serve } from './http-util.js';
+
+/** Faults of the store. */
+export interface PlatformStoreFaults {
+  /** Answers 503 to everything. */
+  down: boolean;
+  /** Answers nothing. */
+  silent: boolean;
+  /** The next changes that are made and whose answer is lost. */
+  loseAnswers: number;
+  /** The next changes that are made this much later and never answered, in milliseconds; 0 for none. */
+  lateMs: number;
+  /** Calls for which a watch answers that the history is gone. */
+  forgetHistory: number;
+}
+
+interface StoredItem {
+  readonly value: string;
+  readonly revision: number;
+  readonly lease: number;
+}
+
+interface Change {
+  readonly expected?: readonly { key: string; revision: number }[];
+  readonly setKeys?: readonly { key: string; value: string; lease?: number }[];
+  readonly deleteKeys?: readonly string[];
+}
+
+interface Logged {
+  readonly key: string;
+  readonly revision: number;
+  readonly item?: StoredItem;
+}
+
+const PAGE_ITEMS = 500;
+
+/** The store itself, for tests that look inside. */
+export class PlatformStoreStandin {
+  private readonly items = new Map<string, StoredItem>();
+  private readonly history: Logged[] = [];
+  private readonly waiters = new Set<() => void>();
+  private readonly leases = new Map<number, NodeJS.Timeout>();
+  private revision = 1;
+  private nextLease = 1;
+  calls = 0;
+  readonly faults: PlatformStoreFaults = {
+    down: false,
+    silent: false,
+    loseAnswers: 0,
+    lateMs: 0,
+    forgetHistory: 0,
+  };
+
+  /** Starts the stand-in on a free port of the loopback interface. */
+  static async start(): Promise<{ standin: PlatformStoreStandin; running: RunningServer }> {
+    const standin = new PlatformStoreStandin();
+    const running = await serve(0, (req, res) => void standin.handle(req, res));
+    return { standin, running };
+  }
+
+  /** Writes a key as the operator or a replica does. */
+  write(key: string, value: unknown): void {
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    this.apply({ setKeys: [{ key, value: Buffer.from(text).toString('base64') }] });
+  }
+
+  remove(key: string): void {
+    this.apply({ deleteKeys: [key] });
+  }
+
+  /** The text of a key. */
+  read(key: string): string | undefined {
+    const item = this.items.get(key);
+    return item && Buffer.from(item.value, 'base64').toString('utf8');
+  }
+
+  keys(prefix: string): string[] {
+    return [...this.items.keys()].filter((key) => key.startsWith(prefix)).sort();
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.calls += 1;
+    if (this.faults.silent) return;
+    const url = new URL(req.url ?? '', 'http://store');
+    const body = req.method === 'POST' ? await readJsonBody<Change & { ttlMs?: number }>(req) : {};
+    if (this.faults.down) {
+      sendJsonBody(res, 503, {});
+      return;
+    }
+    const call = url.pathname.replace('/api/', '');
+    if (call === 'kv-key') this.sendItem(res, url.searchParams.get('key') ?? '');
+    else if (call === 'kv-range') this.sendRange(res, url);
+    else if (call === 'kv-watch') await this.sendEvents(res, url);
+    else if (call === 'kv-txn') this.sendChange(res, body);
+    else if (call === 'kv-lease') sendJsonBody(res, 200, this.grantLease(body.ttlMs ?? 1_000));
+    else if (call.startsWith('kv-keep/')) this.keepLease(res, Number(call.split('/')[1]));
+    else if (call.startsWith('kv-lease-end/')) {
+      this.endLease(Number(call.split('/')[1]));
+      sendJsonBody(res, 200, {});
+    } else sendJsonBody(res, 404, {});
+  }
+
+  private sendItem(res: ServerResponse, key: string): void {
+    const item = this.items.get(key);
+    if (item) sendJsonBody(res, 200, { key, createdAt: 1, at: this.revision, ...item });
+    else sendJsonBody(res, 404, {});
+  }
+
+  private sendRange(res: ServerResponse, url: URL): void {
+    const after = url.searchParams.get('after') ?? '';
+    const keys = this.keys(url.searchParams.get('prefix') ?? '').filter((key) => key > after);
+    const items = keys.slice(0, PAGE_ITEMS).map((key) => ({ key, createdAt: 1, ...this.items.get(key) }));
+    sendJsonBody(res, 200, { items, hasMore: keys.length > PAGE_ITEMS, at: this.revision });
+  }
+
+  private async sendEvents(res: ServerResponse, url: URL): Promise<void> {
+    if (this.faults.forgetHistory > 0) {
+      this.faults.forgetHistory -= 1;
+      sendJsonBody(res, 410, {});
+      return;
+    }
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    const found = (): Logged[] =>
+      this.history.filter((entry) => entry.revision > after && entry.key.startsWith(prefix));
+    if (found().length === 0) await this.nextChange(Number(url.searchParams.get('waitMs')), prefix, after);
+    const events = found().map(({ key, revision, item }) =>
+      item ? { key, createdAt: 1, ...item } : { key, revision, deleted: true },
+    );
+    sendJsonBody(res, 200, { events, at: this.revision });
+  }
+
+  private nextChange(waitMs: number, prefix: string, after: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        clearTimeout(timer);
+        this.waiters.delete(check);
+        resolve();
+      };
+      const check = (): void => {
+        const last = this.history[this.history.length - 1];
+        if (last && last.revision > after && last.key.startsWith(prefix)) finish();
+      };
+      const timer = setTimeout(finish, waitMs);
+      this.waiters.add(check);
+    });
+  }
+
+  private sendChange(res: ServerResponse, change: Change): void {
+    if (this.faults.lateMs > 0) {
+      setTimeout(() => this.holds(change) && this.apply(change), this.faults.lateMs);
+      this.faults.lateMs = 0;
+      res.destroy();
+      return;
+    }
+    if (!this.holds(change)) {
+      const items = (change.expected ?? []).map(({ key }) => ({
+        key,
+        value: '',
+        revision: 0,
+        ...this.items.get(key),
+      }));
+      sendJsonBody(res, 412, { items });
+      return;
+    }
+    this.apply(change);
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      res.destroy();
+      return;
+    }
+    sendJsonBody(res, 200, { revision: this.revision });
+  }
+
+  private holds(change: Change): boolean {
+    return (change.expected ?? []).every(
+      ({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision,
+    );
+  }
+
+  private apply(change: Change): void {
+    this.revision += 1;
+    const { revision } = this;
+    (change.setKeys ?? []).forEach(({ key, value, lease = 0 }) => {
+      const item = { value, revision, lease };
+      this.items.set(key, item);
+      this.history.push({ key, revision, item });
+    });
+    (change.deleteKeys ?? []).forEach((key) => {
+      if (this.items.delete(key)) this.history.push({ key, revision });
+    });
+    [...this.waiters].forEach((check) => check());
+  }
+
+  private grantLease(ttlMs: number): { lease: number; ttlMs: number } {
+    const lease = this.nextLease++;
+    this.startLease(lease, ttlMs);
+    return { lease, ttlMs };
+  }
+
+  private startLease(lease: number, ttlMs: number): void {
+    clearTimeout(this.leases.get(lease));
+    this.leases.set(
+      lease,
+      setTimeout(() => this.endLease(lease), ttlMs),
+    );
+  }
+
+  private keepLease(res: ServerResponse, lease: number): void {
+    if (!this.leases.has(lease)) {
+      sendJsonBody(res, 404, {});
+      return;
+    }
+    this.startLease(lease, LEASE_MS);
+    sendJsonBody(res, 200, { ttlMs: LEASE_MS });
+  }
+
+  private endLease(lease: number): void {
+    clearTimeout(this.leases.get(lease));
+    this.leases.delete(lease);
+    const keys = [...this.items].filter(([, item]) => item.lease === lease).map(([key]) => key);
+    if (keys.length > 0) this.apply({ deleteKeys: keys });
+  }
+}
+
+const LEASE_MS = 10_000;
--- /dev/null
+++ b/packages/standins/src/replica-standin.ts
@@ -0,0 +1,107 @@
+/** Stand-in of a replica of the users' platform: event streams, refusals and faults. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { digest } from '@fighub/core';
+
+import type { RunningServer } from './http-util.js';
+import { serve } from './http-util.js';
+
+/** Faults of a replica. */
+export interface ReplicaFaults {
+  /** The next requests that are refused before they run. */
+  refuse: number;
+  /** The next requests whose stream breaks off in the middle of an event. */
+  breakOff: number;
+  /** The next requests that are answered with another request's id. */
+  crossed: number;
+  /** Status with which every request is answered; 0 for a stream. */
+  status: number;
+}
+
+/** One request as the replica ran it. */
+export interface ReplicaRun {
+  readonly requestId: string;
+  readonly resumeAfter: number;
+  readonly body: string;
+  readonly deadlineMs?: number;
+  closed: boolean;
+}
+
+/** The data of event `index` of a request's answer: the same at every replica. */
+export function eventData(requestId: string, index: number): string {
+  return `${requestId}-${String(index)}-${digest(requestId, String(index)).slice(0, 6)}`;
+}
+
+/** A replica that makes an event every `eventMs`. */
+export class ReplicaStandin {
+  readonly runs: ReplicaRun[] = [];
+  readonly faults: ReplicaFaults = { refuse: 0, breakOff: 0, crossed: 0, status: 0 };
+  /** Streams that ran at the same time, at most. */
+  mostAtOnce = 0;
+  private active = 0;
+
+  constructor(
+    readonly replicaId: string,
+    private readonly eventCount: number,
+    private readonly eventMs: number,
+  ) {}
+
+  start(): Promise<RunningServer> {
+    return serve(0, (req, res) => void this.handle(req, res));
+  }
+
+  private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const parts: Buffer[] = [];
+    for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
+    const requestId = String(req.headers['attempt-id']);
+    if (req.headers['expect-instance'] !== this.replicaId) {
+      res.writeHead(421, { 'Instance-Id': this.replicaId }).end();
+      return;
+    }
+    if (take(this.faults, 'refuse')) {
+      res.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId }).end();
+      return;
+    }
+    const run: ReplicaRun = {
+      requestId,
+      resumeAfter: Number(req.headers['last-event-id'] ?? 0),
+      body: Buffer.concat(parts).toString('utf8'),
+      deadlineMs: req.headers['deadline-ms'] === undefined ? undefined : Number(req.headers['deadline-ms']),
+      closed: false,
+    };
+    this.runs.push(run);
+    this.active += 1;
+    this.mostAtOnce = Math.max(this.mostAtOnce, this.active);
+    res.once('close', () => {
+      run.closed = true;
+      this.active -= 1;
+    });
+    await this.answer(run, res);
+  }
+
+  private async answer(run: ReplicaRun, res: ServerResponse): Promise<void> {
+    const echoed = take(this.faults, 'crossed') ? 'another-request' : run.requestId;
+    const headers = { 'Attempt-Id': echoed, 'Response-Seal': `seal-${run.requestId}` };
+    if (this.faults.status > 0) {
+      res.writeHead(this.faults.status, headers).end('failed');
+      return;
+    }
+    const breaksOff = take(this.faults, 'breakOff');
+    res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
+    for (let index = run.resumeAfter + 1; index <= this.eventCount && !run.closed; index += 1) {
+      if (breaksOff && index === run.resumeAfter + 3) {
+        res.write(`id: ${String(index)}\ndata: brok`, () => res.destroy());
+        return;
+      }
+      res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index)}\n\n`);
+      await new Promise((resolve) => setTimeout(resolve, this.eventMs));
+    }
+    res.end();
+  }
+}
+
+function take(faults: ReplicaFaults, name: 'refuse' | 'breakOff' | 'crossed'): boolean {
+  if (faults[name] === 0) return false;
+  faults[name] -= 1;
+  return true;
+}
