--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -59,6 +59,8 @@
   isReady(): boolean;
   /** Whether this instance is about to stop. */
   isStopping(): boolean;
+  /** When doors must have closed; monotonic time, infinite until this instance stops. */
+  stopByMs(): number;
   dump(): Record<string, unknown>;
 }
 
@@ -73,7 +75,6 @@
 }
 
 const TICK_PERIODS = { busyMs: 10, idleMs: 50 } as const;
-const DRAIN_STEP_MS = 20;
 /** Time before the end by force in which clean-up must fit. */
 const STOP_MARGIN_MS = 700;
 /** Load reports cost calls; replicas are judged by the permits and the streams themselves. */
@@ -349,7 +350,6 @@
     const log = container.get(Tokens.log);
     const { failureDomain, coordinates } = settings;
     log.record(LogWeight.state, 'instance_started', { instanceId, failureDomain, coordinates });
-    await this.lifeCycle.own({ name: 'requests', drain: (hasten) => this.drainRequests(hasten) });
     return {
       instanceId,
       parts: this.parts(),
@@ -411,16 +411,6 @@
     await this.lifeCycle.own({ name: 'jobs', drain: () => jobs.drain() });
   }
 
-  /** Serves on until callers are sent elsewhere, then waits for the requests that are open. */
-  private async drainRequests(hasten: AbortSignal): Promise<void> {
-    if (this.settings.callerAddress === undefined) return;
-    const runner = this.container.get(Tokens.runner);
-    await sleep(this.settings.shutdown.noticeMs, hasten);
-    while (runner.openRequests > 0 && !hasten.aborted && performance.now() < this.stopByMs) {
-      await sleep(DRAIN_STEP_MS);
-    }
-  }
-
   private parts(): ServingParts {
     const { container } = this;
     const view = container.get(Tokens.view);
@@ -437,6 +427,7 @@
       log: container.get(Tokens.log),
       isReady: () => !this.stopping && view.routes !== undefined && view.replicas.revision > 0,
       isStopping: () => this.stopping,
+      stopByMs: () => this.stopByMs,
       dump: () => this.dump(),
     };
   }
