--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -4,11 +4,13 @@
 import type { PoolLoad, ReleaseReport } from '@fighub/decisions';
 import { orderPools } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
+import { PeerFailure } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
 import type { Place, PlaceWish } from './place.js';
 import type { PoolDescription } from './pool-catalogue.js';
 import type { LocalHolder, PoolHost } from './pool-host.js';
+import { OwnerAnswer } from './pool-host.js';
 
 interface WaitingWish {
   readonly body: AcquireBody;
@@ -33,7 +35,7 @@
 /** A model counts as in use here for this long after its last request. */
 const MODEL_IN_USE_MS = 10_000;
 /** An answer may be lost on a silent connection: the owner is asked again after this time. */
-const ASK_AGAIN_MS = { online: 400, batch: 2_000 } as const;
+const ASK_AGAIN_MS = { online: 120, batch: 1_000 } as const;
 const MAX_ASKED_AGAIN = 64;
 
 interface PoolSummary {
@@ -85,7 +87,7 @@
       return fail(notRun('no_upstream', `no upstream serves ${wish.model} to ${wish.organisation}`, 1_000));
     let last: Problem = NOT_TAKEN;
     for (const poolId of pools) {
-      const outcome = await this.acquireFrom(poolId, wish, signal);
+      const outcome = await this.acquireFromOwners(poolId, wish, signal);
       if (outcome.ok || signal.aborted) return outcome;
       last = outcome.error;
       if (this.clock.nowUnixMs() >= wish.deadlineUnixMs) break;
@@ -144,8 +146,8 @@
     this.dropMovedWishes();
     this.askAgain(nowMs);
     // A new owner learns at once what its predecessor had granted.
-    const { version } = this.members().membership;
-    if (nowMs >= this.nextRenewMs || version !== this.renewedVersion) this.renewAll(nowMs);
+    const isMoved = this.host.ownershipVersion !== this.renewedVersion;
+    if (nowMs >= this.nextRenewMs || isMoved) this.renewAll(nowMs);
     if (nowMs >= this.nextSummaryMs) this.askForSummaries(nowMs);
   }
 
@@ -181,6 +183,19 @@
     return (1_000 * busy) / Math.max(1, load.places);
   }
 
+  /** Asks the owner, and the next one when the first turns out not to answer. */
+  private async acquireFromOwners(
+    poolId: string,
+    wish: PlaceWish,
+    signal: AbortSignal,
+  ): Promise<Outcome<Place, Problem>> {
+    const ownerId = this.host.ownerOfPool(poolId);
+    const outcome = await this.acquireFrom(poolId, wish, signal);
+    if (outcome.ok || signal.aborted || outcome.error !== NOT_TAKEN) return outcome;
+    if (this.host.ownerOfPool(poolId) === ownerId) return outcome;
+    return this.acquireFrom(poolId, wish, signal);
+  }
+
   private async acquireFrom(
     poolId: string,
     wish: PlaceWish,
@@ -226,6 +241,7 @@
     const member = this.members().membership.get(ownerId);
     if (!member) return false;
     const answer = await this.node.request(member.peerAddress, 'permit.acquire', body, this.acquireTimeoutMs);
+    this.host.noteOwner(ownerId, ownerAnswerOf(answer));
     return answer.ok && answer.value.accepted;
   }
 
@@ -294,7 +310,7 @@
 
   private renewAll(nowMs: number): void {
     this.nextRenewMs = nowMs + RENEW_PERIOD_MS;
-    this.renewedVersion = this.members().membership.version;
+    this.renewedVersion = this.host.ownershipVersion;
     const poolIds = [...new Set(this.places.all().map((place) => place.poolId))];
     poolIds.forEach((poolId) => {
       const permits = this.places
@@ -380,3 +396,8 @@
 
   private attempts = 0;
 }
+
+function ownerAnswerOf(answer: Outcome<unknown, PeerFailure>): OwnerAnswer {
+  if (answer.ok) return OwnerAnswer.answered;
+  return answer.error === PeerFailure.notConnected ? OwnerAnswer.refusedConnection : OwnerAnswer.late;
+}
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -2,6 +2,7 @@
 import type { Clock, Metrics, Problem, System } from '@fighub/core';
 import { EntityTable } from '@fighub/core';
 import type {
+  Member,
   Permit,
   PlaceRequest,
   PoolLoad,
@@ -9,7 +10,7 @@
   PoolReplica,
   ReleaseReport,
 } from '@fighub/decisions';
-import { PoolScheduler, ownerOf } from '@fighub/decisions';
+import { OwnerSuspicions, PoolScheduler, ownerOf } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
 import type { LoadReader } from '@fighub/outside';
 
@@ -23,6 +24,14 @@
   revoked(permitId: string): void;
 }
 
+/** What became of a request for a place at its owner. */
+export const OwnerAnswer = {
+  answered: 'answered',
+  late: 'late',
+  refusedConnection: 'refused_connection',
+} as const;
+export type OwnerAnswer = (typeof OwnerAnswer)[keyof typeof OwnerAnswer];
+
 const LOAD_PERIOD_MS = 1_000;
 /** Pools without streams are looked at this many times more rarely. */
 const IDLE_LOAD_FACTOR = 3;
@@ -36,6 +45,7 @@
   /** Owners by pool at one version of the membership. */
   private readonly owners = new Map<string, string | undefined>();
   private ownersVersion = -1;
+  private readonly suspicions = new OwnerSuspicions();
   private readonly revokedAtMs = new Map<string, number>();
   private localHolder: LocalHolder | undefined;
   private nextLoadMs = 0;
@@ -60,6 +70,10 @@
     node.onRequest('pool.load', (body) => ({ loads: this.loadsOf(body.poolIds) }));
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
     node.onNotice('permit.release', (body) => this.release(body.poolId, body.reports));
+    node.onNotice('owner.suspected', (body) => {
+      this.suspicions.suspect(body.instanceId, this.clock.monotonicMs());
+      this.wake();
+    });
     node.onNotice('permit.renew', (body) => this.renew(body.poolId, body.permits));
   }
 
@@ -74,22 +88,51 @@
     return this.catalogue.pools();
   }
 
-  /** The owner of a pool among the live members. */
+  /** Another number whenever the owners of pools may have changed. */
+  get ownershipVersion(): number {
+    return this.members().membership.version + this.suspicions.version;
+  }
+
+  /** The owner of a pool among the live members that answer. */
   ownerOfPool(poolId: string): string | undefined {
-    const { version } = this.members().membership;
+    const version = this.ownershipVersion;
     if (version !== this.ownersVersion) {
       this.ownersVersion = version;
       this.owners.clear();
     }
     if (!this.owners.has(poolId)) {
       const failureDomain = poolId.slice(poolId.lastIndexOf('@') + 1);
-      this.owners.set(poolId, ownerOf(poolId, failureDomain, this.members().owners()));
+      this.owners.set(poolId, ownerOf(poolId, failureDomain, this.answeringMembers()));
     }
     return this.owners.get(poolId);
   }
 
+  /** Notes whether an owner has answered a request for a place. */
+  noteOwner(instanceId: string, answer: OwnerAnswer): void {
+    const nowMs = this.clock.monotonicMs();
+    if (answer === OwnerAnswer.answered) this.suspicions.onAnswer(instanceId);
+    const isNew =
+      (answer === OwnerAnswer.refusedConnection && this.suspicions.suspect(instanceId, nowMs)) ||
+      (answer === OwnerAnswer.late && this.suspicions.onTimeout(instanceId, nowMs));
+    if (!isNew) return;
+    this.metrics.count('owners_suspected');
+    this.wake();
+    // All instances move together, so that the next owner learns of all permits.
+    this.members()
+      .owners()
+      .filter((member) => member.instanceId !== this.selfId)
+      .forEach((member) => this.node.notify(member.peerAddress, 'owner.suspected', { instanceId }));
+  }
+
+  private answeringMembers(): Member[] {
+    const owners = this.members().owners();
+    const answering = owners.filter((member) => !this.suspicions.isSuspected(member.instanceId));
+    return answering.some((member) => member.schedules !== false) ? answering : owners;
+  }
+
   /** Takes a request for a place if this instance owns the pool. */
   acquire(body: AcquireBody): boolean {
+    this.syncPoolsIfDue(this.clock.monotonicMs());
     const pool = this.pools.get(body.poolId);
     if (!pool) return false;
     const nowMs = this.clock.monotonicMs();
@@ -141,6 +184,7 @@
   }
 
   run(nowMs: number): void {
+    this.suspicions.run(nowMs);
     this.syncPoolsIfDue(nowMs);
     this.pools.all().forEach((pool) => pool.run(nowMs));
     if (this.loadReader && nowMs >= this.nextLoadMs) this.readLoads(nowMs);
@@ -166,7 +210,7 @@
   }
 
   private syncPoolsIfDue(nowMs: number): void {
-    const { version } = this.members().membership;
+    const version = this.ownershipVersion;
     const unchanged = version === this.syncedVersion && this.catalogue.version === this.syncedCatalogue;
     if (unchanged && nowMs < this.nextSyncMs) return;
     this.syncedVersion = version;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './limit-parts.js';
 export * from './membership.js';
 export * from './organisation-limits.js';
+export * from './owner-suspicions.js';
 export * from './pool-choice.js';
 export * from './pool-scheduler.js';
 export * from './pool-types.js';
--- /dev/null
+++ b/packages/decisions/src/owner-suspicions.test.ts
@@ -0,0 +1,25 @@
+import { describe, expect, it } from 'vitest';
+
+import { OwnerSuspicions } from './owner-suspicions.js';
+
+describe('OwnerSuspicions', () => {
+  it('suspects an owner after two requests without answer in a row', () => {
+    const suspicions = new OwnerSuspicions();
+    expect(suspicions.onTimeout('a', 0)).toBe(false);
+    suspicions.onAnswer('a');
+    expect(suspicions.onTimeout('a', 10)).toBe(false);
+    expect(suspicions.onTimeout('a', 20)).toBe(true);
+    expect(suspicions.isSuspected('a')).toBe(true);
+  });
+
+  it('asks a suspected owner again after a while', () => {
+    const suspicions = new OwnerSuspicions();
+    suspicions.suspect('a', 0);
+    const { version } = suspicions;
+    suspicions.run(2_499);
+    expect(suspicions.isSuspected('a')).toBe(true);
+    suspicions.run(2_500);
+    expect(suspicions.isSuspected('a')).toBe(false);
+    expect(suspicions.version).toBeGreaterThan(version);
+  });
+});
--- a/packages/lab/src/platform-fleet.test.ts
+++ b/packages/lab/src/platform-fleet.test.ts
@@ -195,6 +195,20 @@
     await fleet.coordinators[0]?.process.kill();
     expect(await stream('/once/a', 'q1')).toMatchObject({ status: 200, body: wholeStream('q1') });
   });
+
+  it('takes places from batch streams right after the owner of the pool was killed', async () => {
+    await start({ replicas: 1, coordinators: 2, eventCount: 400 });
+    await fleet.whole();
+    await submit(
+      'j1',
+      Array.from({ length: 8 }, (_, index) => `i${String(index)}`),
+    );
+    await eventually(() => fleet.replicas[0]?.runs.length === 8);
+    const dumps = await Promise.all(fleet.coordinators.map((node) => fleet.dump(node)));
+    await fleet.coordinators[dumps.findIndex((dump) => dump.pools.length > 0)]?.process.kill();
+    expect(await stream('/once/a', 'q1')).toMatchObject({ status: 200, body: wholeStream('q1', 400) });
+    expect(fleet.replicas[0]?.mostAtOnce).toBeLessThanOrEqual(9);
+  });
 });
 
 describe('batch jobs on the platform', () => {
--- a/packages/lab/src/platform-fleet.ts
+++ b/packages/lab/src/platform-fleet.ts
@@ -50,6 +50,13 @@
   readonly statusAddress: string;
 }
 
+/** The parts of a state dump that tests look at. */
+export interface FleetDump {
+  readonly members: readonly { readonly state: string }[];
+  readonly view: { readonly replicas: readonly unknown[] };
+  readonly pools: readonly unknown[];
+}
+
 /** Starts and ends the fleet's processes and stand-ins. */
 export class PlatformFleet {
   readonly store: PlatformStoreStandin;
@@ -224,9 +231,9 @@
   }
 
   /** The state dump of an instance. */
-  async dump(node: FleetNode): Promise<{ members: { state: string }[]; view: { replicas: unknown[] } }> {
+  async dump(node: FleetNode): Promise<FleetDump> {
     const answer = await this.call({ ...node, callerAddress: node.statusAddress }, 'GET', '/dump');
-    return JSON.parse(answer.body) as { members: { state: string }[]; view: { replicas: unknown[] } };
+    return JSON.parse(answer.body) as FleetDump;
   }
 
   /** Whether an instance says that it is ready. */
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -100,6 +100,7 @@
   'permit.granted': GrantedBody;
   'permit.refused': { requestId: string; problem: Problem };
   'permit.revoked': { permitId: string };
+  'owner.suspected': { instanceId: string };
   'table.push': { bucket: TableBucket };
   'job.cancelled': { jobId: string };
   'job.offered': { jobId: string };
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -1,16 +1,7 @@
 /** Builds and starts the parts of a serving instance around the adapters of a platform. */
 import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
 import type { Clock, ManagedPart } from '@fighub/core';
-import {
-  DecisionLog,
-  LifeCycle,
-  LogWeight,
-  Metrics,
-  SystemClock,
-  TickLoop,
-  newId,
-  sleep,
-} from '@fighub/core';
+import { DecisionLog, LifeCycle, LogWeight, Metrics, SystemClock, TickLoop, newId } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import { RunTimeEstimate } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
