Stay away from a suspected owner until it answers again; never reuse a permit id

Change: whoever raised a suspicion asks the owner again each 0.8 s and renews the suspicion until it answers; each scheduler of an instance has its own prefix of permit ids.

--- /dev/null
+++ b/packages/admission/src/pool-host.test.ts
@@ -0,0 +1,102 @@
+import { Metrics, ManualClock } from '@fighub/core';
+import type { PoolPolicy } from '@fighub/decisions';
+import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner } from '@fighub/peers';
+import { PeerNode } from '@fighub/peers';
+import { describe, expect, it } from 'vitest';
+
+import type { PoolCatalogue, PoolDescription } from './pool-catalogue.js';
+import { OwnerAnswer, PoolHost } from './pool-host.js';
+import { UpstreamStates } from './upstream-states.js';
+
+const POLICY: PoolPolicy = {
+  reserveMaxFraction: 0,
+  targets: { firstTokenTargetMs: 100, betweenTokensTargetMs: 100 },
+  weightOf: () => 1,
+  limitsOf: () => ({}),
+};
+const POOL: PoolDescription = {
+  poolId: 'm@',
+  model: 'm',
+  failureDomain: '',
+  upstreams: [
+    { upstreamId: 'r', address: 'r:1', failureDomain: 'd', maxConcurrency: 8, fencingChecked: false },
+  ],
+};
+const CATALOGUE: PoolCatalogue = {
+  version: 1,
+  pools: () => [POOL],
+  policyOf: () => POLICY,
+  poolsOpenTo: () => [POOL],
+  limitsOf: () => ({}),
+  isLeaving: () => false,
+};
+
+function acquireBody(requestId: string): AcquireBody {
+  return {
+    poolId: 'm@',
+    requestId,
+    holder: 'self',
+    organisation: 'o',
+    workClass: 'online',
+    costTokens: 1,
+    deadlineInMs: 10_000,
+    prefixDigest: '',
+    excludedReplicaIds: [],
+    resumable: false,
+    alone: false,
+  };
+}
+
+function setup() {
+  const clock = new ManualClock();
+  const metrics = new Metrics();
+  const node = new PeerNode({ instanceId: 'self', host: '127.0.0.1', port: 0, secret: 's' }, metrics, (e) => {
+    throw e;
+  });
+  const self = { instanceId: 'self', failureDomain: 'd', peerAddress: '', state: 'alive', schedules: true };
+  const membership = { version: 1, get: () => self, isLive: () => true };
+  const members = { owners: () => [self], membership } as unknown as MembershipRunner;
+  const upstreams = new UpstreamStates(clock);
+  const host = new PoolHost('self', CATALOGUE, upstreams, () => members, node, undefined, clock, metrics);
+  const grants: GrantedBody[] = [];
+  host.connect(
+    {
+      granted: (body) => grants.push(body),
+      refused: () => undefined,
+      revoked: () => undefined,
+    },
+    () => undefined,
+  );
+  return { clock, host, grants, membership };
+}
+
+describe('PoolHost', () => {
+  it('never gives a permit id twice, although its scheduler was dropped and its permits came back', () => {
+    const { clock, host, grants } = setup();
+    host.run(clock.monotonicMs());
+    host.acquire(acquireBody('q1'));
+    host.run(clock.monotonicMs());
+    const held: HeldPermit[] = grants.map(({ permitId, replicaId }) => ({
+      permitId,
+      replicaId,
+      request: acquireBody('q1'),
+    }));
+    (CATALOGUE as { pools: () => readonly PoolDescription[] }).pools = () => [];
+    (CATALOGUE as { version: unknown }).version = 2;
+    host.run(clock.monotonicMs());
+    (CATALOGUE as { pools: () => readonly PoolDescription[] }).pools = () => [POOL];
+    (CATALOGUE as { version: unknown }).version = 3;
+    host.run(clock.monotonicMs());
+    host.renew('m@', held);
+    host.acquire(acquireBody('q2'));
+    host.run(clock.monotonicMs());
+    expect(new Set(grants.map((grant) => grant.permitId)).size).toBe(2);
+  });
+
+  it('keeps its pool when the only owner is suspected', () => {
+    const { clock, host } = setup();
+    host.run(clock.monotonicMs());
+    host.noteOwner('self', OwnerAnswer.refusedConnection);
+    expect(host.ownerOfPool('m@')).toBe('self');
+  });
+});
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -7,6 +7,7 @@
   PlaceRequest,
   PoolLoad,
   PoolOutput,
+  PoolPolicy,
   PoolReplica,
   ReleaseReport,
 } from '@fighub/decisions';
@@ -32,6 +33,7 @@
 } as const;
 export type OwnerAnswer = (typeof OwnerAnswer)[keyof typeof OwnerAnswer];
 
+const CHECK_TIMEOUT_MS = 300;
 const LOAD_PERIOD_MS = 1_000;
 /** Pools without streams are looked at this many times more rarely. */
 const IDLE_LOAD_FACTOR = 3;
@@ -50,6 +52,7 @@
   private localHolder: LocalHolder | undefined;
   private nextLoadMs = 0;
   private loadRound = 0;
+  private schedulersBuilt = 0;
   private nextSyncMs = 0;
   private syncedVersion = -1;
   private syncedCatalogue: unknown;
@@ -116,14 +119,41 @@
       (answer === OwnerAnswer.late && this.suspicions.onTimeout(instanceId, nowMs));
     if (!isNew) return;
     this.metrics.count('owners_suspected');
+    this.suspicions.watch(instanceId, nowMs);
+    this.spreadSuspicion(instanceId);
     this.wake();
-    // All instances move together, so that the next owner learns of all permits.
+  }
+
+  /** All instances move together, so that the next owner learns of all permits. */
+  private spreadSuspicion(instanceId: string): void {
     this.members()
       .owners()
       .filter((member) => member.instanceId !== this.selfId)
       .forEach((member) => this.node.notify(member.peerAddress, 'owner.suspected', { instanceId }));
   }
 
+  /** As long as an owner does not answer here, all instances stay away from it. */
+  private async checkSuspect(instanceId: string): Promise<void> {
+    const { membership } = this.members();
+    const member = membership.get(instanceId);
+    if (!member || !membership.isLive(instanceId)) {
+      this.suspicions.unwatch(instanceId);
+      return;
+    }
+    const answer = await this.node.request(
+      member.peerAddress,
+      'pool.load',
+      { poolIds: [] },
+      CHECK_TIMEOUT_MS,
+    );
+    if (answer.ok) {
+      this.suspicions.unwatch(instanceId);
+      return;
+    }
+    this.suspicions.suspect(instanceId, this.clock.monotonicMs());
+    this.spreadSuspicion(instanceId);
+  }
+
   private answeringMembers(): Member[] {
     const owners = this.members().owners();
     const answering = owners.filter((member) => !this.suspicions.isSuspected(member.instanceId));
@@ -185,6 +215,7 @@
 
   run(nowMs: number): void {
     this.suspicions.run(nowMs);
+    this.suspicions.takeChecks(nowMs).forEach((instanceId) => void this.checkSuspect(instanceId));
     this.syncPoolsIfDue(nowMs);
     this.pools.all().forEach((pool) => pool.run(nowMs));
     if (this.loadReader && nowMs >= this.nextLoadMs) this.readLoads(nowMs);
@@ -233,8 +264,7 @@
   private syncPool(description: PoolDescription): void {
     const policy = this.catalogue.policyOf(description);
     const known = this.pools.get(description.poolId);
-    const pool =
-      known ?? new PoolScheduler(description.poolId, this.selfId, policy, this.outputOf(description));
+    const pool = known ?? this.newScheduler(description, policy);
     if (!known) this.pools.set(description.poolId, pool);
     pool.setPolicy(policy);
     pool.setReplicas(
@@ -253,6 +283,13 @@
     return this.catalogue.poolsOpenTo(organisation, model);
   }
 
+  /** Permits of a scheduler that was dropped may come back: their ids must not be given again. */
+  private newScheduler(description: PoolDescription, policy: PoolPolicy): PoolScheduler {
+    this.schedulersBuilt += 1;
+    const granter = `${this.selfId}/${String(this.schedulersBuilt)}`;
+    return new PoolScheduler(description.poolId, granter, policy, this.outputOf(description));
+  }
+
   private outputOf(description: PoolDescription): PoolOutput {
     return {
       granted: (permit, replica) => this.sendGrant(description, permit, replica),
--- a/packages/decisions/src/owner-suspicions.test.ts
+++ b/packages/decisions/src/owner-suspicions.test.ts
@@ -22,4 +22,17 @@
     expect(suspicions.isSuspected('a')).toBe(false);
     expect(suspicions.version).toBeGreaterThan(version);
   });
+
+  it('checks a watched owner until it answers or is gone', () => {
+    const suspicions = new OwnerSuspicions();
+    suspicions.suspect('a', 0);
+    suspicions.watch('a', 0);
+    expect(suspicions.takeChecks(700)).toEqual([]);
+    expect(suspicions.takeChecks(800)).toEqual(['a']);
+    expect(suspicions.suspect('a', 900)).toBe(false);
+    suspicions.run(2_600);
+    expect(suspicions.isSuspected('a')).toBe(true);
+    suspicions.unwatch('a');
+    expect(suspicions.takeChecks(5_000)).toEqual([]);
+  });
 });
