Suspect an owner only when no other instance reaches it

Change: a late owner is confirmed through up to four other members; no answer at all means that this instance is the one that is cut off. A refused connection needs no confirmation. Sends are logged with the time in queue.

--- a/packages/admission/src/pool-host.test.ts
+++ b/packages/admission/src/pool-host.test.ts
@@ -55,7 +55,13 @@
   });
   const self = { instanceId: 'self', failureDomain: 'd', peerAddress: '', state: 'alive', schedules: true };
   const membership = { version: 1, get: () => self, isLive: () => true };
-  const members = { owners: () => [self], membership } as unknown as MembershipRunner;
+  const reached: { byOthers: boolean | undefined } = { byOthers: true };
+  const other = { ...self, instanceId: 'other' };
+  const members = {
+    owners: () => [self, other],
+    membership,
+    isReachedByOthers: () => Promise.resolve(reached.byOthers),
+  } as unknown as MembershipRunner;
   const upstreams = new UpstreamStates(clock);
   const host = new PoolHost('self', CATALOGUE, upstreams, () => members, node, undefined, clock, metrics);
   const grants: GrantedBody[] = [];
@@ -67,7 +73,7 @@
     },
     () => undefined,
   );
-  return { clock, host, grants, membership };
+  return { clock, host, grants, reached };
 }
 
 describe('PoolHost', () => {
@@ -93,10 +99,26 @@
     expect(new Set(grants.map((grant) => grant.permitId)).size).toBe(2);
   });
 
-  it('keeps its pool when the only owner is suspected', () => {
-    const { clock, host } = setup();
-    host.run(clock.monotonicMs());
-    host.noteOwner('self', OwnerAnswer.refusedConnection);
-    expect(host.ownerOfPool('m@')).toBe('self');
+  it('moves to the next owner only when nobody else reaches the first one', async () => {
+    const { host, reached } = setup();
+    const first = host.ownerOfPool('m@') ?? '';
+    const ask = async (byOthers: boolean | undefined): Promise<string | undefined> => {
+      reached.byOthers = byOthers;
+      host.noteOwner(first, OwnerAnswer.late);
+      host.noteOwner(first, OwnerAnswer.late);
+      await Promise.resolve();
+      await Promise.resolve();
+      return host.ownerOfPool('m@');
+    };
+    expect(await ask(true)).toBe(first);
+    expect(await ask(undefined)).toBe(first);
+    expect(await ask(false)).not.toBe(first);
+  });
+
+  it('moves at once when the owner’s machine refuses the connection', () => {
+    const { host } = setup();
+    const first = host.ownerOfPool('m@') ?? '';
+    host.noteOwner(first, OwnerAnswer.refusedConnection);
+    expect(host.ownerOfPool('m@')).not.toBe(first);
   });
 });
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -47,6 +47,7 @@
   /** Owners by pool at one version of the membership. */
   private readonly owners = new Map<string, string | undefined>();
   private ownersVersion = -1;
+  private readonly confirming = new Set<string>();
   private readonly suspicions = new OwnerSuspicions();
   private readonly revokedAtMs = new Map<string, number>();
   private localHolder: LocalHolder | undefined;
@@ -112,27 +113,33 @@
 
   /** Notes whether an owner has answered a request for a place. */
   noteOwner(instanceId: string, answer: OwnerAnswer): void {
-    const nowMs = this.clock.monotonicMs();
     if (answer === OwnerAnswer.answered) this.suspicions.onAnswer(instanceId);
-    const isNew =
-      (answer === OwnerAnswer.refusedConnection && this.suspicions.suspect(instanceId, nowMs)) ||
-      (answer === OwnerAnswer.late && this.suspicions.onTimeout(instanceId, nowMs));
-    if (!isNew) return;
-    this.metrics.count('owners_suspected');
-    this.suspicions.watch(instanceId, nowMs);
-    this.spreadSuspicion(instanceId);
-    this.wake();
+    else if (answer === OwnerAnswer.refusedConnection) this.suspect(instanceId);
+    else if (this.suspicions.onTimeout(instanceId)) void this.confirm(instanceId);
+  }
+
+  /** An owner that others reach is not suspected: this instance may be the one that is cut off. */
+  private async confirm(instanceId: string): Promise<void> {
+    if (this.confirming.has(instanceId)) return;
+    this.confirming.add(instanceId);
+    const isReached = await this.members().isReachedByOthers(instanceId);
+    this.confirming.delete(instanceId);
+    if (isReached === false) this.suspect(instanceId);
   }
 
   /** All instances move together, so that the next owner learns of all permits. */
-  private spreadSuspicion(instanceId: string): void {
+  private suspect(instanceId: string): void {
+    const nowMs = this.clock.monotonicMs();
+    if (this.suspicions.suspect(instanceId, nowMs)) this.metrics.count('owners_suspected');
+    this.suspicions.watch(instanceId, nowMs);
+    this.wake();
     this.members()
       .owners()
       .filter((member) => member.instanceId !== this.selfId)
       .forEach((member) => this.node.notify(member.peerAddress, 'owner.suspected', { instanceId }));
   }
 
-  /** As long as an owner does not answer here, all instances stay away from it. */
+  /** As long as an owner does not answer, all instances stay away from it. */
   private async checkSuspect(instanceId: string): Promise<void> {
     const { membership } = this.members();
     const member = membership.get(instanceId);
@@ -146,12 +153,8 @@
       { poolIds: [] },
       CHECK_TIMEOUT_MS,
     );
-    if (answer.ok) {
-      this.suspicions.unwatch(instanceId);
-      return;
-    }
-    this.suspicions.suspect(instanceId, this.clock.monotonicMs());
-    this.spreadSuspicion(instanceId);
+    if (answer.ok) this.suspicions.unwatch(instanceId);
+    else await this.confirm(instanceId);
   }
 
   private answeringMembers(): Member[] {
--- a/packages/decisions/src/owner-suspicions.test.ts
+++ b/packages/decisions/src/owner-suspicions.test.ts
@@ -3,13 +3,12 @@
 import { OwnerSuspicions } from './owner-suspicions.js';
 
 describe('OwnerSuspicions', () => {
-  it('suspects an owner after two requests without answer in a row', () => {
+  it('finds reason for suspicion in two requests without answer in a row', () => {
     const suspicions = new OwnerSuspicions();
-    expect(suspicions.onTimeout('a', 0)).toBe(false);
+    expect(suspicions.onTimeout('a')).toBe(false);
     suspicions.onAnswer('a');
-    expect(suspicions.onTimeout('a', 10)).toBe(false);
-    expect(suspicions.onTimeout('a', 20)).toBe(true);
-    expect(suspicions.isSuspected('a')).toBe(true);
+    expect(suspicions.onTimeout('a')).toBe(false);
+    expect(suspicions.onTimeout('a')).toBe(true);
   });
 
   it('asks a suspected owner again after a while', () => {
--- a/packages/decisions/src/owner-suspicions.ts
+++ b/packages/decisions/src/owner-suspicions.ts
@@ -31,11 +31,11 @@
     this.timeouts.delete(instanceId);
   }
 
-  /** Takes in a request without answer. Returns whether the owner is suspected from now on. */
-  onTimeout(instanceId: string, nowMs: number): boolean {
+  /** Takes in a request without answer. Returns whether there is reason to suspect the owner. */
+  onTimeout(instanceId: string): boolean {
     const count = (this.timeouts.get(instanceId) ?? 0) + 1;
     this.timeouts.set(instanceId, count);
-    return count >= TIMEOUTS_TO_SUSPECT && this.suspect(instanceId, nowMs);
+    return count >= TIMEOUTS_TO_SUSPECT;
   }
 
   /** Suspects an owner at once, or goes on to suspect it. Returns whether it is new. */
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -28,6 +28,7 @@
 }
 
 const EAGER_FANOUT = 8;
+const CONFIRMING_HELPERS = 4;
 const SEEDS_PER_ROUND = 4;
 
 /** Probes members and spreads what changes. */
@@ -125,11 +126,25 @@
     this.membership.suspect(target.instanceId, performance.now());
   }
 
-  private async askHelper(helper: Member, target: Member): Promise<boolean> {
+  /**
+   * Asks other members whether they reach an instance. Undefined when none of them answers: then it is this
+   * instance that is cut off.
+   */
+  async isReachedByOthers(instanceId: string): Promise<boolean | undefined> {
+    const target = this.membership.get(instanceId);
+    if (!target) return undefined;
+    const helpers = this.membership.helpers(instanceId, CONFIRMING_HELPERS);
+    const answers = await Promise.all(helpers.map((helper) => this.askHelper(helper, target)));
+    if (answers.includes(true)) return true;
+    return answers.includes(false) ? false : undefined;
+  }
+
+  /** Whether the helper reaches the target; undefined when the helper does not answer. */
+  private async askHelper(helper: Member, target: Member): Promise<boolean | undefined> {
     const timeoutMs = this.options.probeTimeoutMs * 2;
     const body = { targetAddress: target.peerAddress };
     const answer = await this.node.request(helper.peerAddress, 'swim.indirect', body, timeoutMs);
-    return answer.ok && answer.value.reached;
+    return answer.ok ? answer.value.reached : undefined;
   }
 
   private async ping(address: string, target?: MemberUpdate): Promise<boolean> {
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -6,6 +6,7 @@
 import { AttemptEnd as Ends, SendEvidence, mayRepeat } from '@fighub/decisions';
 
 import type { FleetView } from '../routing/fleet-view.js';
+import type { SendListener } from './answer-relay.js';
 import { AnswerRelay } from './answer-relay.js';
 import { pickBackend } from './backend-choice.js';
 import type { AnswerSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
@@ -124,6 +125,7 @@
   private async send(place: Place, stop: AbortSignal): Promise<boolean> {
     const { request } = this;
     this.sends += 1;
+    const sentAtMs = this.parts.clock.monotonicMs();
     const attempt = this.relay.begin(stop);
     const end = await this.parts.transport.send(
       {
@@ -150,7 +152,7 @@
       tokens: attempt.events,
       ...attempt.timing(),
     });
-    this.logSend(place, end, attempt.status, evidence);
+    this.logSend(place, end, attempt, evidence, sentAtMs);
     if (end.kind === UpstreamEndKind.complete && !attempt.saidNotRun) {
       if (attempt.deliver()) return this.delivered();
     }
@@ -206,7 +208,15 @@
     return false;
   }
 
-  private logSend(place: Place, end: UpstreamEnd, status: number, evidence: SendEvidence): void {
+  private logSend(
+    place: Place,
+    end: UpstreamEnd,
+    attempt: SendListener,
+    evidence: SendEvidence,
+    sentAtMs: number,
+  ): void {
+    const { status } = attempt;
+    const { firstTokenMs } = attempt.timing();
     const failed = end.kind !== UpstreamEndKind.complete || status >= 300;
     this.parts.log.record(failed ? LogWeight.failure : LogWeight.routine, failed ? 'send_failed' : 'sent', {
       requestId: this.request.requestId,
@@ -216,6 +226,9 @@
       detail: end.detail,
       status,
       evidence,
+      heldMs: Math.round(sentAtMs - this.request.arrivedAtMs),
+      firstEventMs: firstTokenMs === undefined ? undefined : Math.round(firstTokenMs),
+      events: attempt.events,
       directoryRevision: this.parts.view.replicas.revision,
       configurationVersion: this.parts.view.configurationVersion,
     });
