--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -45,6 +45,12 @@
   else failWith(ExitCode.usage, `unknown command "${verb}"; see --help`);
 }
 
+// A reader such as `head` may close its end early: that is no error of the command.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code === 'EPIPE') process.exit(ExitCode.ok);
+  throw error;
+});
+
 /** Prints a line on standard output. */
 export function print(line: string): void {
   process.stdout.write(`${line}\n`);
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -210,4 +210,19 @@
     scheduler.run(0);
     expect(output.permits).toHaveLength(1);
   });
+
+  it('stops the stream that is due last, at a replica that caches the prefix if there is one', () => {
+    const { output, scheduler } = pool(2, 2);
+    const due = [30_000, 40_000, 50_000, 60_000];
+    due.forEach((deadlineMs) => scheduler.enqueue(request({ workClass: 'batch', deadlineMs }), 0));
+    scheduler.run(0);
+    scheduler.enqueue(request(), 10);
+    scheduler.run(10);
+    expect(output.revocations.map((permit) => permit.request.deadlineMs)).toEqual([60_000]);
+    const other = output.permits.find((permit) => permit.replicaId !== output.revocations[0]?.replicaId);
+    scheduler.prefixes.add('p', other?.replicaId ?? '', 10);
+    scheduler.enqueue(request({ prefixDigest: 'p' }), 20);
+    scheduler.run(20);
+    expect(output.revocations[1]?.replicaId).toBe(other?.replicaId);
+  });
 });
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -413,7 +413,7 @@
         replica.health.isOpen(nowMs)
       );
     });
-    return pickVictim(usable, request, this.lateItems);
+    return pickVictim(usable, request, this.prefixes, this.lateItems);
   }
 
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
