Confirm every suspicion, also after a connection that was never made

Change: suspicions are raised only when another member does not reach the owner; membership and ownership changes are logged.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -4,13 +4,11 @@
 import type { PoolLoad, ReleaseReport } from '@fighub/decisions';
 import { orderPools } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
-import { PeerFailure } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
 import type { Place, PlaceWish } from './place.js';
 import type { PoolDescription } from './pool-catalogue.js';
 import type { LocalHolder, PoolHost } from './pool-host.js';
-import { OwnerAnswer } from './pool-host.js';
 
 interface WaitingWish {
   readonly body: AcquireBody;
@@ -241,7 +239,7 @@
     const member = this.members().membership.get(ownerId);
     if (!member) return false;
     const answer = await this.node.request(member.peerAddress, 'permit.acquire', body, this.acquireTimeoutMs);
-    this.host.noteOwner(ownerId, ownerAnswerOf(answer));
+    this.host.noteOwner(ownerId, answer.ok);
     return answer.ok && answer.value.accepted;
   }
 
@@ -396,8 +394,3 @@
 
   private attempts = 0;
 }
-
-function ownerAnswerOf(answer: Outcome<unknown, PeerFailure>): OwnerAnswer {
-  if (answer.ok) return OwnerAnswer.answered;
-  return answer.error === PeerFailure.notConnected ? OwnerAnswer.refusedConnection : OwnerAnswer.late;
-}
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -1,6 +1,6 @@
 /** The owner's side of admission: hosts the schedulers of the pools that this instance owns. */
-import type { Clock, Metrics, Problem, System } from '@fighub/core';
-import { EntityTable } from '@fighub/core';
+import type { Clock, DecisionLog, Metrics, Problem, System } from '@fighub/core';
+import { EntityTable, LogWeight } from '@fighub/core';
 import type {
   Member,
   Permit,
@@ -25,14 +25,6 @@
   revoked(permitId: string): void;
 }
 
-/** What became of a request for a place at its owner. */
-export const OwnerAnswer = {
-  answered: 'answered',
-  late: 'late',
-  refusedConnection: 'refused_connection',
-} as const;
-export type OwnerAnswer = (typeof OwnerAnswer)[keyof typeof OwnerAnswer];
-
 const CHECK_TIMEOUT_MS = 300;
 const LOAD_PERIOD_MS = 1_000;
 /** Pools without streams are looked at this many times more rarely. */
@@ -69,13 +61,16 @@
     private readonly loadReader: LoadReader | undefined,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
+    private readonly log?: DecisionLog,
   ) {
     node.onRequest('permit.acquire', (body) => ({ accepted: this.acquire(body) }));
     node.onRequest('pool.load', (body) => ({ loads: this.loadsOf(body.poolIds) }));
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
     node.onNotice('permit.release', (body) => this.release(body.poolId, body.reports));
-    node.onNotice('owner.suspected', (body) => {
-      this.suspicions.suspect(body.instanceId, this.clock.monotonicMs());
+    node.onNotice('owner.suspected', ({ instanceId }) => {
+      const isNew = this.suspicions.suspect(instanceId, this.clock.monotonicMs());
+      if (isNew)
+        this.log?.record(LogWeight.state, 'owner_suspected', { instanceId, reason: 'told by a peer' });
       this.wake();
     });
     node.onNotice('permit.renew', (body) => this.renew(body.poolId, body.permits));
@@ -112,9 +107,8 @@
   }
 
   /** Notes whether an owner has answered a request for a place. */
-  noteOwner(instanceId: string, answer: OwnerAnswer): void {
-    if (answer === OwnerAnswer.answered) this.suspicions.onAnswer(instanceId);
-    else if (answer === OwnerAnswer.refusedConnection) this.suspect(instanceId);
+  noteOwner(instanceId: string, answered: boolean): void {
+    if (answered) this.suspicions.onAnswer(instanceId);
     else if (this.suspicions.onTimeout(instanceId)) void this.confirm(instanceId);
   }
 
@@ -130,7 +124,8 @@
   /** All instances move together, so that the next owner learns of all permits. */
   private suspect(instanceId: string): void {
     const nowMs = this.clock.monotonicMs();
-    if (this.suspicions.suspect(instanceId, nowMs)) this.metrics.count('owners_suspected');
+    const isNew = this.suspicions.suspect(instanceId, nowMs);
+    if (isNew) this.log?.record(LogWeight.state, 'owner_suspected', { instanceId, reason: 'no answer' });
     this.suspicions.watch(instanceId, nowMs);
     this.wake();
     this.members()
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -16,6 +16,7 @@
 import { JobAcceptance } from './batch/job-acceptance.js';
 import { JobReader } from './batch/job-reader.js';
 import { JobRunner } from './batch/job-runner.js';
+import { MembershipLog } from './membership-log.js';
 import { MemberFinder } from './member-finder.js';
 import type { UpstreamTransport } from './online/forwarding.js';
 import type { ForwardParts } from './online/forward-runner.js';
@@ -211,6 +212,7 @@
         undefined,
         get(Tokens.clock),
         get(Tokens.metrics),
+        get(Tokens.log),
       ),
   );
   part(
@@ -388,7 +390,17 @@
     const permits = container.get(Tokens.permits);
     const jobs = container.get(Tokens.jobs);
     const keeper = container.get(Tokens.keeper);
-    const tick = new TickLoop([keeper, host, permits, jobs], TICK_PERIODS, this.onError);
+    const tick = new TickLoop(
+      [
+        keeper,
+        host,
+        permits,
+        jobs,
+        new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
+      ],
+      TICK_PERIODS,
+      this.onError,
+    );
     host.connect(permits, () => tick.wake());
     container.get(Tokens.view).onChange(() => tick.wake());
     await this.lifeCycle.own({
