Reach the store through a coordinator while it turns this instance away

Change: RelayedStore tries our own way, then that of a coordinator; a write that may have taken effect on either way stays unknown. Coordinators push their view to each other.

--- a/packages/lab/src/platform-fleet.test.ts
+++ b/packages/lab/src/platform-fleet.test.ts
@@ -260,6 +260,27 @@
     expect((await submit('j1', ['a'])).status).toBe(503);
   });
 
+  it('accepts and reads jobs at an instance that the store turns away', async () => {
+    await start();
+    await fleet.whole();
+    fleet.store.faults.turnedAway = entry(0).host;
+    expect((await submit('j1', ['a'], 0)).status).toBe(202);
+    await eventually(async () => (await results('j1', 0)).next === 1);
+  });
+
+  it('commits results of a holder that the store turns away', async () => {
+    await start({ coordinators: 2 });
+    await fleet.whole();
+    const holders = fleet.coordinators.map((node) => node.host);
+    await submit('j1', ['a', 'b', 'c', 'd', 'e', 'f']);
+    const progress = JSON.parse(fleet.store.read('progress/j1') ?? '{}') as { value: { holder: string } };
+    const at = fleet.coordinators.findIndex((node) => progress.value.holder.startsWith(node.name));
+    fleet.store.faults.turnedAway = holders[at] ?? '';
+    await eventually(async () => (await results('j1')).next === 6);
+    const after = JSON.parse(fleet.store.read('progress/j1') ?? '{}') as { value: { epoch: number } };
+    expect(after.value.epoch).toBe(1);
+  });
+
   it('gives an item up after as many failures as the route allows', async () => {
     await start();
     await fleet.whole();
--- a/packages/lab/src/platform-fleet.ts
+++ b/packages/lab/src/platform-fleet.ts
@@ -45,6 +45,7 @@
 /** A process with its addresses. */
 export interface FleetNode {
   readonly name: string;
+  readonly host: string;
   readonly process: FleetProcess;
   readonly callerAddress: string;
   readonly statusAddress: string;
@@ -66,6 +67,7 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'fighub-platform-'));
   private seeds: string[] = [];
   private version = 0;
+  private starting = 0;
 
   private constructor(
     store: PlatformStoreStandin,
@@ -172,15 +174,18 @@
   async startNode(name: string): Promise<FleetNode> {
     const [peerPort, callerPort, statusPort] = await freePorts(3);
     const isEntry = name.startsWith('entry');
-    const peerAddress = `127.0.0.1:${String(peerPort)}`;
-    const callerAddress = `127.0.0.1:${String(callerPort)}`;
-    const statusAddress = `127.0.0.1:${String(statusPort)}`;
+    // Each instance has an address of its own, so that faults can single it out.
+    const host = `127.0.0.${String(10 + this.nodes.length + this.starting)}`;
+    this.starting += 1;
+    const peerAddress = `${host}:${String(peerPort)}`;
+    const callerAddress = `${host}:${String(callerPort)}`;
+    const statusAddress = `${host}:${String(statusPort)}`;
     this.seeds = [...this.seeds, peerAddress].slice(0, 3);
     const file = join(this.folder, `${name}.jsonc`);
     const settings = {
       instanceName: name,
       failureDomain: 'zvolen-hala',
-      host: '127.0.0.1',
+      host,
       peerAddress,
       ...(isEntry ? { callerAddress } : {}),
       statusAddress,
@@ -196,7 +201,7 @@
     };
     writeFileSync(file, `// One instance of a test fleet.\n${JSON.stringify(settings)}`);
     const process = await FleetProcess.start(name, PROGRAM, ['--settings', file]);
-    const node = { name, process, callerAddress, statusAddress };
+    const node = { name, host, process, callerAddress, statusAddress };
     this.nodes.push(node);
     return node;
   }
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -72,6 +72,25 @@
   readonly results: readonly StoredResult[];
 }
 
+/** A call to the key-value service that another instance makes for the sender. */
+export type StoreCall =
+  | { readonly kind: 'get'; readonly key: string }
+  | { readonly kind: 'list'; readonly prefix: string; readonly limit: number; readonly afterKey?: string }
+  | { readonly kind: 'transact'; readonly changes: readonly StoreChange[] };
+
+/** One key of a transaction. */
+export interface StoreChange {
+  readonly key: string;
+  readonly expectedRevision: number;
+  readonly value?: string;
+  readonly compareOnly?: boolean;
+}
+
+/** What became of a call: the outcome as the service's client gives it. */
+export interface StoreCallAnswer {
+  readonly outcome: unknown;
+}
+
 /** A probe with piggybacked state. */
 export interface PingBody {
   readonly from: MemberUpdate;
@@ -88,6 +107,7 @@
   'table.fetch': { body: { buckets: readonly number[] }; answer: { buckets: readonly TableBucket[] } };
   'pool.load': { body: { poolIds: readonly string[] }; answer: { loads: readonly PoolLoad[] } };
   'view.fetch': { body: Record<string, never>; answer: FleetViewBody };
+  'store.call': { body: StoreCall; answer: StoreCallAnswer };
   'job.results': { body: JobResultsBody; answer: JobResultsAnswer };
   'once.state': { body: { key: string }; answer: { running: boolean } };
 }
--- a/packages/serving/src/routing/view-keeper.ts
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -162,7 +162,7 @@
     this.receivers().forEach((member) => this.node.notify(member.peerAddress, 'view.pushed', body));
   }
 
-  /** Instances of the own failure domain, and of domains that have no relay. */
+  /** Instances of the own failure domain and of domains that have no relay, and all other relays. */
   private receivers(): readonly MemberUpdate[] {
     const self = this.self();
     const owners = this.members().owners();
@@ -172,7 +172,10 @@
     return owners
       .filter((member) => member.instanceId !== self.instanceId)
       .filter(
-        (member) => member.failureDomain === self.failureDomain || !withRelay.has(member.failureDomain),
+        (member) =>
+          member.schedules !== false ||
+          member.failureDomain === self.failureDomain ||
+          !withRelay.has(member.failureDomain),
       );
   }
 
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -22,6 +22,7 @@
 import type { ForwardParts } from './online/forward-runner.js';
 import { ForwardRunner } from './online/forward-runner.js';
 import type { FleetSource } from './routing/fleet-source.js';
+import { RelayedStore } from './relayed-store.js';
 import { FleetView } from './routing/fleet-view.js';
 import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
 import { ViewKeeper } from './routing/view-keeper.js';
@@ -163,8 +164,7 @@
       writesPerSecond: writesPerSecond * fleetShare,
       deadlineMs,
     };
-    const { keyValueService } = get(Tokens.adapters);
-    return new RecordStore(keyValueService, options, get(Tokens.clock), get(Tokens.metrics));
+    return new RecordStore(relayedStore(get), options, get(Tokens.clock), get(Tokens.metrics));
   });
   part(
     container,
@@ -251,6 +251,19 @@
   part(container, Tokens.runner, (get) => new ForwardRunner(forwardParts(get)));
 }
 
+function relayedStore(get: Get): RelayedStore {
+  return new RelayedStore(
+    get(Tokens.adapters).keyValueService,
+    () => get(Tokens.self).instanceId,
+    () => get(Tokens.membership),
+    get(Tokens.node),
+    get(Tokens.clock),
+    get(Tokens.metrics),
+    get(Tokens.log),
+    Math.random,
+  );
+}
+
 function forwardParts(get: Get): ForwardParts & ItemParts {
   return {
     view: get(Tokens.view),
--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -10,6 +10,8 @@
   down: boolean;
   /** Answers nothing. */
   silent: boolean;
+  /** Answers 503 to connections from this local address, as a store does that turns one machine away. */
+  turnedAway: string;
   /** The next changes that are made and whose answer is lost. */
   loseAnswers: number;
   /** The next changes that are made this much later and never answered, in milliseconds; 0 for none. */
@@ -50,6 +52,7 @@
   readonly faults: PlatformStoreFaults = {
     down: false,
     silent: false,
+    turnedAway: '',
     loseAnswers: 0,
     lateMs: 0,
     forgetHistory: 0,
@@ -87,7 +90,7 @@
     if (this.faults.silent) return;
     const url = new URL(req.url ?? '', 'http://store');
     const body = req.method === 'POST' ? await readJsonBody<Change & { ttlMs?: number }>(req) : {};
-    if (this.faults.down) {
+    if (this.faults.down || req.socket.remoteAddress === this.faults.turnedAway) {
       sendJsonBody(res, 503, {});
       return;
     }
