--- /dev/null
+++ b/packages/core/src/decision-log.test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest';
+
+import { ManualClock } from './clock.js';
+import { DecisionLog, LogWeight } from './decision-log.js';
+import { Metrics } from './metrics.js';
+
+function setup() {
+  const lines: Record<string, unknown>[] = [];
+  const write = (fields: object): number => lines.push(fields as Record<string, unknown>);
+  const clock = new ManualClock();
+  const metrics = new Metrics();
+  return { lines, clock, metrics, log: new DecisionLog({ info: write, warn: write }, clock, metrics) };
+}
+
+describe('DecisionLog', () => {
+  it('bounds the lines of each kind and says how many were left out', () => {
+    const { lines, clock, metrics, log } = setup();
+    Array.from({ length: 100 }, () => log.record(LogWeight.routine, 'sent', {}));
+    log.record(LogWeight.failure, 'request_failed', { requestId: 'q' });
+    expect(lines).toHaveLength(6);
+    clock.advance(1_000);
+    log.record(LogWeight.routine, 'sent', {});
+    expect(lines[6]).toMatchObject({ event: 'sent', leftOut: 95 });
+    expect(metrics.value('decision_sent')).toBe(101);
+  });
+
+  it('never leaves out a change of state', () => {
+    const { lines, log } = setup();
+    Array.from({ length: 100 }, () => log.record(LogWeight.state, 'store_lost', {}));
+    expect(lines).toHaveLength(100);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/job-progress.test.ts
@@ -0,0 +1,115 @@
+import type { JobProgress } from '@fighub/core';
+import { InvariantError } from '@fighub/core';
+import { describe, expect, it } from 'vitest';
+
+import {
+  claimJob,
+  commitResults,
+  committedResults,
+  endJob,
+  giveBackJob,
+  isClosed,
+  nextSegmentKey,
+  shouldClaim,
+  shouldCommit,
+  waitingTokens,
+} from './job-progress.js';
+
+const PROGRESS: JobProgress = {
+  jobId: 'j',
+  host: 'h',
+  routeName: 'r',
+  acceptedAtUnixMs: 0,
+  dueAtUnixMs: 18_000,
+  abandonAtUnixMs: 60_000,
+  maxAttempts: 3,
+  itemCount: 2,
+  inputPartCount: 1,
+  holder: 'a',
+  epoch: 1,
+  sequence: 1,
+  ended: false,
+  finishedIndexes: [],
+  failures: [{ index: 0, failedAttempts: 1 }],
+  segments: [],
+  openTokens: 300,
+};
+
+function ended(index: number) {
+  return { index, tokens: 100, result: { itemId: `i${String(index)}`, succeeded: true, output: 'x' } };
+}
+
+describe('commitResults', () => {
+  it('adds a segment, frees the tokens and forgets the failures of items that ended', () => {
+    const next = commitResults(PROGRESS, [ended(0)], PROGRESS.failures);
+    expect(next).toMatchObject({ sequence: 2, finishedIndexes: [0], failures: [], openTokens: 200 });
+    expect(next.segments).toEqual([{ key: nextSegmentKey(PROGRESS), count: 1 }]);
+    expect(committedResults(commitResults(next, [ended(1)], []))).toBe(2);
+    expect(isClosed(commitResults(next, [ended(1)], []))).toBe(true);
+  });
+
+  it('refuses to end an item twice', () => {
+    const next = commitResults(PROGRESS, [ended(0)], []);
+    expect(() => commitResults(next, [ended(0)], [])).toThrow(InvariantError);
+  });
+
+  it('gives two holders’ segments different names', () => {
+    const other = claimJob(PROGRESS, 'b');
+    expect(nextSegmentKey({ ...other, sequence: PROGRESS.sequence })).not.toBe(nextSegmentKey(PROGRESS));
+  });
+});
+
+describe('shouldClaim', () => {
+  const healthy = { holderIsLive: true, unchangedMs: 1_000, memberForMs: 60_000, isPreferred: true };
+
+  it('leaves a job to a holder that lives and works', () => {
+    expect(shouldClaim(PROGRESS, healthy)).toBe(false);
+  });
+
+  it('takes a job whose holder is gone, the preferred instance first', () => {
+    const gone = { ...healthy, holderIsLive: false, unchangedMs: 0 };
+    expect(shouldClaim(PROGRESS, gone)).toBe(true);
+    expect(shouldClaim(PROGRESS, { ...gone, isPreferred: false })).toBe(false);
+    expect(shouldClaim(PROGRESS, { ...gone, isPreferred: false, unchangedMs: 3_000 })).toBe(true);
+  });
+
+  it('believes nothing of others right after its own start', () => {
+    expect(shouldClaim(PROGRESS, { ...healthy, holderIsLive: false, memberForMs: 500 })).toBe(false);
+  });
+
+  it('takes a job that was given back, and one whose live holder has stopped writing', () => {
+    expect(shouldClaim(giveBackJob(PROGRESS), healthy)).toBe(true);
+    expect(shouldClaim(PROGRESS, { ...healthy, unchangedMs: 9_000 })).toBe(true);
+  });
+
+  it('leaves closed jobs alone', () => {
+    expect(shouldClaim(endJob(PROGRESS), { ...healthy, holderIsLive: false })).toBe(false);
+  });
+});
+
+describe('shouldCommit', () => {
+  const state = { pendingResults: 1, oldestPendingMs: 0, itemsLeft: 3, lastWriteMs: 0, dueMs: 18_000 };
+
+  it('waits a little so that results share a write', () => {
+    expect(shouldCommit(state, 500)).toBe(false);
+    expect(shouldCommit(state, 1_200)).toBe(true);
+  });
+
+  it('writes at once with the last item, with many results, and near the due time', () => {
+    expect(shouldCommit({ ...state, itemsLeft: 0 }, 0)).toBe(true);
+    expect(shouldCommit({ ...state, pendingResults: 6 }, 0)).toBe(true);
+    expect(shouldCommit({ ...state, oldestPendingMs: 16_000 }, 16_000)).toBe(true);
+  });
+
+  it('shows that it is at work when nothing has ended for a while', () => {
+    expect(shouldCommit({ ...state, pendingResults: 0 }, 3_499)).toBe(false);
+    expect(shouldCommit({ ...state, pendingResults: 0 }, 3_500)).toBe(true);
+  });
+});
+
+describe('waitingTokens', () => {
+  it('counts the open jobs of one route', () => {
+    const other = { ...PROGRESS, routeName: 'other' };
+    expect(waitingTokens([PROGRESS, other, endJob(PROGRESS)], 'r')).toBe(300);
+  });
+});
