Do not chain calls on responses in the replica stand-in

Cause: in a process that also loads restify, writeHead returns nothing; three tests of the platform's path failed after they had moved (seen once, traced to the unhandled TypeError).

--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -55,11 +55,13 @@
     for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
     const requestId = String(req.headers['attempt-id']);
     if (req.headers['expect-instance'] !== this.replicaId) {
-      res.writeHead(421, { 'Instance-Id': this.replicaId }).end();
+      res.writeHead(421, { 'Instance-Id': this.replicaId });
+      res.end();
       return;
     }
     if (take(this.faults, 'refuse')) {
-      res.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId }).end();
+      res.writeHead(503, { 'Not-Executed': '1', 'Attempt-Id': requestId });
+      res.end();
       return;
     }
     const run: ReplicaRun = {
@@ -83,7 +85,8 @@
     const echoed = take(this.faults, 'crossed') ? 'another-request' : run.requestId;
     const headers = { 'Attempt-Id': echoed, 'Response-Seal': `seal-${run.requestId}` };
     if (this.faults.status > 0) {
-      res.writeHead(this.faults.status, headers).end('failed');
+      res.writeHead(this.faults.status, headers);
+      res.end('failed');
       return;
     }
     const breaksOff = take(this.faults, 'breakOff');
