Take back the plan of late items and the small reserve

Change: due order for batch items again, 8% of the places kept free; victims by due time and the mended expected wait stay.

--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -2,8 +2,6 @@
 import type { Problem } from '@fighub/core';
 import { EntityTable, InvariantName, checkInvariant, notRun } from '@fighub/core';
 
-import { BatchPlaces, chooseLateItems } from './batch-plan.js';
-import { BatchQueue } from './batch-queue.js';
 import { BurstReserve } from './burst-reserve.js';
 import { ConcurrencyLimit } from './concurrency.js';
 import { FairQueue } from './fair-queue.js';
@@ -33,7 +31,6 @@
 const MAX_ORGANISATION_WAITS = 16;
 /** Stands for any organisation without requests in the pool. */
 const NEWCOMER = '';
-const PLAN_PERIOD_MS = 250;
 const MAX_ONLINE_QUEUE = 2_000;
 const NO_UPSTREAM_RETRY_MS = 1_000;
 const MEAN_SMOOTHING = 0.05;
@@ -45,13 +42,10 @@
   readonly permits = new EntityTable<Permit>();
   readonly prefixes = new PrefixIndex();
   private readonly online = new FairQueue<PlaceRequest>();
-  private readonly batch = new BatchQueue<PlaceRequest>();
+  private readonly batch = new FairQueue<PlaceRequest>();
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   private readonly quarantine = new Quarantine();
-  private readonly batchPlaces = new BatchPlaces();
-  private lateItems: ReadonlySet<string> = new Set();
-  private nextPlanMs = 0;
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
 
@@ -173,7 +167,6 @@
       .forEach((permit) => this.dropPermit(permit));
     this.refuseLate(nowMs);
     if (!this.hasUsableReplica(nowMs)) this.refuseAll();
-    this.planBatch(nowMs);
     this.runQuarantine(nowMs);
     this.grantOnline(nowMs);
     this.grantBatch(nowMs);
@@ -350,24 +343,6 @@
     });
   }
 
-  /** Decides which items are left to be late, among those that wait and those that run. */
-  private planBatch(nowMs: number): void {
-    if (nowMs < this.nextPlanMs || this.batch.size === 0) return;
-    this.nextPlanMs = nowMs + PLAN_PERIOD_MS;
-    const running = this.permits.all().filter((permit) => permit.request.workClass === WorkClass.batch);
-    this.batchPlaces.observe(running.length, nowMs);
-    const items = [
-      ...this.batch.all().map((item) => ({ item, ranMs: 0 })),
-      ...running.map((permit) => ({ item: permit.request, ranMs: nowMs - permit.grantedAtMs })),
-    ].map(({ item, ranMs }) => ({
-      requestId: item.requestId,
-      dueMs: item.deadlineMs,
-      runMs: Math.max(0, (item.expectedRunMs ?? 0) - ranMs),
-    }));
-    this.lateItems = chooseLateItems(items, this.batchPlaces.meanOr(this.totalPlaces() / 2), nowMs);
-    this.batch.setLate(this.lateItems);
-  }
-
   private grantBatch(nowMs: number): void {
     if (this.online.size > 0 && this.totalFree(nowMs) <= 0) return;
     repeatWhile(() => {
@@ -413,7 +388,7 @@
         replica.health.isOpen(nowMs)
       );
     });
-    return pickVictim(usable, request, this.prefixes, this.lateItems);
+    return pickVictim(usable, request, this.prefixes);
   }
 
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -2,7 +2,7 @@
 import type { Problem } from '@fighub/core';
 
 import type { ConcurrencyLimit, LatencyTargets } from './concurrency.js';
-import type { QueuedItem } from './batch-queue.js';
+import type { QueuedRequest } from './fair-queue.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
 
 /** Online requests are served before batch items. */
@@ -10,12 +10,14 @@
 export type WorkClass = (typeof WorkClass)[keyof typeof WorkClass];
 
 /** A request that asks for a place at a replica. Times are monotonic times of the owner. */
-export interface PlaceRequest extends QueuedItem {
+export interface PlaceRequest extends QueuedRequest {
   readonly holder: string;
   /** Where the holder is: replicas there are nearer. */
   readonly failureDomain?: string;
   /** Refused at once when the expected wait is longer; undefined to wait until the deadline. */
   readonly startByMs?: number;
+  /** How long the rest of a batch item is expected to run, in milliseconds. */
+  readonly expectedRunMs?: number;
   readonly workClass: WorkClass;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -42,27 +42,23 @@
 }
 
 /**
- * The batch permit whose place an online request takes: one that will be late anyway, else one at a replica that
- * caches the request's prefix, else the one that is due last, else the youngest, whose stream loses least. Only
- * streams that can be resumed are stopped.
+ * The batch permit whose place an online request takes: one at a replica that caches the request's prefix, else the
+ * one that is due last, else the youngest, whose stream loses least. Only streams that can be resumed are stopped.
  */
 export function pickVictim(
   permits: readonly Permit[],
   request: PlaceRequest,
   prefixes: PrefixIndex,
-  lateItems: ReadonlySet<string>,
 ): Permit | undefined {
   const candidates = permits
     .filter((permit) => permit.request.workClass === 'batch' && permit.revokedUntilMs === undefined)
     .filter((permit) => permit.request.resumable && !request.excludedReplicaIds.includes(permit.replicaId))
     .map((permit) => ({
       permit,
-      isLate: Number(lateItems.has(permit.request.requestId)),
       affinity: affinityOf(permit.replicaId, request, prefixes),
     }));
   const ranked = candidates.sort(
     (a, b) =>
-      b.isLate - a.isLate ||
       b.affinity - a.affinity ||
       b.permit.request.deadlineMs - a.permit.request.deadlineMs ||
       b.permit.grantedAtMs - a.permit.grantedAtMs,
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -10,8 +10,8 @@
 const NO_LIMITS: OrganisationLimitSettings = {};
 /** Weights and limits by organisation are not part of this configuration. */
 const EVEN_POLICY: PoolPolicy = {
-  // Giving way costs milliseconds here, an idle place costs a stream: one place of about 40 is kept free.
-  reserveMaxFraction: 0.025,
+  // A few free places cost less than stopping a stream for each single arrival (kit maker, scale-2).
+  reserveMaxFraction: 0.08,
   targets: { firstTokenTargetMs: Number.POSITIVE_INFINITY, betweenTokensTargetMs: Number.POSITIVE_INFINITY },
   weightOf: () => 1,
   limitsOf: () => NO_LIMITS,
