--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -386,7 +386,6 @@
       deadlineInMs: wish.deadlineUnixMs - nowUnixMs,
       prefixDigest: wish.prefixDigest,
       excludedReplicaIds: wish.excludedReplicaIds,
-      expectedRunMs: wish.expectedRunMs,
       resumable: wish.resumable,
       alone: wish.alone,
     };
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -386,7 +386,6 @@
       failureDomain: this.members().membership.get(body.holder)?.failureDomain ?? '',
       prefixDigest: body.prefixDigest,
       excludedReplicaIds: body.excludedReplicaIds,
-      expectedRunMs: body.expectedRunMs,
       resumable: body.resumable,
       alone: body.alone,
       enqueuedAtMs: nowMs,
--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -9,8 +9,6 @@
   readonly bodyBase64: string;
   /** Prompt and output tokens at most. */
   readonly tokens: number;
-  /** Output tokens at most, if the item says so. */
-  readonly outputTokens?: number;
 }
 
 /** The result of one item. */
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -55,8 +55,6 @@
   readonly name: string;
   /** Connections that one replica takes from all callers together. */
   readonly maxConnections?: number;
-  /** Tokens in one event of a stream. */
-  readonly tokensPerEvent?: number;
   /** Streams that one replica runs at once. */
   readonly slots?: number;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,5 +20,4 @@
 export * from './replica-directory.js';
 export * from './replica-health.js';
 export * from './retry-budget.js';
-export * from './run-time-estimate.js';
 export * from './token-bucket.js';
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -16,8 +16,6 @@
   readonly failureDomain?: string;
   /** Refused at once when the expected wait is longer; undefined to wait until the deadline. */
   readonly startByMs?: number;
-  /** How long the rest of a batch item is expected to run, in milliseconds. */
-  readonly expectedRunMs?: number;
   readonly workClass: WorkClass;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -21,8 +21,6 @@
   readonly deadlineInMs: number;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
-  /** How long the rest of a batch item is expected to run. */
-  readonly expectedRunMs?: number;
   readonly resumable: boolean;
   readonly alone: boolean;
 }
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -2,7 +2,6 @@
 import type { PermitClient, Place } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, StoredItem } from '@fighub/core';
 import { LogWeight } from '@fighub/core';
-import type { RunTimeEstimate } from '@fighub/decisions';
 import { AttemptEnd as Ends } from '@fighub/decisions';
 
 import { pickBackend } from '../online/backend-choice.js';
@@ -38,8 +37,6 @@
   readonly host: string;
   readonly item: StoredItem;
   readonly output: ItemOutput;
-  /** Most output tokens of the item, if it says so. */
-  readonly outputTokens?: number;
   readonly dueAtUnixMs: number;
   /** Replicas that broke this item's last runs. */
   readonly excludedReplicaIds: readonly string[];
@@ -65,7 +62,6 @@
   readonly metrics: Metrics;
   readonly log: DecisionLog;
   readonly random: () => number;
-  readonly runTimes: RunTimeEstimate;
 }
 
 /** A replica that is silent for this long is given up, in milliseconds. */
@@ -85,28 +81,25 @@
   if (!parts.view.routes) return INTERRUPTED;
   if (!route) return { end: ItemEnd.noRoute, givenWay: false };
   const service = pickBackend(route.backends, parts.random());
-  const tokensPerEvent = tokensPerEventOf(parts.view, service);
-  const place = await parts.permits.acquire(wishOf(request, route.name, service, parts), stop);
+  const place = await parts.permits.acquire(wishOf(request, route.name, service), stop);
   if (!place.ok) return INTERRUPTED;
   if (stop.aborted || !parts.view.isUsable(place.value.replicaId) || !request.mayDispatch()) {
     parts.permits.release(place.value, { end: Ends.cancelled, tokens: 0 });
     return INTERRUPTED;
   }
-  return send(request, place.value, tokensPerEvent, parts, stop);
+  return send(request, place.value, parts, stop);
 }
 
 function wishOf(
   request: ItemRequest,
   routeName: string,
   service: string,
-  parts: ItemParts,
 ): Parameters<PermitClient['acquire']>[0] {
   return {
     requestId: `${request.jobId}/${request.item.itemId}`,
     organisation: routeName,
     model: service,
     workClass: 'batch',
-    expectedRunMs: expectedRunMs(request, service, parts),
     costTokens: request.item.tokens,
     deadlineUnixMs: request.dueAtUnixMs,
     prefixDigest: '',
@@ -119,7 +112,6 @@
 async function send(
   request: ItemRequest,
   place: Place,
-  tokensPerEvent: number,
   parts: ItemParts,
   stop: AbortSignal,
 ): Promise<ItemRunEnd> {
@@ -143,8 +135,6 @@
   const givenWay = place.revoked.aborted;
   const broke = verdict === ItemEnd.interrupted && !givenWay && !stop.aborted;
   parts.permits.release(place, { end: attemptEndOf(end, verdict, broke), tokens: listener.events });
-  const ranMs = parts.clock.monotonicMs() - startedMs;
-  parts.runTimes.observe(listener.events * tokensPerEvent, ranMs);
   parts.metrics.count(`batch_runs_${givenWay ? 'given_way' : verdict}`);
   parts.log.record(broke ? LogWeight.failure : LogWeight.routine, 'item_run', {
     jobId: request.jobId,
@@ -157,21 +147,11 @@
     detail: end.detail,
     verdict,
     givenWay,
-    ranMs: Math.round(ranMs),
+    ranMs: Math.round(parts.clock.monotonicMs() - startedMs),
   });
   return { end: verdict, brokenReplicaId: broke ? place.replicaId : undefined, givenWay };
 }
 
-function tokensPerEventOf(view: FleetView, service: string): number {
-  return view.configuration?.services.find(({ name }) => name === service)?.tokensPerEvent ?? 1;
-}
-
-function expectedRunMs(request: ItemRequest, service: string, parts: ItemParts): number | undefined {
-  if (request.outputTokens === undefined) return undefined;
-  const made = request.output.events.length * tokensPerEventOf(parts.view, service);
-  return parts.runTimes.runMs(request.outputTokens - made);
-}
-
 function attemptEndOf(end: UpstreamEnd, verdict: ItemEnd, broke: boolean): Ends {
   if (verdict === ItemEnd.done) return Ends.completed;
   if (end.kind === UpstreamEndKind.notConnected) return Ends.refused;
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -196,7 +196,6 @@
         host: value.host,
         item: entry.item,
         output: entry.output,
-        outputTokens: entry.item.outputTokens,
         dueAtUnixMs: value.dueAtUnixMs,
         excludedReplicaIds: entry.excludedReplicaIds,
         mayDispatch: () => !this.closed && this.items.has(entry.index) && this.mayDispatch(),
--- a/packages/serving/src/routing/route-table.ts
+++ b/packages/serving/src/routing/route-table.ts
@@ -17,11 +17,6 @@
   match(host: string, path: string): Route | undefined {
     return this.byHost.get(hostName(host))?.find((route) => path.startsWith(route.pathPrefix));
   }
-
-  /** The first batch route of a host that sends to `service`, or any batch route of the host. */
-  batchRoutes(host: string): readonly Route[] {
-    return (this.byHost.get(hostName(host)) ?? []).filter((route) => route.kind === 'batch');
-  }
 }
 
 function hostName(host: string): string {
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -3,7 +3,6 @@
 import type { Clock, ManagedPart } from '@fighub/core';
 import { DecisionLog, LifeCycle, LogWeight, Metrics, SystemClock, TickLoop, newId } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
-import { RunTimeEstimate } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
 import { RecordStore } from '@fighub/outside';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
@@ -94,7 +93,6 @@
   direct: token<DirectDispatch>('direct'),
   permits: token<PermitClient>('permits'),
   runner: token<ForwardRunner>('runner'),
-  runTimes: token<RunTimeEstimate>('runTimes'),
   inputs: token<InputCache>('inputs'),
   jobs: token<JobRunner>('jobs'),
   reader: token<JobReader>('reader'),
@@ -135,7 +133,6 @@
   container.bind(Tokens.metrics).toConstantValue(metrics);
   container.bind(Tokens.log).toConstantValue(log);
   container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onError));
-  container.bind(Tokens.runTimes).toConstantValue(new RunTimeEstimate());
   container.bind(Tokens.view).toConstantValue(new FleetView());
   container.bind(Tokens.self).toConstantValue({
     instanceId,
@@ -273,7 +270,6 @@
     metrics: get(Tokens.metrics),
     log: get(Tokens.log),
     random: Math.random,
-    runTimes: get(Tokens.runTimes),
   };
 }
 
