--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,8 @@
 /** Domain types and small building blocks without I/O. */
+export * from './address.js';
 export * from './batch-jobs.js';
 export * from './clock.js';
+export * from './container.js';
 export * from './decision-log.js';
 export * from './entity-table.js';
 export * from './ids.js';
--- a/packages/entry/src/batch-runner.ts
+++ b/packages/entry/src/batch/batch-runner.ts
@@ -7,13 +7,13 @@
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
 
-import type { CompletionRunner } from './completion-runner.js';
+import type { CompletionRunner } from '../online/completion-runner.js';
 import type { ChunkOptions } from './held-chunk.js';
 import { HeldChunk } from './held-chunk.js';
 import { moveToEnded } from './job-index.js';
 import type { OpenJob } from './job-intake.js';
 import type { JobReader } from './job-reader.js';
-import type { TableStore } from './table-store.js';
+import type { TableStore } from '../table/table-store.js';
 
 /** Settings of the batch runner. */
 export interface BatchOptions extends ChunkOptions {
--- a/packages/entry/src/held-chunk.ts
+++ b/packages/entry/src/batch/held-chunk.ts
@@ -21,8 +21,8 @@
 import type { RecordStore, Versioned } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
 
-import type { CompletionEnd, CompletionRunner } from './completion-runner.js';
-import { CompletionKind } from './completion-runner.js';
+import type { CompletionEnd, CompletionRunner } from '../online/completion-runner.js';
+import { CompletionKind } from '../online/completion-runner.js';
 
 /** Settings of chunks. */
 export interface ChunkOptions {
--- a/packages/entry/src/invariants.test.ts
+++ b/packages/entry/src/batch/invariants.test.ts
@@ -4,10 +4,10 @@
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import { describe, expect, it, vi } from 'vitest';
 
-import { CompletionRun, CompletionRunner } from './completion-runner.js';
+import { CompletionRun, CompletionRunner } from '../online/completion-runner.js';
 import { HeldChunk } from './held-chunk.js';
 import { JobReader } from './job-reader.js';
-import { TableStore, bucketOf } from './table-store.js';
+import { TableStore, bucketOf } from '../table/table-store.js';
 
 function store(service = new MemoryKeyValueService()): RecordStore {
   const options = { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 };
--- a/packages/entry/src/job-api.ts
+++ b/packages/entry/src/batch/job-api.ts
@@ -4,11 +4,11 @@
 import type { Outcome } from '@fighub/core';
 import type { RecordStore } from '@fighub/outside';
 
-import type { Caller, Request, Response } from './http-kit.js';
-import { sendJson, sendProblem, textHeader } from './http-kit.js';
+import type { Caller, Request, Response } from '../ingress/http-kit.js';
+import { sendJson, sendProblem, textHeader } from '../ingress/http-kit.js';
 import type { JobIntake, JobOffer, OpenJob } from './job-intake.js';
 import type { JobReader } from './job-reader.js';
-import type { TableStore } from './table-store.js';
+import type { TableStore } from '../table/table-store.js';
 
 const DEFAULT_DUE_AFTER_MS = 24 * 3_600_000;
 const MAX_KEY_LENGTH = 200;
--- a/packages/entry/src/job-collector.test.ts
+++ b/packages/entry/src/batch/job-collector.test.ts
@@ -8,7 +8,7 @@
 import { JobCollector } from './job-collector.js';
 import { moveToEnded } from './job-index.js';
 import { JobIntake } from './job-intake.js';
-import { TableStore } from './table-store.js';
+import { TableStore } from '../table/table-store.js';
 
 const OFFER = {
   organisation: 'o',
--- a/packages/entry/src/job-collector.ts
+++ b/packages/entry/src/batch/job-collector.ts
@@ -7,7 +7,7 @@
 
 import type { EndedJob } from './job-index.js';
 import type { UploadRecord } from './job-intake.js';
-import type { TableStore } from './table-store.js';
+import type { TableStore } from '../table/table-store.js';
 
 const PERIOD_MS = 30_000;
 const UPLOAD_LIFETIME_MS = 3_600_000;
--- a/packages/entry/src/job-intake.ts
+++ b/packages/entry/src/batch/job-intake.ts
@@ -8,7 +8,7 @@
 import { StoreErrorKind } from '@fighub/outside';
 import { z } from 'zod';
 
-import { promptOf } from './completion-request.js';
+import { promptOf } from '../online/completion-request.js';
 
 /** Limits of a job. */
 export interface IntakeLimits {
--- a/packages/entry/src/bin/fighub-entry.ts
+++ b/packages/entry/src/bin/fighub-entry.ts
@@ -6,9 +6,9 @@
 import meow from 'meow';
 import { pino } from 'pino';
 
-import { startEntry } from '../entry-instance.js';
+import { startEntry } from '../life-cycle/entry-instance.js';
 import { entrySettingsSchema } from '../settings.js';
-import { createStatsdSink } from '../statsd-sink.js';
+import { createStatsdSink } from '../life-cycle/statsd-sink.js';
 
 const USAGE_ERROR = 2;
 const CRASHED = 70;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,5 @@
 /** The entry daemon. */
-export * from './entry-instance.js';
-export { keyHash } from './http-kit.js';
+export * from './life-cycle/entry-instance.js';
+export { keyHash } from './ingress/http-kit.js';
 export * from './settings.js';
-export { BUCKET_COUNT, bucketKey, bucketOf } from './table-store.js';
+export { BUCKET_COUNT, bucketKey, bucketOf } from './table/table-store.js';
--- a/packages/entry/src/http-kit.ts
+++ b/packages/entry/src/ingress/http-kit.ts
@@ -3,8 +3,8 @@
 import { ProblemStatus, digest, fail, notRun, ok, problemDocument } from '@fighub/core';
 import type { Request, Response } from 'restify';
 
-import type { NamedOrganisation } from './table-view.js';
-import type { TableStore } from './table-store.js';
+import type { NamedOrganisation } from '../table/table-view.js';
+import type { TableStore } from '../table/table-store.js';
 
 /** Who makes a request. */
 export interface Caller {
--- a/packages/entry/src/http-server.ts
+++ b/packages/entry/src/ingress/http-server.ts
@@ -5,14 +5,14 @@
 import { notRun, problemDocument } from '@fighub/core';
 import restify from 'restify';
 
-import type { TableApi } from './admin-api.js';
-import { ADMIN_PAGE } from './admin-page.js';
-import type { Gateway } from './gateway.js';
+import type { TableApi } from '../operators/admin-api.js';
+import { ADMIN_PAGE } from '../operators/admin-page.js';
+import type { Gateway } from '../online/gateway.js';
 import type { Authenticator, Request, Response, RouteHandler } from './http-kit.js';
 import { sendJson, sendProblem } from './http-kit.js';
-import type { JobApi } from './job-api.js';
-import type { OrderApi } from './order-api.js';
-import type { OrganisationApi } from './organisation-api.js';
+import type { JobApi } from '../batch/job-api.js';
+import type { OrderApi } from '../operators/order-api.js';
+import type { OrganisationApi } from '../operators/organisation-api.js';
 
 /** Parts that the routes lead to. */
 export interface HttpParts {
--- a/packages/entry/src/entry-container.ts
+++ b/packages/entry/src/life-cycle/entry-container.ts
@@ -2,8 +2,8 @@
 import 'reflect-metadata';
 
 import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
-import { Metrics, SystemClock } from '@fighub/core';
-import type { MetricsSink } from '@fighub/core';
+import { Metrics, SystemClock, bindPart } from '@fighub/core';
+import type { GetPart, MetricsSink } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
 import {
@@ -14,22 +14,21 @@
   HttpPlainService,
   RecordStore,
 } from '@fighub/outside';
-import type { ServiceIdentifier } from 'inversify';
 import { Container } from 'inversify';
 
-import { BatchRunner } from './batch-runner.js';
-import { CompletionRunner } from './completion-runner.js';
-import { Gateway } from './gateway.js';
-import { JobCollector } from './job-collector.js';
-import { JobIntake } from './job-intake.js';
-import { JobReader } from './job-reader.js';
-import { OnceRecords } from './once-records.js';
-import { OrderDesk } from './order-desk.js';
-import type { EntrySettings } from './settings.js';
-import { AdmissionStrategy } from './settings.js';
-import { TablePoolCatalogue } from './table-pool-catalogue.js';
-import { TableSpread } from './table-spread.js';
-import { TableStore } from './table-store.js';
+import { BatchRunner } from '../batch/batch-runner.js';
+import { CompletionRunner } from '../online/completion-runner.js';
+import { Gateway } from '../online/gateway.js';
+import { JobCollector } from '../batch/job-collector.js';
+import { JobIntake } from '../batch/job-intake.js';
+import { JobReader } from '../batch/job-reader.js';
+import { OnceRecords } from '../online/once-records.js';
+import { OrderDesk } from '../operators/order-desk.js';
+import type { EntrySettings } from '../settings.js';
+import { AdmissionStrategy } from '../settings.js';
+import { TablePoolCatalogue } from '../table/table-pool-catalogue.js';
+import { TableSpread } from '../table/table-spread.js';
+import { TableStore } from '../table/table-store.js';
 import type { Crash } from './tokens.js';
 import { Tokens } from './tokens.js';
 
@@ -61,31 +60,23 @@
   container.bind(Tokens.self).toConstantValue(self);
 }
 
-type Get = <T>(identifier: ServiceIdentifier<T>) => T;
-
-/** Binds a part by the function that builds it once. */
-function part<T>(container: Container, identifier: ServiceIdentifier<T>, build: (get: Get) => T): void {
-  const get: Get = (wanted) => container.get(wanted);
-  container.bind(identifier).toDynamicValue(() => build(get));
-}
-
 function bindPlatform(container: Container): void {
-  part(container, Tokens.keyValueService, (get) => {
+  bindPart(container, Tokens.keyValueService, (get) => {
     const { keyValueService, host } = get(Tokens.settings);
     return new EtcdKeyValueService({ ...keyValueService, localAddress: host });
   });
-  part(container, Tokens.store, (get) => {
+  bindPart(container, Tokens.store, (get) => {
     const options = get(Tokens.settings).keyValueService;
     return new RecordStore(get(Tokens.keyValueService), options, get(Tokens.clock), get(Tokens.metrics));
   });
-  part(container, Tokens.instanceList, (get) => {
+  bindPart(container, Tokens.instanceList, (get) => {
     const { instanceList, host } = get(Tokens.settings);
     return new HttpInstanceList(instanceList.address, instanceList.timeoutMs, host);
   });
-  part(container, Tokens.engine, (get) => new HttpEngine(get(Tokens.settings).host));
-  part(container, Tokens.plainService, (get) => new HttpPlainService(get(Tokens.settings).host));
-  part(container, Tokens.upstreams, (get) => new UpstreamStates(get(Tokens.clock)));
-  part(
+  bindPart(container, Tokens.engine, (get) => new HttpEngine(get(Tokens.settings).host));
+  bindPart(container, Tokens.plainService, (get) => new HttpPlainService(get(Tokens.settings).host));
+  bindPart(container, Tokens.upstreams, (get) => new UpstreamStates(get(Tokens.clock)));
+  bindPart(
     container,
     Tokens.orders,
     (get) =>
@@ -102,12 +93,12 @@
 }
 
 function bindPeers(container: Container, instanceId: string): void {
-  part(container, Tokens.peerNode, (get) => {
+  bindPart(container, Tokens.peerNode, (get) => {
     const { host, peerPort, fleetSecret } = get(Tokens.settings);
     const options = { instanceId, host, port: peerPort, secret: fleetSecret };
     return new PeerNode(options, get(Tokens.metrics), get(Tokens.crash));
   });
-  part(container, Tokens.membership, (get) => {
+  bindPart(container, Tokens.membership, (get) => {
     const spread = get(Tokens.spread);
     const piggyback = {
       tableDigest: () => ({ revisions: get(Tokens.table).revisions() }),
@@ -120,17 +111,17 @@
 }
 
 function bindTable(container: Container): void {
-  part(
+  bindPart(
     container,
     Tokens.catalogue,
     (get) => new TablePoolCatalogue(get(Tokens.table), get(Tokens.upstreams)),
   );
-  part(
+  bindPart(
     container,
     Tokens.table,
     (get) => new TableStore(get(Tokens.store), get(Tokens.metrics), () => get(Tokens.clock).nowUnixMs()),
   );
-  part(
+  bindPart(
     container,
     Tokens.spread,
     (get) =>
@@ -146,9 +137,9 @@
 }
 
 function bindOnline(container: Container): void {
-  const isBaseline = (get: Get): boolean =>
+  const isBaseline = (get: GetPart): boolean =>
     get(Tokens.settings).online.admission === AdmissionStrategy.laggingLoad;
-  part(
+  bindPart(
     container,
     Tokens.host,
     (get) =>
@@ -163,7 +154,7 @@
         get(Tokens.metrics),
       ),
   );
-  part(
+  bindPart(
     container,
     Tokens.direct,
     (get) =>
@@ -178,7 +169,7 @@
         get(Tokens.metrics),
       ),
   );
-  part(
+  bindPart(
     container,
     Tokens.permits,
     (get) =>
@@ -196,7 +187,7 @@
         Math.random,
       ),
   );
-  part(container, Tokens.runner, (get) => {
+  bindPart(container, Tokens.runner, (get) => {
     const { headersLimitMs, gapLimitMs, retryFraction } = get(Tokens.settings).online;
     return new CompletionRunner(
       get(Tokens.permits),
@@ -208,7 +199,7 @@
       get(Tokens.metrics),
     );
   });
-  part(
+  bindPart(
     container,
     Tokens.once,
     (get) =>
@@ -221,7 +212,7 @@
         get(Tokens.metrics),
       ),
   );
-  part(
+  bindPart(
     container,
     Tokens.gateway,
     (get) =>
@@ -238,18 +229,18 @@
 }
 
 function bindBatch(container: Container): void {
-  part(
+  bindPart(
     container,
     Tokens.intake,
     (get) =>
       new JobIntake(get(Tokens.store), get(Tokens.settings).batch, get(Tokens.clock), get(Tokens.metrics)),
   );
-  part(
+  bindPart(
     container,
     Tokens.reader,
     (get) => new JobReader(get(Tokens.store), get(Tokens.clock), (jobId) => tellOfCancel(get, jobId)),
   );
-  part(
+  bindPart(
     container,
     Tokens.batch,
     (get) =>
@@ -267,7 +258,7 @@
         get(Tokens.metrics),
       ),
   );
-  part(
+  bindPart(
     container,
     Tokens.collector,
     (get) =>
@@ -283,7 +274,7 @@
 }
 
 /** Tells all live instances that a job is cancelled; those that miss it see it in the index. */
-function tellOfCancel(get: Get, jobId: string): void {
+function tellOfCancel(get: GetPart, jobId: string): void {
   const { instanceId } = get(Tokens.self);
   get(Tokens.membership)
     .owners()
--- a/packages/entry/src/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -4,17 +4,17 @@
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
 
-import { TableApi } from './admin-api.js';
+import { TableApi } from '../operators/admin-api.js';
 import { bindSelf, buildContainer } from './entry-container.js';
-import { Authenticator } from './http-kit.js';
-import { HttpServer } from './http-server.js';
+import { Authenticator } from '../ingress/http-kit.js';
+import { HttpServer } from '../ingress/http-server.js';
 import { InstanceListPoller } from './instance-list-poller.js';
-import { JobApi } from './job-api.js';
-import { OrderApi } from './order-api.js';
-import { OrganisationApi } from './organisation-api.js';
-import type { EntrySettings } from './settings.js';
-import { EntryRole } from './settings.js';
-import { dumpState } from './state-dump.js';
+import { JobApi } from '../batch/job-api.js';
+import { OrderApi } from '../operators/order-api.js';
+import { OrganisationApi } from '../operators/organisation-api.js';
+import type { EntrySettings } from '../settings.js';
+import { EntryRole } from '../settings.js';
+import { dumpState } from '../operators/state-dump.js';
 import type { Crash } from './tokens.js';
 import { Tokens } from './tokens.js';
 
--- a/packages/entry/src/statsd-sink.ts
+++ b/packages/entry/src/life-cycle/statsd-sink.ts
@@ -2,7 +2,7 @@
 import type { MetricsSink } from '@fighub/core';
 import { StatsD } from 'hot-shots';
 
-import type { EntrySettings } from './settings.js';
+import type { EntrySettings } from '../settings.js';
 
 /** A sink for the configured server; undefined when none is configured. */
 export function createStatsdSink(settings: EntrySettings['statsd']): MetricsSink | undefined {
--- a/packages/entry/src/tokens.ts
+++ b/packages/entry/src/life-cycle/tokens.ts
@@ -12,17 +12,17 @@
 import type { HttpEngine, InstanceList, KeyValueService, PlainService, RecordStore } from '@fighub/outside';
 import type { ServiceIdentifier } from 'inversify';
 
-import type { BatchRunner } from './batch-runner.js';
-import type { CompletionRunner } from './completion-runner.js';
-import type { Gateway } from './gateway.js';
-import type { JobCollector } from './job-collector.js';
-import type { JobIntake } from './job-intake.js';
-import type { JobReader } from './job-reader.js';
-import type { OnceRecords } from './once-records.js';
-import type { OrderDesk } from './order-desk.js';
-import type { EntrySettings } from './settings.js';
-import type { TableSpread } from './table-spread.js';
-import type { TableStore } from './table-store.js';
+import type { BatchRunner } from '../batch/batch-runner.js';
+import type { CompletionRunner } from '../online/completion-runner.js';
+import type { Gateway } from '../online/gateway.js';
+import type { JobCollector } from '../batch/job-collector.js';
+import type { JobIntake } from '../batch/job-intake.js';
+import type { JobReader } from '../batch/job-reader.js';
+import type { OnceRecords } from '../online/once-records.js';
+import type { OrderDesk } from '../operators/order-desk.js';
+import type { EntrySettings } from '../settings.js';
+import type { TableSpread } from '../table/table-spread.js';
+import type { TableStore } from '../table/table-store.js';
 
 /** Stops the process because of an error that must not be survived. */
 export type Crash = (error: unknown) => void;
--- a/packages/entry/src/gateway.ts
+++ b/packages/entry/src/online/gateway.ts
@@ -17,10 +17,10 @@
 import { checkCompletion, streamEvent, wholeAnswer } from './completion-request.js';
 import type { CompletionEnd, CompletionRunner } from './completion-runner.js';
 import { CompletionKind } from './completion-runner.js';
-import type { Caller, Request, Response } from './http-kit.js';
-import { readBody, readJson, sendJson, sendProblem, textHeader, unixMsHeader } from './http-kit.js';
+import type { Caller, Request, Response } from '../ingress/http-kit.js';
+import { readBody, readJson, sendJson, sendProblem, textHeader, unixMsHeader } from '../ingress/http-kit.js';
 import type { KeptAnswer, OnceRecord, OnceRecords } from './once-records.js';
-import type { TableStore } from './table-store.js';
+import type { TableStore } from '../table/table-store.js';
 
 /** Headers that change how a request is run. */
 interface RequestOptions {
--- a/packages/entry/src/admin-api.ts
+++ b/packages/entry/src/operators/admin-api.ts
@@ -2,11 +2,11 @@
 import type { Metrics, Outcome, Problem, StoredRow } from '@fighub/core';
 import { fail, isRowKey, notRun, ok, sleep } from '@fighub/core';
 
-import type { Caller, Request, Response } from './http-kit.js';
-import { readJson, sendJson, sendProblem } from './http-kit.js';
-import type { TableSpread } from './table-spread.js';
-import type { TableStore } from './table-store.js';
-import { bucketOf, liveRevision } from './table-store.js';
+import type { Caller, Request, Response } from '../ingress/http-kit.js';
+import { readJson, sendJson, sendProblem } from '../ingress/http-kit.js';
+import type { TableSpread } from '../table/table-spread.js';
+import type { TableStore } from '../table/table-store.js';
+import { bucketOf, liveRevision } from '../table/table-store.js';
 
 const MAX_ROW_BYTES = 64_000;
 const WAIT_STEP_MS = 100;
--- a/packages/entry/src/order-api.ts
+++ b/packages/entry/src/operators/order-api.ts
@@ -3,8 +3,8 @@
 import { OrderKind } from '@fighub/outside';
 import { z } from 'zod';
 
-import type { Caller, Request, Response } from './http-kit.js';
-import { readJson, sendJson, sendProblem } from './http-kit.js';
+import type { Caller, Request, Response } from '../ingress/http-kit.js';
+import { readJson, sendJson, sendProblem } from '../ingress/http-kit.js';
 import type { OrderDesk } from './order-desk.js';
 
 const MAX_BODY_BYTES = 10_000;
--- a/packages/entry/src/order-desk.test.ts
+++ b/packages/entry/src/operators/order-desk.test.ts
@@ -5,7 +5,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { OrderDesk } from './order-desk.js';
-import { TableStore } from './table-store.js';
+import { TableStore } from '../table/table-store.js';
 
 class FakeOrders implements EngineOrders {
   readonly sent: EngineOrder[] = [];
--- a/packages/entry/src/order-desk.ts
+++ b/packages/entry/src/operators/order-desk.ts
@@ -5,8 +5,8 @@
 import type { EngineOrders, OrderKind, RecordStore, Versioned } from '@fighub/outside';
 import { OrderEnd, StoreErrorKind } from '@fighub/outside';
 
-import type { TableStore } from './table-store.js';
-import type { NamedUpstream } from './table-view.js';
+import type { TableStore } from '../table/table-store.js';
+import type { NamedUpstream } from '../table/table-view.js';
 
 /** States of the last order of a replica. */
 export const OrderState = { issued: 'issued', done: 'done', refused: 'refused' } as const;
--- a/packages/entry/src/organisation-api.ts
+++ b/packages/entry/src/operators/organisation-api.ts
@@ -5,10 +5,10 @@
 import { Role, fail, notRun, ok, organisationSchema } from '@fighub/core';
 import { z } from 'zod';
 
-import type { Caller, Request, Response } from './http-kit.js';
-import { keyHash, readJson, sendJson, sendProblem } from './http-kit.js';
-import type { TableStore } from './table-store.js';
-import { liveRevision } from './table-store.js';
+import type { Caller, Request, Response } from '../ingress/http-kit.js';
+import { keyHash, readJson, sendJson, sendProblem } from '../ingress/http-kit.js';
+import type { TableStore } from '../table/table-store.js';
+import { liveRevision } from '../table/table-store.js';
 
 const KEY_BYTES = 24;
 const MAX_BODY_BYTES = 10_000;
--- a/packages/entry/src/state-dump.ts
+++ b/packages/entry/src/operators/state-dump.ts
@@ -1,7 +1,7 @@
 /** The state of an instance as shown to operators. */
 import type { Container } from 'inversify';
 
-import { Tokens } from './tokens.js';
+import { Tokens } from '../life-cycle/tokens.js';
 
 /** Every table, lease, permit, breaker and revision of the instance. */
 export function dumpState(container: Container): Record<string, unknown> {
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -3,7 +3,7 @@
 import { connect, createServer } from 'node:net';
 
 import type { Metrics, Outcome } from '@fighub/core';
-import { fail, ok } from '@fighub/core';
+import { fail, ok, splitAddress } from '@fighub/core';
 
 import type { Frame } from './frame.js';
 import { FrameKind } from './frame.js';
@@ -161,10 +161,8 @@
 
   private dial(address: string): Link {
     this.closeIdleLinks();
-    const at = address.lastIndexOf(':');
     const socket = connect({
-      host: address.slice(0, at),
-      port: Number(address.slice(at + 1)),
+      ...splitAddress(address),
       localAddress: this.options.host,
     });
     const connection = new PeerConnection(socket, true, this.options.instanceId, this.options.secret, {
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -6,5 +6,6 @@
 export * from './routing/fleet-source.js';
 export * from './routing/fleet-view.js';
 export * from './routing/route-table.js';
+export type { ServingAdapters } from './serving-container.js';
 export * from './serving-instance.js';
 export * from './settings.js';
--- /dev/null
+++ b/packages/serving/src/serving-container.ts
@@ -0,0 +1,277 @@
+/** Binds the parts of a serving instance. */
+import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
+import type { Clock } from '@fighub/core';
+import { DecisionLog, Metrics, SystemClock, bindPart, splitAddress } from '@fighub/core';
+import type { GetPart } from '@fighub/core';
+import type { MemberUpdate } from '@fighub/decisions';
+import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
+import { RecordStore } from '@fighub/outside';
+import { MembershipRunner, PeerNode } from '@fighub/peers';
+import type { ServiceIdentifier } from 'inversify';
+import { Container } from 'inversify';
+import type { Logger } from 'pino';
+
+import { InputCache } from './batch/input-cache.js';
+import type { ItemParts } from './batch/item-run.js';
+import { JobAcceptance } from './batch/job-acceptance.js';
+import { JobReader } from './batch/job-reader.js';
+import { JobRunner } from './batch/job-runner.js';
+import type { UpstreamTransport } from './online/forwarding.js';
+import type { ForwardParts } from './online/forward-runner.js';
+import { ForwardRunner } from './online/forward-runner.js';
+import type { FleetSource } from './routing/fleet-source.js';
+import { RelayedStore } from './relayed-store.js';
+import { FleetView } from './routing/fleet-view.js';
+import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
+import { ViewKeeper } from './routing/view-keeper.js';
+import type { ServingSettings } from './settings.js';
+
+/** What a platform gives. */
+export interface ServingAdapters {
+  readonly keyValueService: KeyValueService;
+  readonly fleetSource: FleetSource;
+  readonly instanceList: InstanceList;
+  readonly transport: UpstreamTransport;
+}
+
+/** Load reports cost calls; replicas are judged by the permits and the streams themselves. */
+const NO_LOAD_READER: LoadReader = { load: () => Promise.resolve(undefined) };
+
+function token<T>(name: string): ServiceIdentifier<T> {
+  return Symbol.for(`fighub/serving/${name}`) as ServiceIdentifier<T>;
+}
+
+/** Tokens of the parts. */
+export const Tokens = {
+  settings: token<ServingSettings>('settings'),
+  adapters: token<ServingAdapters>('adapters'),
+  self: token<MemberUpdate>('self'),
+  clock: token<Clock>('clock'),
+  metrics: token<Metrics>('metrics'),
+  log: token<DecisionLog>('log'),
+  store: token<RecordStore>('store'),
+  node: token<PeerNode>('node'),
+  membership: token<MembershipRunner>('membership'),
+  view: token<FleetView>('view'),
+  keeper: token<ViewKeeper>('keeper'),
+  catalogue: token<ServicePoolCatalogue>('catalogue'),
+  host: token<PoolHost>('host'),
+  direct: token<DirectDispatch>('direct'),
+  permits: token<PermitClient>('permits'),
+  runner: token<ForwardRunner>('runner'),
+  inputs: token<InputCache>('inputs'),
+  jobs: token<JobRunner>('jobs'),
+  reader: token<JobReader>('reader'),
+  acceptance: token<JobAcceptance>('acceptance'),
+} as const;
+
+/** A container with all parts of an instance. */
+export function buildContainer(
+  settings: ServingSettings,
+  adapters: ServingAdapters,
+  instanceId: string,
+  logger: Logger,
+  onError: (error: unknown) => void,
+): Container {
+  const container = new Container({ defaultScope: 'Singleton' });
+  const clock = new SystemClock();
+  const metrics = new Metrics();
+  const log = new DecisionLog(logger, clock, metrics);
+  const { host, port } = splitAddress(settings.peerAddress);
+  const nodeOptions = { instanceId, host, port, secret: settings.fleetSecret };
+  container.bind(Tokens.settings).toConstantValue(settings);
+  container.bind(Tokens.adapters).toConstantValue(adapters);
+  container.bind(Tokens.clock).toConstantValue(clock);
+  container.bind(Tokens.metrics).toConstantValue(metrics);
+  container.bind(Tokens.log).toConstantValue(log);
+  container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onError));
+  container.bind(Tokens.view).toConstantValue(new FleetView());
+  container.bind(Tokens.self).toConstantValue({
+    instanceId,
+    failureDomain: settings.failureDomain,
+    peerAddress: settings.peerAddress,
+    state: 'alive',
+    incarnation: 1,
+    schedules: settings.coordinates,
+  });
+  bindFleet(container);
+  bindAdmission(container);
+  bindBatch(container);
+  return container;
+}
+
+function bindFleet(container: Container): void {
+  bindPart(container, Tokens.store, (get) => {
+    const { readsPerSecond, writesPerSecond, fleetShare, deadlineMs } = get(Tokens.settings).store;
+    const options = {
+      readsPerSecond: readsPerSecond * fleetShare,
+      writesPerSecond: writesPerSecond * fleetShare,
+      deadlineMs,
+    };
+    return new RecordStore(relayedStore(get), options, get(Tokens.clock), get(Tokens.metrics));
+  });
+  bindPart(
+    container,
+    Tokens.keeper,
+    (get) =>
+      new ViewKeeper(
+        get(Tokens.view),
+        get(Tokens.adapters).fleetSource,
+        get(Tokens.node),
+        () => get(Tokens.membership),
+        () => get(Tokens.self),
+        get(Tokens.settings).coordinates,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
+  bindPart(
+    container,
+    Tokens.membership,
+    (get) =>
+      new MembershipRunner(
+        get(Tokens.self),
+        get(Tokens.settings).peers,
+        get(Tokens.node),
+        get(Tokens.keeper),
+        get(Tokens.metrics),
+        Math.random,
+      ),
+  );
+}
+
+function bindAdmission(container: Container): void {
+  bindPart(container, Tokens.catalogue, (get) => new ServicePoolCatalogue(get(Tokens.view)));
+  bindPart(
+    container,
+    Tokens.host,
+    (get) =>
+      new PoolHost(
+        get(Tokens.self).instanceId,
+        get(Tokens.catalogue),
+        new UpstreamStates(get(Tokens.clock)),
+        () => get(Tokens.membership),
+        get(Tokens.node),
+        undefined,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
+  bindPart(
+    container,
+    Tokens.direct,
+    (get) =>
+      new DirectDispatch(
+        get(Tokens.self).instanceId,
+        get(Tokens.self).failureDomain,
+        get(Tokens.catalogue),
+        () => get(Tokens.membership),
+        NO_LOAD_READER,
+        true,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+      ),
+  );
+  bindPart(
+    container,
+    Tokens.permits,
+    (get) =>
+      new PermitClient(
+        get(Tokens.self).instanceId,
+        get(Tokens.self).failureDomain,
+        get(Tokens.host),
+        get(Tokens.direct),
+        () => get(Tokens.membership),
+        get(Tokens.node),
+        get(Tokens.settings).peers.acquireTimeoutMs,
+        false,
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        Math.random,
+      ),
+  );
+  bindPart(container, Tokens.runner, (get) => new ForwardRunner(forwardParts(get)));
+}
+
+function relayedStore(get: GetPart): RelayedStore {
+  return new RelayedStore(
+    get(Tokens.adapters).keyValueService,
+    () => get(Tokens.self).instanceId,
+    () => get(Tokens.membership),
+    get(Tokens.node),
+    get(Tokens.clock),
+    get(Tokens.metrics),
+    get(Tokens.log),
+    Math.random,
+  );
+}
+
+function forwardParts(get: GetPart): ForwardParts & ItemParts {
+  return {
+    view: get(Tokens.view),
+    permits: get(Tokens.permits),
+    transport: get(Tokens.adapters).transport,
+    clock: get(Tokens.clock),
+    metrics: get(Tokens.metrics),
+    log: get(Tokens.log),
+    random: Math.random,
+  };
+}
+
+function bindBatch(container: Container): void {
+  const selfId = (get: GetPart) => () => get(Tokens.self).instanceId;
+  bindPart(container, Tokens.inputs, (get) => new InputCache(get(Tokens.store)));
+  bindPart(
+    container,
+    Tokens.jobs,
+    (get) =>
+      new JobRunner(
+        selfId(get),
+        get(Tokens.settings).coordinates,
+        get(Tokens.store),
+        get(Tokens.inputs),
+        () => get(Tokens.membership),
+        get(Tokens.node),
+        forwardParts(get),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
+  bindPart(
+    container,
+    Tokens.reader,
+    (get) =>
+      new JobReader(
+        selfId(get),
+        get(Tokens.store),
+        get(Tokens.inputs),
+        () => get(Tokens.membership),
+        get(Tokens.node),
+        (jobId, afterPosition) => get(Tokens.jobs).results(jobId, afterPosition),
+        (jobId) => get(Tokens.jobs).onEnded(jobId),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
+  bindPart(
+    container,
+    Tokens.acceptance,
+    (get) =>
+      new JobAcceptance(
+        selfId(get),
+        get(Tokens.store),
+        get(Tokens.inputs),
+        () => get(Tokens.membership),
+        (progress) => {
+          get(Tokens.reader).remember(progress);
+          get(Tokens.jobs).offer(progress);
+        },
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
+}
--- a/packages/standins/src/fault-proxy.ts
+++ b/packages/standins/src/fault-proxy.ts
@@ -2,6 +2,8 @@
 import type { Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 
+import { splitAddress } from '@fighub/core';
+
 import type { RunningServer } from './http-util.js';
 import { readJsonBody, sendJsonBody, serve } from './http-util.js';
 
@@ -127,8 +129,8 @@
     void (async () => {
       if (req.url === '/routes') {
         const body = await readJsonBody<{ name: string; target: string }>(req);
-        const at = body.target.lastIndexOf(':');
-        const route = new ProxyRoute(body.target.slice(0, at), Number(body.target.slice(at + 1)));
+        const { host, port: targetPort } = splitAddress(body.target);
+        const route = new ProxyRoute(host, targetPort);
         routes.set(body.name, route);
         sendJsonBody(res, 200, { port: await route.listen(0) });
         return;
