Count the streams that other instances placed, and let cut-off instances step aside

The owner knows only its own permits: streams of cut-off entries and of the former owner are not among them, so it filled their places with batch streams. Ruled out: the wait for a place (held 1 to 60 ms). Jobs that reached a cut-off entry were held 1.4 to 3.2 s before they were refused, past the 400 ms that callers allow.

Change: the load that replicas report with an answer goes to the pool's owner; the mean difference to its permits counts as occupied, and batch streams beside it give way. Entries that place alone use it too and look beyond their own failure domain. Holders renew their permits before they ask a new owner. An instance that has heard neither another instance nor the store for a second is not ready, refuses jobs at once and does not ask owners.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -1,7 +1,7 @@
 /** Admission without an owner: from this instance's own last view, with a conservative limit. */
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { fail, notRun, ok } from '@fighub/core';
-import type { ReleaseReport } from '@fighub/decisions';
+import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
 import { ReplicaHealth } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { EngineLoad, LoadReader } from '@fighub/outside';
@@ -13,6 +13,8 @@
   inFlight: number;
   readonly health: ReplicaHealth;
   report?: EngineLoad;
+  /** Streams of other instances there, as the replica's last answer showed. */
+  ofOthers?: { readonly streams: number; readonly untilMs: number };
   readAtMs: number;
 }
 
@@ -71,6 +73,15 @@
     return true;
   }
 
+  /** Takes in a replica's own report. False when the place is not one of ours. */
+  noteLoad(place: Place, report: ReplicaLoadReport): boolean {
+    if (place.poolId !== POOL_ID) return false;
+    const view = this.viewOf(place.replicaId);
+    const streams = report.running + report.waiting - view.inFlight;
+    view.ofOthers = { streams: Math.max(0, streams), untilMs: this.clock.monotonicMs() + REPORT_LIFETIME_MS };
+    return true;
+  }
+
   dump(): Record<string, unknown> {
     return Object.fromEntries(
       [...this.replicas.entries()].map(([id, view]) => [id, { inFlight: view.inFlight }]),
@@ -95,21 +106,29 @@
       .filter((upstream) => !this.catalogue.isLeaving(upstream.upstreamId))
       .filter((upstream) => !wish.excludedReplicaIds.includes(upstream.upstreamId))
       .filter((upstream) => this.viewOf(upstream.upstreamId).health.isOpen(nowMs));
-    const own = usable.filter((upstream) => upstream.failureDomain === this.failureDomain);
-    return own.length > 0 ? own : usable;
+    return usable;
   }
 
+  /** The least loaded replica of the own failure domain, else of the others. */
   private choose(candidates: readonly CataloguedUpstream[]): CataloguedUpstream | undefined {
-    return candidates
+    const free = candidates
       .map((upstream) => ({ upstream, load: this.loadOf(upstream) }))
-      .filter(({ load, upstream }) => load < this.limitOf(upstream))
-      .sort((a, b) => a.load - b.load)[0]?.upstream;
+      .filter(({ upstream }) => this.viewOf(upstream.upstreamId).inFlight < this.limitOf(upstream))
+      .sort((a, b) => a.load - b.load)
+      .map(({ upstream }) => upstream);
+    const near = free.find(
+      (upstream) =>
+        upstream.failureDomain === this.failureDomain && this.loadOf(upstream) < upstream.maxConcurrency,
+    );
+    return near ?? free[0];
   }
 
   private loadOf(upstream: CataloguedUpstream): number {
     const view = this.viewOf(upstream.upstreamId);
     const reported = (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
-    return this.conservative ? view.inFlight : Math.max(view.inFlight, reported);
+    if (!this.conservative) return Math.max(view.inFlight, reported);
+    const { ofOthers } = view;
+    return view.inFlight + (ofOthers && this.clock.monotonicMs() < ofOthers.untilMs ? ofOthers.streams : 0);
   }
 
   private limitOf(upstream: CataloguedUpstream): number {
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -1,13 +1,14 @@
 /** The holder's side of admission: asks owners for places, keeps and returns permits. */
 import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
 import { EntityTable, fail, notRun, ok } from '@fighub/core';
-import type { PoolLoad, ReleaseReport } from '@fighub/decisions';
+import type { PoolLoad, ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
 import { orderPools } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
 import type { Place, PlaceWish } from './place.js';
 import type { PoolDescription } from './pool-catalogue.js';
+import { OwnerOutbox } from './owner-outbox.js';
 import type { LocalHolder, PoolHost } from './pool-host.js';
 
 interface WaitingWish {
@@ -49,7 +50,7 @@
   readonly name = 'permit client';
   private readonly waiting = new EntityTable<WaitingWish>();
   private readonly places = new EntityTable<HeldPlace>();
-  private readonly releases = new Map<string, ReleaseReport[]>();
+  private readonly outbox = new OwnerOutbox();
   private readonly summaries = new Map<string, PoolSummary>();
   private nextRenewMs = 0;
   private renewedVersion = 0;
@@ -83,6 +84,7 @@
     const pools = this.candidatePools(wish);
     if (pools.length === 0)
       return fail(notRun('no_upstream', `no upstream serves ${wish.model} to ${wish.organisation}`, 1_000));
+    if (wish.workClass === 'online' && this.isAlone(pools)) return this.direct.acquire(wish);
     let last: Problem = NOT_TAKEN;
     for (const poolId of pools) {
       const outcome = await this.acquireFromOwners(poolId, wish, signal);
@@ -94,16 +96,25 @@
     return fail(last);
   }
 
+  /** Whether asking the owners would only cost time. */
+  private isAlone(pools: readonly string[]): boolean {
+    return this.node.hearsNobody && !pools.some((poolId) => this.host.ownerOfPool(poolId) === this.selfId);
+  }
+
   /** Gives a place back. */
   release(place: Place, report: Omit<ReleaseReport, 'permitId'>): void {
     this.places.take(place.permitId);
     if (this.direct.release(place, report)) return;
-    const reports = this.releases.get(place.poolId) ?? [];
-    reports.push({ ...report, permitId: place.permitId });
-    this.releases.set(place.poolId, reports);
+    this.outbox.addRelease(place.poolId, { ...report, permitId: place.permitId });
     this.scheduleReleases();
   }
 
+  /** Passes on what a replica said of its load when it answered. */
+  noteLoad(place: Place, load: Omit<ReplicaLoadReport, 'replicaId'>): void {
+    const report = { ...load, replicaId: place.replicaId };
+    if (!this.direct.noteLoad(place, report)) this.outbox.addLoad(place.poolId, report);
+  }
+
   granted(body: GrantedBody): void {
     const wish = this.waiting.take(body.requestId);
     if (!wish && this.places.has(body.permitId)) return;
@@ -136,16 +147,15 @@
   }
 
   get busy(): boolean {
-    return this.waiting.size + this.places.size + this.releases.size > 0;
+    return this.waiting.size + this.places.size + this.outbox.size > 0;
   }
 
   run(nowMs: number): void {
     this.sendReleases();
     this.dropMovedWishes();
     this.askAgain(nowMs);
-    // A new owner learns at once what its predecessor had granted.
-    const isMoved = this.host.ownershipVersion !== this.renewedVersion;
-    if (nowMs >= this.nextRenewMs || isMoved) this.renewAll(nowMs);
+    if (nowMs >= this.nextRenewMs) this.renewAll(nowMs);
+    else this.renewIfMoved(nowMs);
     if (nowMs >= this.nextSummaryMs) this.askForSummaries(nowMs);
   }
 
@@ -201,6 +211,7 @@
   ): Promise<Outcome<Place, Problem>> {
     const ownerId = this.host.ownerOfPool(poolId);
     if (ownerId === undefined) return fail(NOT_TAKEN);
+    this.renewIfMoved(this.clock.monotonicMs());
     const body = this.toBody(poolId, wish);
     return new Promise((resolve) => {
       const answer = (outcome: Outcome<Place, Problem>): void => {
@@ -278,9 +289,7 @@
   }
 
   private returnUnwanted(body: GrantedBody): void {
-    const reports = this.releases.get(body.poolId) ?? [];
-    reports.push({ permitId: body.permitId, end: 'cancelled', tokens: 0 });
-    this.releases.set(body.poolId, reports);
+    this.outbox.addRelease(body.poolId, { permitId: body.permitId, end: 'cancelled', tokens: 0 });
   }
 
   /** Releases of one turn of the event loop travel together. */
@@ -294,18 +303,18 @@
   }
 
   private sendReleases(): void {
-    const batches = [...this.releases.entries()];
-    this.releases.clear();
-    batches.forEach(([poolId, reports]) => {
-      const ownerId = this.host.ownerOfPool(poolId);
-      if (ownerId === this.selfId) this.host.release(poolId, reports);
-      else
-        this.notifyOwner(ownerId, (address) =>
-          this.node.notify(address, 'permit.release', { poolId, reports }),
-        );
+    this.outbox.takeAll().forEach((body) => {
+      const ownerId = this.host.ownerOfPool(body.poolId);
+      if (ownerId === this.selfId) this.host.release(body);
+      else this.notifyOwner(ownerId, (address) => this.node.notify(address, 'permit.release', body));
     });
   }
 
+  /** A new owner learns what its predecessor had granted before it is asked for more. */
+  private renewIfMoved(nowMs: number): void {
+    if (this.host.ownershipVersion !== this.renewedVersion) this.renewAll(nowMs);
+  }
+
   private renewAll(nowMs: number): void {
     this.nextRenewMs = nowMs + RENEW_PERIOD_MS;
     this.renewedVersion = this.host.ownershipVersion;
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -9,10 +9,16 @@
   PoolOutput,
   PoolPolicy,
   PoolReplica,
-  ReleaseReport,
 } from '@fighub/decisions';
 import { OwnerSuspicions, PoolScheduler, ownerOf } from '@fighub/decisions';
-import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
+import type {
+  AcquireBody,
+  GrantedBody,
+  HeldPermit,
+  MembershipRunner,
+  PeerNode,
+  PermitReleaseBody,
+} from '@fighub/peers';
 import type { LoadReader } from '@fighub/outside';
 
 import type { PoolCatalogue, PoolDescription } from './pool-catalogue.js';
@@ -66,7 +72,7 @@
     node.onRequest('permit.acquire', (body) => ({ accepted: this.acquire(body) }));
     node.onRequest('pool.load', (body) => ({ loads: this.loadsOf(body.poolIds) }));
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
-    node.onNotice('permit.release', (body) => this.release(body.poolId, body.reports));
+    node.onNotice('permit.release', (body) => this.release(body));
     node.onNotice('owner.suspected', ({ instanceId }) => {
       const isNew = this.suspicions.suspect(instanceId, this.clock.monotonicMs());
       if (isNew)
@@ -176,12 +182,14 @@
     this.pools.get(poolId)?.withdraw(requestId);
   }
 
-  release(poolId: string, reports: readonly ReleaseReport[]): void {
+  release({ poolId, reports, loads }: PermitReleaseBody): void {
     const pool = this.pools.get(poolId);
+    const nowMs = this.clock.monotonicMs();
     reports.forEach((report) => {
-      pool?.release(report, this.clock.monotonicMs());
+      pool?.release(report, nowMs);
       this.sampleFreed(report.permitId);
     });
+    loads.forEach((report) => pool?.observeLoad(report, nowMs));
     this.wake();
   }
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -18,6 +18,7 @@
 export * from './rendezvous.js';
 export * from './repeat-policy.js';
 export * from './replica-choice.js';
+export * from './unknown-streams.js';
 export * from './replica-directory.js';
 export * from './replica-health.js';
 export * from './retry-budget.js';
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -63,6 +63,38 @@
 }
 
 describe('PoolScheduler', () => {
+  describe('with streams that other instances placed', () => {
+    const reports = (scheduler: PoolScheduler, streams: number) =>
+      [0, 1, 2, 3, 4, 5].forEach((step) =>
+        scheduler.observeLoad({ replicaId: 'r0', running: streams, waiting: 0 }, step),
+      );
+
+    it('places requests where the fewest streams are in all', () => {
+      const { output, scheduler } = pool(4, 2);
+      reports(scheduler, 3);
+      scheduler.enqueue(request(), 10);
+      scheduler.enqueue(request(), 10);
+      scheduler.run(10);
+      expect(output.permits.map((permit) => permit.replicaId)).toEqual(['r1', 'r1']);
+    });
+
+    it('takes back the places of batch streams beside them', () => {
+      const { output, scheduler } = pool(4);
+      Array.from({ length: 3 }, () => scheduler.enqueue(request({ workClass: 'batch' }), 0));
+      scheduler.run(0);
+      reports(scheduler, 6);
+      scheduler.run(10);
+      expect(output.revocations).toHaveLength(2);
+    });
+
+    it('expects waits that include them', () => {
+      const { output, scheduler } = pool(4);
+      reports(scheduler, 4);
+      scheduler.enqueue(request({ startByMs: 20 }), 10);
+      expect(output.refusals).toHaveLength(1);
+    });
+  });
+
   it('gives an online arrival the place of the youngest batch stream at once', () => {
     const { output, scheduler } = pool(2);
     scheduler.enqueue(request({ workClass: 'batch' }), 0);
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -16,12 +16,14 @@
   PoolReplica,
   ReleaseReport,
   ReplicaInfo,
+  ReplicaLoadReport,
 } from './pool-types.js';
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
 import { Quarantine } from './quarantine.js';
 import { ReplicaHealth } from './replica-health.js';
-import { hasReported, pickReplica, pickVictim } from './replica-choice.js';
+import { hasReported, pickReplica, pickVictim, rankVictims } from './replica-choice.js';
+import { UnknownStreams } from './unknown-streams.js';
 
 /** How long a permit lives without renewal, in milliseconds. */
 export const PERMIT_LIFETIME_MS = 4_000;
@@ -86,7 +88,7 @@
       return;
     }
     this.reserve.onArrival(nowMs);
-    const waitMs = this.expectedWaitMs(request.organisation);
+    const waitMs = this.expectedWaitMs(request.organisation, nowMs);
     if (nowMs + waitMs > (request.startByMs ?? request.deadlineMs) || this.online.size >= MAX_ONLINE_QUEUE) {
       const detail = `expected wait of ${String(Math.round(waitMs))} ms in pool ${this.poolId}`;
       this.output.refused(request, notRun('deadline_unreachable', detail, Math.max(1_000, waitMs)));
@@ -153,6 +155,12 @@
       .forEach((permit) => this.dropPermit(permit));
   }
 
+  /** Takes in what a replica says of itself. */
+  observeLoad(report: ReplicaLoadReport, nowMs: number): void {
+    const permitted = this.permits.all().filter((permit) => permit.replicaId === report.replicaId).length;
+    this.replicas.get(report.replicaId)?.unknown.observe(report.running + report.waiting, permitted, nowMs);
+  }
+
   /** Notes that a replica refuses new work. */
   markLeaving(replicaId: string): void {
     const replica = this.replicas.get(replicaId);
@@ -168,6 +176,7 @@
     this.refuseLate(nowMs);
     if (!this.hasUsableReplica(nowMs)) this.refuseAll();
     this.runQuarantine(nowMs);
+    this.makeRoomForUnknown(nowMs);
     this.grantOnline(nowMs);
     this.grantBatch(nowMs);
   }
@@ -176,12 +185,12 @@
    * Expected wait of a new online request of an organisation, in milliseconds. While others wait, the
    * organisation gets its share of the places: only its own queue and the weights count.
    */
-  expectedWaitMs(organisation: string): number {
-    const places = Math.max(1, this.totalPlaces());
+  expectedWaitMs(organisation: string, nowMs: number): number {
+    const places = this.totalPlaces() - this.unknownStreams(nowMs);
     const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
     // Those that wait only for the next round get a free place, or that of a batch stream.
     if (onlineStreams + this.online.size + this.fixedBatchStreams() < places) return 0;
-    const slotMs = this.meanStreamMs / places;
+    const slotMs = this.meanStreamMs / Math.max(1, places);
     const weight = this.policy.weightOf(organisation);
     const share = weight / (weight + this.online.otherActiveWeight(organisation));
     if (this.online.size > 0) return ((this.online.waitingOf(organisation) + 1) * slotMs) / share;
@@ -189,13 +198,16 @@
   }
 
   /** Expected waits of the organisations that wait most, and of one that has nothing here yet. */
-  private organisationWaits(): OrganisationWait[] {
+  private organisationWaits(nowMs: number): OrganisationWait[] {
     return this.online
       .depths()
       .filter((depth) => depth.waiting > 0)
       .sort((a, b) => b.waiting - a.waiting)
       .slice(0, MAX_ORGANISATION_WAITS)
-      .map(({ organisation }) => ({ organisation, expectedWaitMs: this.expectedWaitMs(organisation) }));
+      .map(({ organisation }) => ({
+        organisation,
+        expectedWaitMs: this.expectedWaitMs(organisation, nowMs),
+      }));
   }
 
   /** Places of all replicas that may get work. */
@@ -206,12 +218,20 @@
       .reduce((sum, replica) => sum + replica.limit.places, 0);
   }
 
+  private unknownStreams(nowMs: number): number {
+    return this.replicas.all().reduce((sum, replica) => sum + replica.unknown.count(nowMs), 0);
+  }
+
   /** Streams that hold a place at a replica, not counting those told to stop. */
   inFlight(replicaId: string, nowMs: number): number {
     return this.permits.all().filter((permit) => permit.replicaId === replicaId && !isFreed(permit, nowMs))
       .length;
   }
 
+  private occupied(replica: PoolReplica, nowMs: number): number {
+    return this.inFlight(replica.replicaId, nowMs) + replica.unknown.count(nowMs);
+  }
+
   /** Queue lengths and streams, for summaries and the dump. */
   load(nowMs: number): PoolLoad {
     const permits = this.permits.all();
@@ -222,8 +242,8 @@
       batchStreams: permits.filter((p) => p.request.workClass === WorkClass.batch).length,
       onlineWaiting: this.online.size,
       batchWaiting: this.batch.size + this.quarantine.size,
-      newcomerWaitMs: this.expectedWaitMs(NEWCOMER),
-      organisationWaits: this.organisationWaits(),
+      newcomerWaitMs: this.expectedWaitMs(NEWCOMER, nowMs),
+      organisationWaits: this.organisationWaits(nowMs),
       reservedPlaces: this.reserve.places(this.totalPlaces(), this.policy.reserveMaxFraction, nowMs),
     };
   }
@@ -240,6 +260,7 @@
         replicaId: replica.replicaId,
         places: replica.limit.places,
         inFlight: this.inFlight(replica.replicaId, nowMs),
+        unknownStreams: replica.unknown.count(nowMs),
         leaving: replica.leaving,
         missedReports: replica.missedReports,
         open: replica.health.isOpen(nowMs),
@@ -262,6 +283,7 @@
       failureDomain: info.failureDomain,
       limit: new ConcurrencyLimit(info.maxConcurrency),
       health: new ReplicaHealth(),
+      unknown: new UnknownStreams(),
       leaving: info.leaving,
       missedReports: 0,
     });
@@ -316,6 +338,25 @@
       });
   }
 
+  /** Batch streams give way to streams that were placed without this owner, which may wait in the replica. */
+  private makeRoomForUnknown(nowMs: number): void {
+    this.replicas
+      .all()
+      .filter((replica) => replica.unknown.count(nowMs) > 0)
+      .forEach((replica) => {
+        const excess = this.occupied(replica, nowMs) - replica.limit.places;
+        const running = this.permits.all().filter((permit) => permit.replicaId === replica.replicaId);
+        rankVictims(running)
+          .slice(0, Math.max(0, excess))
+          .forEach((permit) => this.revoke(permit, nowMs));
+      });
+  }
+
+  private revoke(permit: Permit, nowMs: number): void {
+    permit.revokedUntilMs = nowMs + REVOKE_GRACE_MS;
+    this.output.revoked(permit);
+  }
+
   private refuseLate(nowMs: number): void {
     this.online
       .removeWhere((request) => request.deadlineMs <= nowMs)
@@ -323,7 +364,7 @@
         const problem = notRun(
           'deadline_unreachable',
           'the deadline passed in the queue',
-          this.expectedWaitMs(request.organisation),
+          this.expectedWaitMs(request.organisation, nowMs),
         );
         this.output.refused(request, problem);
       });
@@ -375,7 +416,7 @@
 
   private freeReplica(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
     const open = this.replicas.all().filter((replica) => replica.replicaId !== this.quarantine.replicaId);
-    return pickReplica(open, request, this.prefixes, (id) => this.inFlight(id, nowMs), nowMs);
+    return pickReplica(open, request, this.prefixes, (replica) => this.occupied(replica, nowMs), nowMs);
   }
 
   private freePlaceByRevoking(request: PlaceRequest, nowMs: number): Permit | undefined {
@@ -394,8 +435,7 @@
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
     const victim = this.freePlaceByRevoking(request, nowMs);
     if (!victim) return undefined;
-    victim.revokedUntilMs = nowMs + REVOKE_GRACE_MS;
-    this.output.revoked(victim);
+    this.revoke(victim, nowMs);
     return this.replicas.get(victim.replicaId);
   }
 
@@ -421,7 +461,7 @@
       .all()
       .filter((replica) => !replica.leaving && replica.replicaId !== this.quarantine.replicaId)
       .filter((replica) => replica.health.isOpen(nowMs))
-      .reduce((sum, replica) => sum + replica.limit.places - this.inFlight(replica.replicaId, nowMs), 0);
+      .reduce((sum, replica) => sum + replica.limit.places - this.occupied(replica, nowMs), 0);
   }
 
   private dropPermit(permit: Permit): void {
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -4,6 +4,7 @@
 import type { ConcurrencyLimit, LatencyTargets } from './concurrency.js';
 import type { QueuedRequest } from './fair-queue.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
+import type { UnknownStreams } from './unknown-streams.js';
 
 /** Online requests are served before batch items. */
 export const WorkClass = { online: 'online', batch: 'batch' } as const;
@@ -43,6 +44,7 @@
   readonly failureDomain: string;
   readonly limit: ConcurrencyLimit;
   readonly health: ReplicaHealth;
+  readonly unknown: UnknownStreams;
   leaving: boolean;
   /** Load reports in a row that did not come. */
   missedReports: number;
@@ -57,6 +59,13 @@
   readonly leaving: boolean;
 }
 
+/** Streams at a replica as it reported them itself with an answer. */
+export interface ReplicaLoadReport {
+  readonly replicaId: string;
+  readonly running: number;
+  readonly waiting: number;
+}
+
 /** What the holder tells when it gives a place back. */
 export interface ReleaseReport {
   readonly permitId: string;
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -19,7 +19,7 @@
   replicas: readonly PoolReplica[],
   request: PlaceRequest,
   prefixes: PrefixIndex,
-  inFlightOf: (replicaId: string) => number,
+  occupiedOf: (replica: PoolReplica) => number,
   nowMs: number,
 ): PoolReplica | undefined {
   const someReport = replicas.some(hasReported);
@@ -29,7 +29,7 @@
   const others = open.filter((replica) => !request.excludedReplicaIds.includes(replica.replicaId));
   // A request that every replica has failed once goes on with any of them.
   const candidates = (others.length > 0 ? others : open)
-    .map((replica) => ({ replica, streams: inFlightOf(replica.replicaId) }))
+    .map((replica) => ({ replica, streams: occupiedOf(replica) }))
     .filter(({ replica, streams }) => streams < (replica.health.onProbation ? 1 : replica.limit.places))
     .map(({ replica, streams }) => ({
       replica,
@@ -41,29 +41,27 @@
   )?.replica;
 }
 
-/**
- * The batch permit whose place an online request takes: one at a replica that caches the request's prefix, else the
- * one that is due last, else the youngest, whose stream loses least. Only streams that can be resumed are stopped.
- */
+/** The batch permit whose place an online request takes: one at a replica that caches the request's prefix, if any. */
 export function pickVictim(
   permits: readonly Permit[],
   request: PlaceRequest,
   prefixes: PrefixIndex,
 ): Permit | undefined {
-  const candidates = permits
-    .filter((permit) => permit.request.workClass === 'batch' && permit.revokedUntilMs === undefined)
-    .filter((permit) => permit.request.resumable && !request.excludedReplicaIds.includes(permit.replicaId))
-    .map((permit) => ({
-      permit,
-      affinity: affinityOf(permit.replicaId, request, prefixes),
-    }));
-  const ranked = candidates.sort(
-    (a, b) =>
-      b.affinity - a.affinity ||
-      b.permit.request.deadlineMs - a.permit.request.deadlineMs ||
-      b.permit.grantedAtMs - a.permit.grantedAtMs,
+  const ranked = rankVictims(permits).filter(
+    (permit) => !request.excludedReplicaIds.includes(permit.replicaId),
   );
-  return ranked[0]?.permit;
+  return ranked.find((permit) => affinityOf(permit.replicaId, request, prefixes) > 0) ?? ranked[0];
+}
+
+/**
+ * Batch permits in the order in which they give way: the one that is due last, then the youngest, whose stream
+ * loses least. Only streams that can be resumed are stopped.
+ */
+export function rankVictims(permits: readonly Permit[]): Permit[] {
+  return permits
+    .filter((permit) => permit.request.workClass === 'batch' && permit.request.resumable)
+    .filter((permit) => permit.revokedUntilMs === undefined)
+    .sort((a, b) => b.request.deadlineMs - a.request.deadlineMs || b.grantedAtMs - a.grantedAtMs);
 }
 
 function distanceOf(replica: PoolReplica, request: PlaceRequest): number {
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -6,7 +6,7 @@
   StoredResult,
   TableBucket,
 } from '@fighub/core';
-import type { MemberUpdate, PoolLoad, ReleaseReport, WorkClass } from '@fighub/decisions';
+import type { MemberUpdate, PoolLoad, ReleaseReport, ReplicaLoadReport, WorkClass } from '@fighub/decisions';
 
 /** Asks the owner of a pool for a place. The answer tells only whether the owner took the request. */
 export interface AcquireBody {
@@ -35,6 +35,13 @@
   readonly fencingChecked: boolean;
 }
 
+/** Permits that ended, and what replicas have said of their load. */
+export interface PermitReleaseBody {
+  readonly poolId: string;
+  readonly reports: readonly ReleaseReport[];
+  readonly loads: readonly ReplicaLoadReport[];
+}
+
 /** A permit as its holder describes it to the owner. */
 export interface HeldPermit {
   readonly permitId: string;
@@ -121,7 +128,7 @@
 /** One-way messages, by name. */
 export interface PeerNotices {
   'permit.withdraw': { poolId: string; requestId: string };
-  'permit.release': { poolId: string; reports: readonly ReleaseReport[] };
+  'permit.release': PermitReleaseBody;
   'permit.renew': { poolId: string; holder: string; permits: readonly HeldPermit[] };
   'permit.granted': GrantedBody;
   'permit.refused': { requestId: string; problem: Problem };
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -7,7 +7,13 @@
 import { pickBackend } from '../online/backend-choice.js';
 import { EventSplitter, dataOf } from '../online/event-splitter.js';
 import type { RawEvent } from '../online/event-splitter.js';
-import type { UpstreamEnd, UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
+import type {
+  UpstreamEnd,
+  LoadListener,
+  UpstreamHead,
+  UpstreamListener,
+  UpstreamTransport,
+} from '../online/forwarding.js';
 import { UpstreamEndKind } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 
@@ -116,7 +122,9 @@
   stop: AbortSignal,
 ): Promise<ItemRunEnd> {
   const { item, output } = request;
-  const listener = new ItemListener(output, AbortSignal.any([stop, place.revoked]));
+  const listener = new ItemListener(output, AbortSignal.any([stop, place.revoked]), (load) =>
+    parts.permits.noteLoad(place, load),
+  );
   const startedMs = parts.clock.monotonicMs();
   const call = {
     replicaId: place.replicaId,
@@ -170,6 +178,7 @@
   constructor(
     private readonly output: ItemOutput,
     stop: AbortSignal,
+    private readonly onLoad: LoadListener,
   ) {
     this.stop = AbortSignal.any([stop, this.astray.signal]);
     this.armSilence();
@@ -181,6 +190,7 @@
 
   onHead(head: UpstreamHead): void {
     this.status = head.notRun ? 0 : head.status;
+    if (head.load) this.onLoad(head.load);
     this.armSilence();
   }
 
--- a/packages/serving/src/batch/job-acceptance.test.ts
+++ b/packages/serving/src/batch/job-acceptance.test.ts
@@ -37,19 +37,21 @@
   const backlog = new BacklogView(clock);
   const members = { owners: () => [] } as unknown as MembershipRunner;
   const offered: JobProgress[] = [];
+  const faults = { isCutOff: false };
   const acceptance = new JobAcceptance(
     () => 'self',
     store,
     new InputCache(store),
     backlog,
     () => members,
+    () => faults.isCutOff,
     (progress) => offered.push(progress),
     clock,
     metrics,
     new DecisionLog(QUIET, clock, metrics),
   );
   const submit = (jobId: string) => acceptance.accept({ jobId, host: 'h', items: [ITEM] }, ROUTE);
-  return { service, store, backlog, offered, submit };
+  return { service, store, backlog, offered, faults, submit };
 }
 
 describe('JobAcceptance', () => {
@@ -78,6 +80,13 @@
     expect(await submit('d')).toMatchObject({ ok: false, error: { code: 'limit_reached' } });
   });
 
+  it('sends the caller to another instance at once when it is cut off', async () => {
+    const { service, faults, submit } = setup();
+    faults.isCutOff = true;
+    expect(await submit('a')).toMatchObject({ ok: false, error: { run: 'not_run', retryAfterMs: 0 } });
+    expect(service.listings).toBe(0);
+  });
+
   it('accepts a job once that was accepted elsewhere', async () => {
     const { store, backlog, offered, submit } = setup();
     await store.write(batchJobKeys.progress('a'), undefined, { jobId: 'a' });
--- a/packages/serving/src/batch/job-acceptance.ts
+++ b/packages/serving/src/batch/job-acceptance.ts
@@ -41,6 +41,9 @@
 const ABANDON_MARGIN_MS = 2_000;
 const MAX_KNOWN_JOBS = 2_000;
 
+/** The caller's next try reaches another instance. */
+const CUT_OFF = notRun('store_unavailable', 'this instance is cut off from the store', 0);
+
 /** Takes in jobs at the instance that the caller reached. */
 export class JobAcceptance {
   private readonly accepted = new Set<string>();
@@ -51,6 +54,8 @@
     private readonly inputs: InputCache,
     private readonly backlog: BacklogView,
     private readonly members: () => MembershipRunner,
+    /** Whether neither the store nor another instance is reached from here. */
+    private readonly isCutOff: () => boolean,
     /** Hands the accepted job to its holder. */
     private readonly offer: (progress: JobProgress) => void,
     private readonly clock: Clock,
@@ -62,6 +67,7 @@
   async accept(submission: JobSubmission, route: Route): Promise<Outcome<void, Problem>> {
     const { jobId } = submission;
     if (this.accepted.has(jobId)) return ok(undefined);
+    if (this.isCutOff()) return this.refuse(jobId, CUT_OFF, 0);
     const startedMs = this.clock.monotonicMs();
     const outcome = await this.acceptOnce(submission, route);
     const tookMs = Math.round(this.clock.monotonicMs() - startedMs);
--- a/packages/serving/src/online/answer-relay.ts
+++ b/packages/serving/src/online/answer-relay.ts
@@ -4,7 +4,7 @@
 
 import type { RawEvent } from './event-splitter.js';
 import { EventSplitter } from './event-splitter.js';
-import type { AnswerSink, UpstreamHead, UpstreamListener } from './forwarding.js';
+import type { AnswerSink, LoadListener, UpstreamHead, UpstreamListener } from './forwarding.js';
 
 /** A resumable stream that brings nothing for this long is resumed elsewhere, in milliseconds. */
 const SILENCE_LIMIT_MS = 900;
@@ -29,8 +29,8 @@
   }
 
   /** Starts to listen to one send. */
-  begin(stop: AbortSignal): SendListener {
-    return new SendListener(this, stop);
+  begin(stop: AbortSignal, onLoad: LoadListener): SendListener {
+    return new SendListener(this, stop, onLoad);
   }
 
   /** Whether the caller has received a part of the answer. */
@@ -96,6 +96,7 @@
   constructor(
     private readonly relay: AnswerRelay,
     stop: AbortSignal,
+    private readonly onLoad: LoadListener,
   ) {
     this.stop = AbortSignal.any([stop, this.silence.signal]);
     this.startedMs = relay.clock.monotonicMs();
@@ -112,6 +113,7 @@
     this.head = head;
     this.status = head.status;
     this.saidNotRun = head.notRun || head.status === MISDIRECTED;
+    if (head.load) this.onLoad(head.load);
     this.armSilence();
   }
 
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -126,7 +126,7 @@
     const { request } = this;
     this.sends += 1;
     const sentAtMs = this.parts.clock.monotonicMs();
-    const attempt = this.relay.begin(stop);
+    const attempt = this.relay.begin(stop, (load) => this.parts.permits.noteLoad(place, load));
     const end = await this.parts.transport.send(
       {
         replicaId: place.replicaId,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -60,8 +60,19 @@
 export interface UpstreamHead extends AnswerHead {
   /** The replica itself says that it did not run the request. */
   readonly notRun: boolean;
+  /** What the replica says of its load. */
+  readonly load?: UpstreamLoad;
 }
 
+/** Requests at a replica as it reports them with an answer. */
+export interface UpstreamLoad {
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** Receives what a replica says of its load. */
+export type LoadListener = (load: UpstreamLoad) => void;
+
 /** Receives a replica's answer while it arrives. */
 export interface UpstreamListener {
   onHead(head: UpstreamHead): void;
--- a/packages/serving/src/routing/view-keeper.ts
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -20,6 +20,8 @@
 /** A view whose last reading is older than this is not fresh. */
 const FRESH_MS = 1_300;
 const FAILURE_PAUSE_MS = 250;
+/** Longer than a round of reading takes while the store is slow. */
+const CUT_OFF_AFTER_MS = 1_000;
 const FETCH_TIMEOUT_MS = 600;
 
 /** Reads, pushes and takes in views. */
@@ -60,6 +62,14 @@
     return this.clock.monotonicMs() - Math.max(this.readAtMs, this.heardAtMs);
   }
 
+  /**
+   * Whether neither other instances nor the store are reached from here: callers are served better elsewhere. Not so
+   * the last instance that lives, which reaches the store.
+   */
+  get isCutOff(): boolean {
+    return this.node.hearsNobody && this.clock.monotonicMs() - this.readAtMs >= CUT_OFF_AFTER_MS;
+  }
+
   /** Whether this instance reads the store itself at present. */
   get reads(): boolean {
     return this.isRelay || this.clock.monotonicMs() - this.heardAtMs > FRESH_MS;
@@ -90,6 +100,7 @@
       reads: this.reads,
       storeReachable: this.storeReachable,
       ageMs: Math.round(this.ageMs),
+      isCutOff: this.isCutOff,
       configurationVersion: this.view.configurationVersion,
       directoryRevision: this.view.replicas.revision,
       replicas: this.view.replicas.replicas,
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -271,6 +271,7 @@
         get(Tokens.inputs),
         get(Tokens.backlog),
         () => get(Tokens.membership),
+        () => get(Tokens.keeper).isCutOff,
         (progress) => {
           get(Tokens.reader).remember(progress);
           get(Tokens.jobs).offer(progress);
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -159,6 +159,7 @@
   private parts(): ServingParts {
     const { container } = this;
     const view = container.get(Tokens.view);
+    const keeper = container.get(Tokens.keeper);
     return {
       settings: this.settings,
       view,
@@ -170,7 +171,8 @@
       clock: container.get(Tokens.clock),
       metrics: container.get(Tokens.metrics),
       log: container.get(Tokens.log),
-      isReady: () => !this.stopping && view.routes !== undefined && view.replicas.revision > 0,
+      isReady: () =>
+        !this.stopping && view.routes !== undefined && view.replicas.revision > 0 && !keeper.isCutOff,
       isStopping: () => this.stopping,
       stopByMs: () => this.stopByMs,
       dump: () => this.dump(),
