--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -74,6 +74,7 @@
   progressPrefix: 'progress/',
   progress: (jobId: string): string => `progress/${jobId}`,
   input: (jobId: string, part: number): string => `input/${jobId}/${String(part)}`,
+  checkpoint: (jobId: string): string => `checkpoint/${jobId}`,
   segment: (jobId: string, epoch: number, sequence: number): string =>
     `results/${jobId}/${String(epoch)}-${String(sequence)}`,
 } as const;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
 export * from './chunk-ledger.js';
 export * from './concurrency.js';
 export * from './fair-queue.js';
+export * from './job-checkpoint.js';
 export * from './job-progress.js';
 export * from './job-quota.js';
 export * from './limit-parts.js';
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -46,6 +46,7 @@
   readonly dueAtUnixMs: number;
   /** Replicas that broke this item's last runs. */
   readonly excludedReplicaIds: readonly string[];
+  readonly onEvent: () => void;
   /** Asked right before the send. */
   readonly mayDispatch: () => boolean;
 }
@@ -122,8 +123,11 @@
   stop: AbortSignal,
 ): Promise<ItemRunEnd> {
   const { item, output } = request;
-  const listener = new ItemListener(output, AbortSignal.any([stop, place.revoked]), (load) =>
-    parts.permits.noteLoad(place, load),
+  const listener = new ItemListener(
+    output,
+    AbortSignal.any([stop, place.revoked]),
+    (load) => parts.permits.noteLoad(place, load),
+    request.onEvent,
   );
   const startedMs = parts.clock.monotonicMs();
   const call = {
@@ -179,6 +183,7 @@
     private readonly output: ItemOutput,
     stop: AbortSignal,
     private readonly onLoad: LoadListener,
+    private readonly onEvent: () => void,
   ) {
     this.stop = AbortSignal.any([stop, this.astray.signal]);
     this.armSilence();
@@ -223,6 +228,7 @@
     this.output.lastEventId = event.eventId;
     this.output.events.push(dataOf(event));
     this.events += 1;
+    this.onEvent();
   }
 
   private armSilence(): void {
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -16,6 +16,7 @@
 import type { BacklogView } from './backlog-view.js';
 import type { InputCache } from './input-cache.js';
 import type { ItemParts } from './item-run.js';
+import { JobCheckpoint } from './job-checkpoint.js';
 import { RunningJob } from './running-job.js';
 
 /** When a job's progress was first seen as it is. */
@@ -35,6 +36,9 @@
 /** Finished jobs are kept for readers, in milliseconds. */
 const KEEP_FINISHED_MS = 20_000;
 
+/** Epoch of a job that no other instance has held. */
+const FIRST_EPOCH = 1;
+
 const NOT_HELD: JobResultsAnswer = { held: false, itemCount: 0, results: [] };
 
 /** Claims jobs and runs those that are held. */
@@ -206,9 +210,12 @@
   }
 
   private async start(record: Versioned<JobProgress>): Promise<void> {
-    const { jobId, inputPartCount, segments } = record.value;
-    const [items, committed] = await Promise.all([
+    const { jobId, epoch, inputPartCount, segments } = record.value;
+    const isFirstHolder = epoch === FIRST_EPOCH;
+    const checkpoint = new JobCheckpoint(jobId, this.store, this.clock, this.metrics);
+    const [items, saved, committed] = await Promise.all([
       this.inputs.read(jobId, inputPartCount),
+      isFirstHolder ? [] : checkpoint.load(),
       Promise.all(segments.map((segment) => this.store.read<ResultSegment>(segment.key))),
     ]);
     const results = committed.map((segment) => (segment.ok ? segment.value?.value.results : undefined));
@@ -217,6 +224,8 @@
       record,
       items.value,
       results.flatMap((part) => part ?? ([] as StoredResult[])),
+      saved,
+      checkpoint,
       this.store,
       this.itemParts,
       () => this.mayDispatch(),
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -1,7 +1,7 @@
 /** One batch job that this instance runs: its items, the results that wait for commit, and its progress. */
 import type { Clock, DecisionLog, JobProgress, Metrics, StoredItem, StoredResult } from '@fighub/core';
 import { InvariantName, LogWeight, batchJobKeys, checkInvariant } from '@fighub/core';
-import type { EndedItem } from '@fighub/decisions';
+import type { EndedItem, PartialOutput } from '@fighub/decisions';
 import {
   commitResults,
   giveBackJob,
@@ -16,6 +16,7 @@
 
 import type { ItemOutput, ItemParts, ItemRunEnd } from './item-run.js';
 import { ItemEnd, runItem } from './item-run.js';
+import type { JobCheckpoint } from './job-checkpoint.js';
 
 interface RunningItem {
   readonly index: number;
@@ -48,12 +49,15 @@
   private readonly stopping = new AbortController();
   private failuresChanged = false;
   private closed = false;
+  private receivedEvents = 0;
   private readonly dueMs: number;
 
   constructor(
     private record: Versioned<JobProgress>,
     items: readonly StoredItem[],
     committed: readonly StoredResult[],
+    saved: readonly PartialOutput[],
+    private readonly checkpoint: JobCheckpoint,
     private readonly store: RecordStore,
     private readonly parts: ItemParts,
     private readonly mayDispatch: () => boolean,
@@ -63,9 +67,10 @@
     this.dueMs = this.lastWriteMs + record.value.dueAtUnixMs - this.clock.nowUnixMs();
     const finished = new Set(record.value.finishedIndexes);
     const failures = new Map(record.value.failures.map((entry) => [entry.index, entry.failedAttempts]));
+    const outputs = new Map(saved.map((output) => [output.index, output]));
     items.forEach((item, index) => {
       if (finished.has(index)) return;
-      const output: ItemOutput = { events: [] };
+      const output = toItemOutput(outputs.get(index));
       const failedAttempts = failures.get(index) ?? 0;
       this.items.set(index, {
         index,
@@ -107,6 +112,7 @@
     if (this.finished) return;
     this.abandonLate();
     if (this.writing === undefined && nowMs >= this.retryWriteAtMs && this.shouldWrite(nowMs)) this.commit();
+    this.checkpoint.run(this.receivedEvents, () => this.partialOutputs());
     if (!this.mayDispatch()) return;
     [...this.items.values()]
       .filter((entry) => !entry.running && entry.retryAtMs <= nowMs)
@@ -142,6 +148,7 @@
       await this.writing;
     }
     if (this.finished) return;
+    await this.checkpoint.save(this.partialOutputs());
     const { value } = this.record;
     await this.store.write(batchJobKeys.progress(value.jobId), this.record, giveBackJob(value));
     this.stop('this instance leaves');
@@ -198,6 +205,7 @@
         output: entry.output,
         dueAtUnixMs: value.dueAtUnixMs,
         excludedReplicaIds: entry.excludedReplicaIds,
+        onEvent: () => (this.receivedEvents += 1),
         mayDispatch: () => !this.closed && this.items.has(entry.index) && this.mayDispatch(),
       },
       this.parts,
@@ -244,6 +252,12 @@
     this.stopping.abort();
   }
 
+  private partialOutputs(): PartialOutput[] {
+    return [...this.items.values()].flatMap(({ index, output: { events, lastEventId } }) =>
+      lastEventId === undefined ? [] : [{ index, lastEventId, text: events.join('\n') }],
+    );
+  }
+
   private addResult(entry: RunningItem, succeeded: boolean, output: string): void {
     this.items.delete(entry.index);
     if (this.pending.length === 0) this.oldestPendingMs = this.clock.monotonicMs();
@@ -284,6 +298,7 @@
     this.oldestPendingMs = this.lastWriteMs;
     this.committed.push(...results);
     this.metrics.count('batch_commits');
+    if (isClosed(record?.value ?? value)) void this.checkpoint.remove();
     this.log.record(LogWeight.routine, 'job_committed', {
       jobId: value.jobId,
       epoch: value.epoch,
@@ -307,3 +322,7 @@
     });
   }
 }
+
+function toItemOutput(saved: PartialOutput | undefined): ItemOutput {
+  return saved ? { events: [saved.text], lastEventId: saved.lastEventId } : { events: [] };
+}
