Find permits whose streams have ended: by the replicas' reports and by renewals that list all

Ruled out: learned limits (the targets are infinite here), replicas on probation, split ownership.

Change: settled permits beyond what a replica reports count as ended; a renewal is a request that lists all permits of a holder, so that a dead connection is noticed and what is missing is dropped; permits and waits of dead members are forgotten. Tests for each failed before.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -3,9 +3,11 @@
 import { EntityTable, fail, notRun, ok } from '@fighub/core';
 import type { PoolLoad, ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
 import { orderPools } from '@fighub/decisions';
-import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { AcquireBody, GrantedBody, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
+import type { PooledPermit } from './permit-renewals.js';
+import { PermitRenewals } from './permit-renewals.js';
 import type { Place, PlaceWish } from './place.js';
 import type { PoolDescription } from './pool-catalogue.js';
 import { OwnerOutbox } from './owner-outbox.js';
@@ -19,13 +21,10 @@
   readonly answer: (outcome: Outcome<Place, Problem>) => void;
 }
 
-interface HeldPlace {
-  readonly poolId: string;
-  readonly held: HeldPermit;
+interface HeldPlace extends PooledPermit {
   readonly revoke: AbortController;
 }
 
-const RENEW_PERIOD_MS = 1_000;
 const SUMMARY_LIFETIME_MS = 2_500;
 const SUMMARY_PERIOD_MS = 500;
 const SUMMARY_TIMEOUT_MS = 400;
@@ -52,8 +51,7 @@
   private readonly places = new EntityTable<HeldPlace>();
   private readonly outbox = new OwnerOutbox();
   private readonly summaries = new Map<string, PoolSummary>();
-  private nextRenewMs = 0;
-  private renewedVersion = 0;
+  private readonly renewals: PermitRenewals;
   private nextSummaryMs = 0;
   private readonly modelUsedAtMs = new Map<string, number>();
   private releasesScheduled = false;
@@ -72,6 +70,8 @@
     private readonly metrics: Metrics,
     private readonly random: () => number,
   ) {
+    const permits = (): readonly PooledPermit[] => this.places.all();
+    this.renewals = new PermitRenewals(selfId, host, members, node, permits, clock, metrics);
     node.onNotice('permit.granted', (body) => this.granted(body));
     node.onNotice('permit.refused', (body) => this.refused(body.requestId, body.problem));
     node.onNotice('permit.revoked', (body) => this.revoked(body.permitId));
@@ -154,8 +154,7 @@
     this.sendReleases();
     this.dropMovedWishes();
     this.askAgain(nowMs);
-    if (nowMs >= this.nextRenewMs) this.renewAll(nowMs);
-    else this.renewIfMoved(nowMs);
+    this.renewals.run(nowMs);
     if (nowMs >= this.nextSummaryMs) this.askForSummaries(nowMs);
   }
 
@@ -211,7 +210,7 @@
   ): Promise<Outcome<Place, Problem>> {
     const ownerId = this.host.ownerOfPool(poolId);
     if (ownerId === undefined) return fail(NOT_TAKEN);
-    this.renewIfMoved(this.clock.monotonicMs());
+    this.renewals.renewIfMoved();
     const body = this.toBody(poolId, wish);
     return new Promise((resolve) => {
       const answer = (outcome: Outcome<Place, Problem>): void => {
@@ -310,29 +309,6 @@
     });
   }
 
-  /** A new owner learns what its predecessor had granted before it is asked for more. */
-  private renewIfMoved(nowMs: number): void {
-    if (this.host.ownershipVersion !== this.renewedVersion) this.renewAll(nowMs);
-  }
-
-  private renewAll(nowMs: number): void {
-    this.nextRenewMs = nowMs + RENEW_PERIOD_MS;
-    this.renewedVersion = this.host.ownershipVersion;
-    const poolIds = [...new Set(this.places.all().map((place) => place.poolId))];
-    poolIds.forEach((poolId) => {
-      const permits = this.places
-        .all()
-        .filter((place) => place.poolId === poolId)
-        .map((place) => place.held);
-      const ownerId = this.host.ownerOfPool(poolId);
-      if (ownerId === this.selfId) this.host.renew(poolId, permits);
-      else
-        this.notifyOwner(ownerId, (address) =>
-          this.node.notify(address, 'permit.renew', { poolId, holder: this.selfId, permits }),
-        );
-    });
-  }
-
   private notifyOwner(ownerId: string | undefined, notify: (address: string) => void): void {
     const member = ownerId === undefined ? undefined : this.members().membership.get(ownerId);
     if (member) notify(member.peerAddress);
--- a/packages/admission/src/pool-host.test.ts
+++ b/packages/admission/src/pool-host.test.ts
@@ -93,7 +93,7 @@
     (CATALOGUE as { pools: () => readonly PoolDescription[] }).pools = () => [POOL];
     (CATALOGUE as { version: unknown }).version = 3;
     host.run(clock.monotonicMs());
-    host.renew('m@', held);
+    host.renew({ poolId: 'm@', holder: 'h', permits: held });
     host.acquire(acquireBody('q2'));
     host.run(clock.monotonicMs());
     expect(new Set(grants.map((grant) => grant.permitId)).size).toBe(2);
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -14,10 +14,10 @@
 import type {
   AcquireBody,
   GrantedBody,
-  HeldPermit,
   MembershipRunner,
   PeerNode,
   PermitReleaseBody,
+  PermitRenewBody,
 } from '@fighub/peers';
 import type { LoadReader } from '@fighub/outside';
 
@@ -79,7 +79,10 @@
         this.log?.record(LogWeight.state, 'owner_suspected', { instanceId, reason: 'told by a peer' });
       this.wake();
     });
-    node.onNotice('permit.renew', (body) => this.renew(body.poolId, body.permits));
+    node.onRequest('permit.renew', (body) => {
+      this.renew(body);
+      return {};
+    });
   }
 
   /** Connects the holder of this same instance and the tick that runs this system. */
@@ -201,9 +204,10 @@
     this.metrics.sample('place_freed_ms', this.clock.monotonicMs() - revokedAtMs);
   }
 
-  renew(poolId: string, permits: readonly HeldPermit[]): void {
+  renew({ poolId, holder, permits }: PermitRenewBody): void {
     const nowMs = this.clock.monotonicMs();
     this.pools.get(poolId)?.renew(
+      holder,
       permits.map((held) => ({
         permitId: held.permitId,
         request: this.toPlaceRequest(held.request, nowMs),
@@ -265,6 +269,15 @@
       .filter((poolId) => !ownedIds.has(poolId))
       .forEach((poolId) => this.pools.take(poolId));
     owned.forEach((description) => this.syncPool(description));
+    this.pools.all().forEach((pool) => this.forgetDeadHolders(pool));
+  }
+
+  private forgetDeadHolders(pool: PoolScheduler): void {
+    const { membership } = this.members();
+    pool
+      .holders()
+      .filter((holder) => membership.get(holder) !== undefined && !membership.isLive(holder))
+      .forEach((holder) => pool.forgetHolder(holder));
   }
 
   private syncPool(description: PoolDescription): void {
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -63,6 +63,30 @@
 }
 
 describe('PoolScheduler', () => {
+  describe('with permits whose releases were lost', () => {
+    it('drops what the holder no longer has, but not what it may not have seen yet', () => {
+      const { scheduler } = pool(3);
+      scheduler.enqueue(request(), 0);
+      scheduler.run(0);
+      scheduler.enqueue(request({ holder: 'other' }), 0);
+      scheduler.enqueue(request(), 900);
+      scheduler.run(900);
+      scheduler.renew('h', [], 1_000);
+      expect(scheduler.permits.all().map((permit) => permit.grantedAtMs)).toEqual([900, 900]);
+    });
+
+    it('gives their places away once the replica reports that their streams are gone', () => {
+      const { output, scheduler } = pool(4);
+      Array.from({ length: 4 }, () => scheduler.enqueue(request(), 0));
+      scheduler.run(0);
+      const reports = [0, 1, 2, 3, 4, 5].map((step) => 400 + step * 10);
+      reports.forEach((nowMs) => scheduler.observeLoad({ replicaId: 'r0', running: 1, waiting: 0 }, nowMs));
+      Array.from({ length: 4 }, () => scheduler.enqueue(request(), 500));
+      scheduler.run(500);
+      expect(output.permits).toHaveLength(6);
+    });
+  });
+
   describe('with streams that other instances placed', () => {
     const reports = (scheduler: PoolScheduler, streams: number) =>
       [0, 1, 2, 3, 4, 5].forEach((step) =>
@@ -182,7 +206,7 @@
   it('adopts permits that a former owner granted', () => {
     const { output, scheduler } = pool(1);
     const permit = { permitId: 'old', request: request(), replicaId: 'r0', grantedAtMs: 0, expiresAtMs: 0 };
-    scheduler.renew([permit], 0);
+    scheduler.renew('h', [permit], 0);
     scheduler.enqueue(request(), 1);
     scheduler.run(1);
     expect(output.permits).toHaveLength(0);
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -5,6 +5,7 @@
 import { BurstReserve } from './burst-reserve.js';
 import { ConcurrencyLimit } from './concurrency.js';
 import { FairQueue } from './fair-queue.js';
+import { LoadDrift } from './load-drift.js';
 import { OrganisationLimits } from './organisation-limits.js';
 import type {
   OrganisationWait,
@@ -23,13 +24,16 @@
 import { Quarantine } from './quarantine.js';
 import { ReplicaHealth } from './replica-health.js';
 import { hasReported, pickReplica, pickVictim, rankVictims } from './replica-choice.js';
-import { UnknownStreams } from './unknown-streams.js';
 
 /** How long a permit lives without renewal, in milliseconds. */
 export const PERMIT_LIFETIME_MS = 4_000;
 const REVOKE_GRACE_MS = 300;
+/** A renewal that was sent before the grant arrived is taken in before this time has passed. */
+const GRANT_ARRIVED_MS = 700;
 /** Batch streams that cannot be stopped may hold at most this fraction of the places. */
 const FIXED_BATCH_MAX_FRACTION = 0.25;
+/** A stream has reached its replica by then, and the replica's reports count it. */
+const SETTLED_AFTER_MS = 300;
 const MAX_ORGANISATION_WAITS = 16;
 /** Stands for any organisation without requests in the pool. */
 const NEWCOMER = '';
@@ -132,8 +136,17 @@
     if (report.end === 'completed') this.learn(permit, replica, report, nowMs);
   }
 
-  /** Extends permits of a holder, and adopts permits that a former owner granted. */
-  renew(permits: readonly Permit[], nowMs: number): void {
+  /**
+   * Takes in all permits that a holder has: they are extended, and adopted when a former owner granted them. Others of
+   * the holder have ended without a release that arrived.
+   */
+  renew(holder: string, permits: readonly Permit[], nowMs: number): void {
+    const held = new Set(permits.map((permit) => permit.permitId));
+    this.permits
+      .all()
+      .filter((permit) => permit.request.holder === holder && !held.has(permit.permitId))
+      .filter((permit) => nowMs - permit.grantedAtMs >= GRANT_ARRIVED_MS)
+      .forEach((permit) => this.dropPermit(permit));
     permits.forEach((permit) => {
       const known = this.permits.get(permit.permitId);
       if (known) known.expiresAtMs = nowMs + PERMIT_LIFETIME_MS;
@@ -144,6 +157,11 @@
     });
   }
 
+  /** Instances that have permits here. */
+  holders(): string[] {
+    return [...new Set(this.permits.all().map((permit) => permit.request.holder))];
+  }
+
   /** Drops the waiting requests and the permits of a holder that is gone. */
   forgetHolder(holder: string): void {
     this.online.removeWhere((request) => request.holder === holder);
@@ -157,8 +175,16 @@
 
   /** Takes in what a replica says of itself. */
   observeLoad(report: ReplicaLoadReport, nowMs: number): void {
-    const permitted = this.permits.all().filter((permit) => permit.replicaId === report.replicaId).length;
-    this.replicas.get(report.replicaId)?.unknown.observe(report.running + report.waiting, permitted, nowMs);
+    const permits = this.permits.all().filter((permit) => permit.replicaId === report.replicaId);
+    const settled = permits.filter((permit) => nowMs - permit.grantedAtMs >= SETTLED_AFTER_MS);
+    this.replicas.get(report.replicaId)?.drift.observe(
+      {
+        reported: report.running + report.waiting,
+        permitted: permits.length,
+        settled: settled.length,
+      },
+      nowMs,
+    );
   }
 
   /** Notes that a replica refuses new work. */
@@ -186,7 +212,7 @@
    * organisation gets its share of the places: only its own queue and the weights count.
    */
   expectedWaitMs(organisation: string, nowMs: number): number {
-    const places = this.totalPlaces() - this.unknownStreams(nowMs);
+    const places = this.totalPlaces() - this.drift(nowMs);
     const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
     // Those that wait only for the next round get a free place, or that of a batch stream.
     if (onlineStreams + this.online.size + this.fixedBatchStreams() < places) return 0;
@@ -218,8 +244,11 @@
       .reduce((sum, replica) => sum + replica.limit.places, 0);
   }
 
-  private unknownStreams(nowMs: number): number {
-    return this.replicas.all().reduce((sum, replica) => sum + replica.unknown.count(nowMs), 0);
+  /** Streams without a permit less permits without a stream. */
+  private drift(nowMs: number): number {
+    return this.replicas
+      .all()
+      .reduce((sum, { drift }) => sum + drift.unknownStreams(nowMs) - drift.endedStreams(nowMs), 0);
   }
 
   /** Streams that hold a place at a replica, not counting those told to stop. */
@@ -229,7 +258,11 @@
   }
 
   private occupied(replica: PoolReplica, nowMs: number): number {
-    return this.inFlight(replica.replicaId, nowMs) + replica.unknown.count(nowMs);
+    const { drift, replicaId } = replica;
+    return Math.max(
+      0,
+      this.inFlight(replicaId, nowMs) + drift.unknownStreams(nowMs) - drift.endedStreams(nowMs),
+    );
   }
 
   /** Queue lengths and streams, for summaries and the dump. */
@@ -260,7 +293,8 @@
         replicaId: replica.replicaId,
         places: replica.limit.places,
         inFlight: this.inFlight(replica.replicaId, nowMs),
-        unknownStreams: replica.unknown.count(nowMs),
+        unknownStreams: replica.drift.unknownStreams(nowMs),
+        endedStreams: replica.drift.endedStreams(nowMs),
         leaving: replica.leaving,
         missedReports: replica.missedReports,
         open: replica.health.isOpen(nowMs),
@@ -283,7 +317,7 @@
       failureDomain: info.failureDomain,
       limit: new ConcurrencyLimit(info.maxConcurrency),
       health: new ReplicaHealth(),
-      unknown: new UnknownStreams(),
+      drift: new LoadDrift(),
       leaving: info.leaving,
       missedReports: 0,
     });
@@ -342,7 +376,7 @@
   private makeRoomForUnknown(nowMs: number): void {
     this.replicas
       .all()
-      .filter((replica) => replica.unknown.count(nowMs) > 0)
+      .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
       .forEach((replica) => {
         const excess = this.occupied(replica, nowMs) - replica.limit.places;
         const running = this.permits.all().filter((permit) => permit.replicaId === replica.replicaId);
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -3,8 +3,8 @@
 
 import type { ConcurrencyLimit, LatencyTargets } from './concurrency.js';
 import type { QueuedRequest } from './fair-queue.js';
+import type { LoadDrift } from './load-drift.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
-import type { UnknownStreams } from './unknown-streams.js';
 
 /** Online requests are served before batch items. */
 export const WorkClass = { online: 'online', batch: 'batch' } as const;
@@ -44,7 +44,7 @@
   readonly failureDomain: string;
   readonly limit: ConcurrencyLimit;
   readonly health: ReplicaHealth;
-  readonly unknown: UnknownStreams;
+  readonly drift: LoadDrift;
   leaving: boolean;
   /** Load reports in a row that did not come. */
   missedReports: number;
--- a/packages/entry/src/batch/invariants.test.ts
+++ b/packages/entry/src/batch/invariants.test.ts
@@ -120,6 +120,7 @@
       enqueuedAtMs: 0,
     };
     scheduler.renew(
+      'h',
       [{ permitId: 'owner/m@d/1', request, replicaId: 'r', grantedAtMs: 0, expiresAtMs: 0 }],
       0,
     );
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -49,6 +49,13 @@
   readonly request: AcquireBody;
 }
 
+/** All permits that a holder has in a pool. */
+export interface PermitRenewBody {
+  readonly poolId: string;
+  readonly holder: string;
+  readonly permits: readonly HeldPermit[];
+}
+
 /** Table state by bucket, in the order of bucket numbers. */
 export interface TableDigest {
   readonly revisions: readonly number[];
@@ -113,6 +120,7 @@
 
 /** Requests and their responses, by name. */
 export interface PeerRequests {
+  'permit.renew': { body: PermitRenewBody; answer: Record<string, never> };
   'permit.acquire': { body: AcquireBody; answer: { accepted: boolean } };
   'swim.ping': { body: PingBody; answer: PingBody };
   'swim.members': { body: Record<string, never>; answer: { members: readonly MemberUpdate[] } };
@@ -129,7 +137,6 @@
 export interface PeerNotices {
   'permit.withdraw': { poolId: string; requestId: string };
   'permit.release': PermitReleaseBody;
-  'permit.renew': { poolId: string; holder: string; permits: readonly HeldPermit[] };
   'permit.granted': GrantedBody;
   'permit.refused': { requestId: string; problem: Problem };
   'permit.revoked': { permitId: string };
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -152,6 +152,7 @@
     jobId: request.jobId,
     itemId: item.itemId,
     replicaId: place.replicaId,
+    permitId: place.permitId,
     resumeAfter: call.resumeAfter,
     events: listener.events,
     status: listener.status,
