--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -16,8 +16,6 @@
   loseAnswers: number;
   /** The next changes that are made this much later and never answered, in milliseconds; 0 for none. */
   lateMs: number;
-  /** Calls for which a watch answers that the history is gone. */
-  forgetHistory: number;
 }
 
 interface StoredItem {
@@ -48,14 +46,16 @@
   private readonly leases = new Map<number, NodeJS.Timeout>();
   private revision = 1;
   private nextLease = 1;
+  private forgottenUpTo = 0;
   calls = 0;
+  /** Watches that asked for changes which are forgotten. */
+  watchesTurnedAway = 0;
   readonly faults: PlatformStoreFaults = {
     down: false,
     silent: false,
     turnedAway: '',
     loseAnswers: 0,
     lateMs: 0,
-    forgetHistory: 0,
   };
 
   /** Starts the stand-in on a free port of the loopback interface. */
@@ -75,6 +75,11 @@
     this.apply({ deleteKeys: [key] });
   }
 
+  /** Discards all changes up to now. */
+  forgetHistory(): void {
+    this.forgottenUpTo = this.revision;
+  }
+
   /** The text of a key. */
   read(key: string): string | undefined {
     const item = this.items.get(key);
@@ -121,13 +126,13 @@
   }
 
   private async sendEvents(res: ServerResponse, url: URL): Promise<void> {
-    if (this.faults.forgetHistory > 0) {
-      this.faults.forgetHistory -= 1;
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    if (after < this.forgottenUpTo) {
+      this.watchesTurnedAway += 1;
       sendJsonBody(res, 410, {});
       return;
     }
-    const prefix = url.searchParams.get('prefix') ?? '';
-    const after = Number(url.searchParams.get('after'));
     const found = (): Logged[] =>
       this.history.filter((entry) => entry.revision > after && entry.key.startsWith(prefix));
     if (found().length === 0) await this.nextChange(Number(url.searchParams.get('waitMs')), prefix, after);
