Judge by the relays' silence whether an instance is cut off

Change: an entry is cut off when for a second no relay pushed its view and no reading of the store succeeded. In an outage of the store relays push on, so nobody counts as cut off then. Tests for the three cases.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -66,6 +66,8 @@
     private readonly acquireTimeoutMs: number,
     /** The baseline strategy: online requests never ask an owner. */
     private readonly alwaysDirect: boolean,
+    /** Whether asking owners would only cost time. */
+    private readonly isCutOff: () => boolean,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly random: () => number,
@@ -84,7 +86,7 @@
     const pools = this.candidatePools(wish);
     if (pools.length === 0)
       return fail(notRun('no_upstream', `no upstream serves ${wish.model} to ${wish.organisation}`, 1_000));
-    if (wish.workClass === 'online' && this.isAlone(pools)) return this.direct.acquire(wish);
+    if (wish.workClass === 'online' && this.isCutOff()) return this.direct.acquire(wish);
     let last: Problem = NOT_TAKEN;
     for (const poolId of pools) {
       const outcome = await this.acquireFromOwners(poolId, wish, signal);
@@ -96,11 +98,6 @@
     return fail(last);
   }
 
-  /** Whether asking the owners would only cost time. */
-  private isAlone(pools: readonly string[]): boolean {
-    return this.node.hearsNobody && !pools.some((poolId) => this.host.ownerOfPool(poolId) === this.selfId);
-  }
-
   /** Gives a place back. */
   release(place: Place, report: Omit<ReleaseReport, 'permitId'>): void {
     this.places.take(place.permitId);
--- a/packages/entry/src/life-cycle/entry-container.ts
+++ b/packages/entry/src/life-cycle/entry-container.ts
@@ -182,6 +182,7 @@
         get(Tokens.peerNode),
         get(Tokens.settings).peers.acquireTimeoutMs,
         isBaseline(get),
+        () => false,
         get(Tokens.clock),
         get(Tokens.metrics),
         Math.random,
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -46,8 +46,6 @@
 
 const MAX_WAITING_FRAMES = 1_000;
 const IDLE_LINK_MS = 10_000;
-/** Members probe and push several times a second. */
-const HEARS_NOBODY_AFTER_MS = 1_000;
 
 /** The listening port and the dialled connections of one instance. */
 export class PeerNode {
@@ -58,7 +56,6 @@
   private readonly noticeHandlers = new Map<string, (body: unknown) => void>();
   private server: Server | undefined;
   private nextCallId = 1;
-  private lastFrameMs: number | undefined;
   private closedTraffic: PeerTraffic = { bytesSent: 0, bytesReceived: 0 };
 
   constructor(
@@ -67,11 +64,6 @@
     private readonly onHandlerError: (error: unknown) => void,
   ) {}
 
-  /** Whether other instances were heard before and none of them is now. */
-  get hearsNobody(): boolean {
-    return this.lastFrameMs !== undefined && performance.now() - this.lastFrameMs >= HEARS_NOBODY_AFTER_MS;
-  }
-
   /** Registers the handler of a request. */
   onRequest<K extends PeerRequestName>(name: K, handler: RequestHandler<K>): void {
     this.requestHandlers.set(name, (body) => handler(body as PeerRequests[K]['body']));
@@ -220,16 +212,11 @@
   }
 
   private onAnswer(frame: Frame): void {
-    this.onAnyFrame();
+    this.metrics.count('peer_messages_received');
     if (frame.kind !== FrameKind.response || frame.callId === undefined) return;
     this.pending.get(frame.callId)?.finish(ok(frame.body));
   }
 
-  private onAnyFrame(): void {
-    this.metrics.count('peer_messages_received');
-    this.lastFrameMs = performance.now();
-  }
-
   private accept(socket: Socket): void {
     const connection = new PeerConnection(socket, false, this.options.instanceId, this.options.secret, {
       onReady: () => undefined,
@@ -251,7 +238,7 @@
   }
 
   private onIncoming(connection: PeerConnection, frame: Frame): void {
-    this.onAnyFrame();
+    this.metrics.count('peer_messages_received');
     if (frame.kind === FrameKind.notice) this.onNoticeFrame(frame);
     if (frame.kind === FrameKind.request) void this.onRequestFrame(connection, frame);
   }
--- /dev/null
+++ b/packages/serving/src/routing/view-keeper.test.ts
@@ -0,0 +1,83 @@
+import type { LineWriter } from '@fighub/core';
+import { DecisionLog, ManualClock, Metrics, fail, ok } from '@fighub/core';
+import { StoreErrorKind } from '@fighub/outside';
+import type { FleetViewBody, MembershipRunner, PeerNode } from '@fighub/peers';
+import { describe, expect, it } from 'vitest';
+
+import { BacklogView } from '../batch/backlog-view.js';
+import type { FleetSource } from './fleet-source.js';
+import { FleetView } from './fleet-view.js';
+import { ViewKeeper } from './view-keeper.js';
+
+const QUIET: LineWriter = { info: () => undefined, warn: () => undefined };
+const SELF = { instanceId: 'self', failureDomain: 'd', peerAddress: 'a:1', state: 'alive', incarnation: 1 };
+
+function setup() {
+  const clock = new ManualClock();
+  const metrics = new Metrics();
+  const store = { isUp: false };
+  const source: FleetSource = {
+    nextConfiguration: () => new Promise(() => undefined),
+    readDirectory: () =>
+      Promise.resolve(
+        store.isUp
+          ? ok({ revision: 1, replicas: [] })
+          : fail({ kind: StoreErrorKind.unavailable, detail: 'down' }),
+      ),
+  };
+  const handlers = new Map<string, (body: FleetViewBody) => void>();
+  const node = {
+    onNotice: (name: string, handler: (body: FleetViewBody) => void) => handlers.set(name, handler),
+    onRequest: () => undefined,
+  } as unknown as PeerNode;
+  const keeper = new ViewKeeper(
+    new FleetView(),
+    source,
+    node,
+    () => ({ owners: () => [] }) as unknown as MembershipRunner,
+    () => SELF as ReturnType<ConstructorParameters<typeof ViewKeeper>[4]>,
+    false,
+    clock,
+    metrics,
+    new DecisionLog(QUIET, clock, metrics),
+    new BacklogView(clock),
+  );
+  const push = (ageMs: number): void =>
+    handlers.get('view.pushed')?.({
+      configurationVersion: 0,
+      directory: { revision: 1, replicas: [] },
+      ageMs,
+    });
+  return { clock, keeper, push, store };
+}
+
+describe('ViewKeeper', () => {
+  it('is cut off when neither a relay nor the store is reached', () => {
+    const { clock, keeper, push } = setup();
+    expect(keeper.isCutOff).toBe(false);
+    push(100);
+    clock.advance(999);
+    expect(keeper.isCutOff).toBe(false);
+    clock.advance(1);
+    expect(keeper.isCutOff).toBe(true);
+  });
+
+  it('is not cut off in an outage of the store in which relays still push', () => {
+    const { clock, keeper, push } = setup();
+    push(100);
+    clock.advance(5_000);
+    push(5_100);
+    expect(keeper.isCutOff).toBe(false);
+  });
+
+  it('is not cut off while it reads the store itself', async () => {
+    const { clock, keeper, push, store } = setup();
+    push(100);
+    clock.advance(1_500);
+    store.isUp = true;
+    keeper.run(clock.monotonicMs());
+    await Promise.resolve();
+    await Promise.resolve();
+    expect(keeper.isCutOff).toBe(false);
+  });
+});
--- a/packages/serving/src/routing/view-keeper.ts
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -31,6 +31,8 @@
   private readonly directory = new ReplicaDirectory();
   private readAtMs = Number.NEGATIVE_INFINITY;
   private heardAtMs = Number.NEGATIVE_INFINITY;
+  /** When a relay pushed its view, however old that was. */
+  private pushedAtMs = Number.NEGATIVE_INFINITY;
   private nextPushMs = 0;
   private nextDirectoryMs = 0;
   private readingDirectory = false;
@@ -62,12 +64,10 @@
     return this.clock.monotonicMs() - Math.max(this.readAtMs, this.heardAtMs);
   }
 
-  /**
-   * Whether neither other instances nor the store are reached from here: callers are served better elsewhere. Not so
-   * the last instance that lives, which reaches the store.
-   */
+  /** Whether neither a relay nor the store is reached from here: callers are served better elsewhere. */
   get isCutOff(): boolean {
-    return this.node.hearsNobody && this.clock.monotonicMs() - this.readAtMs >= CUT_OFF_AFTER_MS;
+    const heardMs = Math.max(this.pushedAtMs, this.readAtMs);
+    return Number.isFinite(heardMs) && this.clock.monotonicMs() - heardMs >= CUT_OFF_AFTER_MS;
   }
 
   /** Whether this instance reads the store itself at present. */
@@ -203,6 +203,7 @@
   }
 
   private onPushed(body: FleetViewBody): void {
+    this.pushedAtMs = this.clock.monotonicMs();
     if (body.backlog) this.backlog.onPushed(body.backlog);
     this.takeConfiguration(body.configuration, 'relay');
     this.takeDirectory(body.directory, 'relay');
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -190,6 +190,7 @@
         get(Tokens.node),
         get(Tokens.settings).peers.acquireTimeoutMs,
         false,
+        () => get(Tokens.keeper).isCutOff,
         get(Tokens.clock),
         get(Tokens.metrics),
         Math.random,
