Read the directory at one relay, and ask the likely holder of a job before the store

Change: one relay, chosen by rendezvous, reads the directory and pushes each reading at once; the others read when they hear no view younger than 1.1 s. Each relay still watches the configuration. Readers ask the instance where acceptance places a job before they read its progress, and do not believe a holder that has fewer results than they have. Item bodies in memory are sent without a reading.

--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -89,6 +89,8 @@
 export interface JobResultsAnswer {
   readonly held: boolean;
   readonly itemCount: number;
+  /** Results in all. Fewer than a reader has seen: the holder is not the holder any more. */
+  readonly committedCount: number;
   readonly results: readonly StoredResult[];
 }
 
--- a/packages/serving/src/batch/input-cache.ts
+++ b/packages/serving/src/batch/input-cache.ts
@@ -9,20 +9,25 @@
 
 /** Reads and keeps the items of jobs. */
 export class InputCache {
-  private readonly kept = new Map<string, readonly StoredItem[]>();
+  private readonly jobs = new Map<string, readonly StoredItem[]>();
 
   constructor(private readonly store: RecordStore) {}
 
   put(jobId: string, items: readonly StoredItem[]): void {
-    this.kept.delete(jobId);
-    this.kept.set(jobId, items);
-    const oldest = this.kept.keys().next();
-    if (this.kept.size > MAX_KEPT_JOBS && !oldest.done) this.kept.delete(oldest.value);
+    this.jobs.delete(jobId);
+    this.jobs.set(jobId, items);
+    const oldest = this.jobs.keys().next();
+    if (this.jobs.size > MAX_KEPT_JOBS && !oldest.done) this.jobs.delete(oldest.value);
+  }
+
+  /** The items of a job if they are in memory. */
+  kept(jobId: string): readonly StoredItem[] | undefined {
+    return this.jobs.get(jobId);
   }
 
   /** The items of an accepted job. */
   async read(jobId: string, partCount: number): Promise<Outcome<readonly StoredItem[], StoreError>> {
-    const known = this.kept.get(jobId);
+    const known = this.jobs.get(jobId);
     if (known) return ok(known);
     const parts = await Promise.all(
       Array.from({ length: partCount }, (_, part) =>
--- /dev/null
+++ b/packages/serving/src/batch/job-reader.test.ts
@@ -0,0 +1,82 @@
+import type { JobProgress, LineWriter } from '@fighub/core';
+import { DecisionLog, Metrics, SystemClock, batchJobKeys, ok } from '@fighub/core';
+import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
+import type { JobResultsAnswer, MembershipRunner, PeerNode } from '@fighub/peers';
+import { describe, expect, it } from 'vitest';
+
+import { InputCache } from './input-cache.js';
+import { JobReader } from './job-reader.js';
+
+const QUIET: LineWriter = { info: () => undefined, warn: () => undefined };
+const HOLDER = { instanceId: 'holder', peerAddress: 'a:1', schedules: true };
+const NOT_HELD: JobResultsAnswer = { held: false, itemCount: 0, committedCount: 0, results: [] };
+const PROGRESS = {
+  jobId: 'j',
+  itemCount: 3,
+  holder: 'another',
+  inputPartCount: 1,
+  finishedIndexes: [0, 1],
+  segments: [{ key: batchJobKeys.segment('j', 1, 2), count: 2 }],
+  ended: false,
+} as unknown as JobProgress;
+
+function resultOf(itemId: string) {
+  return { itemId, succeeded: true, output: itemId };
+}
+
+function setup(answer: JobResultsAnswer) {
+  const store = new RecordStore(
+    new MemoryKeyValueService(),
+    { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 },
+    new SystemClock(),
+    new Metrics(),
+  );
+  const members = {
+    owners: () => [HOLDER],
+    membership: { get: () => HOLDER, isLive: () => true },
+  } as unknown as MembershipRunner;
+  const asked: string[] = [];
+  const node = {
+    request: (address: string) => {
+      asked.push(address);
+      return Promise.resolve(ok(answer));
+    },
+  } as unknown as PeerNode;
+  const metrics = new Metrics();
+  const reader = new JobReader(
+    () => 'self',
+    store,
+    new InputCache(store),
+    () => members,
+    node,
+    () => NOT_HELD,
+    () => undefined,
+    metrics,
+    new DecisionLog(QUIET, new SystemClock(), metrics),
+  );
+  return { store, reader, asked, metrics };
+}
+
+describe('JobReader', () => {
+  it('asks the instance that probably holds an unknown job before the store', async () => {
+    const answer = { held: true, itemCount: 3, committedCount: 1, results: [resultOf('a')] };
+    const { reader, asked } = setup(answer);
+    expect(await reader.results('j', 0)).toMatchObject({ ok: true, value: { nextPosition: 1 } });
+    expect(asked).toEqual(['a:1']);
+  });
+
+  it('does not believe a former holder that has fewer results than the reader', async () => {
+    const { store, reader } = setup({ held: true, itemCount: 3, committedCount: 0, results: [] });
+    await store.write(batchJobKeys.progress('j'), undefined, PROGRESS);
+    await store.write(batchJobKeys.segment('j', 1, 2), undefined, {
+      results: [resultOf('a'), resultOf('b')],
+    });
+    const page = await reader.results('j', 1);
+    expect(page).toMatchObject({ ok: true, value: { nextPosition: 2, results: [{ itemId: 'b' }] } });
+  });
+
+  it('knows a job that does not exist only from the store', async () => {
+    const { reader } = setup(NOT_HELD);
+    expect(await reader.results('j', 0)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
+  });
+});
--- a/packages/serving/src/batch/job-reader.ts
+++ b/packages/serving/src/batch/job-reader.ts
@@ -6,10 +6,11 @@
   Outcome,
   Problem,
   ResultSegment,
+  StoredItem,
   StoredResult,
 } from '@fighub/core';
 import { LogWeight, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
-import { committedResults, endJob, isClosed } from '@fighub/decisions';
+import { committedResults, endJob, isClosed, winnerOf } from '@fighub/decisions';
 import type { JobResultsAnswer, MembershipRunner, PeerNode } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
@@ -58,7 +59,8 @@
   /** Results from `afterPosition` on. */
   async results(jobId: string, afterPosition: number): Promise<Outcome<ResultPage, Problem>> {
     const fromHolder = await this.askHolder(jobId, afterPosition);
-    if (fromHolder?.held) return ok(toPage(fromHolder.itemCount, afterPosition, fromHolder.results));
+    if (fromHolder?.held && fromHolder.committedCount >= afterPosition)
+      return ok(toPage(fromHolder.itemCount, afterPosition, fromHolder.results));
     const progress = await this.progress(jobId);
     if (!progress.ok) return progress;
     return this.readSegments(progress.value, afterPosition);
@@ -66,15 +68,22 @@
 
   /** The body of an item, decoded. */
   async itemBody(jobId: string, itemId: string): Promise<Outcome<Buffer, Problem>> {
-    const progress = await this.progress(jobId);
-    if (!progress.ok) return progress;
-    const items = await this.inputs.read(jobId, progress.value.inputPartCount);
-    if (!items.ok) return fail(notRun('store_unavailable', items.error.detail, STORE_RETRY_MS));
+    const items = await this.items(jobId);
+    if (!items.ok) return items;
     const item = items.value.find((candidate) => candidate.itemId === itemId);
     if (!item) return fail(notRun('not_found', `job ${jobId} has no item ${itemId}`));
     return ok(Buffer.from(item.bodyBase64, 'base64'));
   }
 
+  private async items(jobId: string): Promise<Outcome<readonly StoredItem[], Problem>> {
+    const kept = this.inputs.kept(jobId);
+    if (kept) return ok(kept);
+    const progress = await this.progress(jobId);
+    if (!progress.ok) return progress;
+    const items = await this.inputs.read(jobId, progress.value.inputPartCount);
+    return items.ok ? items : fail(notRun('store_unavailable', items.error.detail, STORE_RETRY_MS));
+  }
+
   /** Ends a job. Ending it twice is the same as once. */
   async end(jobId: string, triesLeft = END_TRIES): Promise<Outcome<void, Problem>> {
     const record = await this.store.read<JobProgress>(batchJobKeys.progress(jobId));
@@ -102,15 +111,25 @@
     const own = this.local(jobId, afterPosition);
     if (own.held) return own;
     const known = this.known.get(jobId);
-    if (!known || known.closed || known.holder === this.selfId()) return undefined;
-    const member = this.members().membership.get(known.holder);
-    if (!member || !this.members().membership.isLive(known.holder)) return undefined;
+    const holder = known?.holder ?? this.likelyHolder(jobId);
+    if (known?.closed || holder === undefined || holder === this.selfId()) return undefined;
+    const member = this.members().membership.get(holder);
+    if (!member || !this.members().membership.isLive(holder)) return undefined;
     const body = { jobId, afterPosition };
     const answer = await this.node.request(member.peerAddress, 'job.results', body, HOLDER_TIMEOUT_MS);
     if (!answer.ok) this.metrics.count('job_holders_not_answering');
     return answer.ok ? answer.value : undefined;
   }
 
+  /** Where acceptance places the job unless members have come or gone since; asking there saves a call to the store. */
+  private likelyHolder(jobId: string): string | undefined {
+    const candidates = this.members()
+      .owners()
+      .filter((member) => member.schedules !== false)
+      .map((member) => member.instanceId);
+    return winnerOf(jobId, candidates);
+  }
+
   private async progress(jobId: string): Promise<Outcome<JobProgress, Problem>> {
     const closed = this.known.get(jobId)?.closed;
     if (closed) return ok(closed);
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -39,7 +39,7 @@
 /** Epoch of a job that no other instance has held. */
 const FIRST_EPOCH = 1;
 
-const NOT_HELD: JobResultsAnswer = { held: false, itemCount: 0, results: [] };
+const NOT_HELD: JobResultsAnswer = { held: false, itemCount: 0, committedCount: 0, results: [] };
 
 /** Claims jobs and runs those that are held. */
 export class JobRunner implements System {
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -103,6 +103,7 @@
     return {
       held: true,
       itemCount: this.record.value.itemCount,
+      committedCount: this.committed.length,
       results: this.committed.slice(afterPosition),
     };
   }
--- a/packages/serving/src/routing/view-keeper.test.ts
+++ b/packages/serving/src/routing/view-keeper.test.ts
@@ -12,7 +12,11 @@
 const QUIET: LineWriter = { info: () => undefined, warn: () => undefined };
 const SELF = { instanceId: 'self', failureDomain: 'd', peerAddress: 'a:1', state: 'alive', incarnation: 1 };
 
-function setup() {
+function memberOf(instanceId: string) {
+  return { instanceId, failureDomain: 'd', peerAddress: instanceId, schedules: true };
+}
+
+function setup(isRelay = false, memberIds: readonly string[] = [], selfId = 'self') {
   const clock = new ManualClock();
   const metrics = new Metrics();
   const store = { isUp: false };
@@ -29,14 +33,15 @@
   const node = {
     onNotice: (name: string, handler: (body: FleetViewBody) => void) => handlers.set(name, handler),
     onRequest: () => undefined,
+    notify: () => true,
   } as unknown as PeerNode;
   const keeper = new ViewKeeper(
     new FleetView(),
     source,
     node,
-    () => ({ owners: () => [] }) as unknown as MembershipRunner,
-    () => SELF as ReturnType<ConstructorParameters<typeof ViewKeeper>[4]>,
-    false,
+    () => ({ owners: () => memberIds.map(memberOf) }) as unknown as MembershipRunner,
+    () => ({ ...SELF, instanceId: selfId }) as ReturnType<ConstructorParameters<typeof ViewKeeper>[4]>,
+    isRelay,
     clock,
     metrics,
     new DecisionLog(QUIET, clock, metrics),
@@ -80,4 +85,13 @@
     await Promise.resolve();
     expect(keeper.isCutOff).toBe(false);
   });
+
+  it('reads the directory at one of the relays, and at all that hear no fresh view', () => {
+    const relays = ['a', 'b', 'c', 'd', 'e'];
+    const keepers = relays.map((selfId) => setup(true, relays, selfId));
+    keepers.forEach(({ push }) => push(100));
+    expect(keepers.filter(({ keeper }) => keeper.reads)).toHaveLength(1);
+    keepers.forEach(({ clock }) => clock.advance(1_001));
+    expect(keepers.filter(({ keeper }) => keeper.reads)).toHaveLength(5);
+  });
 });
--- a/packages/serving/src/routing/view-keeper.ts
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -6,7 +6,7 @@
 import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
 import { LogWeight, sleep } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
-import { ReplicaDirectory } from '@fighub/decisions';
+import { ReplicaDirectory, winnerOf } from '@fighub/decisions';
 import type { FleetViewBody, MembershipRunner, PeerNode, PiggybackSource, TableDigest } from '@fighub/peers';
 
 import type { BacklogView } from '../batch/backlog-view.js';
@@ -16,14 +16,18 @@
 /** Periods, in milliseconds. The platform wants changes in force within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
 const CONFIGURATION_WAIT_MS = 2_000;
-const PUSH_PERIOD_MS = 400;
+/** Every reading is pushed at once; without one, relays show this often that they are there. */
+const PUSH_PERIOD_MS = 600;
 /** A view whose last reading is older than this is not fresh. */
-const FRESH_MS = 1_300;
+const FRESH_MS = 1_100;
 const FAILURE_PAUSE_MS = 250;
 /** Longer than a round of reading takes while the store is slow. */
 const CUT_OFF_AFTER_MS = 1_000;
 const FETCH_TIMEOUT_MS = 600;
 
+/** Names the reader's role where its holder is chosen. */
+const READER = 'directory reader';
+
 /** Reads, pushes and takes in views. */
 export class ViewKeeper implements System, PiggybackSource {
   readonly name = 'view keeper';
@@ -70,14 +74,15 @@
     return Number.isFinite(heardMs) && this.clock.monotonicMs() - heardMs >= CUT_OFF_AFTER_MS;
   }
 
-  /** Whether this instance reads the store itself at present. */
+  /** Whether this instance reads the directory from the store itself at present. */
   get reads(): boolean {
-    return this.isRelay || this.clock.monotonicMs() - this.heardAtMs > FRESH_MS;
+    return this.isReader || !this.hearsFreshViews;
   }
 
   run(nowMs: number): void {
     if (this.stopped) return;
-    if (this.reads) this.startReading(nowMs);
+    if (this.isRelay || !this.hearsFreshViews) this.startConfiguration();
+    if (this.reads) this.startDirectory(nowMs);
     if (this.isRelay && nowMs >= this.nextPushMs) this.push(nowMs);
   }
 
@@ -107,8 +112,25 @@
     };
   }
 
-  private startReading(nowMs: number): void {
+  /** One relay reads the directory for all; each relay watches the configuration, since a watch may be cut. */
+  private get isReader(): boolean {
+    if (!this.isRelay) return false;
+    const relays = this.members()
+      .owners()
+      .filter((member) => member.schedules !== false)
+      .map((member) => member.instanceId);
+    return (winnerOf(READER, relays) ?? this.self().instanceId) === this.self().instanceId;
+  }
+
+  private get hearsFreshViews(): boolean {
+    return this.clock.monotonicMs() - this.heardAtMs <= FRESH_MS;
+  }
+
+  private startConfiguration(): void {
     if (!this.readingConfiguration) void this.readConfiguration();
+  }
+
+  private startDirectory(nowMs: number): void {
     if (this.readingDirectory || nowMs < this.nextDirectoryMs) return;
     this.nextDirectoryMs = nowMs + DIRECTORY_PERIOD_MS;
     void this.readDirectory();
@@ -137,6 +159,7 @@
       return;
     }
     this.readAtMs = askedAtMs;
+    this.nextPushMs = 0;
     this.directory.apply(reading.value, this.clock.monotonicMs());
     this.takeDirectory(this.directory.snapshot, 'store');
   }
@@ -175,10 +198,11 @@
     this.receivers().forEach((member) => this.node.notify(member.peerAddress, 'view.pushed', body));
   }
 
-  /** Instances of the own failure domain and of domains that have no relay, and all other relays. */
+  /** Instances of the own failure domain and of domains that have no relay; from a reader all other relays too. */
   private receivers(): readonly MemberUpdate[] {
     const self = this.self();
     const owners = this.members().owners();
+    const isReading = this.reads;
     const withRelay = new Set(
       owners.filter((member) => member.schedules !== false).map((member) => member.failureDomain),
     );
@@ -186,7 +210,7 @@
       .filter((member) => member.instanceId !== self.instanceId)
       .filter(
         (member) =>
-          member.schedules !== false ||
+          (isReading && member.schedules !== false) ||
           member.failureDomain === self.failureDomain ||
           !withRelay.has(member.failureDomain),
       );
@@ -211,7 +235,9 @@
     const isCurrent = body.configurationVersion <= this.view.configurationVersion;
     const isNewest = body.directory.revision >= this.view.replicas.revision;
     if (isCurrent && isNewest) {
-      this.heardAtMs = Math.max(this.heardAtMs, this.clock.monotonicMs() - body.ageMs);
+      const readAtMs = this.clock.monotonicMs() - body.ageMs;
+      if (readAtMs > this.heardAtMs) this.nextPushMs = 0;
+      this.heardAtMs = Math.max(this.heardAtMs, readAtMs);
     }
   }
 
