--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -32,6 +32,8 @@
 }
 
 const CHECK_TIMEOUT_MS = 300;
+/** At most one line of this period tells why a pool refuses, in milliseconds. */
+const REFUSAL_LINE_PERIOD_MS = 1_000;
 const LOAD_PERIOD_MS = 1_000;
 /** Pools without streams are looked at this many times more rarely. */
 const IDLE_LOAD_FACTOR = 3;
@@ -50,6 +52,7 @@
   private readonly revokedAtMs = new Map<string, number>();
   private localHolder: LocalHolder | undefined;
   private nextLoadMs = 0;
+  private nextRefusalLineMs = 0;
   private loadRound = 0;
   private schedulersBuilt = 0;
   private nextSyncMs = 0;
@@ -312,7 +315,10 @@
   private outputOf(description: PoolDescription): PoolOutput {
     return {
       granted: (permit, replica) => this.sendGrant(description, permit, replica),
-      refused: (request, problem) => this.sendRefusal(request, problem),
+      refused: (request, problem) => {
+        this.sendRefusal(request, problem);
+        this.logRefusing(description.poolId);
+      },
       revoked: (permit) => this.sendRevocation(permit),
     };
   }
@@ -351,6 +357,15 @@
     );
   }
 
+  /** What the refusals of this second rest on: refused requests are logged where they arrived. */
+  private logRefusing(poolId: string): void {
+    const nowMs = this.clock.monotonicMs();
+    if (nowMs < this.nextRefusalLineMs) return;
+    this.nextRefusalLineMs = nowMs + REFUSAL_LINE_PERIOD_MS;
+    const pool = this.pools.get(poolId);
+    if (pool) this.log?.record(LogWeight.failure, 'pool_refuses', pool.describe(nowMs));
+  }
+
   private sendRevocation(permit: Permit): void {
     this.metrics.count('permits_revoked');
     this.revokedAtMs.set(permit.permitId, this.clock.monotonicMs());
--- a/packages/cli/src/bin/fighub-trace.ts
+++ b/packages/cli/src/bin/fighub-trace.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
-/** Prints the story of one request, item or job from log files. */
+/** Prints the story of one request, item or job from log files, or the streams at each replica over time. */
 import { readFileSync } from 'node:fs';
 
 import meow from 'meow';
 
 import { ExitCode, failWith, print } from '../command.js';
-import { formatLine, traceOf } from '../trace.js';
+import { formatOccupancy, occupancyOf } from '../occupancy.js';
+import { formatLine, parseLines, traceOf } from '../trace.js';
 
 const STANDARD_INPUT = 0;
 
@@ -15,9 +16,12 @@
 
   Usage
     $ fighub-trace <id> [file...]
+    $ fighub-trace --occupancy [file...]
 
   Options
-    --json  Print the lines as JSON
+    --json       Print the lines as JSON
+    --occupancy  Print the streams at each replica over time, and who granted their places
+    --step-ms    Time between two lines of --occupancy; 500 by default
 
   Without files the logs are read from standard input.
 
@@ -26,23 +30,54 @@
 
   Exit codes: 0 done, 1 no line has the id, 2 wrong usage
 `,
-  { importMeta: import.meta, flags: { json: { type: 'boolean', default: false } } },
+  {
+    importMeta: import.meta,
+    flags: {
+      json: { type: 'boolean', default: false },
+      occupancy: { type: 'boolean', default: false },
+      stepMs: { type: 'number', default: 500 },
+    },
+  },
 );
 
 function readLines(file: string | number): string[] {
   return readFileSync(file, 'utf8').split('\n');
 }
 
-const [id, ...files] = cli.input;
-if (id === undefined) failWith(ExitCode.usage, 'give the id of a request, an item or a job');
-else {
-  try {
-    const lines = files.length > 0 ? files.flatMap(readLines) : readLines(STANDARD_INPUT);
-    const trace = traceOf(id, lines);
-    const firstUnixMs = trace[0]?.timeUnixMs ?? 0;
-    trace.forEach((line) => print(cli.flags.json ? JSON.stringify(line) : formatLine(line, firstUnixMs)));
-    if (trace.length === 0) failWith(ExitCode.failed, `no line has the id ${id}`);
-  } catch (error) {
-    failWith(ExitCode.usage, (error as Error).message);
+function linesOf(files: readonly string[]): string[] {
+  return files.length > 0 ? files.flatMap(readLines) : readLines(STANDARD_INPUT);
+}
+
+function printTrace(id: string, files: readonly string[]): void {
+  const trace = traceOf(id, linesOf(files));
+  const firstUnixMs = trace[0]?.timeUnixMs ?? 0;
+  trace.forEach((line) => print(cli.flags.json ? JSON.stringify(line) : formatLine(line, firstUnixMs)));
+  if (trace.length === 0) failWith(ExitCode.failed, `no line has the id ${id}`);
+}
+
+function printOccupancy(files: readonly string[]): void {
+  const { steps, linesLeftOut } = occupancyOf(parseLines(linesOf(files)), cli.flags.stepMs);
+  const firstUnixMs = steps[0]?.timeUnixMs ?? 0;
+  steps.forEach((step) => print(formatOccupancy(step, firstUnixMs)));
+  if (steps.length === 0) failWith(ExitCode.failed, 'no line tells of a stream');
+  if (linesLeftOut > 0) {
+    print(`${String(linesLeftOut)} lines were left out by the processes: there were more streams than shown`);
   }
 }
+
+function run(): void {
+  if (cli.flags.occupancy) {
+    if (cli.flags.stepMs > 0) printOccupancy(cli.input);
+    else failWith(ExitCode.usage, '--step-ms must be above 0');
+    return;
+  }
+  const [id, ...files] = cli.input;
+  if (id === undefined) failWith(ExitCode.usage, 'give the id of a request, an item or a job');
+  else printTrace(id, files);
+}
+
+try {
+  run();
+} catch (error) {
+  failWith(ExitCode.usage, (error as Error).message);
+}
--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -12,12 +12,16 @@
 
 /** The lines in which a field is `id`, in order of time. Lines that are not JSON objects are passed over. */
 export function traceOf(id: string, lines: readonly string[]): TraceLine[] {
-  return lines
-    .flatMap((line) => parseLine(line))
+  return parseLines(lines)
     .filter((line) => Object.values(line.fields).includes(id))
     .sort((a, b) => a.timeUnixMs - b.timeUnixMs);
 }
 
+/** The lines that are log lines; others are passed over. */
+export function parseLines(lines: readonly string[]): TraceLine[] {
+  return lines.flatMap((line) => parseLine(line));
+}
+
 /** One line of text for people. */
 export function formatLine(line: TraceLine, firstUnixMs: number): string {
   const at = `+${String(line.timeUnixMs - firstUnixMs)} ms`.padStart(10);
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -281,14 +281,11 @@
     };
   }
 
-  /** Full state for the dump. */
-  dump(nowMs: number): Record<string, unknown> {
+  /** Load and replicas, without the permits. */
+  describe(nowMs: number): Record<string, unknown> {
     return {
       ...this.load(nowMs),
-      meanStreamMs: this.meanStreamMs,
-      onlineByOrganisation: this.online.depths(),
-      quarantine: this.quarantine.dump(),
-      batchByOrganisation: this.batch.depths(),
+      meanStreamMs: Math.round(this.meanStreamMs),
       replicas: this.replicas.all().map((replica) => ({
         replicaId: replica.replicaId,
         places: replica.limit.places,
@@ -300,6 +297,16 @@
         open: replica.health.isOpen(nowMs),
         onProbation: replica.health.onProbation,
       })),
+    };
+  }
+
+  /** Full state for the dump. */
+  dump(nowMs: number): Record<string, unknown> {
+    return {
+      ...this.describe(nowMs),
+      onlineByOrganisation: this.online.depths(),
+      quarantine: this.quarantine.dump(),
+      batchByOrganisation: this.batch.depths(),
       permits: this.permits.all(),
     };
   }
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -229,6 +229,7 @@
       heldMs: Math.round(sentAtMs - this.request.arrivedAtMs),
       firstEventMs: firstTokenMs === undefined ? undefined : Math.round(firstTokenMs),
       events: attempt.events,
+      ranMs: Math.round(this.parts.clock.monotonicMs() - sentAtMs),
       directoryRevision: this.parts.view.replicas.revision,
       configurationVersion: this.parts.view.configurationVersion,
     });
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -84,7 +84,12 @@
     await this.startSystems();
     const log = container.get(Tokens.log);
     const { failureDomain, coordinates } = settings;
-    log.record(LogWeight.state, 'instance_started', { instanceId, failureDomain, coordinates });
+    log.record(LogWeight.state, 'instance_started', {
+      instanceId,
+      failureDomain,
+      coordinates,
+      startUpMs: Math.round(performance.now()),
+    });
     return {
       instanceId,
       parts: this.parts(),
