--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -1,7 +1,8 @@
 import type { Problem } from '@fighub/core';
 import { describe, expect, it } from 'vitest';
 
-import { PERMIT_LIFETIME_MS, PoolScheduler } from './pool-scheduler.js';
+import { PERMIT_LIFETIME_MS } from './pool-places.js';
+import { PoolScheduler } from './pool-scheduler.js';
 import type { Permit, PlaceRequest, PoolOutput, PoolPolicy } from './pool-types.js';
 
 class Recorder implements PoolOutput {
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -1,12 +1,11 @@
 /** Admission to one pool: the replicas of one model in one failure domain. */
-import type { Problem } from '@fighub/core';
-import { EntityTable, InvariantName, checkInvariant, notRun } from '@fighub/core';
+import type { EntityTable, Problem } from '@fighub/core';
+import { notRun } from '@fighub/core';
 
 import { BurstReserve } from './burst-reserve.js';
-import { ConcurrencyLimit } from './concurrency.js';
 import { FairQueue } from './fair-queue.js';
-import { LoadDrift } from './load-drift.js';
 import { OrganisationLimits } from './organisation-limits.js';
+import { PERMIT_LIFETIME_MS, PoolPlaces } from './pool-places.js';
 import type {
   OrganisationWait,
   Permit,
@@ -22,18 +21,11 @@
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
 import { Quarantine } from './quarantine.js';
-import { ReplicaHealth } from './replica-health.js';
 import { hasReported, pickReplica, pickVictim, rankVictims } from './replica-choice.js';
 
-/** How long a permit lives without renewal, in milliseconds. */
-export const PERMIT_LIFETIME_MS = 4_000;
 const REVOKE_GRACE_MS = 300;
-/** A renewal that was sent before the grant arrived is taken in before this time has passed. */
-const GRANT_ARRIVED_MS = 700;
 /** Batch streams that cannot be stopped may hold at most this fraction of the places. */
 const FIXED_BATCH_MAX_FRACTION = 0.25;
-/** A stream has reached its replica by then, and the replica's reports count it. */
-const SETTLED_AFTER_MS = 300;
 const MAX_ORGANISATION_WAITS = 16;
 /** Stands for any organisation without requests in the pool. */
 const NEWCOMER = '';
@@ -44,13 +36,12 @@
 
 /** Queues requests and grants permits. Pure: time is passed in, decisions go to `PoolOutput`. */
 export class PoolScheduler {
-  readonly replicas = new EntityTable<PoolReplica>();
-  readonly permits = new EntityTable<Permit>();
   readonly prefixes = new PrefixIndex();
   private readonly online = new FairQueue<PlaceRequest>();
   private readonly batch = new FairQueue<PlaceRequest>();
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
+  private readonly places = new PoolPlaces(this.limits);
   private readonly quarantine = new Quarantine();
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
@@ -62,6 +53,14 @@
     private readonly output: PoolOutput,
   ) {}
 
+  get replicas(): EntityTable<PoolReplica> {
+    return this.places.replicas;
+  }
+
+  get permits(): EntityTable<Permit> {
+    return this.places.permits;
+  }
+
   /** Replaces the policy after a change of the table. */
   setPolicy(policy: PoolPolicy): void {
     this.policy = policy;
@@ -69,12 +68,7 @@
 
   /** Brings the replicas in line with the table and the instance list. */
   setReplicas(infos: readonly ReplicaInfo[]): void {
-    const wanted = new Set(infos.map((info) => info.replicaId));
-    this.replicas
-      .ids()
-      .filter((id) => !wanted.has(id))
-      .forEach((id) => this.replicas.take(id));
-    infos.forEach((info) => this.setReplica(info));
+    this.places.setReplicas(infos);
   }
 
   /** Adds a request to its queue, or refuses it when its deadline cannot be met. */
@@ -124,10 +118,9 @@
 
   /** Ends a permit and takes in what its stream measured. */
   release(report: ReleaseReport, nowMs: number): void {
-    const permit = this.permits.take(report.permitId);
+    const permit = this.places.take(report.permitId);
     if (!permit) return;
     this.quarantine.onRelease(permit.request.requestId);
-    this.limits.onRelease(permit.request.organisation);
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correct(permit.request.organisation, report.tokens - permit.request.costTokens);
     const replica = this.replicas.get(permit.replicaId);
@@ -136,30 +129,14 @@
     if (report.end === 'completed') this.learn(permit, replica, report, nowMs);
   }
 
-  /**
-   * Takes in all permits that a holder has: they are extended, and adopted when a former owner granted them. Others of
-   * the holder have ended without a release that arrived.
-   */
+  /** Takes in all permits that a holder has. */
   renew(holder: string, permits: readonly Permit[], nowMs: number): void {
-    const held = new Set(permits.map((permit) => permit.permitId));
-    this.permits
-      .all()
-      .filter((permit) => permit.request.holder === holder && !held.has(permit.permitId))
-      .filter((permit) => nowMs - permit.grantedAtMs >= GRANT_ARRIVED_MS)
-      .forEach((permit) => this.dropPermit(permit));
-    permits.forEach((permit) => {
-      const known = this.permits.get(permit.permitId);
-      if (known) known.expiresAtMs = nowMs + PERMIT_LIFETIME_MS;
-      else {
-        this.limits.onGrant(permit.request.organisation);
-        this.permits.set(permit.permitId, { ...permit, expiresAtMs: nowMs + PERMIT_LIFETIME_MS });
-      }
-    });
+    this.places.renew(holder, permits, nowMs);
   }
 
   /** Instances that have permits here. */
   holders(): string[] {
-    return [...new Set(this.permits.all().map((permit) => permit.request.holder))];
+    return this.places.holders();
   }
 
   /** Drops the waiting requests and the permits of a holder that is gone. */
@@ -167,24 +144,12 @@
     this.online.removeWhere((request) => request.holder === holder);
     this.batch.removeWhere((request) => request.holder === holder);
     this.quarantine.removeHolder(holder);
-    this.permits
-      .all()
-      .filter((permit) => permit.request.holder === holder)
-      .forEach((permit) => this.dropPermit(permit));
+    this.places.dropHolder(holder);
   }
 
   /** Takes in what a replica says of itself. */
   observeLoad(report: ReplicaLoadReport, nowMs: number): void {
-    const permits = this.permits.all().filter((permit) => permit.replicaId === report.replicaId);
-    const settled = permits.filter((permit) => nowMs - permit.grantedAtMs >= SETTLED_AFTER_MS);
-    this.replicas.get(report.replicaId)?.drift.observe(
-      {
-        reported: report.running + report.waiting,
-        permitted: permits.length,
-        settled: settled.length,
-      },
-      nowMs,
-    );
+    this.places.observeLoad(report, nowMs);
   }
 
   /** Notes that a replica refuses new work. */
@@ -195,10 +160,7 @@
 
   /** Runs one round of decisions. */
   run(nowMs: number): void {
-    this.permits
-      .all()
-      .filter((permit) => permit.expiresAtMs <= nowMs)
-      .forEach((permit) => this.dropPermit(permit));
+    this.places.dropExpired(nowMs);
     this.refuseLate(nowMs);
     if (!this.hasUsableReplica(nowMs)) this.refuseAll();
     this.runQuarantine(nowMs);
@@ -212,10 +174,10 @@
    * organisation gets its share of the places: only its own queue and the weights count.
    */
   expectedWaitMs(organisation: string, nowMs: number): number {
-    const places = this.totalPlaces() - this.drift(nowMs);
-    const onlineStreams = this.permits.all().filter((p) => p.request.workClass === WorkClass.online).length;
+    const places = this.places.total() - this.places.drift(nowMs);
+    const onlineStreams = this.places.streamsOf(WorkClass.online);
     // Those that wait only for the next round get a free place, or that of a batch stream.
-    if (onlineStreams + this.online.size + this.fixedBatchStreams() < places) return 0;
+    if (onlineStreams + this.online.size + this.places.fixedBatchStreams() < places) return 0;
     const slotMs = this.meanStreamMs / Math.max(1, places);
     const weight = this.policy.weightOf(organisation);
     const share = weight / (weight + this.online.otherActiveWeight(organisation));
@@ -236,48 +198,18 @@
       }));
   }
 
-  /** Places of all replicas that may get work. */
-  totalPlaces(): number {
-    return this.replicas
-      .all()
-      .filter((replica) => !replica.leaving)
-      .reduce((sum, replica) => sum + replica.limit.places, 0);
-  }
-
-  /** Streams without a permit less permits without a stream. */
-  private drift(nowMs: number): number {
-    return this.replicas
-      .all()
-      .reduce((sum, { drift }) => sum + drift.unknownStreams(nowMs) - drift.endedStreams(nowMs), 0);
-  }
-
-  /** Streams that hold a place at a replica, not counting those told to stop. */
-  inFlight(replicaId: string, nowMs: number): number {
-    return this.permits.all().filter((permit) => permit.replicaId === replicaId && !isFreed(permit, nowMs))
-      .length;
-  }
-
-  private occupied(replica: PoolReplica, nowMs: number): number {
-    const { drift, replicaId } = replica;
-    return Math.max(
-      0,
-      this.inFlight(replicaId, nowMs) + drift.unknownStreams(nowMs) - drift.endedStreams(nowMs),
-    );
-  }
-
   /** Queue lengths and streams, for summaries and the dump. */
   load(nowMs: number): PoolLoad {
-    const permits = this.permits.all();
     return {
       poolId: this.poolId,
-      places: this.totalPlaces(),
-      onlineStreams: permits.filter((p) => p.request.workClass === WorkClass.online).length,
-      batchStreams: permits.filter((p) => p.request.workClass === WorkClass.batch).length,
+      places: this.places.total(),
+      onlineStreams: this.places.streamsOf(WorkClass.online),
+      batchStreams: this.places.streamsOf(WorkClass.batch),
       onlineWaiting: this.online.size,
       batchWaiting: this.batch.size + this.quarantine.size,
       newcomerWaitMs: this.expectedWaitMs(NEWCOMER, nowMs),
       organisationWaits: this.organisationWaits(nowMs),
-      reservedPlaces: this.reserve.places(this.totalPlaces(), this.policy.reserveMaxFraction, nowMs),
+      reservedPlaces: this.reserve.places(this.places.total(), this.policy.reserveMaxFraction, nowMs),
     };
   }
 
@@ -286,17 +218,7 @@
     return {
       ...this.load(nowMs),
       meanStreamMs: Math.round(this.meanStreamMs),
-      replicas: this.replicas.all().map((replica) => ({
-        replicaId: replica.replicaId,
-        places: replica.limit.places,
-        inFlight: this.inFlight(replica.replicaId, nowMs),
-        unknownStreams: replica.drift.unknownStreams(nowMs),
-        endedStreams: replica.drift.endedStreams(nowMs),
-        leaving: replica.leaving,
-        missedReports: replica.missedReports,
-        open: replica.health.isOpen(nowMs),
-        onProbation: replica.health.onProbation,
-      })),
+      replicas: this.places.describe(nowMs),
     };
   }
 
@@ -311,25 +233,6 @@
     };
   }
 
-  private setReplica(info: ReplicaInfo): void {
-    const known = this.replicas.get(info.replicaId);
-    if (known?.address === info.address) {
-      known.limit.setMaximum(info.maxConcurrency);
-      known.leaving = info.leaving;
-      return;
-    }
-    this.replicas.set(info.replicaId, {
-      replicaId: info.replicaId,
-      address: info.address,
-      failureDomain: info.failureDomain,
-      limit: new ConcurrencyLimit(info.maxConcurrency),
-      health: new ReplicaHealth(),
-      drift: new LoadDrift(),
-      leaving: info.leaving,
-      missedReports: 0,
-    });
-  }
-
   private learn(permit: Permit, replica: PoolReplica, report: ReleaseReport, nowMs: number): void {
     const streamMs = nowMs - permit.grantedAtMs;
     if (permit.request.workClass === WorkClass.online) {
@@ -337,7 +240,12 @@
     }
     if (report.firstTokenMs === undefined || report.betweenTokensMs === undefined) return;
     const measured = { firstTokenMs: report.firstTokenMs, betweenTokensMs: report.betweenTokensMs };
-    replica.limit.observe(measured, this.policy.targets, this.inFlight(replica.replicaId, nowMs), nowMs);
+    replica.limit.observe(
+      measured,
+      this.policy.targets,
+      this.places.inFlight(replica.replicaId, nowMs),
+      nowMs,
+    );
   }
 
   /** Whether any replica may get work, now or as soon as its pause ends. */
@@ -362,7 +270,7 @@
   /** Empties one replica for a suspect and runs it there with nothing beside it. */
   private runQuarantine(nowMs: number): void {
     const usable = this.replicas.all().filter((replica) => !replica.leaving && replica.health.isOpen(nowMs));
-    const step = this.quarantine.step(usable, (id) => this.inFlight(id, nowMs), nowMs);
+    const step = this.quarantine.step(usable, (id) => this.places.inFlight(id, nowMs), nowMs);
     if (!step) return;
     if (step.grant) this.grant(step.grant, step.replica, nowMs);
     else this.stopBatchAt(step.replica.replicaId, nowMs);
@@ -385,9 +293,8 @@
       .all()
       .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
       .forEach((replica) => {
-        const excess = this.occupied(replica, nowMs) - replica.limit.places;
-        const running = this.permits.all().filter((permit) => permit.replicaId === replica.replicaId);
-        rankVictims(running)
+        const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
+        rankVictims(this.places.permitsAt(replica.replicaId))
           .slice(0, Math.max(0, excess))
           .forEach((permit) => this.revoke(permit, nowMs));
       });
@@ -426,11 +333,11 @@
   }
 
   private grantBatch(nowMs: number): void {
-    if (this.online.size > 0 && this.totalFree(nowMs) <= 0) return;
+    if (this.online.size > 0 && this.places.free(this.quarantine.replicaId, nowMs) <= 0) return;
     repeatWhile(() => {
       const spare =
-        this.totalFree(nowMs) -
-        this.reserve.places(this.totalPlaces(), this.policy.reserveMaxFraction, nowMs);
+        this.places.free(this.quarantine.replicaId, nowMs) -
+        this.reserve.places(this.places.total(), this.policy.reserveMaxFraction, nowMs);
       if (spare <= 0) return false;
       const request = this.batch.takeNext(
         (candidate) =>
@@ -446,18 +353,18 @@
   }
 
   private fixedBatchFits(): boolean {
-    return this.fixedBatchStreams() + 1 <= Math.max(1, this.totalPlaces() * FIXED_BATCH_MAX_FRACTION);
-  }
-
-  /** Batch streams that cannot be stopped. */
-  private fixedBatchStreams(): number {
-    return this.permits.all().filter((p) => p.request.workClass === WorkClass.batch && !p.request.resumable)
-      .length;
+    return this.places.fixedBatchStreams() + 1 <= Math.max(1, this.places.total() * FIXED_BATCH_MAX_FRACTION);
   }
 
   private freeReplica(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
     const open = this.replicas.all().filter((replica) => replica.replicaId !== this.quarantine.replicaId);
-    return pickReplica(open, request, this.prefixes, (replica) => this.occupied(replica, nowMs), nowMs);
+    return pickReplica(
+      open,
+      request,
+      this.prefixes,
+      (replica) => this.places.occupied(replica, nowMs),
+      nowMs,
+    );
   }
 
   private freePlaceByRevoking(request: PlaceRequest, nowMs: number): Permit | undefined {
@@ -489,30 +396,11 @@
       expiresAtMs: nowMs + PERMIT_LIFETIME_MS,
     };
     this.nextPermit += 1;
-    checkInvariant(InvariantName.permitUsedOnce, !this.permits.has(permit.permitId), () => ({ permit }));
-    this.permits.set(permit.permitId, permit);
+    this.places.add(permit);
     this.prefixes.add(request.prefixDigest, replica.replicaId, nowMs);
-    this.limits.onGrant(request.organisation);
     this.limits.onStart(request, this.policy.limitsOf(request.organisation), nowMs);
     this.output.granted(permit, replica);
   }
-
-  private totalFree(nowMs: number): number {
-    return this.replicas
-      .all()
-      .filter((replica) => !replica.leaving && replica.replicaId !== this.quarantine.replicaId)
-      .filter((replica) => replica.health.isOpen(nowMs))
-      .reduce((sum, replica) => sum + replica.limit.places - this.occupied(replica, nowMs), 0);
-  }
-
-  private dropPermit(permit: Permit): void {
-    this.permits.take(permit.permitId);
-    this.limits.onRelease(permit.request.organisation);
-  }
-}
-
-function isFreed(permit: Permit, nowMs: number): boolean {
-  return permit.revokedUntilMs !== undefined && nowMs < permit.revokedUntilMs;
 }
 
 function repeatWhile(step: () => boolean): void {
