--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,4 +1,5 @@
 /** Pure policy: every decision of the system, without I/O and timers. */
+export * from './batch-queue.js';
 export * from './burst-reserve.js';
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -2,6 +2,7 @@
 import type { EntityTable, Problem } from '@fighub/core';
 import { notRun } from '@fighub/core';
 
+import { BatchQueue } from './batch-queue.js';
 import { BurstReserve } from './burst-reserve.js';
 import { FairQueue } from './fair-queue.js';
 import { OrganisationLimits } from './organisation-limits.js';
@@ -38,7 +39,7 @@
 export class PoolScheduler {
   readonly prefixes = new PrefixIndex();
   private readonly online = new FairQueue<PlaceRequest>();
-  private readonly batch = new FairQueue<PlaceRequest>();
+  private readonly batch = new BatchQueue<PlaceRequest>();
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   private readonly places = new PoolPlaces(this.limits);
@@ -163,6 +164,7 @@
     this.places.dropExpired(nowMs);
     this.refuseLate(nowMs);
     if (!this.hasUsableReplica(nowMs)) this.refuseAll();
+    this.batch.moveOverdue(nowMs);
     this.runQuarantine(nowMs);
     this.makeRoomForUnknown(nowMs);
     this.grantOnline(nowMs);
@@ -294,7 +296,7 @@
       .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
       .forEach((replica) => {
         const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
-        rankVictims(this.places.permitsAt(replica.replicaId))
+        rankVictims(this.places.permitsAt(replica.replicaId), nowMs)
           .slice(0, Math.max(0, excess))
           .forEach((permit) => this.revoke(permit, nowMs));
       });
@@ -377,7 +379,7 @@
         replica.health.isOpen(nowMs)
       );
     });
-    return pickVictim(usable, request, this.prefixes);
+    return pickVictim(usable, request, this.prefixes, nowMs);
   }
 
   private revokeFor(request: PlaceRequest, nowMs: number): PoolReplica | undefined {
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -46,22 +46,29 @@
   permits: readonly Permit[],
   request: PlaceRequest,
   prefixes: PrefixIndex,
+  nowMs: number,
 ): Permit | undefined {
-  const ranked = rankVictims(permits).filter(
+  const ranked = rankVictims(permits, nowMs).filter(
     (permit) => !request.excludedReplicaIds.includes(permit.replicaId),
   );
   return ranked.find((permit) => affinityOf(permit.replicaId, request, prefixes) > 0) ?? ranked[0];
 }
 
 /**
- * Batch permits in the order in which they give way: the one that is due last, then the youngest, whose stream
- * loses least. Only streams that can be resumed are stopped.
+ * Batch permits in the order in which they give way: overdue ones, then the one that is due last, then the youngest,
+ * whose stream loses least. Only streams that can be resumed are stopped.
  */
-export function rankVictims(permits: readonly Permit[]): Permit[] {
+export function rankVictims(permits: readonly Permit[], nowMs: number): Permit[] {
+  const isOverdue = (permit: Permit): number => (permit.request.deadlineMs <= nowMs ? 1 : 0);
   return permits
     .filter((permit) => permit.request.workClass === 'batch' && permit.request.resumable)
     .filter((permit) => permit.revokedUntilMs === undefined)
-    .sort((a, b) => b.request.deadlineMs - a.request.deadlineMs || b.grantedAtMs - a.grantedAtMs);
+    .sort(
+      (a, b) =>
+        isOverdue(b) - isOverdue(a) ||
+        b.request.deadlineMs - a.request.deadlineMs ||
+        b.grantedAtMs - a.grantedAtMs,
+    );
 }
 
 function distanceOf(replica: PoolReplica, request: PlaceRequest): number {
