Keep what others read of the directory, so that replicas which left do not come back

Cause, found by reading: since one relay reads the directory for all, the others' own last reading may be old when they take over. Requests would have been sent to replicas that are gone (DRAIN).

Change: a view that is heard is taken into the directory as if it were read. The test failed before. The comparison of the whole directory whose result nobody used is gone, and offers of jobs go out in one place.

--- a/packages/decisions/src/replica-directory.test.ts
+++ b/packages/decisions/src/replica-directory.test.ts
@@ -31,6 +31,14 @@
     expect(idsOf(directory)).toEqual(['a']);
   });
 
+  it('does not bring back replicas that left while another instance did the reading', () => {
+    const directory = new ReplicaDirectory();
+    directory.apply({ revision: 1, replicas: [replica('a'), replica('b')] }, 0);
+    directory.adopt({ revision: 7, replicas: [replica('a')] }, 20_000);
+    directory.apply({ revision: 8, replicas: [replica('a')] }, 21_200);
+    expect(idsOf(directory)).toEqual(['a']);
+  });
+
   it('does not hold a replica that was leaving, nor one whose address another has', () => {
     const directory = new ReplicaDirectory();
     directory.apply({ revision: 1, replicas: [replica('a', true), replica('b')] }, 0);
@@ -41,7 +49,8 @@
   it('ignores a reading that is older than the last one', () => {
     const directory = new ReplicaDirectory();
     directory.apply({ revision: 5, replicas: [replica('a', true)] }, 0);
-    expect(directory.apply({ revision: 4, replicas: [replica('a')] }, 100)).toBe(false);
-    expect(directory.snapshot.replicas[0]?.leaving).toBe(true);
+    directory.apply({ revision: 4, replicas: [replica('a')] }, 100);
+    directory.adopt({ revision: 4, replicas: [replica('a')] }, 100);
+    expect(directory.snapshot).toEqual({ revision: 5, replicas: [replica('a', true)] });
   });
 });
--- a/packages/decisions/src/replica-directory.ts
+++ b/packages/decisions/src/replica-directory.ts
@@ -26,9 +26,17 @@
     if (this.revision > 0) this.holdUntilMs = Math.max(this.holdUntilMs, nowMs + HOLD_AFTER_OUTAGE_MS);
   }
 
-  /** Takes in a reading that is not older than the last one. Returns whether anything changed. */
-  apply(reading: DirectorySnapshot, nowMs: number): boolean {
-    if (reading.revision < this.revision) return false;
+  /** Takes in what another instance has read, so that a later reading here is compared with the present. */
+  adopt(snapshot: DirectorySnapshot, readAtMs: number): void {
+    if (snapshot.revision < this.revision) return;
+    this.present = snapshot.replicas;
+    this.revision = snapshot.revision;
+    this.lastReadMs = Math.max(this.lastReadMs, readAtMs);
+  }
+
+  /** Takes in a reading that is not older than the last one. */
+  apply(reading: DirectorySnapshot, nowMs: number): void {
+    if (reading.revision < this.revision) return;
     const wasAway = this.revision > 0 && nowMs - this.lastReadMs > OUTAGE_GAP_MS;
     if (wasAway) this.holdUntilMs = Math.max(this.holdUntilMs, nowMs + HOLD_AFTER_OUTAGE_MS);
     this.lastReadMs = nowMs;
@@ -37,10 +45,7 @@
     const held = this.present
       .filter((replica) => nowMs < this.holdUntilMs && !listed.has(replica.replicaId))
       .filter((replica) => !replica.leaving && !addresses.has(replica.address));
-    const next = [...reading.replicas, ...held];
-    const changed = JSON.stringify(next) !== JSON.stringify(this.present);
-    this.present = next;
+    this.present = [...reading.replicas, ...held];
     this.revision = reading.revision;
-    return changed;
   }
 }
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -85,8 +85,7 @@
       void this.take(progress.jobId);
       return;
     }
-    const member = this.members().membership.get(progress.holder);
-    if (member) this.node.notify(member.peerAddress, 'job.offered', { jobId: progress.jobId });
+    this.notifyHolder(progress.holder, progress.jobId);
   }
 
   /** Results of a job that is held here. */
@@ -117,10 +116,7 @@
     const held = this.jobs.all().filter((job) => !job.finished);
     await Promise.all(held.map((job) => job.release()));
     const others = this.claimers().filter((id) => id !== this.selfId());
-    held.forEach((job) => {
-      const member = this.members().membership.get(winnerOf(job.jobId, others) ?? '');
-      if (member) this.node.notify(member.peerAddress, 'job.offered', { jobId: job.jobId });
-    });
+    held.forEach((job) => this.notifyHolder(winnerOf(job.jobId, others), job.jobId));
   }
 
   dump(): Record<string, unknown> {
@@ -130,6 +126,11 @@
     };
   }
 
+  private notifyHolder(holder: string | undefined, jobId: string): void {
+    const member = holder === undefined ? undefined : this.members().membership.get(holder);
+    if (member) this.node.notify(member.peerAddress, 'job.offered', { jobId });
+  }
+
   private mayDispatch(): boolean {
     if (this.stopped) return false;
     const nowMs = this.clock.monotonicMs();
--- a/packages/serving/src/routing/view-keeper.ts
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -177,6 +177,11 @@
     this.log.record(LogWeight.state, 'configuration_applied', { version, routes: routes.length, from });
   }
 
+  private adoptDirectory({ directory, ageMs }: FleetViewBody, from: string): void {
+    this.directory.adopt(directory, this.clock.monotonicMs() - ageMs);
+    this.takeDirectory(directory, from);
+  }
+
   private takeDirectory(directory: FleetViewBody['directory'], from: string): void {
     if (!this.view.applyDirectory(directory)) return;
     this.nextPushMs = 0;
@@ -230,7 +235,7 @@
     this.pushedAtMs = this.clock.monotonicMs();
     if (body.backlog) this.backlog.onPushed(body.backlog);
     this.takeConfiguration(body.configuration, 'relay');
-    this.takeDirectory(body.directory, 'relay');
+    this.adoptDirectory(body, 'relay');
     if (body.configurationVersion > this.view.configurationVersion) this.metrics.count('views_behind');
     const isCurrent = body.configurationVersion <= this.view.configurationVersion;
     const isNewest = body.directory.revision >= this.view.replicas.revision;
@@ -248,6 +253,6 @@
     this.fetchingFrom = undefined;
     if (!answer.ok) return;
     this.takeConfiguration(answer.value.configuration, 'peer');
-    this.takeDirectory(answer.value.directory, 'peer');
+    this.adoptDirectory(answer.value, 'peer');
   }
 }
