Forget the permits of a holder that closed its connection and is not heard

Cause: permits of killed entries counted until replicas reported fewer streams, which they do only with answers; a replica that is full of such permits gives none, and the places stayed taken for 4 s.

Change: when a connection that an instance had dialled closes, and it does not renew its permits within 0.5 s, its permits and waits are forgotten. A holder that lives renews at once when one of its connections is lost. Tests: the pure decision, and on real processes a killed entry with eight streams at the only replica, which failed before (no such counter).

--- a/packages/admission/src/permit-renewals.ts
+++ b/packages/admission/src/permit-renewals.ts
@@ -34,7 +34,9 @@
     private readonly permits: () => readonly PooledPermit[],
     private readonly clock: Clock,
     private readonly metrics: Metrics,
-  ) {}
+  ) {
+    node.onLinkLost(() => (this.nextMs = 0));
+  }
 
   run(nowMs: number): void {
     if (nowMs >= this.nextMs) this.renewAll(nowMs);
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -10,7 +10,7 @@
   PoolPolicy,
   PoolReplica,
 } from '@fighub/decisions';
-import { OwnerSuspicions, PoolScheduler, ownerOf } from '@fighub/decisions';
+import { LostHolders, OwnerSuspicions, PoolScheduler, ownerOf } from '@fighub/decisions';
 import type {
   AcquireBody,
   GrantedBody,
@@ -50,6 +50,7 @@
   private readonly confirming = new Set<string>();
   private readonly suspicions = new OwnerSuspicions();
   private readonly revokedAtMs = new Map<string, number>();
+  private readonly lostHolders = new LostHolders();
   private localHolder: LocalHolder | undefined;
   private nextLoadMs = 0;
   private nextRefusalLineMs = 0;
@@ -74,6 +75,7 @@
   ) {
     node.onRequest('permit.acquire', (body) => ({ accepted: this.acquire(body) }));
     node.onRequest('pool.load', (body) => ({ loads: this.loadsOf(body.poolIds) }));
+    node.onCallerClosed((instanceId) => this.lostHolders.onClosed(instanceId, this.clock.monotonicMs()));
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
     node.onNotice('permit.release', (body) => this.release(body));
     node.onNotice('owner.suspected', ({ instanceId }) => {
@@ -209,6 +211,7 @@
 
   renew({ poolId, holder, permits }: PermitRenewBody): void {
     const nowMs = this.clock.monotonicMs();
+    this.lostHolders.onHeard(holder);
     this.pools.get(poolId)?.renew(
       holder,
       permits.map((held) => ({
@@ -230,7 +233,11 @@
     this.suspicions.run(nowMs);
     this.suspicions.takeChecks(nowMs).forEach((instanceId) => void this.checkSuspect(instanceId));
     this.syncPoolsIfDue(nowMs);
-    this.pools.all().forEach((pool) => pool.run(nowMs));
+    const lost = this.lostHolders.take(nowMs);
+    this.pools.all().forEach((pool) => {
+      this.forgetLost(pool, lost);
+      pool.run(nowMs);
+    });
     if (this.loadReader && nowMs >= this.nextLoadMs) this.readLoads(nowMs);
   }
 
@@ -275,6 +282,17 @@
     this.pools.all().forEach((pool) => this.forgetDeadHolders(pool));
   }
 
+  private forgetLost(pool: PoolScheduler, lost: readonly string[]): void {
+    const holders = new Set(pool.holders());
+    lost
+      .filter((holder) => holders.has(holder))
+      .forEach((holder) => {
+        this.metrics.count('permit_holders_lost');
+        this.log?.record(LogWeight.state, 'permit_holder_lost', { holder, poolId: pool.poolId });
+        pool.forgetHolder(holder);
+      });
+  }
+
   private forgetDeadHolders(pool: PoolScheduler): void {
     const { membership } = this.members();
     pool
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,3 @@
-/** Binaries of operators. */
-export {};
+/** Binaries of operators, and what they find in logs. */
+export * from './occupancy.js';
+export * from './trace.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './job-quota.js';
 export * from './limit-parts.js';
 export * from './load-drift.js';
+export * from './lost-holders.js';
 export * from './membership.js';
 export * from './organisation-limits.js';
 export * from './owner-suspicions.js';
--- a/packages/lab/src/child-process.ts
+++ b/packages/lab/src/child-process.ts
@@ -9,6 +9,8 @@
 export class FleetProcess {
   private exited = false;
   readonly errors: string[] = [];
+  /** Lines of standard output after the first. */
+  readonly lines: string[] = [];
 
   private constructor(
     readonly name: string,
@@ -35,11 +37,13 @@
         clearTimeout(timer);
         reject(new Error(`${name} ended with ${String(code)}: ${errors.join('\n')}`));
       });
-      createInterface({ input: child.stdout }).once('line', (line) => {
+      const output = createInterface({ input: child.stdout });
+      output.once('line', (line) => {
         clearTimeout(timer);
         const started = new FleetProcess(name, child, JSON.parse(line) as Record<string, string>);
         createInterface({ input: child.stderr }).on('line', (text) => started.errors.push(text));
         started.errors.push(...errors);
+        output.on('line', (text) => started.lines.push(text));
         resolve(started);
       });
     });
