--- a/packages/core/src/decision-log.ts
+++ b/packages/core/src/decision-log.ts
@@ -14,8 +14,8 @@
 
 /** Lines a second for each kind of event; changes of state are not limited. */
 const LINES_PER_SECOND: Record<LogWeight, number> = {
-  routine: 5,
-  failure: 20,
+  routine: 40,
+  failure: 60,
   state: Number.POSITIVE_INFINITY,
 };
 const WINDOW_MS = 1_000;
