--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -6,7 +6,7 @@
 import type { MembershipRunner } from '@fighub/peers';
 import type { EngineLoad, LoadReader } from '@fighub/outside';
 
-import type { Place, PlaceWish } from './place.js';
+import type { Place, PlaceDemand } from './place.js';
 import type { CataloguedUpstream, PoolCatalogue } from './pool-catalogue.js';
 
 interface ReplicaView {
@@ -40,19 +40,19 @@
   ) {}
 
   /** Takes a place at the replica that looks least loaded. */
-  async acquire(wish: PlaceWish): Promise<Outcome<Place, Problem>> {
+  async acquire(demand: PlaceDemand): Promise<Outcome<Place, Problem>> {
     this.metrics.count('direct_dispatches');
-    if (!this.admits(wish)) {
-      return fail(notRun('limit_reached', `the limit of ${wish.organisation} is reached here`, 1_000));
+    if (!this.admits(demand)) {
+      return fail(notRun('limit_reached', `the limit of ${demand.organisation} is reached here`, 1_000));
     }
-    const candidates = this.candidates(wish);
+    const candidates = this.candidates(demand);
     await Promise.all(candidates.map((upstream) => this.refresh(upstream)));
     const chosen = this.choose(candidates);
-    if (!chosen) return fail(notRun('overloaded', `no replica of ${wish.model} has a free place`, 1_000));
+    if (!chosen) return fail(notRun('overloaded', `no replica of ${demand.model} has a free place`, 1_000));
     this.viewOf(chosen.upstreamId).inFlight += 1;
     this.nextPermit += 1;
     const permitId = `${this.selfId}/direct/${String(this.nextPermit)}`;
-    this.organisationByPermit.set(permitId, wish.organisation);
+    this.organisationByPermit.set(permitId, demand.organisation);
     return ok({
       permitId,
       poolId: POOL_ID,
@@ -89,22 +89,22 @@
   }
 
   /** Without an owner an instance allows an even part of a limit in flight, and at least one stream. */
-  private admits(wish: PlaceWish): boolean {
-    const limit = this.catalogue.limitsOf(wish.organisation, wish.model).maxInFlight;
+  private admits(demand: PlaceDemand): boolean {
+    const limit = this.catalogue.limitsOf(demand.organisation, demand.model).maxInFlight;
     if (limit === undefined || !this.conservative) return true;
     const part = Math.max(1, Math.floor(limit / Math.max(1, this.members().owners().length)));
-    const inFlight = [...this.organisationByPermit.values()].filter((name) => name === wish.organisation);
+    const inFlight = [...this.organisationByPermit.values()].filter((name) => name === demand.organisation);
     return limit > 0 && inFlight.length < part;
   }
 
-  private candidates(wish: PlaceWish): CataloguedUpstream[] {
+  private candidates(demand: PlaceDemand): CataloguedUpstream[] {
     const nowMs = this.clock.monotonicMs();
     const usable = this.catalogue
       .pools()
-      .filter((pool) => pool.model === wish.model)
+      .filter((pool) => pool.model === demand.model)
       .flatMap((pool) => pool.upstreams)
       .filter((upstream) => !this.catalogue.isLeaving(upstream.upstreamId))
-      .filter((upstream) => !wish.excludedReplicaIds.includes(upstream.upstreamId))
+      .filter((upstream) => !demand.excludedReplicaIds.includes(upstream.upstreamId))
       .filter((upstream) => this.viewOf(upstream.upstreamId).health.isOpen(nowMs));
     return usable;
   }
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -8,12 +8,12 @@
 import type { DirectDispatch } from './direct-dispatch.js';
 import type { PooledPermit } from './permit-renewals.js';
 import { PermitRenewals } from './permit-renewals.js';
-import type { Place, PlaceWish } from './place.js';
+import type { Place, PlaceDemand } from './place.js';
 import type { PoolDescription } from './pool-catalogue.js';
 import { OwnerOutbox } from './owner-outbox.js';
 import type { LocalHolder, PoolHost } from './pool-host.js';
 
-interface WaitingWish {
+interface WaitingDemand {
   readonly body: AcquireBody;
   readonly ownerId: string;
   /** When the owner is asked again, in case it lost the request or its answer was lost. */
@@ -47,7 +47,7 @@
 /** Gets places for the streams of this instance. */
 export class PermitClient implements LocalHolder, System {
   readonly name = 'permit client';
-  private readonly waiting = new EntityTable<WaitingWish>();
+  private readonly waiting = new EntityTable<WaitingDemand>();
   private readonly places = new EntityTable<HeldPlace>();
   private readonly outbox = new OwnerOutbox();
   private readonly summaries = new Map<string, PoolSummary>();
@@ -80,21 +80,23 @@
   }
 
   /** Waits for a place. Ends early when `signal` is aborted. */
-  async acquire(wish: PlaceWish, signal: AbortSignal): Promise<Outcome<Place, Problem>> {
-    if (this.alwaysDirect && wish.workClass === 'online') return this.direct.acquire(wish);
-    this.modelUsedAtMs.set(wish.model, this.clock.monotonicMs());
-    const pools = this.candidatePools(wish);
+  async acquire(demand: PlaceDemand, signal: AbortSignal): Promise<Outcome<Place, Problem>> {
+    if (this.alwaysDirect && demand.workClass === 'online') return this.direct.acquire(demand);
+    this.modelUsedAtMs.set(demand.model, this.clock.monotonicMs());
+    const pools = this.candidatePools(demand);
     if (pools.length === 0)
-      return fail(notRun('no_upstream', `no upstream serves ${wish.model} to ${wish.organisation}`, 1_000));
-    if (wish.workClass === 'online' && this.isCutOff()) return this.direct.acquire(wish);
+      return fail(
+        notRun('no_upstream', `no upstream serves ${demand.model} to ${demand.organisation}`, 1_000),
+      );
+    if (demand.workClass === 'online' && this.isCutOff()) return this.direct.acquire(demand);
     let last: Problem = NOT_TAKEN;
     for (const poolId of pools) {
-      const outcome = await this.acquireFromOwners(poolId, wish, signal);
+      const outcome = await this.acquireFromOwners(poolId, demand, signal);
       if (outcome.ok || signal.aborted) return outcome;
       last = outcome.error;
-      if (this.clock.nowUnixMs() >= wish.deadlineUnixMs) break;
+      if (this.clock.nowUnixMs() >= demand.deadlineUnixMs) break;
     }
-    if (wish.workClass === 'online' && last === NOT_TAKEN) return this.direct.acquire(wish);
+    if (demand.workClass === 'online' && last === NOT_TAKEN) return this.direct.acquire(demand);
     return fail(last);
   }
 
@@ -113,17 +115,17 @@
   }
 
   granted(body: GrantedBody): void {
-    const wish = this.waiting.take(body.requestId);
-    if (!wish && this.places.has(body.permitId)) return;
-    if (!wish) {
+    const demand = this.waiting.take(body.requestId);
+    if (!demand && this.places.has(body.permitId)) return;
+    if (!demand) {
       this.metrics.count('permits_unwanted');
       this.returnUnwanted(body);
       return;
     }
     const revoke = new AbortController();
-    const held = { permitId: body.permitId, replicaId: body.replicaId, request: wish.body };
+    const held = { permitId: body.permitId, replicaId: body.replicaId, request: demand.body };
     this.places.set(body.permitId, { poolId: body.poolId, held, revoke });
-    wish.answer(ok({ ...body, revoked: revoke.signal }));
+    demand.answer(ok({ ...body, revoked: revoke.signal }));
   }
 
   refused(requestId: string, problem: Problem): void {
@@ -149,7 +151,7 @@
 
   run(nowMs: number): void {
     this.sendReleases();
-    this.dropMovedWishes();
+    this.dropMovedDemands();
     this.askAgain(nowMs);
     this.renewals.run(nowMs);
     if (nowMs >= this.nextSummaryMs) this.askForSummaries(nowMs);
@@ -163,13 +165,13 @@
     };
   }
 
-  private candidatePools(wish: PlaceWish): string[] {
+  private candidatePools(demand: PlaceDemand): string[] {
     const loads = new Map(this.poolLoads().map((load) => [load.poolId, load]));
-    const candidates = this.host.poolsOpenTo(wish.organisation, wish.model).map((pool) => ({
+    const candidates = this.host.poolsOpenTo(demand.organisation, demand.model).map((pool) => ({
       model: pool.model,
       failureDomain: pool.failureDomain,
       places: loads.get(pool.poolId)?.places ?? pool.upstreams.length,
-      expectedWaitMs: this.waitOf(wish, loads.get(pool.poolId)),
+      expectedWaitMs: this.waitOf(demand, loads.get(pool.poolId)),
     }));
     return orderPools(candidates, this.failureDomain, this.random).map(
       (pool) => `${pool.model}@${pool.failureDomain}`,
@@ -177,10 +179,10 @@
   }
 
   /** Batch goes where it finds idle places, online where its expected wait is shortest. */
-  private waitOf(wish: PlaceWish, load: PoolLoad | undefined): number | undefined {
+  private waitOf(demand: PlaceDemand, load: PoolLoad | undefined): number | undefined {
     if (!load) return undefined;
-    if (wish.workClass === 'online') {
-      const own = load.organisationWaits.find((wait) => wait.organisation === wish.organisation);
+    if (demand.workClass === 'online') {
+      const own = load.organisationWaits.find((wait) => wait.organisation === demand.organisation);
       return own?.expectedWaitMs ?? load.newcomerWaitMs;
     }
     const busy = load.onlineStreams + load.batchStreams + load.batchWaiting + load.reservedPlaces;
@@ -190,25 +192,25 @@
   /** Asks the owner, and the next one when the first turns out not to answer. */
   private async acquireFromOwners(
     poolId: string,
-    wish: PlaceWish,
+    demand: PlaceDemand,
     signal: AbortSignal,
   ): Promise<Outcome<Place, Problem>> {
     const ownerId = this.host.ownerOfPool(poolId);
-    const outcome = await this.acquireFrom(poolId, wish, signal);
+    const outcome = await this.acquireFrom(poolId, demand, signal);
     if (outcome.ok || signal.aborted || outcome.error !== NOT_TAKEN) return outcome;
     if (this.host.ownerOfPool(poolId) === ownerId) return outcome;
-    return this.acquireFrom(poolId, wish, signal);
+    return this.acquireFrom(poolId, demand, signal);
   }
 
   private async acquireFrom(
     poolId: string,
-    wish: PlaceWish,
+    demand: PlaceDemand,
     signal: AbortSignal,
   ): Promise<Outcome<Place, Problem>> {
     const ownerId = this.host.ownerOfPool(poolId);
     if (ownerId === undefined) return fail(NOT_TAKEN);
     this.renewals.renewIfMoved();
-    const body = this.toBody(poolId, wish);
+    const body = this.toBody(poolId, demand);
     return new Promise((resolve) => {
       const answer = (outcome: Outcome<Place, Problem>): void => {
         signal.removeEventListener('abort', onAbort);
@@ -233,12 +235,12 @@
   private async ask(ownerId: string, body: AcquireBody): Promise<void> {
     const accepted = await this.askOwner(ownerId, body);
     if (accepted) return;
-    const wish = this.waiting.get(body.requestId);
-    if (wish?.body !== body) return;
+    const demand = this.waiting.get(body.requestId);
+    if (demand?.body !== body) return;
     this.waiting.take(body.requestId);
     this.metrics.count('owners_not_answering');
     this.withdraw(ownerId, body.poolId, body.requestId);
-    wish.answer(fail(NOT_TAKEN));
+    demand.answer(fail(NOT_TAKEN));
   }
 
   private async askOwner(ownerId: string, body: AcquireBody): Promise<boolean> {
@@ -260,15 +262,15 @@
   }
 
   /** Requests that wait at an instance which no longer owns the pool ask again elsewhere. */
-  private dropMovedWishes(): void {
+  private dropMovedDemands(): void {
     this.waiting
       .all()
-      .filter((wish) => this.host.ownerOfPool(wish.body.poolId) !== wish.ownerId)
-      .forEach((wish) => {
-        this.waiting.take(wish.body.requestId);
+      .filter((demand) => this.host.ownerOfPool(demand.body.poolId) !== demand.ownerId)
+      .forEach((demand) => {
+        this.waiting.take(demand.body.requestId);
         this.metrics.count('waits_moved');
-        this.withdraw(wish.ownerId, wish.body.poolId, wish.body.requestId);
-        wish.answer(fail(NOT_TAKEN));
+        this.withdraw(demand.ownerId, demand.body.poolId, demand.body.requestId);
+        demand.answer(fail(NOT_TAKEN));
       });
   }
 
@@ -276,11 +278,11 @@
   private askAgain(nowMs: number): void {
     this.waiting
       .all()
-      .filter((wish) => nowMs >= wish.askAgainAtMs)
+      .filter((demand) => nowMs >= demand.askAgainAtMs)
       .slice(0, MAX_ASKED_AGAIN)
-      .forEach((wish) => {
-        wish.askAgainAtMs = nowMs + ASK_AGAIN_MS[wish.body.workClass];
-        void this.ask(wish.ownerId, wish.body);
+      .forEach((demand) => {
+        demand.askAgainAtMs = nowMs + ASK_AGAIN_MS[demand.body.workClass];
+        void this.ask(demand.ownerId, demand.body);
       });
   }
 
@@ -355,21 +357,21 @@
     loads.forEach((load) => this.summaries.set(load.poolId, { load, freshUntilMs }));
   }
 
-  private toBody(poolId: string, wish: PlaceWish): AcquireBody {
+  private toBody(poolId: string, demand: PlaceDemand): AcquireBody {
     const nowUnixMs = this.clock.nowUnixMs();
     return {
       poolId,
-      requestId: `${this.selfId}/${wish.requestId}/${String(this.attempts++)}`,
+      requestId: `${this.selfId}/${demand.requestId}/${String(this.attempts++)}`,
       holder: this.selfId,
-      organisation: wish.organisation,
-      workClass: wish.workClass,
-      costTokens: wish.costTokens,
-      startInMs: wish.startByUnixMs === undefined ? undefined : wish.startByUnixMs - nowUnixMs,
-      deadlineInMs: wish.deadlineUnixMs - nowUnixMs,
-      prefixDigest: wish.prefixDigest,
-      excludedReplicaIds: wish.excludedReplicaIds,
-      resumable: wish.resumable,
-      alone: wish.alone,
+      organisation: demand.organisation,
+      workClass: demand.workClass,
+      costTokens: demand.costTokens,
+      startInMs: demand.startByUnixMs === undefined ? undefined : demand.startByUnixMs - nowUnixMs,
+      deadlineInMs: demand.deadlineUnixMs - nowUnixMs,
+      prefixDigest: demand.prefixDigest,
+      excludedReplicaIds: demand.excludedReplicaIds,
+      resumable: demand.resumable,
+      alone: demand.alone,
     };
   }
 
--- a/packages/admission/src/place.ts
+++ b/packages/admission/src/place.ts
@@ -2,7 +2,7 @@
 import type { WorkClass } from '@fighub/decisions';
 
 /** What a stream needs to get a place. */
-export interface PlaceWish {
+export interface PlaceDemand {
   readonly requestId: string;
   readonly organisation: string;
   readonly model: string;
--- a/packages/decisions/src/job-progress.ts
+++ b/packages/decisions/src/job-progress.ts
@@ -34,7 +34,7 @@
   return { ...progress, failures, sequence: progress.sequence + 1 };
 }
 
-/** Ends a job on its caller's wish. */
+/** Ends a job at its caller's request. */
 export function endJob(progress: JobProgress): JobProgress {
   return { ...progress, ended: true, openTokens: 0, sequence: progress.sequence + 1 };
 }
--- a/packages/entry/src/online/completion-runner.ts
+++ b/packages/entry/src/online/completion-runner.ts
@@ -140,7 +140,7 @@
 
   async run(): Promise<CompletionEnd> {
     for (;;) {
-      const place = await this.parts.permits.acquire(this.wish(), this.signal);
+      const place = await this.parts.permits.acquire(this.demand(), this.signal);
       if (this.signal.aborted) {
         if (place.ok) this.parts.permits.release(place.value, { end: Ends.cancelled, tokens: 0 });
         return this.ended(CompletionKind.cancelled);
@@ -152,7 +152,7 @@
     }
   }
 
-  private wish(): Parameters<PermitClient['acquire']>[0] {
+  private demand(): Parameters<PermitClient['acquire']>[0] {
     const { spec } = this;
     return {
       requestId: spec.requestId,
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -88,7 +88,7 @@
   if (!parts.view.routes) return INTERRUPTED;
   if (!route) return { end: ItemEnd.noRoute, givenWay: false };
   const service = pickBackend(route.backends, parts.random());
-  const place = await parts.permits.acquire(wishOf(request, route.name, service), stop);
+  const place = await parts.permits.acquire(demandOf(request, route.name, service), stop);
   if (!place.ok) return INTERRUPTED;
   if (stop.aborted || !parts.view.isUsable(place.value.replicaId) || !request.mayDispatch()) {
     parts.permits.release(place.value, { end: Ends.cancelled, tokens: 0 });
@@ -97,7 +97,7 @@
   return send(request, place.value, parts, stop);
 }
 
-function wishOf(
+function demandOf(
   request: ItemRequest,
   routeName: string,
   service: string,
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -1,5 +1,5 @@
 /** Forwards one request: place, sends, resumption, and the evidence for what the caller is told. */
-import type { PermitClient, Place, PlaceWish } from '@fighub/admission';
+import type { PermitClient, Place, PlaceDemand } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
 import { LogWeight, mayHaveRun, notRun } from '@fighub/core';
 import type { AttemptEnd } from '@fighub/decisions';
@@ -86,7 +86,7 @@
 
   /** One place and one send. Returns whether another one is to be made. */
   private async step(stop: AbortSignal): Promise<boolean> {
-    const place = await this.parts.permits.acquire(this.wish(), stop);
+    const place = await this.parts.permits.acquire(this.demand(), stop);
     if (stop.aborted) {
       if (place.ok) this.parts.permits.release(place.value, { end: Ends.cancelled, tokens: 0 });
       return this.stopped();
@@ -101,7 +101,7 @@
     return this.send(place.value, stop);
   }
 
-  private wish(): PlaceWish {
+  private demand(): PlaceDemand {
     const { request, route } = this;
     const { clock } = this.parts;
     const startByMs = request.arrivedAtMs + route.targetMs * LONGEST_USEFUL_WAIT_FRACTION;
