--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -1,16 +1,8 @@
 /** The owner's side of admission: hosts the schedulers of the pools that this instance owns. */
 import type { Clock, DecisionLog, Metrics, Problem, System } from '@fighub/core';
 import { EntityTable, LogWeight } from '@fighub/core';
-import type {
-  Member,
-  Permit,
-  PlaceRequest,
-  PoolLoad,
-  PoolOutput,
-  PoolPolicy,
-  PoolReplica,
-} from '@fighub/decisions';
-import { LostHolders, OwnerSuspicions, PoolScheduler, ownerOf } from '@fighub/decisions';
+import type { Permit, PlaceRequest, PoolLoad, PoolOutput, PoolPolicy, PoolReplica } from '@fighub/decisions';
+import { LostHolders, PoolScheduler, ownerOf } from '@fighub/decisions';
 import type {
   AcquireBody,
   GrantedBody,
@@ -21,6 +13,7 @@
 } from '@fighub/peers';
 import type { LoadReader } from '@fighub/outside';
 
+import { OwnerWatch } from './owner-watch.js';
 import type { PoolCatalogue, PoolDescription } from './pool-catalogue.js';
 import type { UpstreamStates } from './upstream-states.js';
 
@@ -31,7 +24,6 @@
   revoked(permitId: string): void;
 }
 
-const CHECK_TIMEOUT_MS = 300;
 /** At most one line of this period tells why a pool refuses, in milliseconds. */
 const REFUSAL_LINE_PERIOD_MS = 1_000;
 const LOAD_PERIOD_MS = 1_000;
@@ -47,8 +39,7 @@
   /** Owners by pool at one version of the membership. */
   private readonly owners = new Map<string, string | undefined>();
   private ownersVersion = -1;
-  private readonly confirming = new Set<string>();
-  private readonly suspicions = new OwnerSuspicions();
+  private readonly ownerWatch: OwnerWatch;
   private readonly revokedAtMs = new Map<string, number>();
   private readonly lostHolders = new LostHolders();
   private localHolder: LocalHolder | undefined;
@@ -73,17 +64,12 @@
     private readonly metrics: Metrics,
     private readonly log?: DecisionLog,
   ) {
+    this.ownerWatch = new OwnerWatch(selfId, members, node, clock, log, () => this.wake());
     node.onRequest('permit.acquire', (body) => ({ accepted: this.acquire(body) }));
     node.onRequest('pool.load', (body) => ({ loads: this.loadsOf(body.poolIds) }));
     node.onCallerClosed((instanceId) => this.lostHolders.onClosed(instanceId, this.clock.monotonicMs()));
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
     node.onNotice('permit.release', (body) => this.release(body));
-    node.onNotice('owner.suspected', ({ instanceId }) => {
-      const isNew = this.suspicions.suspect(instanceId, this.clock.monotonicMs());
-      if (isNew)
-        this.log?.record(LogWeight.state, 'owner_suspected', { instanceId, reason: 'told by a peer' });
-      this.wake();
-    });
     node.onRequest('permit.renew', (body) => {
       this.renew(body);
       return {};
@@ -103,7 +89,7 @@
 
   /** Another number whenever the owners of pools may have changed. */
   get ownershipVersion(): number {
-    return this.members().membership.version + this.suspicions.version;
+    return this.ownerWatch.version;
   }
 
   /** The owner of a pool among the live members that answer. */
@@ -115,61 +101,14 @@
     }
     if (!this.owners.has(poolId)) {
       const failureDomain = poolId.slice(poolId.lastIndexOf('@') + 1);
-      this.owners.set(poolId, ownerOf(poolId, failureDomain, this.answeringMembers()));
+      this.owners.set(poolId, ownerOf(poolId, failureDomain, this.ownerWatch.answeringMembers()));
     }
     return this.owners.get(poolId);
   }
 
   /** Notes whether an owner has answered a request for a place. */
   noteOwner(instanceId: string, answered: boolean): void {
-    if (answered) this.suspicions.onAnswer(instanceId);
-    else if (this.suspicions.onTimeout(instanceId)) void this.confirm(instanceId);
-  }
-
-  /** An owner that others reach is not suspected: this instance may be the one that is cut off. */
-  private async confirm(instanceId: string): Promise<void> {
-    if (this.confirming.has(instanceId)) return;
-    this.confirming.add(instanceId);
-    const isReached = await this.members().isReachedByOthers(instanceId);
-    this.confirming.delete(instanceId);
-    if (isReached === false) this.suspect(instanceId);
-  }
-
-  /** All instances move together, so that the next owner learns of all permits. */
-  private suspect(instanceId: string): void {
-    const nowMs = this.clock.monotonicMs();
-    const isNew = this.suspicions.suspect(instanceId, nowMs);
-    if (isNew) this.log?.record(LogWeight.state, 'owner_suspected', { instanceId, reason: 'no answer' });
-    this.suspicions.watch(instanceId, nowMs);
-    this.wake();
-    this.members()
-      .owners()
-      .filter((member) => member.instanceId !== this.selfId)
-      .forEach((member) => this.node.notify(member.peerAddress, 'owner.suspected', { instanceId }));
-  }
-
-  /** As long as an owner does not answer, all instances stay away from it. */
-  private async checkSuspect(instanceId: string): Promise<void> {
-    const { membership } = this.members();
-    const member = membership.get(instanceId);
-    if (!member || !membership.isLive(instanceId)) {
-      this.suspicions.unwatch(instanceId);
-      return;
-    }
-    const answer = await this.node.request(
-      member.peerAddress,
-      'pool.load',
-      { poolIds: [] },
-      CHECK_TIMEOUT_MS,
-    );
-    if (answer.ok) this.suspicions.unwatch(instanceId);
-    else await this.confirm(instanceId);
-  }
-
-  private answeringMembers(): Member[] {
-    const owners = this.members().owners();
-    const answering = owners.filter((member) => !this.suspicions.isSuspected(member.instanceId));
-    return answering.some((member) => member.schedules !== false) ? answering : owners;
+    this.ownerWatch.note(instanceId, answered);
   }
 
   /** Takes a request for a place if this instance owns the pool. */
@@ -230,8 +169,7 @@
   }
 
   run(nowMs: number): void {
-    this.suspicions.run(nowMs);
-    this.suspicions.takeChecks(nowMs).forEach((instanceId) => void this.checkSuspect(instanceId));
+    this.ownerWatch.run(nowMs);
     this.syncPoolsIfDue(nowMs);
     const lost = this.lostHolders.take(nowMs);
     this.pools.all().forEach((pool) => {
