--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -1,4 +1,6 @@
 /** One batch job that this instance runs: its items, the results that wait for commit, and its progress. */
+import { setMaxListeners } from 'node:events';
+
 import type { Clock, DecisionLog, JobProgress, Metrics, StoredItem, StoredResult } from '@fighub/core';
 import { InvariantName, LogWeight, batchJobKeys, checkInvariant } from '@fighub/core';
 import type { EndedItem, PartialOutput } from '@fighub/decisions';
@@ -63,6 +65,8 @@
     private readonly mayDispatch: () => boolean,
   ) {
     this.committed = [...committed];
+    // Every waiting item of the job listens.
+    setMaxListeners(0, this.stopping.signal);
     this.lastWriteMs = this.clock.monotonicMs();
     this.dueMs = this.lastWriteMs + record.value.dueAtUnixMs - this.clock.nowUnixMs();
     const finished = new Set(record.value.finishedIndexes);
