Keep the baseline of the experiments in its failure domain

The change that let entries which place requests alone look beyond their own failure domain had touched the baseline strategy of the lab as well. No change on the users' platform.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -99,14 +99,13 @@
 
   private candidates(demand: PlaceDemand): CataloguedUpstream[] {
     const nowMs = this.clock.monotonicMs();
-    const usable = this.catalogue
+    return this.catalogue
       .pools()
       .filter((pool) => pool.model === demand.model)
       .flatMap((pool) => pool.upstreams)
       .filter((upstream) => !this.catalogue.isLeaving(upstream.upstreamId))
       .filter((upstream) => !demand.excludedReplicaIds.includes(upstream.upstreamId))
       .filter((upstream) => this.viewOf(upstream.upstreamId).health.isOpen(nowMs));
-    return usable;
   }
 
   /** The least loaded replica of the own failure domain, else of the others. */
@@ -117,12 +116,16 @@
       .sort((a, b) => a.load - b.load)
       .map(({ upstream }) => upstream);
     const near = free.find(
-      (upstream) =>
-        upstream.failureDomain === this.failureDomain && this.loadOf(upstream) < upstream.maxConcurrency,
+      (upstream) => upstream.failureDomain === this.failureDomain && !this.isKnownFull(upstream),
     );
     return near ?? free[0];
   }
 
+  /** The baseline stays in its failure domain whatever the load. */
+  private isKnownFull(upstream: CataloguedUpstream): boolean {
+    return this.conservative && this.loadOf(upstream) >= upstream.maxConcurrency;
+  }
+
   private loadOf(upstream: CataloguedUpstream): number {
     const view = this.viewOf(upstream.upstreamId);
     const reported = (view.report?.running ?? 0) + (view.report?.waiting ?? 0);
