Choose coordinators in one place, and take the balance of a replica's drift from one method

Six places filtered members by whether they schedule, and three of them then picked the one that wins a job: acceptance, readers of results and takeover must agree on that, so decisions/coordinators says it once. PoolPlaces computed unknown less ended streams twice; LoadDrift.balance does. Behaviour is unchanged.

--- a/packages/admission/src/owner-watch.ts
+++ b/packages/admission/src/owner-watch.ts
@@ -1,7 +1,7 @@
 import type { Clock, DecisionLog } from '@fighub/core';
 import { LogWeight } from '@fighub/core';
 import type { Member } from '@fighub/decisions';
-import { OwnerSuspicions } from '@fighub/decisions';
+import { OwnerSuspicions, isCoordinator } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
 
 const CHECK_TIMEOUT_MS = 300;
@@ -35,7 +35,7 @@
   answeringMembers(): Member[] {
     const owners = this.members().owners();
     const answering = owners.filter((member) => !this.suspicions.isSuspected(member.instanceId));
-    return answering.some((member) => member.schedules !== false) ? answering : owners;
+    return answering.some(isCoordinator) ? answering : owners;
   }
 
   /** Notes whether an owner has answered a request for a place. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
 export * from './concurrency.js';
+export * from './coordinators.js';
 export * from './fair-queue.js';
 export * from './job-checkpoint.js';
 export * from './job-progress.js';
--- a/packages/decisions/src/load-drift.ts
+++ b/packages/decisions/src/load-drift.ts
@@ -34,6 +34,11 @@
     return nowMs < this.validUntilMs ? Math.max(0, Math.round(this.unknownMean)) : 0;
   }
 
+  /** Streams without a permit less permits without a stream. */
+  balance(nowMs: number): number {
+    return this.unknownStreams(nowMs) - this.endedStreams(nowMs);
+  }
+
   /** Permits whose streams have ended, as far as is known. */
   endedStreams(nowMs: number): number {
     return nowMs < this.validUntilMs ? Math.max(0, Math.floor(this.endedMean)) : 0;
--- a/packages/decisions/src/pool-choice.ts
+++ b/packages/decisions/src/pool-choice.ts
@@ -1,4 +1,5 @@
 /** Chooses the pool of a request from the caller's own domain and from summaries that may be stale. */
+import { coordinatorsOf } from './coordinators.js';
 import { winnerOf } from './rendezvous.js';
 
 /** A member of the fleet as ownership sees it. */
@@ -33,7 +34,7 @@
   failureDomain: string,
   members: readonly FleetMember[],
 ): string | undefined {
-  const schedulers = members.filter((member) => member.schedules !== false);
+  const schedulers = coordinatorsOf(members);
   const inDomain = schedulers.filter((member) => member.failureDomain === failureDomain);
   const candidates = inDomain.length > 0 ? inDomain : schedulers;
   return winnerOf(
--- a/packages/decisions/src/pool-places.ts
+++ b/packages/decisions/src/pool-places.ts
@@ -114,8 +114,7 @@
 
   /** Streams at a replica as far as is known, with and without a permit. */
   occupied({ replicaId, drift }: PoolReplica, nowMs: number): number {
-    const streams = this.inFlight(replicaId, nowMs) + drift.unknownStreams(nowMs) - drift.endedStreams(nowMs);
-    return Math.max(0, streams);
+    return Math.max(0, this.inFlight(replicaId, nowMs) + drift.balance(nowMs));
   }
 
   /** Places of all replicas that may get work. */
@@ -137,9 +136,7 @@
 
   /** Streams without a permit less permits without a stream. */
   drift(nowMs: number): number {
-    return this.replicas
-      .all()
-      .reduce((sum, { drift }) => sum + drift.unknownStreams(nowMs) - drift.endedStreams(nowMs), 0);
+    return this.replicas.all().reduce((sum, { drift }) => sum + drift.balance(nowMs), 0);
   }
 
   /** The replicas for the dump. */
--- a/packages/serving/src/batch/job-acceptance.ts
+++ b/packages/serving/src/batch/job-acceptance.ts
@@ -10,7 +10,7 @@
   StoredItem,
 } from '@fighub/core';
 import { LogWeight, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
-import { surelyFits, winnerOf } from '@fighub/decisions';
+import { coordinatorFor, surelyFits } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { RecordChange, RecordStore } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
@@ -139,7 +139,8 @@
       maxAttempts: route.maxAttempts,
       itemCount: submission.items.length,
       inputPartCount,
-      holder: this.chooseHolder(submission.jobId),
+      // Without a coordinator the job stays here.
+      holder: coordinatorFor(submission.jobId, this.members().owners()) ?? this.selfId(),
       epoch: 1,
       sequence: 1,
       ended: false,
@@ -150,15 +151,6 @@
     };
   }
 
-  /** Instances that schedule also run batch jobs; without one the job stays here. */
-  private chooseHolder(jobId: string): string {
-    const candidates = this.members()
-      .owners()
-      .filter((member) => member.schedules !== false)
-      .map((member) => member.instanceId);
-    return winnerOf(jobId, candidates) ?? this.selfId();
-  }
-
   private acknowledge(jobId: string, acceptance: Acceptance, tookMs: number): Outcome<void, Problem> {
     if (this.accepted.size >= MAX_KNOWN_JOBS) this.accepted.clear();
     this.accepted.add(jobId);
--- a/packages/serving/src/batch/job-reader.ts
+++ b/packages/serving/src/batch/job-reader.ts
@@ -10,7 +10,7 @@
   StoredResult,
 } from '@fighub/core';
 import { LogWeight, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
-import { committedResults, endJob, isClosed, winnerOf } from '@fighub/decisions';
+import { committedResults, coordinatorFor, endJob, isClosed } from '@fighub/decisions';
 import type { JobResultsAnswer, MembershipRunner, PeerNode } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
@@ -111,7 +111,8 @@
     const own = this.local(jobId, afterPosition);
     if (own.held) return own;
     const known = this.known.get(jobId);
-    const holder = known?.holder ?? this.likelyHolder(jobId);
+    // Acceptance places a job there unless members come or go: asking saves a call to the store.
+    const holder = known?.holder ?? coordinatorFor(jobId, this.members().owners());
     if (known?.closed || holder === undefined || holder === this.selfId()) return undefined;
     const member = this.members().membership.get(holder);
     if (!member || !this.members().membership.isLive(holder)) return undefined;
@@ -121,15 +122,6 @@
     return answer.ok ? answer.value : undefined;
   }
 
-  /** Where acceptance places the job unless members have come or gone since; asking there saves a call to the store. */
-  private likelyHolder(jobId: string): string | undefined {
-    const candidates = this.members()
-      .owners()
-      .filter((member) => member.schedules !== false)
-      .map((member) => member.instanceId);
-    return winnerOf(jobId, candidates);
-  }
-
   private async progress(jobId: string): Promise<Outcome<JobProgress, Problem>> {
     const closed = this.known.get(jobId)?.closed;
     if (closed) return ok(closed);
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -9,7 +9,7 @@
   System,
 } from '@fighub/core';
 import { EntityTable, LogWeight, batchJobKeys } from '@fighub/core';
-import { claimJob, isClosed, shouldClaim, winnerOf } from '@fighub/decisions';
+import { claimJob, coordinatorFor, isClosed, shouldClaim } from '@fighub/decisions';
 import type { JobResultsAnswer, MembershipRunner, PeerNode } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
 
@@ -115,8 +115,10 @@
     this.stopped = true;
     const held = this.jobs.all().filter((job) => !job.finished);
     await Promise.all(held.map((job) => job.release()));
-    const others = this.claimers().filter((id) => id !== this.selfId());
-    held.forEach((job) => this.notifyHolder(winnerOf(job.jobId, others), job.jobId));
+    const others = this.members()
+      .owners()
+      .filter((member) => member.instanceId !== this.selfId());
+    held.forEach((job) => this.notifyHolder(coordinatorFor(job.jobId, others), job.jobId));
   }
 
   dump(): Record<string, unknown> {
@@ -175,7 +177,7 @@
       holderIsLive: this.members().membership.isLive(progress.holder),
       unchangedMs,
       memberForMs: this.clock.monotonicMs() - this.startedMs,
-      isPreferred: winnerOf(progress.jobId, this.claimers()) === this.selfId(),
+      isPreferred: coordinatorFor(progress.jobId, this.members().owners()) === this.selfId(),
     });
   }
 
@@ -251,11 +253,4 @@
         this.finishedAtMs.delete(job.jobId);
       });
   }
-
-  private claimers(): string[] {
-    return this.members()
-      .owners()
-      .filter((member) => member.schedules !== false)
-      .map((member) => member.instanceId);
-  }
 }
--- a/packages/serving/src/relayed-store.ts
+++ b/packages/serving/src/relayed-store.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, DecisionLog, Metrics, Outcome } from '@fighub/core';
 import { LogWeight, fail, sleep } from '@fighub/core';
+import { coordinatorsOf } from '@fighub/decisions';
 import type {
   KeyChange,
   KeyValueEntry,
@@ -107,9 +108,9 @@
 
   /** Lets a coordinator make the call. Without an answer a write may have taken effect. */
   private async relay<T>(call: StoreCall): Promise<Outcome<T, StoreError>> {
-    const others = this.members()
-      .owners()
-      .filter((member) => member.schedules !== false && member.instanceId !== this.selfId());
+    const others = coordinatorsOf(this.members().owners()).filter(
+      (member) => member.instanceId !== this.selfId(),
+    );
     const chosen = others[Math.floor(this.random() * others.length)];
     if (!chosen) return fail({ kind: StoreErrorKind.unavailable, detail: 'no coordinator is known' });
     const answer = await this.node.request(chosen.peerAddress, 'store.call', call, RELAY_TIMEOUT_MS);
--- a/packages/serving/src/routing/view-keeper.ts
+++ b/packages/serving/src/routing/view-keeper.ts
@@ -6,7 +6,7 @@
 import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
 import { LogWeight, sleep } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
-import { ReplicaDirectory, winnerOf } from '@fighub/decisions';
+import { ReplicaDirectory, coordinatorFor, coordinatorsOf, isCoordinator } from '@fighub/decisions';
 import type { FleetViewBody, MembershipRunner, PeerNode, PiggybackSource, TableDigest } from '@fighub/peers';
 
 import type { BacklogView } from '../batch/backlog-view.js';
@@ -121,18 +121,11 @@
     const { version } = this.members().membership;
     if (version !== this.readerVersion) {
       this.readerVersion = version;
-      this.readerId = winnerOf(READER, this.relayIds());
+      this.readerId = coordinatorFor(READER, this.members().owners());
     }
     return (this.readerId ?? this.self().instanceId) === this.self().instanceId;
   }
 
-  private relayIds(): string[] {
-    return this.members()
-      .owners()
-      .filter((member) => member.schedules !== false)
-      .map((member) => member.instanceId);
-  }
-
   private get hearsFreshViews(): boolean {
     return this.clock.monotonicMs() - this.heardAtMs <= FRESH_MS;
   }
@@ -219,14 +212,12 @@
     const self = this.self();
     const owners = this.members().owners();
     const isReading = this.reads;
-    const withRelay = new Set(
-      owners.filter((member) => member.schedules !== false).map((member) => member.failureDomain),
-    );
+    const withRelay = new Set(coordinatorsOf(owners).map((member) => member.failureDomain));
     return owners
       .filter((member) => member.instanceId !== self.instanceId)
       .filter(
         (member) =>
-          (isReading && member.schedules !== false) ||
+          (isReading && isCoordinator(member)) ||
           member.failureDomain === self.failureDomain ||
           !withRelay.has(member.failureDomain),
       );
