--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,6 +7,7 @@
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
 export * from './concurrency.js';
+export * from './connect-timeout.js';
 export * from './coordinators.js';
 export * from './disconnected-holders.js';
 export * from './fair-queue.js';
