--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -410,6 +410,7 @@
       excludedReplicaIds: demand.excludedReplicaIds,
       resumable: demand.resumable,
       alone: demand.alone,
+      receivedTokens: demand.receivedTokens,
     };
   }
 
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -413,6 +413,7 @@
       resumable: body.resumable,
       alone: body.alone,
       enqueuedAtMs: nowMs,
+      receivedTokens: body.receivedTokens,
     };
   }
 }
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -29,6 +29,8 @@
   readonly resumable: boolean;
   /** True for a batch item that may crash its replica: it runs in quarantine, with no other stream at the replica. */
   readonly alone: boolean;
+  /** Tokens of a batch item's output that earlier runs have received; undefined when there are none. */
+  readonly receivedTokens?: number;
 }
 
 /** A granted slot at a replica. */
--- a/packages/decisions/src/batch-queue.test.ts
+++ b/packages/decisions/src/batch-queue.test.ts
@@ -16,21 +16,21 @@
     expect(queue.takeNext(anything)?.requestId).toBe('a');
   });
 
-  it('takes overdue items only when no other item is left', () => {
+  it('takes late items only when no other item is left', () => {
     const queue = new BatchQueue();
-    queue.push(item('overdue', 10_000), 1);
+    queue.push(item('late', 10_000), 1);
     queue.push(item('timely', 20_000), 1);
-    queue.moveOverdue(10_000);
+    queue.moveLate((item) => item.deadlineMs <= 10_000);
     expect(queue.size).toBe(2);
     expect(queue.takeNext(anything)?.requestId).toBe('timely');
-    expect(queue.takeNext(anything)?.requestId).toBe('overdue');
+    expect(queue.takeNext(anything)?.requestId).toBe('late');
     expect(queue.size).toBe(0);
   });
 
   it('finds and removes items of both queues', () => {
     const queue = new BatchQueue();
     queue.push(item('a', 10_000), 1);
-    queue.moveOverdue(10_000);
+    queue.moveLate((item) => item.deadlineMs <= 10_000);
     queue.push(item('b', 20_000), 1);
     expect([queue.has('a'), queue.has('b'), queue.has('c')]).toEqual([true, true, false]);
     queue.remove('a');
--- a/packages/decisions/src/batch-queue.ts
+++ b/packages/decisions/src/batch-queue.ts
@@ -1,24 +1,36 @@
 /**
- * Queue of batch items by deadline, in which overdue items wait behind all others. When there are more jobs than the
- * capacity allows, overdue items would otherwise take the slots of items that can still meet their deadlines.
+ * Queue of batch items, in which started items go before the others and late ones wait behind all others. When there
+ * are more jobs than the capacity allows, progress would otherwise be spread over all items, so that they finish
+ * together after their deadlines, and late items would take the slots of items that can still meet theirs.
  */
 import type { QueuedRequest } from './fair-queue.js';
-import { FairQueue } from './fair-queue.js';
+import { FairQueue, byDeadline } from './fair-queue.js';
 
-/** Two fair queues: one for items whose deadline is ahead, one for overdue items. */
-export class BatchQueue<T extends QueuedRequest> {
-  private readonly timely = new FairQueue<T>();
-  private readonly overdue = new FairQueue<T>();
+/** A batch item that waits for a slot. */
+export interface QueuedItem extends QueuedRequest {
+  /** Tokens of the output that earlier runs have received; undefined when the item was not started. */
+  readonly receivedTokens?: number;
+}
+
+/** The item with the most tokens received first; among items that were not started, the earliest deadline first. */
+function byProgress(a: QueuedItem, b: QueuedItem): number {
+  return (b.receivedTokens ?? 0) - (a.receivedTokens ?? 0) || byDeadline(a, b);
+}
+
+/** Two fair queues: one for items that can still meet their deadline, one for late items. */
+export class BatchQueue<T extends QueuedItem> {
+  private readonly timely = new FairQueue<T>(byProgress);
+  private readonly late = new FairQueue<T>(byProgress);
   private readonly weights = new Map<string, number>();
 
   /** Number of waiting items. */
   get size(): number {
-    return this.timely.size + this.overdue.size;
+    return this.timely.size + this.late.size;
   }
 
   /** Whether the item is in the queue. */
   has(requestId: string): boolean {
-    return this.timely.has(requestId) || this.overdue.has(requestId);
+    return this.timely.has(requestId) || this.late.has(requestId);
   }
 
   /** Adds an item. `weight` is the current weight of its organisation. */
@@ -27,35 +39,35 @@
     this.timely.push(item, weight);
   }
 
-  /** Moves the items whose deadline has passed to the queue of overdue items, behind all others. */
-  moveOverdue(nowMs: number): void {
+  /** Moves the items that cannot meet their deadline any more behind all others. */
+  moveLate(isLate: (item: T) => boolean): void {
     this.timely
-      .removeWhere((item) => item.deadlineMs <= nowMs)
-      .forEach((item) => this.overdue.push(item, this.weights.get(item.organisation) ?? 1));
+      .removeWhere(isLate)
+      .forEach((item) => this.late.push(item, this.weights.get(item.organisation) ?? 1));
   }
 
-  /** Removes and returns the next item that `admits` accepts; an overdue one only when no other item is accepted. */
+  /** Removes and returns the next item that `admits` accepts; a late one only when no other item is accepted. */
   takeNext(admits: (item: T) => boolean): T | undefined {
-    return this.timely.takeNext(admits) ?? this.overdue.takeNext(admits);
+    return this.timely.takeNext(admits) ?? this.late.takeNext(admits);
   }
 
-  /** Adjusts the charge of an organisation, in the queue of items that are not overdue. */
+  /** Adjusts the charge of an organisation, in the queue of items that are not late. */
   correctCharge(organisation: string, deltaTokens: number): void {
     this.timely.correctCharge(organisation, deltaTokens);
   }
 
   /** Removes an item without charging its organisation; undefined when it is not in the queue. */
   remove(requestId: string): T | undefined {
-    return this.timely.remove(requestId) ?? this.overdue.remove(requestId);
+    return this.timely.remove(requestId) ?? this.late.remove(requestId);
   }
 
   /** Removes and returns all items that `matches` selects. */
   removeWhere(matches: (item: T) => boolean): T[] {
-    return [...this.timely.removeWhere(matches), ...this.overdue.removeWhere(matches)];
+    return [...this.timely.removeWhere(matches), ...this.late.removeWhere(matches)];
   }
 
   /** Number of waiting items and virtual time of each organisation; an organisation may be listed once per queue. */
   depths(): ReturnType<FairQueue<T>['depths']> {
-    return [...this.timely.depths(), ...this.overdue.depths()];
+    return [...this.timely.depths(), ...this.late.depths()];
   }
 }
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -1,4 +1,4 @@
-/** Weighted fair queue by organisation, with the earliest deadline first within each organisation. */
+/** Weighted fair queue by organisation, with an order of its own within each organisation. */
 
 /** The properties of a request that the queue uses. */
 export interface QueuedRequest {
@@ -9,6 +9,14 @@
   readonly deadlineMs: number;
 }
 
+/** Order of the requests of one organisation: negative when `a` is served before `b`. */
+export type RequestOrder<T> = (a: T, b: T) => number;
+
+/** The request with the earliest deadline first. */
+export function byDeadline(a: QueuedRequest, b: QueuedRequest): number {
+  return a.deadlineMs - b.deadlineMs;
+}
+
 interface OrganisationQueue<T extends QueuedRequest> {
   readonly organisation: string;
   weight: number;
@@ -27,6 +35,8 @@
   private virtualTokens = 0;
   private readonly requestIds = new Set<string>();
 
+  constructor(private readonly order: RequestOrder<T> = byDeadline) {}
+
   /** Number of waiting requests. */
   get size(): number {
     return this.requestIds.size;
@@ -43,7 +53,7 @@
     if (queue.waiting.length === 0) {
       queue.servedVirtualTokens = Math.max(queue.servedVirtualTokens, this.virtualTokens);
     }
-    const at = queue.waiting.findIndex((other) => other.deadlineMs > request.deadlineMs);
+    const at = queue.waiting.findIndex((other) => this.order(other, request) > 0);
     queue.waiting.splice(at < 0 ? queue.waiting.length : at, 0, request);
     this.requestIds.add(request.requestId);
   }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
  * timers.
  */
 export * from './batch-queue.js';
+export * from './batch-run-estimates.js';
 export * from './burst-reserve.js';
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -3,6 +3,7 @@
 import { notRun } from '@fighub/core';
 
 import { BatchQueue } from './batch-queue.js';
+import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
 import { FairQueue } from './fair-queue.js';
 import { OrganisationLimits } from './organisation-limits.js';
@@ -47,6 +48,7 @@
   readonly prefixes = new PrefixIndex();
   private readonly online = new FairQueue<SlotRequest>();
   private readonly batch = new BatchQueue<SlotRequest>();
+  private readonly batchRuns = new BatchRunEstimates();
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   /** Replicas of the pool, and the permits for their slots. */
@@ -142,6 +144,7 @@
     this.quarantine.onRelease(permit.request.requestId);
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correctCharge(permit.request.organisation, report.tokens - permit.request.costTokens);
+    if (permit.request.workClass === WorkClass.batch) this.observeBatchRun(permit, report, nowMs);
     const replica = this.replicas.get(permit.replicaId);
     if (!replica) return;
     replica.health.observe(report.end, nowMs);
@@ -184,7 +187,7 @@
     this.places.dropExpired(nowMs);
     this.refuseOverdue(nowMs);
     if (!this.hasUsableReplica(nowMs)) this.refuseAll();
-    this.batch.moveOverdue(nowMs);
+    this.batch.moveLate((item) => this.batchRuns.isLate(item, nowMs));
     this.runQuarantine(nowMs);
     this.preemptForUnknownStreams(nowMs);
     this.grantOnline(nowMs);
@@ -257,6 +260,16 @@
     };
   }
 
+  private observeBatchRun({ request, grantedAtMs }: Permit, report: ReleaseReport, nowMs: number): void {
+    this.batchRuns.observe({
+      organisation: request.organisation,
+      earlierTokens: request.receivedTokens ?? 0,
+      tokens: report.tokens,
+      ranMs: nowMs - grantedAtMs,
+      completed: report.end === 'completed',
+    });
+  }
+
   /** Updates the mean stream duration and the replica's concurrency limit from a completed stream. */
   private recordMeasurements(
     permit: Permit,
@@ -339,7 +352,7 @@
       .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
       .forEach((replica) => {
         const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
-        rankVictims(this.places.permitsAt(replica.replicaId), nowMs)
+        rankVictims(this.places.permitsAt(replica.replicaId), this.receivedTokensAt(nowMs), nowMs)
           .slice(0, Math.max(0, excess))
           .forEach((permit) => this.revoke(permit, nowMs));
       });
@@ -435,7 +448,11 @@
         replica.health.isAvailable(nowMs)
       );
     });
-    return pickVictim(preemptible, request, this.prefixes, nowMs);
+    return pickVictim(preemptible, request, this.prefixes, this.receivedTokensAt(nowMs), nowMs);
+  }
+
+  private receivedTokensAt(nowMs: number): (permit: Permit) => number {
+    return (permit) => this.batchRuns.receivedTokens(permit, nowMs);
   }
 
   /** Preempts a batch stream for an online request and returns its replica; undefined when there is no such stream. */
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -31,6 +31,8 @@
   /** True for a batch item that must run in quarantine, with no other stream at its replica. */
   readonly alone: boolean;
   readonly enqueuedAtMs: number;
+  /** Tokens of a batch item's output that earlier runs have received; undefined when there are none. */
+  readonly receivedTokens?: number;
 }
 
 /** The right of a holder to run one stream at one replica. Times are monotonic milliseconds of the pool's owner. */
--- a/packages/decisions/src/replica-choice.ts
+++ b/packages/decisions/src/replica-choice.ts
@@ -57,19 +57,25 @@
   permits: readonly Permit[],
   request: SlotRequest,
   prefixes: PrefixIndex,
+  receivedTokensOf: (permit: Permit) => number,
   nowMs: number,
 ): Permit | undefined {
-  const ranked = rankVictims(permits, nowMs).filter(
+  const ranked = rankVictims(permits, receivedTokensOf, nowMs).filter(
     (permit) => !request.excludedReplicaIds.includes(permit.replicaId),
   );
   return ranked.find((permit) => affinityOf(permit.replicaId, request, prefixes) > 0) ?? ranked[0];
 }
 
 /**
- * Batch permits in the order in which they are preempted: overdue ones first, then those with the latest deadline,
- * then the youngest, whose streams lose the least work. Only resumable streams are preempted.
+ * Batch permits in the order in which they are preempted: overdue ones first, then those whose items have received the
+ * fewest tokens, so that the others finish first, then those with the latest deadline. Only resumable streams are
+ * preempted.
  */
-export function rankVictims(permits: readonly Permit[], nowMs: number): Permit[] {
+export function rankVictims(
+  permits: readonly Permit[],
+  receivedTokensOf: (permit: Permit) => number,
+  nowMs: number,
+): Permit[] {
   const isOverdue = (permit: Permit): number => (permit.request.deadlineMs <= nowMs ? 1 : 0);
   return permits
     .filter((permit) => permit.request.workClass === 'batch' && permit.request.resumable)
@@ -77,6 +83,7 @@
     .sort(
       (a, b) =>
         isOverdue(b) - isOverdue(a) ||
+        receivedTokensOf(a) - receivedTokensOf(b) ||
         b.request.deadlineMs - a.request.deadlineMs ||
         b.grantedAtMs - a.grantedAtMs,
     );
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -33,6 +33,8 @@
   readonly resumable: boolean;
   /** True for a batch item that may crash its replica: it runs in quarantine, with no other stream at the replica. */
   readonly alone: boolean;
+  /** Tokens of a batch item's output that earlier runs have received; omitted when there are none. */
+  readonly receivedTokens?: number;
 }
 
 /** Notifies a holder that it was granted a permit for a slot. */
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -115,6 +115,7 @@
     excludedReplicaIds: request.excludedReplicaIds,
     resumable: true,
     alone: false,
+    receivedTokens: request.output.lastEventId,
   };
 }
 
