--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -391,9 +391,8 @@
 
   private async readLoad(pool: PoolScheduler, replica: PoolReplica): Promise<void> {
     const report = await this.loadReader?.load(replica.address);
-    replica.missedReports = report ? 0 : replica.missedReports + 1;
+    pool.recordLoadReading(replica.replicaId, report?.maxConcurrency);
     if (!report) return;
-    replica.limit.setMaximum(report.maxConcurrency);
     this.upstreams.applyReport(replica.replicaId, report.leaving);
     pool.prefixes.applyReport(replica.replicaId, report.cachedPrefixes, this.clock.monotonicMs());
   }
--- a/packages/decisions/src/batch-run-estimates.ts
+++ b/packages/decisions/src/batch-run-estimates.ts
@@ -53,9 +53,9 @@
     known.meanDeviation += SMOOTHING_FACTOR * (Math.abs(difference) - known.meanDeviation);
   }
 
-  /** Estimated number of tokens that the item of a running stream has received in all of its runs. */
-  receivedTokens({ request, grantedAtMs }: Permit, nowMs: number): number {
-    return (request.receivedTokens ?? 0) + Math.max(0, nowMs - grantedAtMs) / this.msPerToken;
+  /** When a running item would have started if it had received all of its tokens without interruption. */
+  uninterruptedStartMs({ request, grantedAtMs }: Permit): number {
+    return grantedAtMs - (request.receivedTokens ?? 0) * this.msPerToken;
   }
 
   /**
--- a/packages/decisions/src/concurrency.ts
+++ b/packages/decisions/src/concurrency.ts
@@ -36,10 +36,12 @@
     return Math.max(MIN_STREAMS, Math.floor(Math.min(this.adaptiveLimit, this.maximum)));
   }
 
-  /** Sets the maximum number of streams, as configured or as reported by the engine. */
-  setMaximum(maximum: number): void {
+  /** Sets the maximum number of streams, as configured or as reported by the engine. Returns whether it changed. */
+  setMaximum(maximum: number): boolean {
+    if (maximum === this.maximum) return false;
     this.maximum = maximum;
     this.adaptiveLimit = Math.min(this.adaptiveLimit, maximum);
+    return true;
   }
 
   /**
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -1,4 +1,5 @@
 /** Weighted fair queue by organisation, with an order of its own within each organisation. */
+import { orderedMap } from './ordered-map.js';
 
 /** The properties of a request that the queue uses. */
 export interface QueuedRequest {
@@ -19,12 +20,24 @@
 
 interface OrganisationQueue<T extends QueuedRequest> {
   readonly organisation: string;
+  /** Position in the order in which organisations were first seen, which decides between equal virtual times. */
+  readonly position: number;
   weight: number;
   /** Virtual time up to which the organisation has been served, in tokens divided by weight. */
   servedVirtualTokens: number;
   waiting: T[];
 }
 
+/** Key of an organisation with waiting requests in the order in which organisations are served. */
+interface ServiceKey {
+  readonly virtualTokens: number;
+  readonly position: number;
+}
+
+function compareServiceKeys(a: ServiceKey, b: ServiceKey): number {
+  return a.virtualTokens - b.virtualTokens || a.position - b.position;
+}
+
 /**
  * Start-time fair queueing. Each organisation has a virtual time that rises by cost / weight when a request of it is
  * served; the organisation with the lowest virtual time is served next. An organisation that was idle resumes at the
@@ -32,19 +45,24 @@
  */
 export class FairQueue<T extends QueuedRequest> {
   private readonly organisations = new Map<string, OrganisationQueue<T>>();
+  /** The organisations with waiting requests, the one to be served next first. */
+  private readonly active = orderedMap<ServiceKey, OrganisationQueue<T>>(compareServiceKeys);
+  private activeWeight = 0;
   private virtualTokens = 0;
-  private readonly requestIds = new Set<string>();
+  private readonly queueByRequestId = new Map<string, OrganisationQueue<T>>();
+  /** No waiting request has an earlier deadline; it may be too early after requests were taken. */
+  private deadlineBoundMs = Number.POSITIVE_INFINITY;
 
   constructor(private readonly order: RequestOrder<T> = byDeadline) {}
 
   /** Number of waiting requests. */
   get size(): number {
-    return this.requestIds.size;
+    return this.queueByRequestId.size;
   }
 
   /** Whether the request is in the queue. */
   has(requestId: string): boolean {
-    return this.requestIds.has(requestId);
+    return this.queueByRequestId.has(requestId);
   }
 
   /** Adds a request. `weight` becomes the weight of its organisation, also for requests that already wait. */
@@ -52,10 +70,12 @@
     const queue = this.queueOf(request.organisation, weight);
     if (queue.waiting.length === 0) {
       queue.servedVirtualTokens = Math.max(queue.servedVirtualTokens, this.virtualTokens);
+      this.activate(queue);
     }
     const at = queue.waiting.findIndex((other) => this.order(other, request) > 0);
     queue.waiting.splice(at < 0 ? queue.waiting.length : at, 0, request);
-    this.requestIds.add(request.requestId);
+    this.queueByRequestId.set(request.requestId, queue);
+    this.deadlineBoundMs = Math.min(this.deadlineBoundMs, request.deadlineMs);
   }
 
   /**
@@ -64,15 +84,12 @@
    * skipped and not charged.
    */
   takeNext(admits: (request: T) => boolean): T | undefined {
-    const order = [...this.organisations.values()]
-      .filter((queue) => queue.waiting.length > 0)
-      .sort((a, b) => a.servedVirtualTokens - b.servedVirtualTokens);
-    const chosen = order.find((queue) => queue.waiting[0] !== undefined && admits(queue.waiting[0]));
-    const request = chosen?.waiting.shift();
+    const chosen = this.firstAdmitted(admits);
+    const request = chosen?.waiting[0];
     if (!chosen || !request) return undefined;
-    this.requestIds.delete(request.requestId);
+    this.removeFrom(chosen, request.requestId);
     this.virtualTokens = Math.max(this.virtualTokens, chosen.servedVirtualTokens);
-    chosen.servedVirtualTokens += request.costTokens / chosen.weight;
+    this.charge(chosen, request.costTokens);
     return request;
   }
 
@@ -82,18 +99,13 @@
    */
   correctCharge(organisation: string, deltaTokens: number): void {
     const queue = this.organisations.get(organisation);
-    if (queue) queue.servedVirtualTokens += deltaTokens / queue.weight;
+    if (queue) this.charge(queue, deltaTokens);
   }
 
   /** Removes a request without charging its organisation; undefined when it is not in the queue. */
   remove(requestId: string): T | undefined {
-    if (!this.requestIds.delete(requestId)) return undefined;
-    const queue = [...this.organisations.values()].find((candidate) =>
-      candidate.waiting.some((request) => request.requestId === requestId),
-    );
-    if (!queue) return undefined;
-    const at = queue.waiting.findIndex((request) => request.requestId === requestId);
-    return queue.waiting.splice(at, 1)[0];
+    const queue = this.queueByRequestId.get(requestId);
+    return queue && this.removeFrom(queue, requestId);
   }
 
   /** Removes and returns all requests that `matches` selects. */
@@ -103,6 +115,17 @@
     return removed;
   }
 
+  /** Removes and returns the requests whose deadline has passed. */
+  removeOverdue(nowMs: number): T[] {
+    if (nowMs < this.deadlineBoundMs) return [];
+    const removed = this.removeWhere((request) => request.deadlineMs <= nowMs);
+    this.deadlineBoundMs = this.all().reduce(
+      (earliestMs, request) => Math.min(earliestMs, request.deadlineMs),
+      Number.POSITIVE_INFINITY,
+    );
+    return removed;
+  }
+
   /** All waiting requests. */
   all(): T[] {
     return [...this.organisations.values()].flatMap((queue) => queue.waiting);
@@ -115,9 +138,8 @@
 
   /** Sum of the weights of the organisations that have waiting requests, other than `organisation`. */
   otherActiveWeight(organisation: string): number {
-    return [...this.organisations.values()]
-      .filter((queue) => queue.waiting.length > 0 && queue.organisation !== organisation)
-      .reduce((sum, queue) => sum + queue.weight, 0);
+    const own = this.organisations.get(organisation);
+    return this.activeWeight - (own && own.waiting.length > 0 ? own.weight : 0);
   }
 
   /** Number of waiting requests and virtual time of each organisation, including those without waiting requests. */
@@ -129,14 +151,58 @@
     }));
   }
 
+  private firstAdmitted(admits: (request: T) => boolean): OrganisationQueue<T> | undefined {
+    for (const [, queue] of this.active.entries()) {
+      if (queue.waiting[0] !== undefined && admits(queue.waiting[0])) return queue;
+    }
+    return undefined;
+  }
+
+  private removeFrom(queue: OrganisationQueue<T>, requestId: string): T | undefined {
+    const at = queue.waiting.findIndex((request) => request.requestId === requestId);
+    const [request] = queue.waiting.splice(at, 1);
+    this.queueByRequestId.delete(requestId);
+    if (queue.waiting.length === 0) this.deactivate(queue);
+    return request;
+  }
+
+  private charge(queue: OrganisationQueue<T>, tokens: number): void {
+    const isActive = queue.waiting.length > 0;
+    if (isActive) this.active.delete(keyOf(queue));
+    queue.servedVirtualTokens += tokens / queue.weight;
+    if (isActive) this.active.set(keyOf(queue), queue);
+  }
+
+  private activate(queue: OrganisationQueue<T>): void {
+    this.active.set(keyOf(queue), queue);
+    this.activeWeight += queue.weight;
+  }
+
+  private deactivate(queue: OrganisationQueue<T>): void {
+    this.active.delete(keyOf(queue));
+    // Reset so that rounding errors of fractional weights do not add up.
+    this.activeWeight = this.active.size === 0 ? 0 : this.activeWeight - queue.weight;
+  }
+
   private queueOf(organisation: string, weight: number): OrganisationQueue<T> {
     const known = this.organisations.get(organisation);
     if (known) {
+      if (known.waiting.length > 0) this.activeWeight += weight - known.weight;
       known.weight = weight;
       return known;
     }
-    const created = { organisation, weight, servedVirtualTokens: this.virtualTokens, waiting: [] };
+    const created = {
+      organisation,
+      position: this.organisations.size,
+      weight,
+      servedVirtualTokens: this.virtualTokens,
+      waiting: [],
+    };
     this.organisations.set(organisation, created);
     return created;
   }
 }
+
+function keyOf(queue: OrganisationQueue<QueuedRequest>): ServiceKey {
+  return { virtualTokens: queue.servedVirtualTokens, position: queue.position };
+}
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -23,7 +23,7 @@
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
 import { Quarantine } from './quarantine.js';
-import { isReporting, pickReplica, pickVictim, rankVictims } from './replica-choice.js';
+import { isReporting } from './replica-choice.js';
 
 /** The slot of a preempted stream counts as free for this long, and as occupied again if the permit is still held. */
 const REVOKE_GRACE_MS = 300;
@@ -52,7 +52,9 @@
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   /** Replicas of the pool, and the permits for their slots. */
-  private readonly places = new PoolSlots(this.limits);
+  private readonly places = new PoolSlots(this.limits, (permit) =>
+    this.batchRuns.uninterruptedStartMs(permit),
+  );
   private readonly quarantine = new Quarantine();
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
@@ -128,7 +130,7 @@
 
   /** The permit that was granted to a request, or undefined when it has none. */
   permitOf(requestId: string): Permit | undefined {
-    return this.permits.all().find((permit) => permit.request.requestId === requestId);
+    return this.places.permitOf(requestId);
   }
 
   /** Removes a waiting request from its queue; does nothing when the request is not waiting. */
@@ -145,10 +147,8 @@
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correctCharge(permit.request.organisation, report.tokens - permit.request.costTokens);
     if (permit.request.workClass === WorkClass.batch) this.observeBatchRun(permit, report, nowMs);
-    const replica = this.replicas.get(permit.replicaId);
-    if (!replica) return;
-    replica.health.observe(report.end, nowMs);
-    if (report.end === 'completed') this.recordMeasurements(permit, replica, report, nowMs);
+    this.places.observeEnd(permit.replicaId, report.end, nowMs);
+    if (report.end === 'completed') this.recordMeasurements(permit, report, nowMs);
   }
 
   /** Applies a renewal by a holder, which lists all permits that it holds. See `PoolSlots.renew`. */
@@ -174,10 +174,17 @@
     this.places.observeLoad(report, nowMs);
   }
 
+  /**
+   * Records the result of reading a replica's load: its maximum number of streams, or undefined when it could not be
+   * read.
+   */
+  recordLoadReading(replicaId: string, maxConcurrency: number | undefined): void {
+    this.places.recordLoadReading(replicaId, maxConcurrency);
+  }
+
   /** Marks a replica as leaving: it refuses new work and is granted no more permits. */
   markLeaving(replicaId: string): void {
-    const replica = this.replicas.get(replicaId);
-    if (replica) replica.leaving = true;
+    this.places.markLeaving(replicaId);
   }
 
   /**
@@ -200,7 +207,7 @@
    * the weights.
    */
   expectedWaitMs(organisation: string, nowMs: number): number {
-    const usableSlots = this.places.total() - this.places.drift(nowMs);
+    const usableSlots = this.places.total(nowMs) - this.places.drift(nowMs);
     const onlineStreams = this.places.streamsOf(WorkClass.online);
     // The next scheduling round gives waiting requests a free slot, or the slot of a preempted batch stream.
     if (onlineStreams + this.online.size + this.places.nonResumableBatchStreams() < usableSlots) return 0;
@@ -229,14 +236,14 @@
   load(nowMs: number): PoolLoad {
     return {
       poolId: this.poolId,
-      places: this.places.total(),
+      places: this.places.total(nowMs),
       onlineStreams: this.places.streamsOf(WorkClass.online),
       batchStreams: this.places.streamsOf(WorkClass.batch),
       onlineWaiting: this.online.size,
       batchWaiting: this.batch.size + this.quarantine.size,
       newcomerWaitMs: this.expectedWaitMs(IDLE_ORGANISATION, nowMs),
       organisationWaits: this.organisationWaits(nowMs),
-      reservedPlaces: this.reserve.places(this.places.total(), this.policy.reserveMaxFraction, nowMs),
+      reservedPlaces: this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs),
     };
   }
 
@@ -271,23 +278,16 @@
   }
 
   /** Updates the mean stream duration and the replica's concurrency limit from a completed stream. */
-  private recordMeasurements(
-    permit: Permit,
-    replica: PoolReplica,
-    report: ReleaseReport,
-    nowMs: number,
-  ): void {
+  private recordMeasurements(permit: Permit, report: ReleaseReport, nowMs: number): void {
     const streamMs = nowMs - permit.grantedAtMs;
     if (permit.request.workClass === WorkClass.online) {
       this.meanStreamMs += MEAN_STREAM_SMOOTHING_FACTOR * (streamMs - this.meanStreamMs);
     }
     if (report.firstTokenMs === undefined || report.betweenTokensMs === undefined) return;
     const measured = { firstTokenMs: report.firstTokenMs, betweenTokensMs: report.betweenTokensMs };
-    replica.limit.observe(
-      measured,
-      this.policy.targets,
-      this.places.inFlight(replica.replicaId, nowMs),
-      nowMs,
+    const inFlight = this.places.inFlight(permit.replicaId, nowMs);
+    this.places.change(permit.replicaId, ({ limit }) =>
+      limit.observe(measured, this.policy.targets, inFlight, nowMs),
     );
   }
 
@@ -318,6 +318,7 @@
 
   /** Advances the quarantine: stops the batch streams at the isolated replica, or starts the suspect there. */
   private runQuarantine(nowMs: number): void {
+    if (this.quarantine.size === 0 && this.quarantine.replicaId === undefined) return;
     const usable = this.replicas
       .all()
       .filter((replica) => !replica.leaving && replica.health.isAvailable(nowMs));
@@ -332,14 +333,10 @@
    * released, because the replica must be empty before the suspect starts.
    */
   private revokeBatchAt(replicaId: string, nowMs: number): void {
-    this.permits
-      .all()
-      .filter((permit) => permit.replicaId === replicaId && permit.request.workClass === WorkClass.batch)
-      .filter((permit) => permit.request.resumable && permit.revokedUntilMs === undefined)
-      .forEach((permit) => {
-        permit.revokedUntilMs = nowMs;
-        this.output.revoked(permit);
-      });
+    this.places.rankVictimsAt(replicaId, nowMs).forEach((permit) => {
+      this.places.revoke(permit, nowMs);
+      this.output.revoked(permit);
+    });
   }
 
   /**
@@ -347,35 +344,31 @@
    * exceed the limit. Otherwise the streams without a permit might wait in the replica's own queue.
    */
   private preemptForUnknownStreams(nowMs: number): void {
-    this.replicas
-      .all()
-      .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
-      .forEach((replica) => {
-        const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
-        rankVictims(this.places.permitsAt(replica.replicaId), this.receivedTokensAt(nowMs), nowMs)
-          .slice(0, Math.max(0, excess))
-          .forEach((permit) => this.revoke(permit, nowMs));
-      });
+    this.places.replicasWithUnknownStreams(nowMs).forEach((replica) => {
+      const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
+      this.places
+        .rankVictimsAt(replica.replicaId, nowMs)
+        .slice(0, Math.max(0, excess))
+        .forEach((permit) => this.revoke(permit, nowMs));
+    });
   }
 
   /** Preempts a stream; its slot counts as free during the grace period. */
   private revoke(permit: Permit, nowMs: number): void {
-    permit.revokedUntilMs = nowMs + REVOKE_GRACE_MS;
+    this.places.revoke(permit, nowMs + REVOKE_GRACE_MS);
     this.output.revoked(permit);
   }
 
   /** Refuses waiting online requests whose deadline has passed. */
   private refuseOverdue(nowMs: number): void {
-    this.online
-      .removeWhere((request) => request.deadlineMs <= nowMs)
-      .forEach((request) => {
-        const problem = notRun(
-          'deadline_unreachable',
-          'the deadline passed while the request waited for a slot',
-          this.expectedWaitMs(request.organisation, nowMs),
-        );
-        this.output.refused(request, problem);
-      });
+    this.online.removeOverdue(nowMs).forEach((request) => {
+      const problem = notRun(
+        'deadline_unreachable',
+        'the deadline passed while the request waited for a slot',
+        this.expectedWaitMs(request.organisation, nowMs),
+      );
+      this.output.refused(request, problem);
+    });
   }
 
   /** Grants online requests the free slots, and then the slots of batch streams that it preempts. */
@@ -385,7 +378,7 @@
       (this.pickFreeReplica(request, nowMs) !== undefined ||
         this.pickVictimFor(request, nowMs) !== undefined);
     repeatWhile(() => {
-      const request = this.online.takeNext(admits);
+      const request = this.places.mayHaveSlot(nowMs) ? this.online.takeNext(admits) : undefined;
       if (!request) return false;
       const replica = this.pickFreeReplica(request, nowMs) ?? this.preemptFor(request, nowMs);
       if (replica) this.grant(request, replica, nowMs);
@@ -402,12 +395,12 @@
     repeatWhile(() => {
       const spareSlots =
         this.places.freeSlots(this.quarantine.replicaId, nowMs) -
-        this.reserve.places(this.places.total(), this.policy.reserveMaxFraction, nowMs);
+        this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs);
       if (spareSlots <= 0) return false;
       const request = this.batch.takeNext(
         (candidate) =>
           this.limits.admits(candidate, this.policy.limitsOf(candidate.organisation), nowMs) &&
-          (candidate.resumable || this.nonResumableBatchFits()) &&
+          (candidate.resumable || this.nonResumableBatchFits(nowMs)) &&
           this.pickFreeReplica(candidate, nowMs) !== undefined,
       );
       const replica = request && this.pickFreeReplica(request, nowMs);
@@ -417,42 +410,20 @@
     });
   }
 
-  private nonResumableBatchFits(): boolean {
+  private nonResumableBatchFits(nowMs: number): boolean {
     return (
       this.places.nonResumableBatchStreams() + 1 <=
-      Math.max(1, this.places.total() * NON_RESUMABLE_BATCH_MAX_FRACTION)
+      Math.max(1, this.places.total(nowMs) * NON_RESUMABLE_BATCH_MAX_FRACTION)
     );
   }
 
   private pickFreeReplica(request: SlotRequest, nowMs: number): PoolReplica | undefined {
-    const notQuarantined = this.replicas
-      .all()
-      .filter((replica) => replica.replicaId !== this.quarantine.replicaId);
-    return pickReplica(
-      notQuarantined,
-      request,
-      this.prefixes,
-      (replica) => this.places.occupied(replica, nowMs),
-      nowMs,
-    );
+    return this.places.pickFreeReplica(request, this.prefixes, this.quarantine.replicaId, nowMs);
   }
 
   /** The batch permit to preempt for an online request, at a replica that may get work. */
   private pickVictimFor(request: SlotRequest, nowMs: number): Permit | undefined {
-    const preemptible = this.permits.all().filter((permit) => {
-      const replica = this.replicas.get(permit.replicaId);
-      return (
-        replica !== undefined &&
-        !replica.leaving &&
-        replica.replicaId !== this.quarantine.replicaId &&
-        replica.health.isAvailable(nowMs)
-      );
-    });
-    return pickVictim(preemptible, request, this.prefixes, this.receivedTokensAt(nowMs), nowMs);
-  }
-
-  private receivedTokensAt(nowMs: number): (permit: Permit) => number {
-    return (permit) => this.batchRuns.receivedTokens(permit, nowMs);
+    return this.places.pickVictim(request, this.prefixes, this.quarantine.replicaId, nowMs);
   }
 
   /** Preempts a batch stream for an online request and returns its replica; undefined when there is no such stream. */
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -4,9 +4,16 @@
 import { ConcurrencyLimit } from './concurrency.js';
 import { LoadDrift } from './load-drift.js';
 import type { OrganisationLimits } from './organisation-limits.js';
-import type { Permit, PoolReplica, ReplicaInfo, ReplicaLoadReport } from './pool-types.js';
+import type { Permit, PoolReplica, ReplicaInfo, ReplicaLoadReport, SlotRequest } from './pool-types.js';
 import { WorkClass } from './pool-types.js';
+import { PreemptibleStreams } from './preemptible-streams.js';
+import type { PrefixIndex } from './prefix-index.js';
+import { isReporting, usableSlots } from './replica-choice.js';
+import type { AttemptEnd } from './replica-health.js';
 import { ReplicaHealth } from './replica-health.js';
+import { ReplicaOrder } from './replica-order.js';
+import type { SlotTotals } from './slot-totals.js';
+import { NO_SLOTS, addTotals, subtractTotals } from './slot-totals.js';
 
 /** A permit expires when it has not been renewed for this long. */
 export const PERMIT_LIFETIME_MS = 4_000;
@@ -18,12 +25,45 @@
 /** Time after the grant by which a stream has reached its replica and is counted in the replica's load reports. */
 const SETTLED_AFTER_MS = 300;
 
-/** Keeps the replicas and permits of one pool and counts their slots and streams. */
+/** The permits for slots of one replica. */
+interface ReplicaPermits {
+  readonly permits: Map<string, Permit>;
+  /** Preempted permits, whose slots count as free during the grace period. */
+  readonly revoked: Set<Permit>;
+}
+
+/**
+ * Keeps the replicas and permits of one pool. Slots and streams are counted as they change, and only replicas whose
+ * state has changed or depends on the time are looked at again, so that a decision does not scan the pool.
+ */
 export class PoolSlots {
   readonly replicas = new EntityTable<PoolReplica>();
   readonly permits = new EntityTable<Permit>();
+  private readonly byReplica = new Map<string, ReplicaPermits>();
+  private readonly byHolder = new Map<string, Map<string, Permit>>();
+  private readonly byRequestId = new Map<string, Permit>();
+  private readonly preemptible = new PreemptibleStreams();
+  /** Replicas with a free slot, apart by whether their load could be read. */
+  private readonly reportingOrder = new ReplicaOrder();
+  private readonly silentOrder = new ReplicaOrder();
+  private readonly totalsByReplica = new Map<string, SlotTotals>();
+  private totals = NO_SLOTS;
+  private onlineStreams = 0;
+  private nonResumableStreams = 0;
+  /** Replicas to look at again at the next decision. */
+  private readonly changed = new Set<string>();
+  /** Replicas whose state changes with time, without a call: paused ones, and those with drift or preempted streams. */
+  private readonly timeDependent = new Set<string>();
+  private refreshedAtMs = Number.NEGATIVE_INFINITY;
+  /** No permit expires earlier. */
+  private expiryBoundMs = Number.POSITIVE_INFINITY;
+  private nextPosition = 0;
 
-  constructor(private readonly limits: OrganisationLimits) {}
+  /** `uninterruptedStartMs` returns when the item of a batch permit would have started without interruptions. */
+  constructor(
+    private readonly limits: OrganisationLimits,
+    private readonly uninterruptedStartMs: (permit: Permit) => number,
+  ) {}
 
   /**
    * Adds, updates and removes replicas so that they match `infos`. A replica whose address changed is replaced,
@@ -34,10 +74,39 @@
     this.replicas
       .ids()
       .filter((id) => !wanted.has(id))
-      .forEach((id) => this.replicas.take(id));
+      .forEach((id) => this.removeReplica(id));
     infos.forEach((info) => this.setReplica(info));
   }
 
+  /** Marks a replica as leaving: it refuses new work and is granted no more permits. */
+  markLeaving(replicaId: string): void {
+    this.change(replicaId, (replica) => (replica.leaving = true));
+  }
+
+  /** Records how an attempt at a replica ended. */
+  observeEnd(replicaId: string, end: AttemptEnd, nowMs: number): void {
+    this.change(replicaId, (replica) => replica.health.observe(end, nowMs));
+  }
+
+  /**
+   * Records the result of reading a replica's load: its maximum number of streams, or undefined when it could not be
+   * read.
+   */
+  recordLoadReading(replicaId: string, maxConcurrency: number | undefined): void {
+    this.change(replicaId, (replica) => {
+      replica.missedReports = maxConcurrency === undefined ? replica.missedReports + 1 : 0;
+      if (maxConcurrency !== undefined) replica.limit.setMaximum(maxConcurrency);
+    });
+  }
+
+  /** Applies a change to a replica; does nothing when there is none with this id. */
+  change(replicaId: string, apply: (replica: PoolReplica) => void): void {
+    const replica = this.replicas.get(replicaId);
+    if (!replica) return;
+    apply(replica);
+    this.changed.add(replicaId);
+  }
+
   /** Adds a permit that was just granted, and checks the invariant that each permit id is granted only once. */
   add(permit: Permit): void {
     checkInvariant(InvariantName.permitUsedOnce, !this.permits.has(permit.permitId), () => ({ permit }));
@@ -47,13 +116,38 @@
   /** Removes a permit and returns it, or undefined when there is none with this id. */
   take(permitId: string): Permit | undefined {
     const permit = this.permits.take(permitId);
-    if (permit) this.limits.onRelease(permit.request.organisation);
+    if (!permit) return undefined;
+    const { request, replicaId } = permit;
+    this.limits.onRelease(request.organisation);
+    this.preemptible.remove(permitId);
+    this.count(permit, -1);
+    if (this.byRequestId.get(request.requestId) === permit) this.byRequestId.delete(request.requestId);
+    const atReplica = this.permitsOf(replicaId);
+    atReplica.permits.delete(permitId);
+    atReplica.revoked.delete(permit);
+    if (atReplica.permits.size === 0) this.byReplica.delete(replicaId);
+    const ofHolder = this.byHolder.get(request.holder);
+    ofHolder?.delete(permitId);
+    if (ofHolder?.size === 0) this.byHolder.delete(request.holder);
+    this.changed.add(replicaId);
     return permit;
   }
 
+  /** Marks a permit as preempted; its slot counts as free before `revokedUntilMs`. */
+  revoke(permit: Permit, revokedUntilMs: number): void {
+    permit.revokedUntilMs = revokedUntilMs;
+    this.preemptible.remove(permit.permitId);
+    this.permitsOf(permit.replicaId).revoked.add(permit);
+    this.changed.add(permit.replicaId);
+  }
+
   /** Removes the permits that have expired. */
   dropExpired(nowMs: number): void {
-    this.dropWhere((permit) => permit.expiresAtMs <= nowMs);
+    if (nowMs < this.expiryBoundMs) return;
+    this.drop(this.permits.all().filter((permit) => permit.expiresAtMs <= nowMs));
+    this.expiryBoundMs = this.permits
+      .all()
+      .reduce((boundMs, { expiresAtMs }) => Math.min(boundMs, expiresAtMs), Number.POSITIVE_INFINITY);
   }
 
   /**
@@ -63,11 +157,10 @@
    */
   renew(holder: string, permits: readonly Permit[], nowMs: number): void {
     const held = new Set(permits.map((permit) => permit.permitId));
-    this.dropWhere(
-      (permit) =>
-        permit.request.holder === holder &&
-        !held.has(permit.permitId) &&
-        nowMs - permit.grantedAtMs >= GRANT_DELIVERY_LIMIT_MS,
+    this.drop(
+      this.permitsOfHolder(holder).filter(
+        ({ permitId, grantedAtMs }) => !held.has(permitId) && nowMs - grantedAtMs >= GRANT_DELIVERY_LIMIT_MS,
+      ),
     );
     const expiresAtMs = nowMs + PERMIT_LIFETIME_MS;
     permits.forEach((permit) => {
@@ -77,14 +170,19 @@
     });
   }
 
+  /** The permit that was granted to a request, or undefined when it has none. */
+  permitOf(requestId: string): Permit | undefined {
+    return this.byRequestId.get(requestId);
+  }
+
   /** Instances that hold permits of this pool. */
   holders(): string[] {
-    return [...new Set(this.permits.all().map((permit) => permit.request.holder))];
+    return [...this.byHolder.keys()];
   }
 
   /** Removes all permits of a holder. */
   removeHolder(holder: string): void {
-    this.dropWhere((permit) => permit.request.holder === holder);
+    this.drop(this.permitsOfHolder(holder));
   }
 
   /** Records the number of streams that a replica reported with a response, to compare it with the permits. */
@@ -96,29 +194,30 @@
       permitted: permits.length,
       settled: settled.length,
     };
-    this.replicas.get(report.replicaId)?.drift.observe(observation, nowMs);
+    this.change(report.replicaId, ({ drift }) => drift.observe(observation, nowMs));
   }
 
   /** Permits for slots of a replica, including preempted ones. */
   permitsAt(replicaId: string): Permit[] {
-    return this.permits.all().filter((permit) => permit.replicaId === replicaId);
+    return [...(this.byReplica.get(replicaId)?.permits.values() ?? [])];
   }
 
   /** Number of permits of a work class. */
   streamsOf(workClass: WorkClass): number {
-    return this.permits.all().filter((permit) => permit.request.workClass === workClass).length;
+    return workClass === WorkClass.online ? this.onlineStreams : this.permits.size - this.onlineStreams;
   }
 
   /** Number of permits of batch streams that cannot be resumed, and so are never preempted. */
   nonResumableBatchStreams(): number {
-    return this.permits
-      .all()
-      .filter(({ request }) => request.workClass === WorkClass.batch && !request.resumable).length;
+    return this.nonResumableStreams;
   }
 
   /** Number of permits that occupy a slot of a replica. Preempted ones do not count during the grace period. */
   inFlight(replicaId: string, nowMs: number): number {
-    return this.permitsAt(replicaId).filter((permit) => !isWithinRevokeGrace(permit, nowMs)).length;
+    const atReplica = this.byReplica.get(replicaId);
+    if (!atReplica) return 0;
+    const inGrace = [...atReplica.revoked].filter((permit) => isWithinRevokeGrace(permit, nowMs));
+    return atReplica.permits.size - inGrace.length;
   }
 
   /** Estimated number of streams at a replica: its occupied slots by permit, corrected by the drift. */
@@ -127,11 +226,9 @@
   }
 
   /** Number of slots of all replicas that are not leaving. */
-  total(): number {
-    return this.replicas
-      .all()
-      .filter((replica) => !replica.leaving)
-      .reduce((sum, replica) => sum + replica.limit.places, 0);
+  total(nowMs: number): number {
+    this.refresh(nowMs);
+    return this.totals.slots;
   }
 
   /**
@@ -139,16 +236,87 @@
    * run more streams than their limits reduce it, and it may be negative.
    */
   freeSlots(exceptReplicaId: string | undefined, nowMs: number): number {
-    return this.replicas
-      .all()
-      .filter((replica) => !replica.leaving && replica.replicaId !== exceptReplicaId)
-      .filter((replica) => replica.health.isAvailable(nowMs))
-      .reduce((sum, replica) => sum + replica.limit.places - this.occupied(replica, nowMs), 0);
+    this.refresh(nowMs);
+    return this.totals.freeSlots - (this.totalsOf(exceptReplicaId)?.freeSlots ?? 0);
   }
 
   /** Estimated number of streams without a permit minus permits without a stream, over all replicas. */
   drift(nowMs: number): number {
-    return this.replicas.all().reduce((sum, { drift }) => sum + drift.balance(nowMs), 0);
+    this.refresh(nowMs);
+    return this.totals.drift;
+  }
+
+  /** The replicas that run streams without a permit, as far as recent reports show. */
+  replicasWithUnknownStreams(nowMs: number): PoolReplica[] {
+    this.refresh(nowMs);
+    return [...this.timeDependent]
+      .flatMap((replicaId) => this.replicas.get(replicaId) ?? [])
+      .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
+      .sort((a, b) => a.position - b.position);
+  }
+
+  /** False when no request can get a slot: no replica has a free one, and no stream may be preempted. */
+  mayHaveSlot(nowMs: number): boolean {
+    this.refresh(nowMs);
+    return !this.reportingOrder.isEmpty || !this.silentOrder.isEmpty || !this.preemptible.isEmpty;
+  }
+
+  /**
+   * The available replica with a free slot and the lowest score, or undefined when there is none. Replicas at which the
+   * request has failed are used only when no other is available.
+   */
+  pickFreeReplica(
+    request: SlotRequest,
+    prefixes: PrefixIndex,
+    exceptReplicaId: string | undefined,
+    nowMs: number,
+  ): PoolReplica | undefined {
+    this.refresh(nowMs);
+    const except = this.totalsOf(exceptReplicaId);
+    const anyReporting = this.totals.reporting - (except?.reporting ?? 0) > 0;
+    const availableOf = (totals: SlotTotals | undefined): number =>
+      (anyReporting ? totals?.availableReporting : totals?.available) ?? 0;
+    const excluded = new Set(request.excludedReplicaIds.filter((id) => id !== exceptReplicaId));
+    const excludedCount = [...excluded].reduce((sum, id) => sum + availableOf(this.totalsOf(id)), 0);
+    // When the request has failed at every available replica, each of them may be tried again.
+    const skipsExcluded = availableOf(this.totals) - availableOf(except) > excludedCount;
+    const order = anyReporting ? this.reportingOrder : this.silentOrder;
+    return order.pick(
+      request,
+      prefixes,
+      (replicaId) => replicaId !== exceptReplicaId && !(skipsExcluded && excluded.has(replicaId)),
+    );
+  }
+
+  /**
+   * The batch permit to preempt for an online request, or undefined when there is none. Permits at a replica that
+   * caches the request's prefix come first, then the order of `PreemptibleStreams`. Replicas that may get no work or
+   * that the request excludes are skipped.
+   */
+  pickVictim(
+    request: SlotRequest,
+    prefixes: PrefixIndex,
+    exceptReplicaId: string | undefined,
+    nowMs: number,
+  ): Permit | undefined {
+    this.refresh(nowMs);
+    const admits = (replicaId: string): boolean =>
+      replicaId !== exceptReplicaId &&
+      (this.totalsOf(replicaId)?.available ?? 0) > 0 &&
+      !request.excludedReplicaIds.includes(replicaId);
+    const caching = prefixes
+      .replicasOf(request.prefixDigest)
+      .filter(admits)
+      .flatMap((replicaId) => this.permitsAt(replicaId));
+    return (
+      this.preemptible.rank(caching, nowMs)[0] ??
+      this.preemptible.first((permit) => admits(permit.replicaId), nowMs)
+    );
+  }
+
+  /** The streams at a replica that may be preempted, in the order of preemption. */
+  rankVictimsAt(replicaId: string, nowMs: number): Permit[] {
+    return this.preemptible.rank(this.permitsAt(replicaId), nowMs);
   }
 
   /** State of the replicas, for the dump. */
@@ -169,32 +337,114 @@
   private setReplica(info: ReplicaInfo): void {
     const known = this.replicas.get(info.replicaId);
     if (known?.address === info.address) {
-      known.limit.setMaximum(info.maxConcurrency);
+      if (known.leaving === info.leaving && !known.limit.setMaximum(info.maxConcurrency)) return;
       known.leaving = info.leaving;
+      this.changed.add(info.replicaId);
       return;
     }
+    if (known) this.removeReplica(info.replicaId);
     this.replicas.set(info.replicaId, {
       replicaId: info.replicaId,
       address: info.address,
       failureDomain: info.failureDomain,
+      position: known?.position ?? this.nextPosition,
       limit: new ConcurrencyLimit(info.maxConcurrency),
       health: new ReplicaHealth(),
       drift: new LoadDrift(),
       leaving: info.leaving,
       missedReports: 0,
     });
+    this.nextPosition += 1;
+    this.changed.add(info.replicaId);
+  }
+
+  private removeReplica(replicaId: string): void {
+    this.replicas.take(replicaId);
+    this.reportingOrder.delete(replicaId);
+    this.silentOrder.delete(replicaId);
+    this.timeDependent.delete(replicaId);
+    this.totals = subtractTotals(this.totals, this.totalsOf(replicaId) ?? NO_SLOTS);
+    this.totalsByReplica.delete(replicaId);
+  }
+
+  /** Looks again at the replicas whose state may have changed since the last decision. */
+  private refresh(nowMs: number): void {
+    if (nowMs !== this.refreshedAtMs) {
+      this.refreshedAtMs = nowMs;
+      this.timeDependent.forEach((replicaId) => this.changed.add(replicaId));
+    }
+    if (this.changed.size === 0) return;
+    this.changed.forEach((replicaId) => this.refreshReplica(replicaId, nowMs));
+    this.changed.clear();
+  }
+
+  private refreshReplica(replicaId: string, nowMs: number): void {
+    const replica = this.replicas.get(replicaId);
+    if (!replica) return;
+    const streams = this.occupied(replica, nowMs);
+    const drift = replica.drift.balance(nowMs);
+    const isOpen = replica.health.isAvailable(nowMs);
+    const isAvailable = isOpen && !replica.leaving;
+    const reports = isReporting(replica);
+    const totals: SlotTotals = {
+      slots: replica.leaving ? 0 : replica.limit.places,
+      freeSlots: isAvailable ? replica.limit.places - streams : 0,
+      drift,
+      reporting: reports ? 1 : 0,
+      available: isAvailable ? 1 : 0,
+      availableReporting: isAvailable && reports ? 1 : 0,
+    };
+    this.totals = addTotals(subtractTotals(this.totals, this.totalsOf(replicaId) ?? NO_SLOTS), totals);
+    this.totalsByReplica.set(replicaId, totals);
+    const isFree = isAvailable && streams < usableSlots(replica);
+    const [order, other] = reports
+      ? [this.reportingOrder, this.silentOrder]
+      : [this.silentOrder, this.reportingOrder];
+    other.delete(replicaId);
+    if (isFree) order.set(replica, streams);
+    else order.delete(replicaId);
+    const hasRevoked = (this.byReplica.get(replicaId)?.revoked.size ?? 0) > 0;
+    if (drift !== 0 || !isOpen || hasRevoked) this.timeDependent.add(replicaId);
+    else this.timeDependent.delete(replicaId);
+  }
+
+  private totalsOf(replicaId: string | undefined): SlotTotals | undefined {
+    return replicaId === undefined ? undefined : this.totalsByReplica.get(replicaId);
   }
 
   private put(permit: Permit): void {
-    this.limits.onGrant(permit.request.organisation);
-    this.permits.set(permit.permitId, permit);
+    const { request, replicaId, permitId } = permit;
+    this.limits.onGrant(request.organisation);
+    this.permits.set(permitId, permit);
+    this.preemptible.add(permit, this.uninterruptedStartMs(permit));
+    this.count(permit, 1);
+    this.byRequestId.set(request.requestId, permit);
+    this.permitsOf(replicaId).permits.set(permitId, permit);
+    const ofHolder = this.byHolder.get(request.holder) ?? new Map<string, Permit>();
+    this.byHolder.set(request.holder, ofHolder.set(permitId, permit));
+    this.expiryBoundMs = Math.min(this.expiryBoundMs, permit.expiresAtMs);
+    this.changed.add(replicaId);
   }
 
-  private dropWhere(isDropped: (permit: Permit) => boolean): void {
-    this.permits
-      .all()
-      .filter(isDropped)
-      .forEach((permit) => this.take(permit.permitId));
+  private count({ request }: Permit, change: 1 | -1): void {
+    if (request.workClass === WorkClass.online) this.onlineStreams += change;
+    else if (!request.resumable) this.nonResumableStreams += change;
+  }
+
+  private permitsOf(replicaId: string): ReplicaPermits {
+    const known = this.byReplica.get(replicaId);
+    if (known) return known;
+    const created = { permits: new Map<string, Permit>(), revoked: new Set<Permit>() };
+    this.byReplica.set(replicaId, created);
+    return created;
+  }
+
+  private permitsOfHolder(holder: string): Permit[] {
+    return [...(this.byHolder.get(holder)?.values() ?? [])];
+  }
+
+  private drop(permits: readonly Permit[]): void {
+    permits.forEach((permit) => this.take(permit.permitId));
   }
 }
 
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -51,6 +51,8 @@
   readonly replicaId: string;
   readonly address: string;
   readonly failureDomain: string;
+  /** Position in the order in which the replicas were added, which decides between equal scores. */
+  readonly position: number;
   readonly limit: ConcurrencyLimit;
   readonly health: ReplicaHealth;
   readonly drift: LoadDrift;
--- /dev/null
+++ b/packages/decisions/src/preemptible-streams.ts
@@ -0,0 +1,93 @@
+/** Keeps the batch streams that may be preempted in the order in which they are. */
+import { orderedMap } from './ordered-map.js';
+import type { Permit } from './pool-types.js';
+
+/** What decides the order of preemption; it does not change while the stream runs. */
+interface PreemptionKey {
+  readonly startMs: number;
+  readonly deadlineMs: number;
+  readonly sequence: number;
+}
+
+/** The shortest progress first, so that the other items finish soon; among equals the latest deadline. */
+function compareKeys(a: PreemptionKey, b: PreemptionKey): number {
+  return b.startMs - a.startMs || b.deadlineMs - a.deadlineMs || a.sequence - b.sequence;
+}
+
+function compareDeadlines(a: PreemptionKey, b: PreemptionKey): number {
+  return a.deadlineMs - b.deadlineMs || a.sequence - b.sequence;
+}
+
+/** Streams whose items are overdue are preempted before all others. */
+export class PreemptibleStreams {
+  private readonly keys = new Map<string, PreemptionKey>();
+  private readonly timely = orderedMap<PreemptionKey, Permit>(compareKeys);
+  private readonly timelyByDeadline = orderedMap<PreemptionKey, Permit>(compareDeadlines);
+  private readonly overdue = orderedMap<PreemptionKey, Permit>(compareKeys);
+  private nextSequence = 0;
+
+  get isEmpty(): boolean {
+    return this.keys.size === 0;
+  }
+
+  /**
+   * Adds a stream unless it cannot be preempted. `startMs` is when its item would have started if it had run without
+   * interruption.
+   */
+  add(permit: Permit, startMs: number): void {
+    const { workClass, resumable, deadlineMs } = permit.request;
+    if (workClass !== 'batch' || !resumable || permit.revokedUntilMs !== undefined) return;
+    const key = { startMs, deadlineMs, sequence: this.nextSequence };
+    this.nextSequence += 1;
+    this.keys.set(permit.permitId, key);
+    this.timely.set(key, permit);
+    this.timelyByDeadline.set(key, permit);
+  }
+
+  /** Removes a stream that has ended or is being preempted; does nothing when it is not there. */
+  remove(permitId: string): void {
+    const key = this.keys.get(permitId);
+    if (!key) return;
+    this.keys.delete(permitId);
+    this.timely.delete(key);
+    this.timelyByDeadline.delete(key);
+    this.overdue.delete(key);
+  }
+
+  /** The first stream in the order of preemption that `admits` accepts; undefined when there is none. */
+  first(admits: (permit: Permit) => boolean, nowMs: number): Permit | undefined {
+    this.moveOverdue(nowMs);
+    return firstOf(this.overdue.values(), admits) ?? firstOf(this.timely.values(), admits);
+  }
+
+  /** The given streams that may be preempted, in the order of preemption. */
+  rank(permits: readonly Permit[], nowMs: number): Permit[] {
+    return permits
+      .flatMap((permit) => {
+        const key = this.keys.get(permit.permitId);
+        return key ? [{ permit, key, lateness: key.deadlineMs <= nowMs ? 0 : 1 }] : [];
+      })
+      .sort((a, b) => a.lateness - b.lateness || compareKeys(a.key, b.key))
+      .map(({ permit }) => permit);
+  }
+
+  private moveOverdue(nowMs: number): void {
+    for (
+      let key = this.timelyByDeadline.minKey();
+      key !== undefined && key.deadlineMs <= nowMs;
+      key = this.timelyByDeadline.minKey()
+    ) {
+      const permit = this.timelyByDeadline.get(key);
+      this.timelyByDeadline.delete(key);
+      this.timely.delete(key);
+      if (permit) this.overdue.set(key, permit);
+    }
+  }
+}
+
+function firstOf(permits: Iterable<Permit>, admits: (permit: Permit) => boolean): Permit | undefined {
+  for (const permit of permits) {
+    if (admits(permit)) return permit;
+  }
+  return undefined;
+}
--- a/packages/decisions/src/prefix-index.ts
+++ b/packages/decisions/src/prefix-index.ts
@@ -12,8 +12,9 @@
   /** For each prefix digest and replica id, when the replica was last known to add the prefix to its cache. */
   private readonly addedAtMsByPrefix = new Map<string, Map<string, number>>();
 
-  /** Records that a replica caches the prefix from `nowMs` on. */
+  /** Records that a replica caches the prefix from `nowMs` on. An empty digest stands for no prefix. */
   add(prefixDigest: string, replicaId: string, nowMs: number): void {
+    if (prefixDigest === '') return;
     const replicas = this.addedAtMsByPrefix.get(prefixDigest) ?? new Map<string, number>();
     replicas.set(replicaId, nowMs);
     this.addedAtMsByPrefix.delete(prefixDigest);
@@ -39,6 +40,11 @@
       .forEach((prefix) => this.add(prefix, replicaId, nowMs - REPORT_LAG_MS));
   }
 
+  /** Ids of the replicas that probably cache the prefix. */
+  replicasOf(prefixDigest: string): string[] {
+    return [...(this.addedAtMsByPrefix.get(prefixDigest)?.keys() ?? [])];
+  }
+
   /** Whether the replica probably caches the prefix. */
   holds(prefixDigest: string, replicaId: string): boolean {
     return this.addedAtMsByPrefix.get(prefixDigest)?.has(replicaId) ?? false;
