--- a/packages/decisions/src/batch-queue.ts
+++ b/packages/decisions/src/batch-queue.ts
@@ -3,7 +3,7 @@
  * are more jobs than the capacity allows, progress would otherwise be spread over all items, so that they finish
  * together after their deadlines, and late items would take the slots of items that can still meet theirs.
  */
-import type { QueuedRequest } from './fair-queue.js';
+import type { QueuedRequest, Taken } from './fair-queue.js';
 import { FairQueue, byDeadline } from './fair-queue.js';
 
 /** A batch item that waits for a slot. */
@@ -17,7 +17,7 @@
   return (b.receivedTokens ?? 0) - (a.receivedTokens ?? 0) || byDeadline(a, b);
 }
 
-/** Two fair queues: one for items that can still meet their deadline, one for late items. */
+/** Two fair queues: one for items that are expected to meet their deadline, one for those that are left to be late. */
 export class BatchQueue<T extends QueuedItem> {
   private readonly timely = new FairQueue<T>(byProgress);
   private readonly late = new FairQueue<T>(byProgress);
@@ -39,18 +39,32 @@
     this.timely.push(item, weight);
   }
 
-  /** Moves the items that cannot meet their deadline any more behind all others. */
-  moveLate(isLate: (item: T) => boolean): void {
-    this.timely
-      .removeWhere(isLate)
-      .forEach((item) => this.late.push(item, this.weights.get(item.organisation) ?? 1));
+  /** Puts the items that `isLate` selects behind all others, and the others back. */
+  setLate(isLate: (item: T) => boolean): void {
+    const late = this.timely.removeWhere(isLate);
+    const timely = this.late.removeWhere((item) => !isLate(item));
+    late.forEach((item) => this.late.push(item, this.weightOf(item)));
+    timely.forEach((item) => this.timely.push(item, this.weightOf(item)));
   }
 
-  /** Removes and returns the next item that `admits` accepts; a late one only when no other item is accepted. */
+  /** All waiting items. */
+  all(): T[] {
+    return [...this.timely.all(), ...this.late.all()];
+  }
+
+  /** As `takeNextWith`, for a decision without a result. */
   takeNext(admits: (item: T) => boolean): T | undefined {
     return this.timely.takeNext(admits) ?? this.late.takeNext(admits);
   }
 
+  /**
+   * Removes and returns the next item for which `choose` returns a result, with that result; a late one only when there
+   * is none for any other item.
+   */
+  takeNextWith<C>(choose: (item: T) => C | undefined): Taken<T, C> | undefined {
+    return this.timely.takeNextWith(choose) ?? this.late.takeNextWith(choose);
+  }
+
   /** Adjusts the charge of an organisation, in the queue of items that are not late. */
   correctCharge(organisation: string, deltaTokens: number): void {
     this.timely.correctCharge(organisation, deltaTokens);
@@ -70,4 +84,8 @@
   depths(): ReturnType<FairQueue<T>['depths']> {
     return [...this.timely.depths(), ...this.late.depths()];
   }
+
+  private weightOf({ organisation }: T): number {
+    return this.weights.get(organisation) ?? 1;
+  }
 }
--- a/packages/decisions/src/batch-run-estimates.ts
+++ b/packages/decisions/src/batch-run-estimates.ts
@@ -1,8 +1,4 @@
-/**
- * Estimates the progress and the remaining run time of batch items from the runs that the owner of a pool has
- * observed. Answers more batch work than fits beside bursts of online requests: finishing the items with the least
- * work left first, and starting none that would be late anyway, completes more of them in time.
- */
+/** Estimates the remaining run times of batch items from the runs that the owner of a pool has observed. */
 import type { Permit, SlotRequest } from './pool-types.js';
 
 /** What the owner observed of one run of a batch item. */
@@ -18,6 +14,12 @@
   readonly completed: boolean;
 }
 
+/** Expected and long remaining run time of an item, in milliseconds. */
+export interface RemainingRun {
+  readonly expectedRunMs: number;
+  readonly longRunMs: number;
+}
+
 /** Moving averages of the output length of an organisation's items, in tokens. */
 interface OutputLength {
   mean: number;
@@ -30,6 +32,7 @@
 const MIN_RATE_SAMPLE_TOKENS = 10;
 /** Assumed time between tokens before a run was observed. */
 const INITIAL_MS_PER_TOKEN = 20;
+const UNKNOWN_RUN: RemainingRun = { expectedRunMs: 0, longRunMs: 0 };
 
 /** Keeps the moving averages, and derives the progress and remaining run times from them. */
 export class BatchRunEstimates {
@@ -58,18 +61,25 @@
     return grantedAtMs - (request.receivedTokens ?? 0) * this.msPerToken;
   }
 
-  /**
-   * Whether an item that is not running would be late even if it started now and were shorter than most items of its
-   * organisation. Before an item of the organisation has finished, only overdue items count as late.
-   */
-  isLate(request: SlotRequest, nowMs: number): boolean {
-    return nowMs + this.shortestRunMs(request) >= request.deadlineMs;
+  /** Remaining run time of an item that waits; 0 before an item of its organisation has finished. */
+  remainingOf({ organisation, receivedTokens }: SlotRequest): RemainingRun {
+    return this.remaining(organisation, receivedTokens ?? 0);
+  }
+
+  /** Remaining run time of an item that runs. */
+  remainingOfRunning(permit: Permit, nowMs: number): RemainingRun {
+    const ranMs = Math.max(0, nowMs - this.uninterruptedStartMs(permit));
+    return this.remaining(permit.request.organisation, ranMs / this.msPerToken);
   }
 
-  private shortestRunMs({ organisation, receivedTokens }: SlotRequest): number {
+  private remaining(organisation: string, receivedTokens: number): RemainingRun {
     const length = this.lengths.get(organisation);
-    if (!length) return 0;
-    const shortTokens = length.mean - length.meanDeviation;
-    return Math.max(0, shortTokens - (receivedTokens ?? 0)) * this.msPerToken;
+    if (!length) return UNKNOWN_RUN;
+    // An item that is longer than the mean has some tokens left, but it is not known how many.
+    const expectedTokens = Math.max(length.mean - receivedTokens, length.meanDeviation / 2);
+    return {
+      expectedRunMs: expectedTokens * this.msPerToken,
+      longRunMs: (expectedTokens + length.meanDeviation) * this.msPerToken,
+    };
   }
 }
--- a/packages/decisions/src/fair-queue.test.ts
+++ b/packages/decisions/src/fair-queue.test.ts
@@ -16,7 +16,111 @@
   return served.filter((name) => name === organisation).length;
 }
 
+/** The same queue by scans of all organisations. */
+class ScanningQueue {
+  readonly organisations: {
+    readonly name: string;
+    weight: number;
+    served: number;
+    waiting: QueuedRequest[];
+  }[] = [];
+  private virtual = 0;
+
+  push(added: QueuedRequest, weight: number): void {
+    const queue = this.organisations.find((each) => each.name === added.organisation) ?? {
+      name: added.organisation,
+      weight,
+      served: this.virtual,
+      waiting: [],
+    };
+    if (!this.organisations.includes(queue)) this.organisations.push(queue);
+    queue.weight = weight;
+    if (queue.waiting.length === 0) queue.served = Math.max(queue.served, this.virtual);
+    queue.waiting.push(added);
+    queue.waiting.sort((a, b) => a.deadlineMs - b.deadlineMs);
+  }
+
+  takeNext(admits: (candidate: QueuedRequest) => boolean): QueuedRequest | undefined {
+    const queue = [...this.organisations]
+      .sort((a, b) => a.served - b.served)
+      .find((each) => each.waiting[0] !== undefined && admits(each.waiting[0]));
+    const taken = queue?.waiting.shift();
+    if (!queue || !taken) return undefined;
+    this.virtual = Math.max(this.virtual, queue.served);
+    queue.served += taken.costTokens / queue.weight;
+    return taken;
+  }
+
+  correctCharge(organisation: string, deltaTokens: number): void {
+    const queue = this.organisations.find((each) => each.name === organisation);
+    if (queue) queue.served += deltaTokens / queue.weight;
+  }
+
+  remove(requestId: string): void {
+    this.organisations.forEach((queue) => {
+      queue.waiting = queue.waiting.filter((each) => each.requestId !== requestId);
+    });
+  }
+
+  removeOverdue(nowMs: number): string[] {
+    const overdue = this.organisations
+      .flatMap((queue) => queue.waiting)
+      .filter((each) => each.deadlineMs <= nowMs)
+      .map((each) => each.requestId);
+    overdue.forEach((requestId) => this.remove(requestId));
+    return overdue;
+  }
+
+  otherActiveWeight(organisation: string): number {
+    return this.organisations
+      .filter((queue) => queue.waiting.length > 0 && queue.name !== organisation)
+      .reduce((sum, queue) => sum + queue.weight, 0);
+  }
+}
+
 describe('FairQueue', () => {
+  it('serves as scans of all organisations do, after any sequence of changes', () => {
+    const operation = fc.record({
+      kind: fc.constantFrom('push', 'push', 'push', 'take', 'take', 'correct', 'remove', 'overdue'),
+      organisation: fc.nat(4),
+      number: fc.nat(20),
+      weight: fc.integer({ min: 1, max: 3 }),
+    });
+    fc.assert(
+      fc.property(fc.array(operation, { maxLength: 80 }), (operations) => {
+        const queue = new FairQueue<QueuedRequest>();
+        const model = new ScanningQueue();
+        operations.forEach(({ kind, organisation, number, weight }, index) => {
+          const name = String(organisation);
+          const admits = (candidate: QueuedRequest): boolean => candidate.organisation !== String(number % 6);
+          if (kind === 'push') {
+            const added = request(`q${String(index)}`, name, 1 + (number % 5), index + 10 * number);
+            queue.push(added, weight);
+            model.push(added, weight);
+          }
+          if (kind === 'take') expect(queue.takeNext(admits)).toEqual(model.takeNext(admits));
+          if (kind === 'correct') {
+            queue.correctCharge(name, number - 10);
+            model.correctCharge(name, number - 10);
+          }
+          if (kind === 'remove') {
+            queue.remove(`q${String(number)}`);
+            model.remove(`q${String(number)}`);
+          }
+          if (kind === 'overdue')
+            expect(queue.removeOverdue(5 * number).map((each) => each.requestId)).toEqual(
+              model.removeOverdue(5 * number),
+            );
+          expect(queue.otherActiveWeight(name)).toBeCloseTo(model.otherActiveWeight(name));
+          expect(queue.depths().map((depth) => depth.servedVirtualTokens)).toEqual(
+            model.organisations.map((each) => each.served),
+          );
+        });
+      }),
+      { seed: 5, numRuns: 400 },
+    );
+  });
+
   it('serves backlogged organisations by weight', () => {
     const queue = new FairQueue<QueuedRequest>();
     const weights = { a: 1, b: 2, c: 4 };
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -18,6 +18,12 @@
   return a.deadlineMs - b.deadlineMs;
 }
 
+/** A request that was taken from a queue, and what was chosen for it. */
+export interface Taken<T, C> {
+  readonly request: T;
+  readonly choice: C;
+}
+
 interface OrganisationQueue<T extends QueuedRequest> {
   readonly organisation: string;
   /** Position in the order in which organisations were first seen, which decides between equal virtual times. */
@@ -78,19 +84,26 @@
     this.deadlineBoundMs = Math.min(this.deadlineBoundMs, request.deadlineMs);
   }
 
+  /** As `takeNextWith`, for a decision without a result. */
+  takeNext(admits: (request: T) => boolean): T | undefined {
+    return this.takeNextWith((request) => (admits(request) ? true : undefined))?.request;
+  }
+
   /**
-   * Removes and returns the next request that `admits` accepts, and charges its cost to its organisation. Only the
-   * first request of each organisation is considered; an organisation whose first request is not accepted is
-   * skipped and not charged.
+   * Removes and returns the next request for which `choose` returns a result, with that result, and charges its cost to
+   * its organisation. Only the first request of each organisation is considered; an organisation whose first request
+   * gets no result is skipped and not charged.
    */
-  takeNext(admits: (request: T) => boolean): T | undefined {
-    const chosen = this.firstAdmitted(admits);
-    const request = chosen?.waiting[0];
-    if (!chosen || !request) return undefined;
-    this.removeFrom(chosen, request.requestId);
-    this.virtualTokens = Math.max(this.virtualTokens, chosen.servedVirtualTokens);
-    this.charge(chosen, request.costTokens);
-    return request;
+  takeNextWith<C>(choose: (request: T) => C | undefined): Taken<T, C> | undefined {
+    for (const [, queue] of this.active.entries()) {
+      const request = queue.waiting[0];
+      const choice = request && choose(request);
+      if (request && choice !== undefined) {
+        this.take(queue, request);
+        return { request, choice };
+      }
+    }
+    return undefined;
   }
 
   /**
@@ -151,11 +164,10 @@
     }));
   }
 
-  private firstAdmitted(admits: (request: T) => boolean): OrganisationQueue<T> | undefined {
-    for (const [, queue] of this.active.entries()) {
-      if (queue.waiting[0] !== undefined && admits(queue.waiting[0])) return queue;
-    }
-    return undefined;
+  private take(queue: OrganisationQueue<T>, request: T): void {
+    this.removeFrom(queue, request.requestId);
+    this.virtualTokens = Math.max(this.virtualTokens, queue.servedVirtualTokens);
+    this.charge(queue, request.costTokens);
   }
 
   private removeFrom(queue: OrganisationQueue<T>, requestId: string): T | undefined {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -2,6 +2,7 @@
  * Decision logic of all packages: deterministic policies and state machines that perform no I/O and set no
  * timers.
  */
+export * from './batch-plan.js';
 export * from './batch-queue.js';
 export * from './batch-run-estimates.js';
 export * from './burst-reserve.js';
@@ -17,6 +18,7 @@
 export * from './limit-parts.js';
 export * from './load-drift.js';
 export * from './membership.js';
+export * from './ordered-map.js';
 export * from './organisation-limits.js';
 export * from './owner-suspicions.js';
 export * from './pool-choice.js';
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -2,6 +2,7 @@
 import type { EntityTable, Problem } from '@fighub/core';
 import { notRun } from '@fighub/core';
 
+import { MeanStreams, chooseLateItems } from './batch-plan.js';
 import { BatchQueue } from './batch-queue.js';
 import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
@@ -23,7 +24,6 @@
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
 import { Quarantine } from './quarantine.js';
-import { isReporting } from './replica-choice.js';
 
 /** The slot of a preempted stream counts as free for this long, and as occupied again if the permit is still held. */
 const REVOKE_GRACE_MS = 300;
@@ -38,6 +38,15 @@
 /** Weight of the newest sample in the moving average of the stream duration. */
 const MEAN_STREAM_SMOOTHING_FACTOR = 0.05;
 const INITIAL_MEAN_STREAM_MS = 1_000;
+/** Time between two choices of the batch items that are left to be late. */
+const BATCH_PLAN_PERIOD_MS = 200;
+
+/** Where an online request runs. */
+interface Placement {
+  readonly replica: PoolReplica;
+  /** The batch stream that is preempted for it; undefined when the replica has a free slot. */
+  readonly victim?: Permit;
+}
 
 /**
  * Queues the requests of one pool and grants permits for the slots of its replicas. It does no I/O and reads no
@@ -49,6 +58,8 @@
   private readonly online = new FairQueue<SlotRequest>();
   private readonly batch = new BatchQueue<SlotRequest>();
   private readonly batchRuns = new BatchRunEstimates();
+  private readonly onlineStreams = new MeanStreams();
+  private nextBatchPlanMs = 0;
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   /** Replicas of the pool, and the permits for their slots. */
@@ -93,7 +104,7 @@
    * is not expected to start in time, or when the online queue is full.
    */
   enqueue(request: SlotRequest, nowMs: number): void {
-    if (!this.hasUsableReplica(nowMs)) {
+    if (!this.places.hasUsableReplica(nowMs)) {
       this.output.refused(request, this.noUpstream());
       return;
     }
@@ -193,8 +204,8 @@
   run(nowMs: number): void {
     this.places.dropExpired(nowMs);
     this.refuseOverdue(nowMs);
-    if (!this.hasUsableReplica(nowMs)) this.refuseAll();
-    this.batch.moveLate((item) => this.batchRuns.isLate(item, nowMs));
+    if (!this.places.hasUsableReplica(nowMs)) this.refuseAll();
+    this.planBatch(nowMs);
     this.runQuarantine(nowMs);
     this.preemptForUnknownStreams(nowMs);
     this.grantOnline(nowMs);
@@ -291,16 +302,6 @@
     );
   }
 
-  /**
-   * Whether any replica may get work. A paused replica whose load can be read counts, as it gets work again when its
-   * pause ends.
-   */
-  private hasUsableReplica(nowMs: number): boolean {
-    return this.replicas
-      .all()
-      .some((replica) => !replica.leaving && (isReporting(replica) || replica.health.isAvailable(nowMs)));
-  }
-
   /**
    * Refuses all waiting online and batch requests, so that their holders try other pools. Suspects in quarantine keep
    * waiting.
@@ -353,6 +354,33 @@
     });
   }
 
+  /** Chooses the batch items that are left to be late, while any wait. */
+  private planBatch(nowMs: number): void {
+    this.onlineStreams.observe(this.places.streamsOf(WorkClass.online), nowMs);
+    if (this.batch.size === 0 || nowMs < this.nextBatchPlanMs) return;
+    this.nextBatchPlanMs = nowMs + BATCH_PLAN_PERIOD_MS;
+    const waiting = this.batch
+      .all()
+      .map((item) => ({ ...plannedItemOf(item), ...this.batchRuns.remainingOf(item) }));
+    const running = this.permits
+      .all()
+      .filter(({ request }) => request.workClass === WorkClass.batch)
+      .filter(({ revokedUntilMs }) => revokedUntilMs === undefined)
+      .map((permit) => ({
+        ...plannedItemOf(permit.request),
+        ...this.batchRuns.remainingOfRunning(permit, nowMs),
+      }));
+    const late = chooseLateItems([...waiting, ...running], this.meanBatchSlots(nowMs), nowMs);
+    this.batch.setLate(({ requestId }) => late.has(requestId));
+  }
+
+  /** Mean number of slots that online requests and the reserve leave to batch items; at least 1. */
+  private meanBatchSlots(nowMs: number): number {
+    const total = this.places.total(nowMs);
+    const reserved = this.reserve.places(total, this.policy.reserveMaxFraction, nowMs);
+    return Math.max(1, total - reserved - (this.onlineStreams.at(nowMs) ?? 0));
+  }
+
   /** Preempts a stream; its slot counts as free during the grace period. */
   private revoke(permit: Permit, nowMs: number): void {
     this.places.revoke(permit, nowMs + REVOKE_GRACE_MS);
@@ -373,19 +401,27 @@
 
   /** Grants online requests the free slots, and then the slots of batch streams that it preempts. */
   private grantOnline(nowMs: number): void {
-    const admits = (request: SlotRequest): boolean =>
-      this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs) &&
-      (this.pickFreeReplica(request, nowMs) !== undefined ||
-        this.pickVictimFor(request, nowMs) !== undefined);
     repeatWhile(() => {
-      const request = this.places.mayHaveSlot(nowMs) ? this.online.takeNext(admits) : undefined;
-      if (!request) return false;
-      const replica = this.pickFreeReplica(request, nowMs) ?? this.preemptFor(request, nowMs);
-      if (replica) this.grant(request, replica, nowMs);
+      if (!this.places.mayHaveSlot(nowMs)) return false;
+      const taken = this.online.takeNextWith((candidate) => this.placementOf(candidate, nowMs));
+      if (!taken) return false;
+      const { request, choice } = taken;
+      if (choice.victim) this.revoke(choice.victim, nowMs);
+      this.grant(request, choice.replica, nowMs);
       return true;
     });
   }
 
+  /** The free replica for an online request, or the batch stream to preempt for it and its replica. */
+  private placementOf(request: SlotRequest, nowMs: number): Placement | undefined {
+    if (!this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs)) return undefined;
+    const replica = this.pickFreeReplica(request, nowMs);
+    if (replica) return { replica };
+    const victim = this.places.pickVictim(request, this.prefixes, this.quarantine.replicaId, nowMs);
+    const occupied = victim && this.replicas.get(victim.replicaId);
+    return occupied && { replica: occupied, victim };
+  }
+
   /**
    * Grants batch requests the free slots beyond the burst reserve. It grants none while online requests wait and
    * no slot is free.
@@ -397,19 +433,19 @@
         this.places.freeSlots(this.quarantine.replicaId, nowMs) -
         this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs);
       if (spareSlots <= 0) return false;
-      const request = this.batch.takeNext(
-        (candidate) =>
-          this.limits.admits(candidate, this.policy.limitsOf(candidate.organisation), nowMs) &&
-          (candidate.resumable || this.nonResumableBatchFits(nowMs)) &&
-          this.pickFreeReplica(candidate, nowMs) !== undefined,
-      );
-      const replica = request && this.pickFreeReplica(request, nowMs);
-      if (!request || !replica) return false;
-      this.grant(request, replica, nowMs);
+      const taken = this.batch.takeNextWith((candidate) => this.batchPlacementOf(candidate, nowMs));
+      if (!taken) return false;
+      this.grant(taken.request, taken.choice, nowMs);
       return true;
     });
   }
 
+  private batchPlacementOf(request: SlotRequest, nowMs: number): PoolReplica | undefined {
+    if (!this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs)) return undefined;
+    if (!request.resumable && !this.nonResumableBatchFits(nowMs)) return undefined;
+    return this.pickFreeReplica(request, nowMs);
+  }
+
   private nonResumableBatchFits(nowMs: number): boolean {
     return (
       this.places.nonResumableBatchStreams() + 1 <=
@@ -421,19 +457,6 @@
     return this.places.pickFreeReplica(request, this.prefixes, this.quarantine.replicaId, nowMs);
   }
 
-  /** The batch permit to preempt for an online request, at a replica that may get work. */
-  private pickVictimFor(request: SlotRequest, nowMs: number): Permit | undefined {
-    return this.places.pickVictim(request, this.prefixes, this.quarantine.replicaId, nowMs);
-  }
-
-  /** Preempts a batch stream for an online request and returns its replica; undefined when there is no such stream. */
-  private preemptFor(request: SlotRequest, nowMs: number): PoolReplica | undefined {
-    const victim = this.pickVictimFor(request, nowMs);
-    if (!victim) return undefined;
-    this.revoke(victim, nowMs);
-    return this.replicas.get(victim.replicaId);
-  }
-
   private grant(request: SlotRequest, replica: PoolReplica, nowMs: number): void {
     const permit: Permit = {
       permitId: `${this.permitIdPrefix}/${this.poolId}/${String(this.nextPermit)}`,
@@ -450,6 +473,10 @@
   }
 }
 
+function plannedItemOf({ requestId, deadlineMs }: SlotRequest): { requestId: string; deadlineMs: number } {
+  return { requestId, deadlineMs };
+}
+
 function repeatWhile(step: () => boolean): void {
   while (step());
 }
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -12,8 +12,7 @@
 import type { AttemptEnd } from './replica-health.js';
 import { ReplicaHealth } from './replica-health.js';
 import { ReplicaOrder } from './replica-order.js';
-import type { SlotTotals } from './slot-totals.js';
-import { NO_SLOTS, addTotals, subtractTotals } from './slot-totals.js';
+import { SlotTotals } from './slot-totals.js';
 
 /** A permit expires when it has not been renewed for this long. */
 export const PERMIT_LIFETIME_MS = 4_000;
@@ -47,13 +46,15 @@
   private readonly reportingOrder = new ReplicaOrder();
   private readonly silentOrder = new ReplicaOrder();
   private readonly totalsByReplica = new Map<string, SlotTotals>();
-  private totals = NO_SLOTS;
+  private readonly totals = new SlotTotals();
   private onlineStreams = 0;
   private nonResumableStreams = 0;
   /** Replicas to look at again at the next decision. */
   private readonly changed = new Set<string>();
   /** Replicas whose state changes with time, without a call: paused ones, and those with drift or preempted streams. */
   private readonly timeDependent = new Set<string>();
+  /** Replicas whose reports differ from their permits. */
+  private readonly drifting = new Set<string>();
   private refreshedAtMs = Number.NEGATIVE_INFINITY;
   /** No permit expires earlier. */
   private expiryBoundMs = Number.POSITIVE_INFINITY;
@@ -216,6 +217,7 @@
   inFlight(replicaId: string, nowMs: number): number {
     const atReplica = this.byReplica.get(replicaId);
     if (!atReplica) return 0;
+    if (atReplica.revoked.size === 0) return atReplica.permits.size;
     const inGrace = [...atReplica.revoked].filter((permit) => isWithinRevokeGrace(permit, nowMs));
     return atReplica.permits.size - inGrace.length;
   }
@@ -249,12 +251,21 @@
   /** The replicas that run streams without a permit, as far as recent reports show. */
   replicasWithUnknownStreams(nowMs: number): PoolReplica[] {
     this.refresh(nowMs);
-    return [...this.timeDependent]
+    return [...this.drifting]
       .flatMap((replicaId) => this.replicas.get(replicaId) ?? [])
       .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
       .sort((a, b) => a.position - b.position);
   }
 
+  /**
+   * Whether any replica may get work. A paused replica whose load can be read counts, as it gets work again when its
+   * pause ends.
+   */
+  hasUsableReplica(nowMs: number): boolean {
+    this.refresh(nowMs);
+    return this.totals.usable > 0;
+  }
+
   /** False when no request can get a slot: no replica has a free one, and no stream may be preempted. */
   mayHaveSlot(nowMs: number): boolean {
     this.refresh(nowMs);
@@ -309,7 +320,7 @@
       .filter(admits)
       .flatMap((replicaId) => this.permitsAt(replicaId));
     return (
-      this.preemptible.rank(caching, nowMs)[0] ??
+      this.preemptible.firstOf(caching, nowMs) ??
       this.preemptible.first((permit) => admits(permit.replicaId), nowMs)
     );
   }
@@ -363,7 +374,9 @@
     this.reportingOrder.delete(replicaId);
     this.silentOrder.delete(replicaId);
     this.timeDependent.delete(replicaId);
-    this.totals = subtractTotals(this.totals, this.totalsOf(replicaId) ?? NO_SLOTS);
+    this.drifting.delete(replicaId);
+    const totals = this.totalsOf(replicaId);
+    if (totals) this.totals.change(totals, -1);
     this.totalsByReplica.delete(replicaId);
   }
 
@@ -386,15 +399,18 @@
     const isOpen = replica.health.isAvailable(nowMs);
     const isAvailable = isOpen && !replica.leaving;
     const reports = isReporting(replica);
-    const totals: SlotTotals = {
-      slots: replica.leaving ? 0 : replica.limit.places,
-      freeSlots: isAvailable ? replica.limit.places - streams : 0,
+    const totals = new SlotTotals(
+      replica.leaving ? 0 : replica.limit.places,
+      isAvailable ? replica.limit.places - streams : 0,
       drift,
-      reporting: reports ? 1 : 0,
-      available: isAvailable ? 1 : 0,
-      availableReporting: isAvailable && reports ? 1 : 0,
-    };
-    this.totals = addTotals(subtractTotals(this.totals, this.totalsOf(replicaId) ?? NO_SLOTS), totals);
+      reports ? 1 : 0,
+      isAvailable ? 1 : 0,
+      isAvailable && reports ? 1 : 0,
+      !replica.leaving && (reports || isOpen) ? 1 : 0,
+    );
+    const previous = this.totalsOf(replicaId);
+    if (previous) this.totals.change(previous, -1);
+    this.totals.change(totals, 1);
     this.totalsByReplica.set(replicaId, totals);
     const isFree = isAvailable && streams < usableSlots(replica);
     const [order, other] = reports
@@ -403,11 +419,17 @@
     other.delete(replicaId);
     if (isFree) order.set(replica, streams);
     else order.delete(replicaId);
-    const hasRevoked = (this.byReplica.get(replicaId)?.revoked.size ?? 0) > 0;
-    if (drift !== 0 || !isOpen || hasRevoked) this.timeDependent.add(replicaId);
+    if (drift === 0) this.drifting.delete(replicaId);
+    else this.drifting.add(replicaId);
+    if (drift !== 0 || !isOpen || this.hasRevokeGrace(replicaId, nowMs)) this.timeDependent.add(replicaId);
     else this.timeDependent.delete(replicaId);
   }
 
+  private hasRevokeGrace(replicaId: string, nowMs: number): boolean {
+    const revoked = this.byReplica.get(replicaId)?.revoked;
+    return revoked !== undefined && [...revoked].some((permit) => isWithinRevokeGrace(permit, nowMs));
+  }
+
   private totalsOf(replicaId: string | undefined): SlotTotals | undefined {
     return replicaId === undefined ? undefined : this.totalsByReplica.get(replicaId);
   }
--- a/packages/decisions/src/preemptible-streams.ts
+++ b/packages/decisions/src/preemptible-streams.ts
@@ -9,11 +9,20 @@
   readonly sequence: number;
 }
 
+interface KeyedPermit {
+  readonly permit: Permit;
+  readonly key: PreemptionKey;
+}
+
 /** The shortest progress first, so that the other items finish soon; among equals the latest deadline. */
 function compareKeys(a: PreemptionKey, b: PreemptionKey): number {
   return b.startMs - a.startMs || b.deadlineMs - a.deadlineMs || a.sequence - b.sequence;
 }
 
+function compareWithLateness(a: PreemptionKey, b: PreemptionKey, nowMs: number): number {
+  return Number(b.deadlineMs <= nowMs) - Number(a.deadlineMs <= nowMs) || compareKeys(a, b);
+}
+
 function compareDeadlines(a: PreemptionKey, b: PreemptionKey): number {
   return a.deadlineMs - b.deadlineMs || a.sequence - b.sequence;
 }
@@ -57,20 +66,32 @@
   /** The first stream in the order of preemption that `admits` accepts; undefined when there is none. */
   first(admits: (permit: Permit) => boolean, nowMs: number): Permit | undefined {
     this.moveOverdue(nowMs);
-    return firstOf(this.overdue.values(), admits) ?? firstOf(this.timely.values(), admits);
+    return firstAdmitted(this.overdue.values(), admits) ?? firstAdmitted(this.timely.values(), admits);
   }
 
   /** The given streams that may be preempted, in the order of preemption. */
   rank(permits: readonly Permit[], nowMs: number): Permit[] {
-    return permits
-      .flatMap((permit) => {
-        const key = this.keys.get(permit.permitId);
-        return key ? [{ permit, key, lateness: key.deadlineMs <= nowMs ? 0 : 1 }] : [];
-      })
-      .sort((a, b) => a.lateness - b.lateness || compareKeys(a.key, b.key))
+    return this.withKeys(permits)
+      .sort((a, b) => compareWithLateness(a.key, b.key, nowMs))
       .map(({ permit }) => permit);
   }
 
+  /** The first of the given streams in the order of preemption; undefined when none of them may be preempted. */
+  firstOf(permits: readonly Permit[], nowMs: number): Permit | undefined {
+    return this.withKeys(permits).reduce<KeyedPermit | undefined>(
+      (first, each) =>
+        first === undefined || compareWithLateness(each.key, first.key, nowMs) < 0 ? each : first,
+      undefined,
+    )?.permit;
+  }
+
+  private withKeys(permits: readonly Permit[]): KeyedPermit[] {
+    return permits.flatMap((permit) => {
+      const key = this.keys.get(permit.permitId);
+      return key ? [{ permit, key }] : [];
+    });
+  }
+
   private moveOverdue(nowMs: number): void {
     for (
       let key = this.timelyByDeadline.minKey();
@@ -85,7 +106,7 @@
   }
 }
 
-function firstOf(permits: Iterable<Permit>, admits: (permit: Permit) => boolean): Permit | undefined {
+function firstAdmitted(permits: Iterable<Permit>, admits: (permit: Permit) => boolean): Permit | undefined {
   for (const permit of permits) {
     if (admits(permit)) return permit;
   }
--- a/packages/decisions/src/replica-order.ts
+++ b/packages/decisions/src/replica-order.ts
@@ -85,6 +85,8 @@
   domain: OrderedMap<OpenReplica, OpenReplica>,
   admits: (replicaId: string) => boolean,
 ): OpenReplica | undefined {
+  const least = domain.minKey();
+  if (least === undefined || admits(least.replica.replicaId)) return least;
   for (const entry of domain.keys()) {
     if (admits(entry.replica.replicaId)) return entry;
   }
--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -16,6 +16,7 @@
 import { partition } from './partition.js';
 import { poison } from './poison.js';
 import { rolling } from './rolling.js';
+import { scheduler } from './scheduler.js';
 import { shares } from './shares.js';
 import { silence } from './silence.js';
 import { slope } from './slope.js';
@@ -43,4 +44,5 @@
   members,
   rolling,
   slope,
+  scheduler,
 ];
