--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -2,7 +2,9 @@
 import type { EntityTable, Problem } from '@fighub/core';
 import { notRun } from '@fighub/core';
 
+import { MeanStreams, chooseLateItems } from './batch-plan.js';
 import { BatchQueue } from './batch-queue.js';
+import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
 import { FairQueue } from './fair-queue.js';
 import { OrganisationLimits } from './organisation-limits.js';
@@ -22,7 +24,6 @@
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
 import { Quarantine } from './quarantine.js';
-import { isReporting, pickReplica, pickVictim, rankVictims } from './replica-choice.js';
 
 /** The slot of a preempted stream counts as free for this long, and as occupied again if the permit is still held. */
 const REVOKE_GRACE_MS = 300;
@@ -37,6 +38,15 @@
 /** Weight of the newest sample in the moving average of the stream duration. */
 const MEAN_STREAM_SMOOTHING_FACTOR = 0.05;
 const INITIAL_MEAN_STREAM_MS = 1_000;
+/** Time between two choices of the batch items that are left to be late. */
+const BATCH_PLAN_PERIOD_MS = 200;
+
+/** Where an online request runs. */
+interface Placement {
+  readonly replica: PoolReplica;
+  /** The batch stream that is preempted for it; undefined when the replica has a free slot. */
+  readonly victim?: Permit;
+}
 
 /**
  * Queues the requests of one pool and grants permits for the slots of its replicas. It does no I/O and reads no
@@ -47,10 +57,15 @@
   readonly prefixes = new PrefixIndex();
   private readonly online = new FairQueue<SlotRequest>();
   private readonly batch = new BatchQueue<SlotRequest>();
+  private readonly batchRuns = new BatchRunEstimates();
+  private readonly onlineStreams = new MeanStreams();
+  private nextBatchPlanMs = 0;
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
   /** Replicas of the pool, and the permits for their slots. */
-  private readonly places = new PoolSlots(this.limits);
+  private readonly places = new PoolSlots(this.limits, (permit) =>
+    this.batchRuns.uninterruptedStartMs(permit),
+  );
   private readonly quarantine = new Quarantine();
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
@@ -89,7 +104,7 @@
    * is not expected to start in time, or when the online queue is full.
    */
   enqueue(request: SlotRequest, nowMs: number): void {
-    if (!this.hasUsableReplica(nowMs)) {
+    if (!this.places.hasUsableReplica(nowMs)) {
       this.output.refused(request, this.noUpstream());
       return;
     }
@@ -126,7 +141,7 @@
 
   /** The permit that was granted to a request, or undefined when it has none. */
   permitOf(requestId: string): Permit | undefined {
-    return this.permits.all().find((permit) => permit.request.requestId === requestId);
+    return this.places.permitOf(requestId);
   }
 
   /** Removes a waiting request from its queue; does nothing when the request is not waiting. */
@@ -142,10 +157,9 @@
     this.quarantine.onRelease(permit.request.requestId);
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correctCharge(permit.request.organisation, report.tokens - permit.request.costTokens);
-    const replica = this.replicas.get(permit.replicaId);
-    if (!replica) return;
-    replica.health.observe(report.end, nowMs);
-    if (report.end === 'completed') this.recordMeasurements(permit, replica, report, nowMs);
+    if (permit.request.workClass === WorkClass.batch) this.observeBatchRun(permit, report, nowMs);
+    this.places.observeEnd(permit.replicaId, report.end, nowMs);
+    if (report.end === 'completed') this.recordMeasurements(permit, report, nowMs);
   }
 
   /** Applies a renewal by a holder, which lists all permits that it holds. See `PoolSlots.renew`. */
@@ -171,10 +185,17 @@
     this.places.observeLoad(report, nowMs);
   }
 
+  /**
+   * Records the result of reading a replica's load: its maximum number of streams, or undefined when it could not be
+   * read.
+   */
+  recordLoadReading(replicaId: string, maxConcurrency: number | undefined): void {
+    this.places.recordLoadReading(replicaId, maxConcurrency);
+  }
+
   /** Marks a replica as leaving: it refuses new work and is granted no more permits. */
   markLeaving(replicaId: string): void {
-    const replica = this.replicas.get(replicaId);
-    if (replica) replica.leaving = true;
+    this.places.markLeaving(replicaId);
   }
 
   /**
@@ -183,8 +204,8 @@
   run(nowMs: number): void {
     this.places.dropExpired(nowMs);
     this.refuseOverdue(nowMs);
-    if (!this.hasUsableReplica(nowMs)) this.refuseAll();
-    this.batch.moveOverdue(nowMs);
+    if (!this.places.hasUsableReplica(nowMs)) this.refuseAll();
+    this.planBatch(nowMs);
     this.runQuarantine(nowMs);
     this.preemptForUnknownStreams(nowMs);
     this.grantOnline(nowMs);
@@ -197,7 +218,7 @@
    * the weights.
    */
   expectedWaitMs(organisation: string, nowMs: number): number {
-    const usableSlots = this.places.total() - this.places.drift(nowMs);
+    const usableSlots = this.places.total(nowMs) - this.places.drift(nowMs);
     const onlineStreams = this.places.streamsOf(WorkClass.online);
     // The next scheduling round gives waiting requests a free slot, or the slot of a preempted batch stream.
     if (onlineStreams + this.online.size + this.places.nonResumableBatchStreams() < usableSlots) return 0;
@@ -226,14 +247,14 @@
   load(nowMs: number): PoolLoad {
     return {
       poolId: this.poolId,
-      places: this.places.total(),
+      places: this.places.total(nowMs),
       onlineStreams: this.places.streamsOf(WorkClass.online),
       batchStreams: this.places.streamsOf(WorkClass.batch),
       onlineWaiting: this.online.size,
       batchWaiting: this.batch.size + this.quarantine.size,
       newcomerWaitMs: this.expectedWaitMs(IDLE_ORGANISATION, nowMs),
       organisationWaits: this.organisationWaits(nowMs),
-      reservedPlaces: this.reserve.places(this.places.total(), this.policy.reserveMaxFraction, nowMs),
+      reservedPlaces: this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs),
     };
   }
 
@@ -257,37 +278,30 @@
     };
   }
 
+  private observeBatchRun({ request, grantedAtMs }: Permit, report: ReleaseReport, nowMs: number): void {
+    this.batchRuns.observe({
+      organisation: request.organisation,
+      earlierTokens: request.receivedTokens ?? 0,
+      tokens: report.tokens,
+      ranMs: nowMs - grantedAtMs,
+      completed: report.end === 'completed',
+    });
+  }
+
   /** Updates the mean stream duration and the replica's concurrency limit from a completed stream. */
-  private recordMeasurements(
-    permit: Permit,
-    replica: PoolReplica,
-    report: ReleaseReport,
-    nowMs: number,
-  ): void {
+  private recordMeasurements(permit: Permit, report: ReleaseReport, nowMs: number): void {
     const streamMs = nowMs - permit.grantedAtMs;
     if (permit.request.workClass === WorkClass.online) {
       this.meanStreamMs += MEAN_STREAM_SMOOTHING_FACTOR * (streamMs - this.meanStreamMs);
     }
     if (report.firstTokenMs === undefined || report.betweenTokensMs === undefined) return;
     const measured = { firstTokenMs: report.firstTokenMs, betweenTokensMs: report.betweenTokensMs };
-    replica.limit.observe(
-      measured,
-      this.policy.targets,
-      this.places.inFlight(replica.replicaId, nowMs),
-      nowMs,
+    const inFlight = this.places.inFlight(permit.replicaId, nowMs);
+    this.places.change(permit.replicaId, ({ limit }) =>
+      limit.observe(measured, this.policy.targets, inFlight, nowMs),
     );
   }
 
-  /**
-   * Whether any replica may get work. A paused replica whose load can be read counts, as it gets work again when its
-   * pause ends.
-   */
-  private hasUsableReplica(nowMs: number): boolean {
-    return this.replicas
-      .all()
-      .some((replica) => !replica.leaving && (isReporting(replica) || replica.health.isAvailable(nowMs)));
-  }
-
   /**
    * Refuses all waiting online and batch requests, so that their holders try other pools. Suspects in quarantine keep
    * waiting.
@@ -305,6 +319,7 @@
 
   /** Advances the quarantine: stops the batch streams at the isolated replica, or starts the suspect there. */
   private runQuarantine(nowMs: number): void {
+    if (this.quarantine.size === 0 && this.quarantine.replicaId === undefined) return;
     const usable = this.replicas
       .all()
       .filter((replica) => !replica.leaving && replica.health.isAvailable(nowMs));
@@ -319,14 +334,10 @@
    * released, because the replica must be empty before the suspect starts.
    */
   private revokeBatchAt(replicaId: string, nowMs: number): void {
-    this.permits
-      .all()
-      .filter((permit) => permit.replicaId === replicaId && permit.request.workClass === WorkClass.batch)
-      .filter((permit) => permit.request.resumable && permit.revokedUntilMs === undefined)
-      .forEach((permit) => {
-        permit.revokedUntilMs = nowMs;
-        this.output.revoked(permit);
-      });
+    this.places.rankVictimsAt(replicaId, nowMs).forEach((permit) => {
+      this.places.revoke(permit, nowMs);
+      this.output.revoked(permit);
+    });
   }
 
   /**
@@ -334,52 +345,83 @@
    * exceed the limit. Otherwise the streams without a permit might wait in the replica's own queue.
    */
   private preemptForUnknownStreams(nowMs: number): void {
-    this.replicas
+    this.places.replicasWithUnknownStreams(nowMs).forEach((replica) => {
+      const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
+      this.places
+        .rankVictimsAt(replica.replicaId, nowMs)
+        .slice(0, Math.max(0, excess))
+        .forEach((permit) => this.revoke(permit, nowMs));
+    });
+  }
+
+  /** Chooses the batch items that are left to be late, while any wait. */
+  private planBatch(nowMs: number): void {
+    this.onlineStreams.observe(this.places.streamsOf(WorkClass.online), nowMs);
+    if (this.batch.size === 0 || nowMs < this.nextBatchPlanMs) return;
+    this.nextBatchPlanMs = nowMs + BATCH_PLAN_PERIOD_MS;
+    const waiting = this.batch
       .all()
-      .filter((replica) => replica.drift.unknownStreams(nowMs) > 0)
-      .forEach((replica) => {
-        const excess = this.places.occupied(replica, nowMs) - replica.limit.places;
-        rankVictims(this.places.permitsAt(replica.replicaId), nowMs)
-          .slice(0, Math.max(0, excess))
-          .forEach((permit) => this.revoke(permit, nowMs));
-      });
+      .map((item) => ({ ...plannedItemOf(item), ...this.batchRuns.remainingOf(item) }));
+    const running = this.permits
+      .all()
+      .filter(({ request }) => request.workClass === WorkClass.batch)
+      .filter(({ revokedUntilMs }) => revokedUntilMs === undefined)
+      .map((permit) => ({
+        ...plannedItemOf(permit.request),
+        ...this.batchRuns.remainingOfRunning(permit, nowMs),
+      }));
+    const late = chooseLateItems([...waiting, ...running], this.meanBatchSlots(nowMs), nowMs);
+    this.batch.setLate(({ requestId }) => late.has(requestId));
+  }
+
+  /** Mean number of slots that online requests and the reserve leave to batch items; at least 1. */
+  private meanBatchSlots(nowMs: number): number {
+    const total = this.places.total(nowMs);
+    const reserved = this.reserve.places(total, this.policy.reserveMaxFraction, nowMs);
+    return Math.max(1, total - reserved - (this.onlineStreams.at(nowMs) ?? 0));
   }
 
   /** Preempts a stream; its slot counts as free during the grace period. */
   private revoke(permit: Permit, nowMs: number): void {
-    permit.revokedUntilMs = nowMs + REVOKE_GRACE_MS;
+    this.places.revoke(permit, nowMs + REVOKE_GRACE_MS);
     this.output.revoked(permit);
   }
 
   /** Refuses waiting online requests whose deadline has passed. */
   private refuseOverdue(nowMs: number): void {
-    this.online
-      .removeWhere((request) => request.deadlineMs <= nowMs)
-      .forEach((request) => {
-        const problem = notRun(
-          'deadline_unreachable',
-          'the deadline passed while the request waited for a slot',
-          this.expectedWaitMs(request.organisation, nowMs),
-        );
-        this.output.refused(request, problem);
-      });
+    this.online.removeOverdue(nowMs).forEach((request) => {
+      const problem = notRun(
+        'deadline_unreachable',
+        'the deadline passed while the request waited for a slot',
+        this.expectedWaitMs(request.organisation, nowMs),
+      );
+      this.output.refused(request, problem);
+    });
   }
 
   /** Grants online requests the free slots, and then the slots of batch streams that it preempts. */
   private grantOnline(nowMs: number): void {
-    const admits = (request: SlotRequest): boolean =>
-      this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs) &&
-      (this.pickFreeReplica(request, nowMs) !== undefined ||
-        this.pickVictimFor(request, nowMs) !== undefined);
     repeatWhile(() => {
-      const request = this.online.takeNext(admits);
-      if (!request) return false;
-      const replica = this.pickFreeReplica(request, nowMs) ?? this.preemptFor(request, nowMs);
-      if (replica) this.grant(request, replica, nowMs);
+      if (!this.places.mayHaveSlot(nowMs)) return false;
+      const taken = this.online.takeNextWith((candidate) => this.placementOf(candidate, nowMs));
+      if (!taken) return false;
+      const { request, choice } = taken;
+      if (choice.victim) this.revoke(choice.victim, nowMs);
+      this.grant(request, choice.replica, nowMs);
       return true;
     });
   }
 
+  /** The free replica for an online request, or the batch stream to preempt for it and its replica. */
+  private placementOf(request: SlotRequest, nowMs: number): Placement | undefined {
+    if (!this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs)) return undefined;
+    const replica = this.pickFreeReplica(request, nowMs);
+    if (replica) return { replica };
+    const victim = this.places.pickVictim(request, this.prefixes, this.quarantine.replicaId, nowMs);
+    const occupied = victim && this.replicas.get(victim.replicaId);
+    return occupied && { replica: occupied, victim };
+  }
+
   /**
    * Grants batch requests the free slots beyond the burst reserve. It grants none while online requests wait and
    * no slot is free.
@@ -389,61 +431,30 @@
     repeatWhile(() => {
       const spareSlots =
         this.places.freeSlots(this.quarantine.replicaId, nowMs) -
-        this.reserve.places(this.places.total(), this.policy.reserveMaxFraction, nowMs);
+        this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs);
       if (spareSlots <= 0) return false;
-      const request = this.batch.takeNext(
-        (candidate) =>
-          this.limits.admits(candidate, this.policy.limitsOf(candidate.organisation), nowMs) &&
-          (candidate.resumable || this.nonResumableBatchFits()) &&
-          this.pickFreeReplica(candidate, nowMs) !== undefined,
-      );
-      const replica = request && this.pickFreeReplica(request, nowMs);
-      if (!request || !replica) return false;
-      this.grant(request, replica, nowMs);
+      const taken = this.batch.takeNextWith((candidate) => this.batchPlacementOf(candidate, nowMs));
+      if (!taken) return false;
+      this.grant(taken.request, taken.choice, nowMs);
       return true;
     });
   }
 
-  private nonResumableBatchFits(): boolean {
+  private batchPlacementOf(request: SlotRequest, nowMs: number): PoolReplica | undefined {
+    if (!this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs)) return undefined;
+    if (!request.resumable && !this.nonResumableBatchFits(nowMs)) return undefined;
+    return this.pickFreeReplica(request, nowMs);
+  }
+
+  private nonResumableBatchFits(nowMs: number): boolean {
     return (
       this.places.nonResumableBatchStreams() + 1 <=
-      Math.max(1, this.places.total() * NON_RESUMABLE_BATCH_MAX_FRACTION)
+      Math.max(1, this.places.total(nowMs) * NON_RESUMABLE_BATCH_MAX_FRACTION)
     );
   }
 
   private pickFreeReplica(request: SlotRequest, nowMs: number): PoolReplica | undefined {
-    const notQuarantined = this.replicas
-      .all()
-      .filter((replica) => replica.replicaId !== this.quarantine.replicaId);
-    return pickReplica(
-      notQuarantined,
-      request,
-      this.prefixes,
-      (replica) => this.places.occupied(replica, nowMs),
-      nowMs,
-    );
-  }
-
-  /** The batch permit to preempt for an online request, at a replica that may get work. */
-  private pickVictimFor(request: SlotRequest, nowMs: number): Permit | undefined {
-    const preemptible = this.permits.all().filter((permit) => {
-      const replica = this.replicas.get(permit.replicaId);
-      return (
-        replica !== undefined &&
-        !replica.leaving &&
-        replica.replicaId !== this.quarantine.replicaId &&
-        replica.health.isAvailable(nowMs)
-      );
-    });
-    return pickVictim(preemptible, request, this.prefixes, nowMs);
-  }
-
-  /** Preempts a batch stream for an online request and returns its replica; undefined when there is no such stream. */
-  private preemptFor(request: SlotRequest, nowMs: number): PoolReplica | undefined {
-    const victim = this.pickVictimFor(request, nowMs);
-    if (!victim) return undefined;
-    this.revoke(victim, nowMs);
-    return this.replicas.get(victim.replicaId);
+    return this.places.pickFreeReplica(request, this.prefixes, this.quarantine.replicaId, nowMs);
   }
 
   private grant(request: SlotRequest, replica: PoolReplica, nowMs: number): void {
@@ -462,6 +473,10 @@
   }
 }
 
+function plannedItemOf({ requestId, deadlineMs }: SlotRequest): { requestId: string; deadlineMs: number } {
+  return { requestId, deadlineMs };
+}
+
 function repeatWhile(step: () => boolean): void {
   while (step());
 }
