Say that a request may have run after any attempt was sent; keep limits and permits exact

Cause: a rejection before the second attempt was sent called the request not run although the first attempt had been sent, and the invariant then ended the process. DirectDispatch checked the limit in flight before a pause and counted after it, so that concurrent requests exceeded it. The owner dropped the permits of a holder that was only leaving, whose streams still ran.

Change: the problem follows all attempts; the limit is checked right before the slot is counted; only dead holders lose their permits. The invariant's test now returns a false problem from the attempt itself, as the old way to it is gone.

Tests failed on the code before: completion-runner, direct-dispatch, pool-host.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -57,6 +57,9 @@
    */
   async acquire(demand: SlotDemand): Promise<Outcome<Slot, Problem>> {
     this.metrics.count('direct_dispatches');
+    const candidates = this.candidates(demand);
+    await Promise.all(candidates.map((upstream) => this.refresh(upstream)));
+    // Checked without a pause before the slot is counted below, so that concurrent requests cannot exceed the limit.
     if (!this.isWithinLimit(demand)) {
       return fail(
         notRun(
@@ -66,8 +69,6 @@
         ),
       );
     }
-    const candidates = this.candidates(demand);
-    await Promise.all(candidates.map((upstream) => this.refresh(upstream)));
     const chosen = this.choose(candidates);
     if (!chosen) return fail(notRun('overloaded', `no replica of ${demand.model} has a free slot`, 1_000));
     this.viewOf(chosen.upstreamId).inFlight += 1;
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -2,7 +2,7 @@
 import type { Clock, DecisionLog, Metrics, Problem, System } from '@fighub/core';
 import { EntityTable, LogCategory } from '@fighub/core';
 import type { Permit, SlotRequest, PoolLoad, PoolOutput, PoolPolicy, PoolReplica } from '@fighub/decisions';
-import { DisconnectedHolders, PoolScheduler, ownerOf } from '@fighub/decisions';
+import { DisconnectedHolders, MemberState, PoolScheduler, ownerOf } from '@fighub/decisions';
 import type {
   AcquireBody,
   GrantedBody,
@@ -233,7 +233,7 @@
 
   /**
    * Creates, updates and drops schedulers to match ownership and the configured pools, and removes holders that are
-   * dead or leaving.
+   * dead. A holder that is leaving still runs its streams.
    */
   private syncPools(): void {
     const owned = this.describePools().filter((pool) => this.ownerOfPool(pool.poolId) === this.selfId);
@@ -243,7 +243,7 @@
       .filter((poolId) => !ownedIds.has(poolId))
       .forEach((poolId) => this.pools.take(poolId));
     owned.forEach((description) => this.syncPool(description));
-    this.pools.all().forEach((pool) => this.removeDepartedHolders(pool));
+    this.pools.all().forEach((pool) => this.removeDeadHolders(pool));
   }
 
   private removeDisconnectedHolders(pool: PoolScheduler, disconnected: readonly string[]): void {
@@ -257,11 +257,11 @@
       });
   }
 
-  private removeDepartedHolders(pool: PoolScheduler): void {
+  private removeDeadHolders(pool: PoolScheduler): void {
     const { membership } = this.members();
     pool
       .holders()
-      .filter((holder) => membership.get(holder) !== undefined && !membership.isLive(holder))
+      .filter((holder) => membership.get(holder)?.state === MemberState.dead)
       .forEach((holder) => pool.removeHolder(holder));
   }
 
--- a/packages/entry/src/online/completion-runner.ts
+++ b/packages/entry/src/online/completion-runner.ts
@@ -81,6 +81,8 @@
 
 /** A slot request excludes up to this number of replicas: the latest ones at which an attempt failed. */
 const MAX_EXCLUDED_REPLICAS = 3;
+/** Time after which callers should retry when no upstream could run their request. */
+const FAILED_RETRY_MS = 1_000;
 
 /** Runs completions for the gateway and the batch runner. */
 export class CompletionRunner {
@@ -295,10 +297,12 @@
     return allowed;
   }
 
-  private failure(end: EngineEnd): Problem {
+  /** The problem of a failed or rejected attempt, which says whether any attempt may have run. */
+  failure(end: EngineEnd): Problem {
     const detail = `the upstream failed: ${end.detail}`;
-    if (end.kind === EngineEndKind.rejected && !end.sent) return notRun('upstream_failed', detail);
-    return this.everSent ? mayHaveRun('upstream_failed', detail) : notRun('upstream_failed', detail, 1_000);
+    if (this.everSent) return mayHaveRun('upstream_failed', detail);
+    if (end.kind === EngineEndKind.rejected) return notRun('upstream_failed', detail);
+    return notRun('upstream_failed', detail, FAILED_RETRY_MS);
   }
 
   /**
