Survive malformed events, keep split characters, and report applied writes as such

Cause: a malformed event of an engine or of the key-value service threw out of an event handler and ended the process. Bytes were decoded part by part, which garbled characters that were split between parts. A transaction whose records had all been replaced was reported as a plain conflict.

--- a/packages/client/src/api-client.ts
+++ b/packages/client/src/api-client.ts
@@ -1,5 +1,6 @@
 /** HTTP client for the interfaces of callers and operators. */
 import { Readable } from 'node:stream';
+import { StringDecoder } from 'node:string_decoder';
 
 import type { ItemResult, Outcome, StoredRow } from '@fighub/core';
 import { fail, ok } from '@fighub/core';
@@ -126,9 +127,12 @@
       let status = 0;
       let problemText = '';
       stream.on('response', (response: { statusCode: number }) => (status = response.statusCode));
+      // Keeps the bytes of a character that is split between two parts.
+      const decoder = new StringDecoder('utf8');
       for await (const part of stream as AsyncIterable<Buffer>) {
-        if (status === 200) reader.feed(part.toString('utf8'));
-        else problemText += part.toString('utf8');
+        const text = decoder.write(part);
+        if (status === 200) reader.feed(text);
+        else problemText += text;
       }
       return status === 200 ? reader.end() : fail(problemOf(status, problemText));
     } catch (error) {
--- a/packages/outside/src/etcd-key-value.ts
+++ b/packages/outside/src/etcd-key-value.ts
@@ -1,17 +1,13 @@
 /** Client of a key-value service that offers the JSON gateway of etcd v3. */
 import { Agent } from 'node:http';
+import { StringDecoder } from 'node:string_decoder';
 
 import type { Outcome } from '@fighub/core';
 import { fail, ok } from '@fighub/core';
 import got, { HTTPError, TimeoutError } from 'got';
+import { z } from 'zod';
 
-import type {
-  EtcdKeyValue,
-  EtcdRangeResponse,
-  EtcdRequestOp,
-  EtcdTxnResponse,
-  EtcdWatchMessage,
-} from './etcd-wire.js';
+import type { EtcdKeyValue, EtcdRangeResponse, EtcdRequestOp, EtcdTxnResponse } from './etcd-wire.js';
 import { fromBase64, prefixEnd, toBase64 } from './etcd-wire.js';
 import type {
   KeyChange,
@@ -84,6 +80,7 @@
       localAddress: this.options.localAddress,
       timeout: { connect: this.options.callTimeoutMs, response: this.options.callTimeoutMs },
     });
+    const decoder = new StringDecoder('utf8');
     let buffered = '';
     let ended = false;
     const end = (): void => {
@@ -93,10 +90,14 @@
       listener.onEnd();
     };
     stream.on('data', (part: Buffer) => {
-      buffered += part.toString('utf8');
+      buffered += decoder.write(part);
       const lines = buffered.split('\n');
       buffered = lines.pop() ?? '';
-      lines.filter((line) => line.trim() !== '').forEach((line) => emitEvents(line, listener));
+      const isWellFormed = lines
+        .filter((line) => line.trim() !== '')
+        .every((line) => !ended && emitEvents(line, listener));
+      // The reader reads the keys again after the end of the watch.
+      if (!isWellFormed) end();
     });
     stream.on('error', end);
     stream.on('end', end);
@@ -165,15 +166,39 @@
   return { request_put: { key: toBase64(key), value: toBase64(value) } };
 }
 
-function emitEvents(line: string, listener: WatchListener): void {
-  const message = JSON.parse(line) as EtcdWatchMessage;
-  (message.result.events ?? []).forEach((event) =>
+const watchMessageSchema = z.object({
+  result: z.object({
+    events: z
+      .array(
+        z.object({
+          type: z.string().optional(),
+          kv: z.object({ key: z.string(), value: z.string().optional(), mod_revision: z.string() }),
+        }),
+      )
+      .optional(),
+  }),
+});
+
+/** Passes on the events of one line of a watch. Returns false when the line is malformed. */
+function emitEvents(line: string, listener: WatchListener): boolean {
+  const message = watchMessageSchema.safeParse(parseJson(line));
+  if (!message.success) return false;
+  (message.data.result.events ?? []).forEach((event) =>
     listener.onEvent({
       key: fromBase64(event.kv.key),
       value: event.type === 'DELETE' ? undefined : fromBase64(event.kv.value ?? ''),
       revision: Number(event.kv.mod_revision),
     }),
   );
+  return true;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
 }
 
 function toEntry(kv: EtcdKeyValue): KeyValueEntry {
--- a/packages/outside/src/http-engine.ts
+++ b/packages/outside/src/http-engine.ts
@@ -1,21 +1,16 @@
 /** Client of engines that have an OpenAI-style HTTP interface with server-sent events. */
 import type { Agent } from 'node:http';
+import { StringDecoder } from 'node:string_decoder';
 
 import { createParser } from 'eventsource-parser';
 import got from 'got';
+import { z } from 'zod';
 
 import { ConnectionPools, nonPersistentAgent } from './connection-pool.js';
 import type { Engine, EngineCall, EngineChunk, EngineEnd, EngineLoad, InactivityTimeouts } from './engine.js';
 import { EngineEndKind } from './engine.js';
 import { isNotSent } from './not-sent.js';
 
-interface StreamEvent {
-  readonly id: string;
-  readonly attempt_id: string;
-  readonly token_index: number;
-  readonly choices: readonly { readonly text: string; readonly finish_reason?: string }[];
-}
-
 interface RefusalBody {
   readonly code?: string;
   readonly run?: string;
@@ -80,6 +75,8 @@
   private status = 0;
   private refusal = '';
   private readonly parser = createParser({ onEvent: (event) => this.onEvent(event.data) });
+  /** Keeps the bytes of a character that is split between two parts. */
+  private readonly decoder = new StringDecoder('utf8');
   private inactivityTimer: NodeJS.Timeout | undefined;
   private destroyStream: () => void = () => undefined;
 
@@ -121,8 +118,9 @@
 
   private onData(part: Buffer): void {
     this.restartInactivityTimer(this.limits.gapMs);
-    if (this.status === HTTP_OK) this.parser.feed(part.toString('utf8'));
-    else this.refusal += part.toString('utf8');
+    const text = this.decoder.write(part);
+    if (this.status === HTTP_OK) this.parser.feed(text);
+    else this.refusal += text;
   }
 
   private onEnd(): void {
@@ -135,14 +133,10 @@
       this.finish(EngineEndKind.completed, '');
       return;
     }
-    const event = JSON.parse(data) as StreamEvent;
-    const text = event.choices[0]?.text ?? '';
-    this.onChunk({
-      requestId: event.id,
-      attemptId: event.attempt_id,
-      tokenIndex: event.token_index,
-      text,
-    });
+    if (this.settled) return;
+    const event = parseStreamEvent(data);
+    if (event) this.onChunk(event);
+    else this.finish(EngineEndKind.broken, 'the upstream sent a malformed event');
   }
 
   private onRefusal(): void {
@@ -190,6 +184,29 @@
   };
 }
 
+const streamEventSchema = z.object({
+  id: z.string(),
+  attempt_id: z.string(),
+  token_index: z.number(),
+  choices: z.array(z.object({ text: z.string().optional() })),
+});
+
+/** The chunk that an event holds, or undefined when the event is malformed. */
+function parseStreamEvent(data: string): EngineChunk | undefined {
+  const parsed = streamEventSchema.safeParse(parseJson(data));
+  if (!parsed.success) return undefined;
+  const { id, attempt_id: attemptId, token_index: tokenIndex, choices } = parsed.data;
+  return { requestId: id, attemptId, tokenIndex, text: choices[0]?.text ?? '' };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
 function parseRefusal(text: string): RefusalBody {
   try {
     return JSON.parse(text) as RefusalBody;
--- a/packages/outside/src/record-store.test.ts
+++ b/packages/outside/src/record-store.test.ts
@@ -49,4 +49,25 @@
     service.down = true;
     expect(await store.write('k', undefined, 1)).toMatchObject({ ok: false, error: { kind: 'unavailable' } });
   });
+
+  it('reports that a transaction was applied when all of its records have been replaced since', async () => {
+    const { service, store } = setup();
+    service.responsesToLose = 1;
+    const pending = store.transact([{ key: 'k', value: 1 }]);
+    const other = await store.read<number>('k');
+    if (!other.ok) throw new Error('the record could not be read');
+    await store.write('k', other.value, 2);
+    expect(await pending).toMatchObject({
+      ok: false,
+      error: { kind: 'conflict', appliedThenChanged: true },
+    });
+  });
+
+  it('reports a plain conflict when a transaction was not applied', async () => {
+    const { store } = setup();
+    await store.write('k', undefined, 1);
+    const outcome = await store.transact([{ key: 'k', value: 2 }]);
+    expect(outcome).toMatchObject({ ok: false, error: { kind: 'conflict' } });
+    expect(outcome.ok ? undefined : outcome.error.appliedThenChanged).toBeUndefined();
+  });
 });
--- a/packages/outside/src/record-store.ts
+++ b/packages/outside/src/record-store.ts
@@ -56,6 +56,8 @@
   readonly detail: string;
   /** For conflicts: the records of the transaction that exist. */
   readonly present: readonly Versioned<unknown>[];
+  /** True when the transaction was applied, but all of its records were replaced before the outcome was known. */
+  readonly appliedThenChanged?: boolean;
 }
 
 /** Settings of the client. */
@@ -160,9 +162,9 @@
 
   /**
    * Applies all changes or none. A lost response is handled as in `write`: the same transaction is retried, and a
-   * conflict with a record whose newest write id is that of this transaction means that it was applied. At least one
-   * change must write a record that no other write replaces before the retry. Otherwise an applied transaction can be
-   * reported as a conflict, because a deleted or replaced record does not show the write id as its newest.
+   * conflict with a record whose newest write id is that of this transaction means that it was applied. When other
+   * writes have replaced all of its records since, the error says `appliedThenChanged`. A transaction that only deletes
+   * records leaves no write id, so that after a lost response it can be reported as a conflict although it was applied.
    */
   async transact(
     changes: readonly RecordChange[],
@@ -362,7 +364,12 @@
   const ownEntry = entries.find((entry) => parseEnvelope(entry.value).writeIds[0] === writeId);
   if (ownEntry) return ok(toWrittenRecords(changes, encoded, ownEntry.revision));
   const present = entries.map((entry) => toVersioned<unknown>(entry));
-  return fail({ kind: StoreErrorKind.conflict, detail: error.detail, present });
+  const kind = StoreErrorKind.conflict;
+  if (entries.some((entry) => parseEnvelope(entry.value).writeIds.includes(writeId))) {
+    const detail = `the transaction was applied, and its records have changed since: ${error.detail}`;
+    return fail({ kind, detail, present, appliedThenChanged: true });
+  }
+  return fail({ kind, detail: error.detail, present });
 }
 
 function toRecordError<T>(error: StoreError): RecordError<T> {
