Count stored sizes in bytes, and commit all results of a chunk when it is drained

Cause: sizes of outputs were counted in characters where the store counts bytes, so a commit could be larger than a stored value; an output above that size was written in vain for ever.

Change: sizes are counted as the bytes of the JSON; an output that no stored value can hold gives its item up, with a log line; release commits until one segment holds the rest; a claim that ends during the drain is released again.

--- a/packages/decisions/src/job-checkpoint.ts
+++ b/packages/decisions/src/job-checkpoint.ts
@@ -13,8 +13,8 @@
 const CHECKPOINT_PERIOD_MS = 2_000;
 /** With fewer unsaved events than this, generating them again is quicker than saving them. */
 const MIN_UNSAVED_EVENTS = 60;
-/** The store limits a value to 1 MiB; the margin leaves room for the escape sequences of the encoding. */
-const MAX_RECORD_CHARACTERS = 500_000;
+/** Maximum bytes of the outputs as JSON; the store limits a value to 1 MB. */
+const MAX_RECORD_BYTES = 500_000;
 
 /** Whether enough events and enough time have accumulated since the last checkpoint to save another one. */
 export function shouldCheckpoint(unsavedEvents: number, sinceLastMs: number): boolean {
@@ -26,11 +26,11 @@
  * does not fit into the record.
  */
 export function outputsToSave(outputs: readonly PartialOutput[]): PartialOutput[] {
-  let characters = 0;
+  let bytes = 0;
   return [...outputs]
     .sort((a, b) => b.lastEventId - a.lastEventId)
     .filter((output) => {
-      characters += output.text.length;
-      return characters <= MAX_RECORD_CHARACTERS;
+      bytes += Buffer.byteLength(JSON.stringify(output));
+      return bytes <= MAX_RECORD_BYTES;
     });
 }
--- a/packages/entry/src/batch/batch-runner.ts
+++ b/packages/entry/src/batch/batch-runner.ts
@@ -250,8 +250,8 @@
       this.store.read<ChunkLedger>(key),
     ]);
     if (!input.ok || !input.value || !ledger.ok) return;
-    // Another instance may have claimed the chunk since the ledgers were listed.
-    if (!this.isClaimable(candidate, ledger.value)) return;
+    // Another instance may have claimed the chunk since the ledgers were listed, or this one may be draining.
+    if (this.stopped || !this.isClaimable(candidate, ledger.value)) return;
     const base = ledger.value?.value ?? emptyLedger(input.value.value.items.length);
     if (isComplete(base)) return;
     const leasedAtMs = this.clock.monotonicMs();
@@ -275,6 +275,8 @@
       this.metrics,
     );
     this.held.set(held.id, held);
+    // The drain may have begun while the lease was written.
+    if (this.stopped) await held.release();
     // The next search starts on the next tick. It also reads the index again, and items need a recent read to start.
     this.nextDiscoveryMs = 0;
   }
--- a/packages/entry/src/batch/held-chunk.ts
+++ b/packages/entry/src/batch/held-chunk.ts
@@ -153,17 +153,28 @@
   }
 
   /**
-   * Stops the streams if the job is idempotent, and waits until all have ended. Then commits up to
-   * `MAX_SEGMENT_RESULTS` pending results and releases the lease.
+   * Stops the streams if the job is idempotent, and waits until all have ended. Then commits the pending results and
+   * releases the lease. Results that cannot be written are lost, and their items are run again by the next holder.
    */
   async release(): Promise<void> {
     // A non-idempotent item cannot be run again after it was stopped, so its stream must end first.
     if (this.job.idempotent) this.stopping.abort();
     while (this.writing || this.running.size > 0) await sleep(10);
+    await this.commitAllButLast();
     if (!this.closed) await this.commit(true);
     this.closed = true;
   }
 
+  /** Commits pending results until one segment holds the rest, or until a write fails. */
+  private async commitAllButLast(): Promise<void> {
+    let left = this.results.length;
+    while (!this.closed && left > MAX_SEGMENT_RESULTS) {
+      await this.commit(false);
+      if (this.results.length === left) return;
+      left = this.results.length;
+    }
+  }
+
   dump(): Record<string, unknown> {
     return {
       id: this.id,
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -37,8 +37,10 @@
 const FAILED_RETRY_DELAY_MS = 300;
 /** Number of replicas that an item avoids because they interrupted its last runs. */
 const MAX_EXCLUDED_REPLICAS = 2;
-/** Maximum characters of output in one commit. Stored values are limited to 1 MiB. */
-const MAX_COMMIT_CHARACTERS = 500_000;
+/** Maximum bytes of output in one commit, as JSON. */
+const MAX_COMMIT_BYTES = 500_000;
+/** Maximum bytes of one output, as JSON; with its envelope it must fit into one stored value of 1 MB. */
+const MAX_OUTPUT_BYTES = 900_000;
 /** Delay before the next write after a failed one. */
 const WRITE_RETRY_DELAY_MS = 400;
 
@@ -229,7 +231,7 @@
   }
 
   private onEnd(entry: OpenItem, { end, brokenReplicaId, givenWay: preempted }: ItemRunResult): void {
-    if (end === ItemRunOutcome.done) this.addResult(entry, true, entry.output.events.join('\n'));
+    if (end === ItemRunOutcome.done) this.onDone(entry);
     else if (end === ItemRunOutcome.impossible || end === ItemRunOutcome.noRoute) this.giveUp(entry, end);
     else if (end === ItemRunOutcome.failed) this.onFailure(entry);
     else {
@@ -241,6 +243,13 @@
     }
   }
 
+  /** An output that no stored value can hold would be written in vain again and again, so its item is given up. */
+  private onDone(entry: OpenItem): void {
+    const output = entry.output.events.join('\n');
+    if (jsonBytes(output) > MAX_OUTPUT_BYTES) this.giveUp(entry, 'the output is too large to be stored');
+    else this.addResult(entry, true, output);
+  }
+
   private onFailure(entry: OpenItem): void {
     entry.failedAttempts += 1;
     entry.retryAtMs = this.clock.monotonicMs() + FAILED_RETRY_DELAY_MS;
@@ -331,14 +340,19 @@
 
   /** The pending results that fit into one commit; at least one if there is any. */
   private nextBatch(): EndedItem[] {
-    let characters = 0;
+    let bytes = 0;
     return this.pending.filter((entry, index) => {
-      characters += entry.result.output.length;
-      return index === 0 || characters <= MAX_COMMIT_CHARACTERS;
+      bytes += jsonBytes(entry.result.output);
+      return index === 0 || bytes <= MAX_COMMIT_BYTES;
     });
   }
 }
 
+/** Size of a text in a stored record. */
+function jsonBytes(text: string): number {
+  return Buffer.byteLength(JSON.stringify(text));
+}
+
 function toItemOutput(saved: PartialOutput | undefined): ItemOutput {
   return saved ? { events: [saved.text], lastEventId: saved.lastEventId } : { events: [] };
 }
