--- a/packages/decisions/src/batch-plan.ts
+++ b/packages/decisions/src/batch-plan.ts
@@ -4,6 +4,7 @@
  * would finish a little late.
  */
 import { orderedMap } from './ordered-map.js';
+import { hashOf } from './string-hash.js';
 
 /** A batch item that waits or runs. Times are monotonic milliseconds. */
 export interface PlannedItem {
@@ -18,17 +19,19 @@
 /** Key of an item in the order of the remaining run times. */
 interface LengthKey {
   readonly expectedRunMs: number;
+  /** Pseudo-random, so that items of the same length are left out evenly over the jobs. */
+  readonly draw: number;
   readonly position: number;
 }
 
 function compareLengths(a: LengthKey, b: LengthKey): number {
-  return a.expectedRunMs - b.expectedRunMs || a.position - b.position;
+  return a.expectedRunMs - b.expectedRunMs || a.draw - b.draw || a.position - b.position;
 }
 
 /**
  * Ids of the items that are better late (the algorithm of Moore and Hodgson): in the order of deadlines, whenever the
- * work so far does not fit before a deadline, the longest item so far is left out, among equals the one that is due
- * last. An item that is not expected to finish in time by itself is left out at once. `slots` is the mean number of
+ * work so far does not fit before a deadline, the longest item so far is left out. Among equals, as items that have not
+ * started are, the choice is spread over the jobs and stays the same from call to call. An item that is not expected to finish in time by itself is left out at once. `slots` is the mean number of
  * slots that batch items get.
  */
 export function chooseLateItems(
@@ -47,7 +50,7 @@
         late.add(item.requestId);
         return;
       }
-      kept.set({ expectedRunMs: item.expectedRunMs, position }, item);
+      kept.set({ expectedRunMs: item.expectedRunMs, draw: hashOf(item.requestId), position }, item);
       workMs += item.expectedRunMs;
       if (workMs <= slots * leftMs) return;
       const longest = kept.maxKey();
