--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -30,5 +30,6 @@
 export * from './replica-directory.js';
 export * from './replica-health.js';
 export * from './retry-budget.js';
+export * from './return-delay.js';
 export * from './retry-policy.js';
 export * from './token-bucket.js';
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -5,7 +5,7 @@
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
 import { LogCategory, mayHaveRun, notRun } from '@fighub/core';
-import { AttemptEnd, SendEvidence, mayRetry } from '@fighub/decisions';
+import { AttemptEnd, SendEvidence, mayRetry, returnDelayMs } from '@fighub/decisions';
 
 import type { FleetView } from '../routing/fleet-view.js';
 import type { AttemptListener } from './response-relay.js';
@@ -21,9 +21,6 @@
 const MAX_WAIT_FRACTION_OF_TARGET = 0.75;
 /** A request that has not started within this time is refused, since callers disconnect soon after. */
 const QUEUE_TIMEOUT_MS = 1_500;
-/** Time after which callers should retry when no replica could run their request. */
-const NO_UPSTREAM_RETRY_MS = 1_000;
-
 /** Components that the forwarding of requests uses. */
 export interface ForwardDependencies {
   readonly view: FleetView;
@@ -183,7 +180,7 @@
       this.dependencies.metrics.count('requests_sent_again');
       return true;
     }
-    return this.finishWithProblem(notRun('upstream_failed', detail, NO_UPSTREAM_RETRY_MS), 'not_repeatable');
+    return this.finishWithProblem(notRun('upstream_failed', detail), 'not_repeatable');
   }
 
   /** Ends a request whose caller disconnected or whose deadline passed. */
@@ -204,7 +201,10 @@
    * run.
    */
   private finishWithProblem(problem: Problem, reason: string): false {
-    const reported = this.runs > 0 ? mayHaveRun(problem.code, problem.detail) : problem;
+    const reported =
+      this.runs > 0
+        ? mayHaveRun(problem.code, problem.detail)
+        : { ...problem, retryAfterMs: this.returnDelayMs(problem) };
     this.dependencies.metrics.count('requests_failed', 1, [reported.code]);
     this.dependencies.log.record(LogCategory.failure, 'request_failed', {
       requestId: this.request.requestId,
@@ -222,6 +222,12 @@
     return false;
   }
 
+  /** Delay after which the caller should return, in milliseconds. */
+  private returnDelayMs(problem: Problem): number {
+    const leftMs = this.request.deadlineMs - this.dependencies.clock.monotonicMs();
+    return returnDelayMs(problem.retryAfterMs ?? 0, Math.max(0, leftMs));
+  }
+
   private logAttempt(
     slot: Slot,
     end: UpstreamEnd,
