Pass a directory reading on once, and encode a pushed view once for all receivers

Cause: relays of one failure domain sent each other the same reading, and each computed a time of reading that was newer by a fraction of a millisecond, so that each pushed it again without end. 24 idle entries with 4 coordinators in one domain: 53% of a coordinator's processor time was spent in pushes, and an entry received 87 messages a second.

Change: a reading counts as new only if it is newer by half of the reading period; a notice to many receivers is encoded once.

The new test of the updater fails on the code before.

--- a/packages/peers/src/frame.test.ts
+++ b/packages/peers/src/frame.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { FrameKind, FrameReader, MAX_FRAME_BYTES, encodeFrame } from './frame.js';
+import { FrameKind, FrameReader, MAX_FRAME_BYTES, encodeFrame, sharedFrame } from './frame.js';
 
 describe('FrameReader', () => {
   it('decodes frames unchanged however the bytes are split', () => {
@@ -55,3 +55,13 @@
     expect(new FrameReader().push(header).ok).toBe(false);
   });
 });
+
+describe('sharedFrame', () => {
+  it('encodes a frame for several connections once, as for a single one', () => {
+    const frame = { kind: FrameKind.notice, name: 'n', body: { a: 1 } };
+    const single = encodeFrame(frame);
+    const shared = sharedFrame(frame);
+    expect(encodeFrame(shared)).toEqual(single);
+    expect(encodeFrame(shared)).toBe(encodeFrame(shared));
+  });
+});
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -33,8 +33,21 @@
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
 const KINDS: ReadonlySet<unknown> = new Set(Object.values(FrameKind));
 
+/** Encoded forms of the frames that are sent on several connections. */
+const sharedBytes = new WeakMap<Frame, Buffer>();
+
+/** Marks a frame that is sent on several connections, so that it is encoded only once. It must not change afterwards. */
+export function sharedFrame(frame: Frame): Frame {
+  sharedBytes.set(frame, encode(frame));
+  return frame;
+}
+
 /** Encodes a frame, including its length header. */
 export function encodeFrame(frame: Frame): Buffer {
+  return sharedBytes.get(frame) ?? encode(frame);
+}
+
+function encode(frame: Frame): Buffer {
   const body = encoder.encode(frame);
   const header = Buffer.alloc(HEADER_BYTES);
   header.writeUInt32BE(body.length);
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -6,7 +6,7 @@
 import { fail, ok, splitAddress } from '@fighub/core';
 
 import type { Frame } from './frame.js';
-import { FrameKind } from './frame.js';
+import { FrameKind, sharedFrame } from './frame.js';
 import { PeerConnection } from './peer-connection.js';
 import type {
   NoticeHandler,
@@ -149,6 +149,12 @@
     this.send(address, { kind: FrameKind.notice, name, body });
   }
 
+  /** Sends the same one-way message to several instances, and encodes it only once. Delivery is not guaranteed. */
+  notifyAll<K extends PeerNoticeName>(addresses: readonly string[], name: K, body: PeerNotices[K]): void {
+    const frame = sharedFrame({ kind: FrameKind.notice, name, body });
+    addresses.forEach((address) => this.send(address, frame));
+  }
+
   /** Bytes on all connections, open and closed, since the start. */
   traffic(): PeerTraffic {
     const open = [...[...this.links.values()].map((link) => link.connection), ...this.accepted];
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -30,10 +30,11 @@
       ),
   };
   const handlers = new Map<string, (body: FleetViewBody) => void>();
+  const pushes = { count: 0 };
   const node = {
     onNotice: (name: string, handler: (body: FleetViewBody) => void) => handlers.set(name, handler),
     onRequest: () => undefined,
-    notify: () => true,
+    notifyAll: () => (pushes.count += 1),
   } as unknown as PeerNode;
   const updater = new FleetViewUpdater(
     new FleetView(),
@@ -54,7 +55,7 @@
       directory: { revision: 1, replicas: [] },
       ageMs,
     });
-  return { clock, updater, push, store };
+  return { clock, updater, push, pushes, store };
 }
 
 describe('FleetViewUpdater', () => {
@@ -95,4 +96,18 @@
     updaters.forEach(({ clock }) => clock.advance(1_001));
     expect(updaters.filter(({ updater }) => updater.reads)).toHaveLength(5);
   });
+
+  it('passes a reading on once, although it arrives again through other relays', () => {
+    const { clock, updater, push, pushes } = setup(true, ['self', 'b', 'c'], 'self');
+    const passedOnAfter = (ageMs: number): number => {
+      push(ageMs);
+      updater.run(clock.monotonicMs());
+      return pushes.count;
+    };
+    expect(passedOnAfter(100)).toBe(1);
+    expect(passedOnAfter(99)).toBe(1);
+    expect(passedOnAfter(98)).toBe(1);
+    clock.advance(500);
+    expect(passedOnAfter(100)).toBe(2);
+  });
 });
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -15,6 +15,8 @@
 
 /** The directory is read this often: the hosting platform requires that changes take effect within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
+/** A reading that is newer than the last one by less than this is the same one, received through another relay. */
+const SAME_READING_MS = DIRECTORY_PERIOD_MS / 2;
 /** Longest wait of one read for a newer configuration. */
 const CONFIGURATION_WAIT_MS = 2_000;
 /** New readings are pushed at once. Without one, relays push this often to show that they are reachable. */
@@ -219,7 +221,8 @@
     const isNew = this.view.configurationVersion !== this.pushedConfigurationVersion;
     this.pushedConfigurationVersion = this.view.configurationVersion;
     const body = this.body(isNew);
-    this.receivers().forEach((member) => this.node.notify(member.peerAddress, 'view.pushed', body));
+    const addresses = this.receivers().map((member) => member.peerAddress);
+    this.node.notifyAll(addresses, 'view.pushed', body);
   }
 
   /**
@@ -261,7 +264,7 @@
     const isNewest = body.directory.revision >= this.view.replicas.revision;
     if (isCurrent && isNewest) {
       const readAtMs = this.clock.monotonicMs() - body.ageMs;
-      if (readAtMs > this.relayReadAtMs) this.nextPushMs = 0;
+      if (readAtMs > this.relayReadAtMs + SAME_READING_MS) this.nextPushMs = 0;
       this.relayReadAtMs = Math.max(this.relayReadAtMs, readAtMs);
     }
   }
