--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -13,6 +13,7 @@
 import { members } from './members.js';
 import { once } from './once.js';
 import { outage } from './outage.js';
+import { overload } from './overload.js';
 import { partition } from './partition.js';
 import { poison } from './poison.js';
 import { rolling } from './rolling.js';
@@ -45,4 +46,5 @@
   rolling,
   slope,
   scheduler,
+  overload,
 ];
--- a/packages/lab/src/pool-simulation.ts
+++ b/packages/lab/src/pool-simulation.ts
@@ -35,6 +35,8 @@
   readonly startWithinMs: number;
   /** Number of times that a caller returns after a refusal. */
   readonly returns: number;
+  /** Time from its first arrival for which a caller waits. */
+  readonly callerLimitMs: number;
   readonly durationMs: number;
   /** Time at which replicas are lost for good, and how many; undefined when none are. */
   readonly loss?: { readonly atMs: number; readonly replicas: number };
@@ -43,6 +45,11 @@
 /** Results of a simulation. Fractions are of the requests or items that are due within it. */
 export interface SimulationResult {
   readonly itemsInTime: number;
+  /**
+   * Largest fraction of the items that the slots allow: the tokens that all replicas can produce, less those of the
+   * online requests, as a fraction of the tokens of all items. At most 1.
+   */
+  readonly itemsPossible: number;
   readonly onlineInTime: number;
   /** Online requests that were served in the end, in time or late. */
   readonly onlineServed: number;
@@ -53,6 +60,7 @@
 }
 
 const NETWORK_DELAY_MS = 2;
+const MS_PER_S = 1_000;
 const POLICY_TARGETS = {
   firstTokenTargetMs: Number.POSITIVE_INFINITY,
   betweenTokensTargetMs: Number.POSITIVE_INFINITY,
@@ -105,6 +113,8 @@
     private readonly load: SimulatedLoad,
     private readonly random: SeededRandom,
     reserveMaxFraction: number,
+    /** Delay after which a refused caller returns, given the expected wait and the time for which it still waits. */
+    private readonly returnDelayMs: (expectedWaitMs: number, callerLeftMs: number) => number,
   ) {
     const policy: PoolPolicy = {
       reserveMaxFraction,
@@ -136,6 +146,7 @@
     const served = online.filter((request) => request.firstEventAtMs !== undefined);
     return {
       itemsInTime: fractionOf(items, ({ endedAtMs, deadlineMs }) => (endedAtMs ?? Infinity) <= deadlineMs),
+      itemsPossible: this.possibleFraction(),
       onlineInTime: fractionOf(
         online,
         ({ firstEventAtMs, arrivedAtMs }) => (firstEventAtMs ?? Infinity) <= arrivedAtMs + this.load.targetMs,
@@ -151,6 +162,16 @@
     };
   }
 
+  private possibleFraction(): number {
+    const { stepMs, stepMsPerStream, slotsPerReplica, replicas, durationMs, loss, tokensPerEvent } =
+      this.load;
+    const lostMs = loss ? loss.replicas * (durationMs - loss.atMs) : 0;
+    const stepsInAll = (replicas * durationMs - lostMs) / (stepMs + slotsPerReplica * stepMsPerStream);
+    const eventsInAll = (stepsInAll * slotsPerReplica) / tokensPerEvent;
+    const eventsOf = (all: readonly Work[]): number => all.reduce((sum, { events }) => sum + events, 0);
+    return Math.min(1, (eventsInAll - eventsOf(this.online)) / Math.max(1, eventsOf(this.items)));
+  }
+
   granted(permit: Permit): void {
     const work = this.waiting.get(permit.request.requestId);
     this.waiting.delete(permit.request.requestId);
@@ -164,7 +185,8 @@
     this.refusals += 1;
     if (!work || work.returnsLeft === 0) return;
     work.returnsLeft -= 1;
-    this.after(problem.retryAfterMs ?? 1_000, () => this.enqueue(work));
+    const leftMs = work.arrivedAtMs + this.load.callerLimitMs - this.nowMs;
+    this.after(this.returnDelayMs(problem.retryAfterMs ?? 0, leftMs), () => this.enqueue(work));
   }
 
   revoked(permit: Permit): void {
@@ -329,7 +351,7 @@
   /** Times of a Poisson process. */
   private arrivals(perSecond: number, untilMs: number): number[] {
     const times: number[] = [];
-    const gapMs = (): number => this.random.exponentialMs(1_000 / perSecond);
+    const gapMs = (): number => this.random.exponentialMs(MS_PER_S / perSecond);
     for (let atMs = gapMs(); atMs < untilMs; atMs += gapMs()) times.push(atMs);
     return times;
   }
