--- a/packages/lab/src/experiments/index.ts
+++ b/packages/lab/src/experiments/index.ts
@@ -13,9 +13,11 @@
 import { members } from './members.js';
 import { once } from './once.js';
 import { outage } from './outage.js';
+import { overload } from './overload.js';
 import { partition } from './partition.js';
 import { poison } from './poison.js';
 import { rolling } from './rolling.js';
+import { scheduler } from './scheduler.js';
 import { shares } from './shares.js';
 import { silence } from './silence.js';
 import { slope } from './slope.js';
@@ -43,4 +45,6 @@
   members,
   rolling,
   slope,
+  scheduler,
+  overload,
 ];
