--- a/packages/decisions/src/preemptible-streams.ts
+++ b/packages/decisions/src/preemptible-streams.ts
@@ -19,20 +19,15 @@
   return b.deadlineMs - a.deadlineMs || b.grantedAtMs - a.grantedAtMs || a.sequence - b.sequence;
 }
 
+/** Like `compareKeys`, but with overdue items before all others. */
 function compareWithLateness(a: PreemptionKey, b: PreemptionKey, nowMs: number): number {
   return Number(b.deadlineMs <= nowMs) - Number(a.deadlineMs <= nowMs) || compareKeys(a, b);
 }
 
-function compareDeadlines(a: PreemptionKey, b: PreemptionKey): number {
-  return a.deadlineMs - b.deadlineMs || a.sequence - b.sequence;
-}
-
 /** Streams whose items are overdue are preempted before all others. */
 export class PreemptibleStreams {
   private readonly keys = new Map<string, PreemptionKey>();
-  private readonly timely = orderedMap<PreemptionKey, Permit>(compareKeys);
-  private readonly timelyByDeadline = orderedMap<PreemptionKey, Permit>(compareDeadlines);
-  private readonly overdue = orderedMap<PreemptionKey, Permit>(compareKeys);
+  private readonly ordered = orderedMap<PreemptionKey, Permit>(compareKeys);
   private nextSequence = 0;
 
   get isEmpty(): boolean {
@@ -46,8 +41,7 @@
     const key = { deadlineMs, grantedAtMs: permit.grantedAtMs, sequence: this.nextSequence };
     this.nextSequence += 1;
     this.keys.set(permit.permitId, key);
-    this.timely.set(key, permit);
-    this.timelyByDeadline.set(key, permit);
+    this.ordered.set(key, permit);
   }
 
   /** Removes a stream that has ended or is being preempted; does nothing when it is not there. */
@@ -55,15 +49,20 @@
     const key = this.keys.get(permitId);
     if (!key) return;
     this.keys.delete(permitId);
-    this.timely.delete(key);
-    this.timelyByDeadline.delete(key);
-    this.overdue.delete(key);
+    this.ordered.delete(key);
   }
 
   /** The first stream in the order of preemption that `admits` accepts; undefined when there is none. */
   first(admits: (permit: Permit) => boolean, nowMs: number): Permit | undefined {
-    this.moveOverdue(nowMs);
-    return firstAdmitted(this.overdue.values(), admits) ?? firstAdmitted(this.timely.values(), admits);
+    const firstOverdue = {
+      deadlineMs: nowMs,
+      grantedAtMs: Number.POSITIVE_INFINITY,
+      sequence: Number.NEGATIVE_INFINITY,
+    };
+    return (
+      firstAdmitted(this.ordered.entries(firstOverdue), admits) ??
+      firstAdmitted(this.ordered.entries(), admits)
+    );
   }
 
   /** The given streams that may be preempted, in the order of preemption. */
@@ -88,23 +87,13 @@
       return key ? [{ permit, key }] : [];
     });
   }
-
-  private moveOverdue(nowMs: number): void {
-    for (
-      let key = this.timelyByDeadline.minKey();
-      key !== undefined && key.deadlineMs <= nowMs;
-      key = this.timelyByDeadline.minKey()
-    ) {
-      const permit = this.timelyByDeadline.get(key);
-      this.timelyByDeadline.delete(key);
-      this.timely.delete(key);
-      if (permit) this.overdue.set(key, permit);
-    }
-  }
 }
 
-function firstAdmitted(permits: Iterable<Permit>, admits: (permit: Permit) => boolean): Permit | undefined {
-  for (const permit of permits) {
+function firstAdmitted(
+  entries: Iterable<[PreemptionKey, Permit]>,
+  admits: (permit: Permit) => boolean,
+): Permit | undefined {
+  for (const [, permit] of entries) {
     if (admits(permit)) return permit;
   }
   return undefined;
