--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -345,9 +345,9 @@
   private setReplica(info: ReplicaInfo): void {
     const known = this.replicas.get(info.replicaId);
     if (known?.address === info.address) {
-      if (known.leaving === info.leaving && !known.limit.setMaximum(info.maxConcurrency)) return;
+      const hasNewMaximum = known.limit.setMaximum(info.maxConcurrency);
+      if (hasNewMaximum || known.leaving !== info.leaving) this.changed.add(info.replicaId);
       known.leaving = info.leaving;
-      this.changed.add(info.replicaId);
       return;
     }
     if (known) this.removeReplica(info.replicaId);
