Hold expired replicas only after an outage that other instances saw too

A replica whose entry had been removed meanwhile got requests until 2.6 s after its removal. The other coordinators had read the store all the time, and their readings had arrived.

Change: a failed read counts as an outage only when the last reading, of this or another instance, is older than the gap that counts as one. The new test fails on the code before.

--- a/packages/decisions/src/replica-directory.test.ts
+++ b/packages/decisions/src/replica-directory.test.ts
@@ -39,6 +39,17 @@
     expect(idsOf(directory)).toEqual(['a']);
   });
 
+  it('does not keep replicas that ended while only this instance could not read the store', () => {
+    const directory = new ReplicaDirectory();
+    directory.apply({ revision: 1, replicas: [replica('a'), replica('b')] }, 0);
+    [1_500, 3_000, 4_500].forEach((nowMs) => {
+      directory.applyFromPeer({ revision: nowMs, replicas: [replica('a'), replica('b')] }, nowMs - 500);
+      directory.onReadFailed(nowMs);
+    });
+    directory.apply({ revision: 5_000, replicas: [replica('a')] }, 5_000);
+    expect(idsOf(directory)).toEqual(['a']);
+  });
+
   it('does not keep a leaving replica or one whose address another replica has taken', () => {
     const directory = new ReplicaDirectory();
     directory.apply({ revision: 1, replicas: [replica('a', true), replica('b')] }, 0);
--- a/packages/decisions/src/replica-directory.ts
+++ b/packages/decisions/src/replica-directory.ts
@@ -26,9 +26,13 @@
     return { revision: this.revision, replicas: this.present };
   }
 
-  /** Records that the store could not be read. */
+  /**
+   * Records that this instance could not read the store. It says nothing about the store while other instances read
+   * it.
+   */
   onReadFailed(nowMs: number): void {
-    if (this.revision > 0) this.holdUntilMs = Math.max(this.holdUntilMs, nowMs + HOLD_AFTER_OUTAGE_MS);
+    const isOutage = this.revision > 0 && nowMs - this.lastReadMs > OUTAGE_GAP_MS;
+    if (isOutage) this.holdUntilMs = Math.max(this.holdUntilMs, nowMs + HOLD_AFTER_OUTAGE_MS);
   }
 
   /**
