--- a/packages/outside/src/etcd-key-value.ts
+++ b/packages/outside/src/etcd-key-value.ts
@@ -18,6 +18,7 @@
   WatchListener,
 } from './key-value-service.js';
 import { StoreErrorKind } from './key-value-service.js';
+import { parseJson } from './json.js';
 import { isNotSent } from './not-sent.js';
 
 /** Settings of the etcd client. */
@@ -193,14 +194,6 @@
   return true;
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 function toEntry(kv: EtcdKeyValue): KeyValueEntry {
   return { key: fromBase64(kv.key), value: fromBase64(kv.value ?? ''), revision: Number(kv.mod_revision) };
 }
--- a/packages/outside/src/http-engine.ts
+++ b/packages/outside/src/http-engine.ts
@@ -9,6 +9,7 @@
 import { ConnectionPools, nonPersistentAgent } from './connection-pool.js';
 import type { Engine, EngineCall, EngineChunk, EngineEnd, EngineLoad, InactivityTimeouts } from './engine.js';
 import { EngineEndKind } from './engine.js';
+import { parseJson } from './json.js';
 import { isNotSent } from './not-sent.js';
 
 interface RefusalBody {
@@ -199,14 +200,6 @@
   return { requestId: id, attemptId, tokenIndex, text: choices[0]?.text ?? '' };
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 function parseRefusal(text: string): RefusalBody {
   try {
     return JSON.parse(text) as RefusalBody;
--- a/packages/outside/src/index.ts
+++ b/packages/outside/src/index.ts
@@ -8,6 +8,7 @@
 export * from './etcd-wire.js';
 export * from './http-engine.js';
 export * from './instance-list.js';
+export * from './json.js';
 export * from './key-value-service.js';
 export * from './memory-key-value.js';
 export * from './not-sent.js';
