--- a/packages/decisions/src/prefix-index.test.ts
+++ b/packages/decisions/src/prefix-index.test.ts
@@ -24,4 +24,12 @@
     index.applyReport('r', [], 100);
     expect(index.holds('p', 'r')).toBe(false);
   });
+
+  it('does not count an empty digest as a cached prefix', () => {
+    const index = new PrefixIndex();
+    index.add('', 'r', 0);
+    index.applyReport('r', [''], 0);
+    expect(index.holds('', 'r')).toBe(false);
+    expect(index.replicasOf('')).toEqual([]);
+  });
 });
--- a/packages/entry/src/batch/invariants.test.ts
+++ b/packages/entry/src/batch/invariants.test.ts
@@ -4,7 +4,8 @@
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import { describe, expect, it, vi } from 'vitest';
 
-import { CompletionRun, CompletionRunner } from '../online/completion-runner.js';
+import { CompletionRun } from '../online/completion-runner.js';
+import { COMPLETION_SPEC, runnerWith } from '../testing/completion-fixture.js';
 import { HeldChunk } from './held-chunk.js';
 import { JobReader } from './job-reader.js';
 import { TableStore, bucketOf } from '../table/table-store.js';
@@ -14,41 +15,6 @@
   return new RecordStore(service, options, new ManualClock(), new Metrics());
 }
 
-const SPEC = {
-  requestId: 'q',
-  organisation: 'o',
-  model: 'm',
-  prompt: 'p',
-  maxTokens: 1,
-  deadlineUnixMs: 99_999,
-  workClass: 'online' as const,
-  idempotent: true,
-  alone: false,
-  tokensSoFar: [],
-};
-
-function runnerWith(engine: unknown): CompletionRunner {
-  const slot = {
-    permitId: 'p',
-    poolId: 'x',
-    replicaId: 'r',
-    address: 'a',
-    fencingChecked: false,
-    revoked: new AbortController().signal,
-  };
-  const permits = { acquire: () => Promise.resolve({ ok: true, value: slot }), release: () => undefined };
-  const limits = { headersMs: 1, gapMs: 1 };
-  return new CompletionRunner(
-    permits as never,
-    engine as never,
-    {} as never,
-    limits,
-    1,
-    new ManualClock(),
-    new Metrics(),
-  );
-}
-
 async function invariantOf(work: () => unknown): Promise<string> {
   try {
     await work();
@@ -137,7 +103,7 @@
         return Promise.resolve({ kind: 'completed', detail: '', sent: true });
       },
     };
-    const run = (): unknown => runnerWith(engine).run(SPEC, new AbortController().signal);
+    const run = (): unknown => runnerWith(engine).run(COMPLETION_SPEC, new AbortController().signal);
     expect(await invariantOf(run)).toBe(InvariantName.streamChunkBelongs);
     accepts.mockRestore();
   });
@@ -180,7 +146,7 @@
       .mockReturnValue(notRun('upstream_failed', ''));
     const end = { kind: 'rejected', detail: '', sent: true };
     const engine = { run: () => Promise.resolve(end), load: () => Promise.resolve(undefined) };
-    const run = (): unknown => runnerWith(engine).run(SPEC, new AbortController().signal);
+    const run = (): unknown => runnerWith(engine).run(COMPLETION_SPEC, new AbortController().signal);
     expect(await invariantOf(run)).toBe(InvariantName.notRunNothingSent);
     failure.mockRestore();
   });
--- a/packages/lab/src/experiments/overload.ts
+++ b/packages/lab/src/experiments/overload.ts
@@ -11,7 +11,7 @@
 import { SeededRandom } from '../random.js';
 
 /** Largest fraction of the slots that batch items leave free, as on the hosting platform. */
-export const RESERVE_MAX_FRACTION = 0.08;
+const RESERVE_MAX_FRACTION = 0.08;
 const RUNS_PER_LOAD = 6;
 /** Random seeds of the runs of one load are this far apart from those of the next. */
 const SEED_STRIDE = 1_000;
--- a/packages/lab/src/pool-simulation.ts
+++ b/packages/lab/src/pool-simulation.ts
@@ -63,6 +63,10 @@
 
 const NETWORK_DELAY_MS = 2;
 const MS_PER_S = 1_000;
+/** A waiting online request is refused after this many times the time within which it should start. */
+const QUEUE_TIMEOUT_FACTOR = 5;
+/** Standard deviation of the sum of four variables that are uniform in [0, 1). */
+const UNIFORM_SUM_DEVIATION = Math.sqrt(4 / 12);
 const POLICY_TARGETS = {
   firstTokenTargetMs: Number.POSITIVE_INFINITY,
   betweenTokensTargetMs: Number.POSITIVE_INFINITY,
@@ -214,7 +218,7 @@
         organisation: work.workClass,
         costTokens: work.events,
         startByMs,
-        deadlineMs: isBatch ? work.deadlineMs : this.nowMs + 5 * this.load.startWithinMs,
+        deadlineMs: isBatch ? work.deadlineMs : this.nowMs + QUEUE_TIMEOUT_FACTOR * this.load.startWithinMs,
         holder: 'h',
         workClass: work.workClass,
         prefixDigest: '',
@@ -345,9 +349,9 @@
     meanEvents: number,
     returnsLeft: number,
   ): Work {
-    // The sum of four uniform variables is close to a normal distribution, with a standard deviation of 0.577.
+    // The sum of four uniform variables is close to a normal distribution.
     const sum = [0, 0, 0, 0].reduce((total) => total + this.random.next(), 0);
-    const factor = 1 + ((sum - 2) / 0.577) * this.load.lengthDeviation;
+    const factor = 1 + ((sum - 2) / UNIFORM_SUM_DEVIATION) * this.load.lengthDeviation;
     const events = Math.max(2, Math.round(meanEvents * factor));
     return { workClass, arrivedAtMs, deadlineMs, events, receivedEvents: 0, returnsLeft };
   }
