--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -8,6 +8,7 @@
 import { EventSplitter, dataOf } from '../online/event-splitter.js';
 import type { RawEvent } from '../online/event-splitter.js';
 import type {
+  BodyFraming,
   UpstreamEnd,
   LoadListener,
   UpstreamHead,
@@ -161,6 +162,8 @@
     permitId: slot.permitId,
     resumeAfter: call.resumeAfter,
     events: listener.events,
+    framing: listener.framing,
+    unfinishedBytes: listener.unfinishedBytes,
     status: listener.status,
     end: end.kind,
     detail: end.detail,
@@ -181,6 +184,8 @@
 class ItemListener implements UpstreamListener {
   status = 0;
   events = 0;
+  /** What marks the end of the response; undefined before its head arrives. */
+  framing: BodyFraming | undefined;
   private readonly splitter = new EventSplitter();
   /** Aborted when the stream skips or repeats an event, or when the replica is silent for too long. */
   private readonly streamFault = new AbortController();
@@ -201,8 +206,14 @@
     return this.stop;
   }
 
+  /** Bytes that arrived after the last whole event. */
+  get unfinishedBytes(): number {
+    return this.splitter.rest.length;
+  }
+
   onHead(head: UpstreamHead): void {
     this.status = head.notRun ? 0 : head.status;
+    this.framing = head.framing;
     if (head.load) this.onLoad(head.load);
     this.restartSilenceTimer();
   }
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -43,7 +43,7 @@
     },
     transport: {
       send: (call: UpstreamCall, listener: UpstreamListener) => {
-        listener.onHead({ status: 200, headers: [], notRun: false });
+        listener.onHead({ status: 200, headers: [], notRun: false, framing: 'chunks' });
         const output = outputs[Number(call.requestId)] ?? '';
         listener.onData(Buffer.from(`id: 0\ndata: ${output}\n\n`));
         return Promise.resolve({ kind: 'complete', detail: '' });
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -252,6 +252,8 @@
         heldMs: Math.round(sentAtMs - this.request.arrivedAtMs),
         firstEventMs: firstTokenMs === undefined ? undefined : Math.round(firstTokenMs),
         events: attempt.events,
+        framing: attempt.framing,
+        unfinishedBytes: attempt.unfinishedBytes,
         ranMs: Math.round(this.dependencies.clock.monotonicMs() - sentAtMs),
         directoryRevision: this.dependencies.view.replicas.revision,
         configurationVersion: this.dependencies.view.configurationVersion,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -61,8 +61,18 @@
   readonly resumeAfter?: number;
 }
 
+/** What marks the end of the body of a response. The values appear in logs. */
+export const BodyFraming = {
+  length: 'length',
+  chunks: 'chunks',
+  /** The body has neither a length nor chunks and ends with its connection. */
+  connection: 'connection',
+} as const;
+export type BodyFraming = (typeof BodyFraming)[keyof typeof BodyFraming];
+
 /** Status and headers of a replica's response. */
 export interface UpstreamHead extends ResponseHead {
+  readonly framing: BodyFraming;
   /** Whether the replica itself reports that it did not run the request. */
   readonly notRun: boolean;
   /** The load that the replica reports with the response. */
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -4,7 +4,13 @@
 
 import type { RawEvent } from './event-splitter.js';
 import { EventSplitter } from './event-splitter.js';
-import type { ResponseSink, LoadListener, UpstreamHead, UpstreamListener } from './forwarding.js';
+import type {
+  BodyFraming,
+  ResponseSink,
+  LoadListener,
+  UpstreamHead,
+  UpstreamListener,
+} from './forwarding.js';
 
 /** A resumable stream that delivers no bytes for this long is resumed at another replica. */
 const SILENCE_TIMEOUT_MS = 900;
@@ -137,6 +143,16 @@
     else this.splitter.push(part).forEach((event) => this.onEvent(event));
   }
 
+  /** What marks the end of the response; undefined before its head arrives. */
+  get framing(): BodyFraming | undefined {
+    return this.head?.framing;
+  }
+
+  /** Bytes of a stream that arrived after its last whole event. */
+  get unfinishedBytes(): number {
+    return this.splitter.rest.length;
+  }
+
   /** Stops the silence timer; to be called when the attempt has ended. */
   close(): void {
     clearTimeout(this.timer);
