Report a reset that arrives with the last bytes of a response as an error

Cause: a response without length and chunks is whole when its connection ends in order. When the reset is read in the same turn of the event loop as the last bytes, the I/O library reports an end of file, and the HTTP parser then marks the message as complete. Every client of ours believed it: the transport of replicas, plain services, the stores, the instance list and the API client. The class: an end of input is taken for an end of message without asking how it came about.

Why this works: the remote address of a connection that its peer has closed can still be read, that of a reset one cannot, since the kernel has dropped it. ResetReportingAgent reads it before the HTTP client handles the end of the connection, and fails the connection, so all users of HTTP clients get the error that they already handle. It costs one system call per connection that the peer ends, and no state.

--- a/packages/client/src/api-client.ts
+++ b/packages/client/src/api-client.ts
@@ -2,6 +2,7 @@
 import { Readable } from 'node:stream';
 import { StringDecoder } from 'node:string_decoder';
 
+import { ResetReportingAgent } from '@fighub/outside';
 import type { ItemResult, Outcome, StoredRow } from '@fighub/core';
 import { fail, ok } from '@fighub/core';
 import { createParser } from 'eventsource-parser';
@@ -96,6 +97,9 @@
 
 /** Limit of a whole call, from the upload of its body to the end of its response. */
 const CALL_TIMEOUT_MS = 30_000;
+/** Idle connections are closed after this time, before servers close them. */
+const IDLE_TIMEOUT_MS = 5_000;
+const AGENT = new ResetReportingAgent({ keepAlive: true, timeout: IDLE_TIMEOUT_MS });
 
 /** Calls one instance with one key. Calls are not retried, and failures are returned instead of thrown. */
 export class ApiClient {
@@ -321,6 +325,7 @@
   private options(headers: Record<string, string>) {
     return {
       headers: { authorization: `Bearer ${this.key}`, ...headers },
+      agent: { http: AGENT },
       retry: { limit: 0 },
       timeout: { request: CALL_TIMEOUT_MS },
       throwHttpErrors: false,
--- a/packages/outside/src/connection-pool.ts
+++ b/packages/outside/src/connection-pool.ts
@@ -1,5 +1,7 @@
 /** Persistent HTTP connections with one pool per address. A pool is replaced when a connection does not respond. */
-import { Agent } from 'node:http';
+import type { Agent } from 'node:http';
+
+import { ResetReportingAgent } from './connection-reset.js';
 
 const MAX_FREE_SOCKETS = 8;
 
@@ -8,7 +10,7 @@
  * state a network device on the path has dropped. Connections are made from `localAddress`.
  */
 export function nonPersistentAgent(localAddress?: string): Agent {
-  return new Agent({ keepAlive: false, localAddress });
+  return new ResetReportingAgent({ keepAlive: false, localAddress });
 }
 
 /** Provides one agent with persistent connections for each address. */
@@ -22,7 +24,7 @@
   agentFor(address: string): Agent {
     const known = this.agents.get(address);
     if (known) return known;
-    const created = new Agent({
+    const created = new ResetReportingAgent({
       keepAlive: true,
       maxFreeSockets: MAX_FREE_SOCKETS,
       localAddress: this.localAddress,
--- /dev/null
+++ b/packages/outside/src/connection-reset.ts
@@ -0,0 +1,30 @@
+/** Reports every reset of a connection as an error. */
+import type { ClientRequestArgs } from 'node:http';
+import { Agent } from 'node:http';
+import { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+
+import VError from 'verror';
+
+/**
+ * Agent whose connections fail with an error when they are reset. Without it, Node.js reports a reset that is read in
+ * the same turn of the event loop as the last bytes as an orderly end, and a response that ends with its connection
+ * counts as complete.
+ */
+export class ResetReportingAgent extends Agent {
+  override createConnection(
+    options: ClientRequestArgs,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): Duplex | null | undefined {
+    const connection = super.createConnection(options, callback);
+    if (connection instanceof Socket) failOnReset(connection);
+    return connection;
+  }
+}
+
+function failOnReset(socket: Socket): void {
+  socket.prependOnceListener('end', () => {
+    // A connection that its peer has closed still has a remote address; one that was reset has none.
+    if (socket.remoteAddress === undefined) socket.destroy(new VError('the connection was reset'));
+  });
+}
--- a/packages/outside/src/etcd-key-value.ts
+++ b/packages/outside/src/etcd-key-value.ts
@@ -1,5 +1,5 @@
 /** Client of a key-value service that offers the JSON gateway of etcd v3. */
-import { Agent } from 'node:http';
+import type { Agent } from 'node:http';
 import { StringDecoder } from 'node:string_decoder';
 
 import type { Outcome } from '@fighub/core';
@@ -7,6 +7,7 @@
 import got, { HTTPError, TimeoutError } from 'got';
 import { z } from 'zod';
 
+import { ResetReportingAgent } from './connection-reset.js';
 import type { EtcdKeyValue, EtcdRangeResponse, EtcdRequestOp, EtcdTxnResponse } from './etcd-wire.js';
 import { fromBase64, prefixEnd, toBase64 } from './etcd-wire.js';
 import type {
@@ -148,7 +149,11 @@
   }
 
   private newAgent(): Agent {
-    return new Agent({ keepAlive: true, maxSockets: 32, localAddress: this.options.localAddress });
+    return new ResetReportingAgent({
+      keepAlive: true,
+      maxSockets: 32,
+      localAddress: this.options.localAddress,
+    });
   }
 
   /**
--- a/packages/outside/src/index.ts
+++ b/packages/outside/src/index.ts
@@ -2,6 +2,7 @@
 export * from './call-budget.js';
 export * from './circuit-breaker.js';
 export * from './connection-pool.js';
+export * from './connection-reset.js';
 export * from './engine-orders.js';
 export * from './engine.js';
 export * from './etcd-key-value.js';
--- a/packages/outside/src/instance-list.ts
+++ b/packages/outside/src/instance-list.ts
@@ -1,8 +1,12 @@
 /** The hosting platform's list of instances and upstreams. Changes appear in it with a delay. */
+import type { Agent } from 'node:http';
+
 import type { Outcome } from '@fighub/core';
 import { fail, ok } from '@fighub/core';
 import got from 'got';
 
+import { ResetReportingAgent } from './connection-reset.js';
+
 /** State of an instance according to the list. */
 export const ListedState = { live: 'live', leaving: 'leaving' } as const;
 export type ListedState = (typeof ListedState)[keyof typeof ListedState];
@@ -28,11 +32,15 @@
 
 /** `InstanceList` over HTTP with JSON. */
 export class HttpInstanceList implements InstanceList {
+  private readonly agent: Agent;
+
   constructor(
     private readonly address: string,
     private readonly timeoutMs: number,
-    private readonly localAddress?: string,
-  ) {}
+    localAddress?: string,
+  ) {
+    this.agent = new ResetReportingAgent({ keepAlive: true, localAddress });
+  }
 
   async read(): Promise<Outcome<ListedInstance[], string>> {
     try {
@@ -55,7 +63,7 @@
     }
   }
 
-  private options(): { timeout: { request: number }; retry: { limit: number }; localAddress?: string } {
-    return { localAddress: this.localAddress, timeout: { request: this.timeoutMs }, retry: { limit: 0 } };
+  private options(): { timeout: { request: number }; retry: { limit: number }; agent: { http: Agent } } {
+    return { agent: { http: this.agent }, timeout: { request: this.timeoutMs }, retry: { limit: 0 } };
   }
 }
--- a/packages/outside/src/plain-service.test.ts
+++ b/packages/outside/src/plain-service.test.ts
@@ -28,6 +28,7 @@
       body: 'x',
       timeoutMs: 2_000,
     });
-    expect(response).toMatchObject({ status: undefined, sent: true });
+    expect(response.status).toBeUndefined();
+    expect(response.sent).toBe(true);
   });
 });
