--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -12,6 +12,8 @@
   refuse: number;
   /** Number of following requests whose connection breaks in the middle of the third event. */
   breakOff: number;
+  /** Number of following requests whose response has neither a length nor chunks and ends with its connection. */
+  unframed: number;
   /** Number of following requests whose response has the id of another request. */
   crossed: number;
   /** HTTP status with which every request fails after it has started to run; 0 to respond with an event stream. */
@@ -39,7 +41,7 @@
 /** A replica that responds to each request with `eventCount` events, one every `eventMs`. */
 export class ReplicaStandin {
   readonly runs: ReplicaRun[] = [];
-  readonly faults: ReplicaFaults = { refuse: 0, breakOff: 0, crossed: 0, status: 0 };
+  readonly faults: ReplicaFaults = { refuse: 0, breakOff: 0, unframed: 0, crossed: 0, status: 0 };
   /** Highest number of requests that ran at the same time. */
   peakConcurrency = 0;
   private active = 0;
@@ -94,6 +96,7 @@
       return;
     }
     const breaksOff = consumeFault(this.faults, 'breakOff');
+    if (consumeFault(this.faults, 'unframed')) res.removeHeader('Transfer-Encoding');
     res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
     for (let index = run.resumeAfter + 1; index <= this.eventCount && !run.closed; index += 1) {
       if (breaksOff && index === run.resumeAfter + 3) {
@@ -107,7 +110,7 @@
   }
 }
 
-function consumeFault(faults: ReplicaFaults, name: 'refuse' | 'breakOff' | 'crossed'): boolean {
+function consumeFault(faults: ReplicaFaults, name: 'refuse' | 'breakOff' | 'unframed' | 'crossed'): boolean {
   if (faults[name] === 0) return false;
   faults[name] -= 1;
   return true;
