Treat a stream that ends inside an event as broken off

A resumable stream was not resumed.

Cause: the relay passed the bytes after the last whole event on and ended the response, relying on the HTTP framing to report a truncated stream. A response without length and chunks has no such framing when its connection ends in order.

Why this works: the state of the event splitter says whether an event has begun. Such an end counts as broken for retries, for the health of the replica and for the log; nothing of the unfinished event is passed on, so a resumable stream continues with exactly that event. Batch items share the rule; blank lines and comments after the last event no longer interrupt them.

--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -15,7 +15,7 @@
   UpstreamListener,
   UpstreamTransport,
 } from '../online/forwarding.js';
-import { UpstreamEndKind } from '../online/forwarding.js';
+import { UpstreamEndKind, endOfStream } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 
 /** How a run of an item ended. The values appear in logs and metric names. */
@@ -145,8 +145,9 @@
     body: Buffer.from(item.bodyBase64, 'base64'),
     resumeAfter: output.lastEventId,
   };
-  const end = await dependencies.transport.send(call, listener, listener.signal);
+  const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
+  const end = endOfStream(sent, listener.isInsideEvent);
   const verdict = listener.verdict(end);
   const preempted = slot.revoked.aborted;
   const brokenByReplica = verdict === ItemRunOutcome.interrupted && !preempted && !stop.aborted;
@@ -211,6 +212,11 @@
     return this.splitter.rest.length;
   }
 
+  /** Whether the stream ends inside an event if no more data arrives. */
+  get isInsideEvent(): boolean {
+    return this.splitter.isInsideEvent;
+  }
+
   onHead(head: UpstreamHead): void {
     this.status = head.notRun ? 0 : head.status;
     this.framing = head.framing;
@@ -234,8 +240,9 @@
       return ItemRunOutcome.interrupted;
     if (this.status === HTTP_UNPROCESSABLE_CONTENT) return ItemRunOutcome.impossible;
     if (this.status === HTTP_INTERNAL_SERVER_ERROR) return ItemRunOutcome.failed;
-    const isComplete = this.status === HTTP_OK && this.splitter.rest.length === 0;
-    return isComplete && this.output.events.length > 0 ? ItemRunOutcome.done : ItemRunOutcome.interrupted;
+    return this.status === HTTP_OK && this.output.events.length > 0
+      ? ItemRunOutcome.done
+      : ItemRunOutcome.interrupted;
   }
 
   private appendEvent(event: RawEvent): void {
--- a/packages/serving/src/online/event-splitter.ts
+++ b/packages/serving/src/online/event-splitter.ts
@@ -11,6 +11,8 @@
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
+/** Blank lines and comments, which belong to no event. */
+const BETWEEN_EVENTS = /^(?::[^\n]*\n|\r?\n)*$/;
 const DATA_LINE = /^data: ?(.*)$/gm;
 
 /** Buffers the bytes of an incomplete event until the rest arrives. */
@@ -31,6 +33,11 @@
     return events;
   }
 
+  /** Whether the bytes after the last whole event begin another one, so that a stream must not end here. */
+  get isInsideEvent(): boolean {
+    return !BETWEEN_EVENTS.test(this.pending.toString('latin1'));
+  }
+
   /** The bytes after the last whole event. */
   get rest(): Buffer {
     return this.pending;
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -12,7 +12,7 @@
 import { ResponseRelay } from './response-relay.js';
 import { pickBackend } from './backend-choice.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
-import { UpstreamEndKind } from './forwarding.js';
+import { UpstreamEndKind, endOfStream } from './forwarding.js';
 
 /**
  * A request whose expected wait for a slot exceeds this fraction of its route's target is refused at once, since it
@@ -132,7 +132,7 @@
     this.sends += 1;
     const sentAtMs = this.dependencies.clock.monotonicMs();
     const attempt = this.relay.startAttempt(stop, (load) => this.dependencies.permits.recordLoad(slot, load));
-    const end = await this.dependencies.transport.send(
+    const sent = await this.dependencies.transport.send(
       {
         replicaId: slot.replicaId,
         address: slot.address,
@@ -149,6 +149,7 @@
       attempt.signal,
     );
     attempt.close();
+    const end = endOfStream(sent, attempt.isInsideEvent);
     const evidence =
       attempt.reportedNotRun || end.kind === UpstreamEndKind.notConnected ? 'not_run' : 'may_have_run';
     if (evidence === SendEvidence.mayHaveRun) this.runs += 1;
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -113,6 +113,15 @@
   readonly detail: string;
 }
 
+/**
+ * The end of a call that returned a stream. If the connection ended inside an event, the replica broke the stream off,
+ * also where the framing of the response does not show it.
+ */
+export function endOfStream(end: UpstreamEnd, isInsideEvent: boolean): UpstreamEnd {
+  if (end.kind !== UpstreamEndKind.complete || !isInsideEvent) return end;
+  return { kind: UpstreamEndKind.broken, detail: 'the stream ended inside an event' };
+}
+
 /** Sends requests to replicas and passes their responses on while they arrive. */
 export interface UpstreamTransport {
   /** Never rejects. Aborting `signal` closes the connection at once. */
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -153,6 +153,11 @@
     return this.splitter.rest.length;
   }
 
+  /** Whether a stream ends inside an event if no more data arrives. */
+  get isInsideEvent(): boolean {
+    return this.isStream && this.splitter.isInsideEvent;
+  }
+
   /** Stops the silence timer; to be called when the attempt has ended. */
   close(): void {
     clearTimeout(this.timer);
@@ -161,7 +166,7 @@
   /** Passes a complete response on to the caller. Returns false when it must not be passed on. */
   deliver(): boolean {
     const { head } = this;
-    if (!head || this.silence.signal.aborted) return false;
+    if (!head || this.silence.signal.aborted || this.isInsideEvent) return false;
     if (this.isStream) {
       this.relay.end(head, this.splitter.rest);
       return true;
