--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -88,6 +88,8 @@
   /** Host and port, separated by a colon. */
   readonly address: string;
   readonly failureDomain: string;
+  /** Version of the replica's software, which does not change under one id; empty when its entry does not state it. */
+  readonly softwareVersion: string;
   readonly slots: number;
   /** True when the replica is about to stop and takes no new requests. */
   readonly leaving: boolean;
--- a/packages/decisions/src/replica-directory.test.ts
+++ b/packages/decisions/src/replica-directory.test.ts
@@ -4,7 +4,8 @@
 import { ReplicaDirectory } from './replica-directory.js';
 
 function replica(replicaId: string, leaving = false): ReplicaRecord {
-  return { replicaId, service: 's', address: `${replicaId}:1`, failureDomain: 'd', slots: 8, leaving };
+  const address = `${replicaId}:1`;
+  return { replicaId, service: 's', address, failureDomain: 'd', softwareVersion: 'v1', slots: 8, leaving };
 }
 
 function idsOf(directory: ReplicaDirectory): string[] {
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -160,6 +160,7 @@
     jobId: request.jobId,
     itemId: item.itemId,
     replicaId: slot.replicaId,
+    softwareVersion: dependencies.view.replica(slot.replicaId)?.softwareVersion,
     permitId: slot.permitId,
     resumeAfter: call.resumeAfter,
     events: listener.events,
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -35,7 +35,11 @@
   const record = await store.write(batchJobKeys.progress('j'), undefined, progress);
   if (!record.ok) throw new Error('the progress could not be written');
   const dependencies = {
-    view: { routes: { match: () => ({ name: 'r', backends: [] }) }, isUsable: () => true },
+    view: {
+      routes: { match: () => ({ name: 'r', backends: [] }) },
+      isUsable: () => true,
+      replica: () => undefined,
+    },
     permits: {
       acquire: () => Promise.resolve({ ok: true, value: SLOT }),
       release: () => undefined,
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -131,6 +131,7 @@
     const { request } = this;
     this.sends += 1;
     const sentAtMs = this.dependencies.clock.monotonicMs();
+    const resumeAfter = this.relay.lastEventId;
     const attempt = this.relay.startAttempt(stop, (load) => this.dependencies.permits.recordLoad(slot, load));
     const sent = await this.dependencies.transport.send(
       {
@@ -143,7 +144,7 @@
         headers: request.headers,
         body: request.body,
         deadlineMs: this.deadlineMs,
-        resumeAfter: this.relay.lastEventId,
+        resumeAfter,
       },
       attempt,
       attempt.signal,
@@ -158,7 +159,7 @@
       tokens: attempt.events,
       ...attempt.timing(),
     });
-    this.logAttempt(slot, end, attempt, evidence, sentAtMs);
+    this.logAttempt(slot, end, attempt, evidence, sentAtMs, resumeAfter);
     if (end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun) {
       if (attempt.deliver()) return this.recordCompletion();
     }
@@ -235,6 +236,7 @@
     attempt: AttemptListener,
     evidence: SendEvidence,
     sentAtMs: number,
+    resumeAfter: number | undefined,
   ): void {
     const { status } = attempt;
     const { firstTokenMs } = attempt.timing();
@@ -245,7 +247,10 @@
       {
         requestId: this.request.requestId,
         replicaId: slot.replicaId,
+        softwareVersion: this.dependencies.view.replica(slot.replicaId)?.softwareVersion,
         permitId: slot.permitId,
+        resumeAfter,
+        resumedRequestId: this.request.resumedRequestId,
         end: end.kind,
         detail: end.detail,
         status,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -24,6 +24,8 @@
   readonly prefixDigest: string;
   /** Id of the last event that the caller has received, when the caller itself resumes a stream. */
   readonly resumeAfter?: number;
+  /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
+  readonly resumedRequestId?: string;
 }
 
 /** Status and headers of a response. */
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -3,7 +3,7 @@
  * instances of their failure domain. An instance that receives no fresh view reads the store itself, so that a
  * partition between it and the relays costs extra store calls but does not make its view stale.
  */
-import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
+import type { Clock, DecisionLog, Metrics, ReplicaRecord, System } from '@fighub/core';
 import { LogCategory, sleep } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import { ReplicaDirectory, coordinatorFor, coordinatorsOf, isCoordinator } from '@fighub/decisions';
@@ -212,6 +212,7 @@
       replicas: directory.replicas.map(
         (replica) => `${replica.replicaId}${replica.leaving ? ' leaving' : ''}`,
       ),
+      softwareVersions: countByVersion(directory.replicas),
     });
   }
 
@@ -279,3 +280,11 @@
     this.applyReceivedDirectory(answer.value, 'peer');
   }
 }
+
+/** Numbers of replicas by service and software version. */
+function countByVersion(replicas: readonly ReplicaRecord[]): Record<string, number> {
+  return replicas.reduce<Record<string, number>>((counts, { service, softwareVersion }) => {
+    const key = `${service} ${softwareVersion}`;
+    return { ...counts, [key]: (counts[key] ?? 0) + 1 };
+  }, {});
+}
--- a/packages/serving/src/routing/route-table.test.ts
+++ b/packages/serving/src/routing/route-table.test.ts
@@ -52,7 +52,8 @@
     expect(view.applyConfiguration(configuration(7, []))).toBe(true);
     expect(view.applyConfiguration(configuration(5, []))).toBe(false);
     expect(view.configurationVersion).toBe(7);
-    const replica = { replicaId: 'r', service: 's', address: 'r:1', failureDomain: 'd', slots: 8 };
+    const at = { address: 'r:1', failureDomain: 'd' };
+    const replica = { replicaId: 'r', service: 's', ...at, softwareVersion: 'v1', slots: 8 };
     view.applyDirectory({ revision: 9, replicas: [{ ...replica, leaving: true }] });
     view.applyDirectory({ revision: 8, replicas: [{ ...replica, leaving: false }] });
     expect(view.isUsable('r')).toBe(false);
