--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -33,9 +33,19 @@
   closed: boolean;
 }
 
-/** Returns the data of event `index` in the response to a request. It is the same at every replica. */
-export function eventData(requestId: string, index: number): string {
-  return `${requestId}-${String(index)}-${digest(requestId, String(index)).slice(0, 6)}`;
+/** The software version of a replica unless a test states another one. */
+export const DEFAULT_SOFTWARE_VERSION = 'v1';
+
+/**
+ * Returns the data of event `index` in the response to a request. It is the same at every replica of a software
+ * version, and differs between versions.
+ */
+export function eventData(
+  requestId: string,
+  index: number,
+  softwareVersion: string = DEFAULT_SOFTWARE_VERSION,
+): string {
+  return `${requestId}-${String(index)}-${digest(requestId, String(index), softwareVersion).slice(0, 6)}`;
 }
 
 /** A replica that responds to each request with `eventCount` events, one every `eventMs`. */
@@ -44,18 +54,24 @@
   readonly faults: ReplicaFaults = { refuse: 0, breakOff: 0, unframed: 0, crossed: 0, status: 0 };
   /** Highest number of requests that ran at the same time. */
   peakConcurrency = 0;
-  private active = 0;
+  private readonly openResponses = new Set<ServerResponse>();
 
   constructor(
     readonly replicaId: string,
     private readonly eventCount: number,
     private readonly eventMs: number,
+    readonly softwareVersion: string = DEFAULT_SOFTWARE_VERSION,
   ) {}
 
   start(): Promise<RunningServer> {
     return serve(0, (req, res) => void this.handle(req, res));
   }
 
+  /** Closes the connections of all running requests. */
+  closeConnections(): void {
+    this.openResponses.forEach((res) => res.destroy());
+  }
+
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const parts: Buffer[] = [];
     for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
@@ -78,11 +94,11 @@
       closed: false,
     };
     this.runs.push(run);
-    this.active += 1;
-    this.peakConcurrency = Math.max(this.peakConcurrency, this.active);
+    this.openResponses.add(res);
+    this.peakConcurrency = Math.max(this.peakConcurrency, this.openResponses.size);
     res.once('close', () => {
       run.closed = true;
-      this.active -= 1;
+      this.openResponses.delete(res);
     });
     await this.answer(run, res);
   }
@@ -103,7 +119,7 @@
         res.write(`id: ${String(index)}\ndata: brok`, () => res.destroy());
         return;
       }
-      res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index)}\n\n`);
+      res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index, this.softwareVersion)}\n\n`);
       await new Promise((resolve) => setTimeout(resolve, this.eventMs));
     }
     res.end();
