Continue a stream only at the software version that began it

Cause: a stream that goes on was treated like a new one. Its demand for a slot named the service only, and no instance kept where a stream had begun, so a caller's resumption at another entry ran at whichever replica was least loaded. The class: state that identifies what a continuation belongs to was lost between its parts.

If the entry of an id changes its version between the choice and the first event, the origin counts as unknown and nothing continues the stream. - A demand for a slot may be bound to a version. Owner and direct dispatch count slots, waits and preemption by version. Bound requests come before new ones, and do not hold back others of their organisation. - At its first event, an entry tells two coordinators, chosen by rendezvous hashing of the attempt's id, where a resumable stream began. An entry that is asked to resume one asks four (coordinators may have come and gone), for at most 100 ms. Callers that name no attempt are served from what the route and the directory have shown for longer than streams live, if that leaves one origin. - What is unknown, and what no replica is left for, is refused at once as not run.

Why this works: the version is decided once, at the first event that a caller gets, and every later send of that stream passes one check of the version, here and at the owner. A lost or late notice can only cause a refusal, never a mixture.

Ways weighed, for 330 nodes, 1,200 replicas and 4,100 requests a second: the owner of the pool as only keeper (no message of its own, but lost with the owner, and unknown for streams that ran without one); the platform's store (4,100 writes a second where 400 are allowed); asking all members (330 messages for each resumption); rewriting event ids (not the replica's bytes). Chosen: two notices of about 100 bytes for each resumable stream, at most 12 streams a second and node, and up to about 60,000 origins in two copies over all coordinators at a deadline of 5 s.

--- a/packages/admission/src/direct-dispatch.test.ts
+++ b/packages/admission/src/direct-dispatch.test.ts
@@ -12,7 +12,14 @@
       model: 'm',
       failureDomain: '',
       upstreams: [
-        { upstreamId: 'r', address: 'r:1', failureDomain: 'd', maxConcurrency: 8, fencingChecked: false },
+        {
+          upstreamId: 'r',
+          address: 'r:1',
+          failureDomain: 'd',
+          softwareVersion: 'v1',
+          maxConcurrency: 8,
+          fencingChecked: false,
+        },
       ],
     },
   ],
@@ -32,21 +39,31 @@
   alone: false,
 };
 
+function newDirectDispatch(): DirectDispatch {
+  const members = { owners: () => [{ failureDomain: 'd' }] } as unknown as MembershipRunner;
+  const loads = { load: () => Promise.resolve(undefined) };
+  return new DirectDispatch(
+    'self',
+    'd',
+    CATALOGUE,
+    () => members,
+    loads,
+    true,
+    new ManualClock(),
+    new Metrics(),
+  );
+}
+
 describe('DirectDispatch', () => {
   it('keeps the limit of streams in flight when requests arrive at the same time', async () => {
-    const members = { owners: () => [{ failureDomain: 'd' }] } as unknown as MembershipRunner;
-    const loads = { load: () => Promise.resolve(undefined) };
-    const direct = new DirectDispatch(
-      'self',
-      'd',
-      CATALOGUE,
-      () => members,
-      loads,
-      true,
-      new ManualClock(),
-      new Metrics(),
-    );
+    const direct = newDirectDispatch();
     const outcomes = await Promise.all([direct.acquire(DEMAND), direct.acquire(DEMAND)]);
     expect(outcomes.map((outcome) => outcome.ok)).toEqual([true, false]);
   });
+
+  it('grants a resumed stream only a replica of its software version', async () => {
+    const other = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v2' });
+    const same = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v1' });
+    expect([other.ok, same.ok]).toEqual([false, true]);
+  });
 });
--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -133,6 +133,10 @@
       .flatMap((pool) => pool.upstreams)
       .filter((upstream) => !this.catalogue.isLeaving(upstream.upstreamId))
       .filter((upstream) => !demand.excludedReplicaIds.includes(upstream.upstreamId))
+      .filter(
+        ({ softwareVersion }) =>
+          demand.softwareVersion === undefined || softwareVersion === demand.softwareVersion,
+      )
       .filter((upstream) => this.viewOf(upstream.upstreamId).health.isAvailable(nowMs));
   }
 
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -408,6 +408,7 @@
       deadlineInMs: demand.deadlineUnixMs - nowUnixMs,
       prefixDigest: demand.prefixDigest,
       excludedReplicaIds: demand.excludedReplicaIds,
+      softwareVersion: demand.softwareVersion,
       resumable: demand.resumable,
       alone: demand.alone,
       receivedTokens: demand.receivedTokens,
--- a/packages/admission/src/pool-catalogue.ts
+++ b/packages/admission/src/pool-catalogue.ts
@@ -6,6 +6,8 @@
   readonly upstreamId: string;
   readonly address: string;
   readonly failureDomain: string;
+  /** Undefined when the platform does not tell versions apart. */
+  readonly softwareVersion?: string;
   /** Maximum number of concurrent streams of the replica. */
   readonly maxConcurrency: number;
   /** Whether the replica refuses requests with an outdated fencing number. */
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -277,6 +277,7 @@
         address: upstream.address,
         maxConcurrency: upstream.maxConcurrency,
         failureDomain: upstream.failureDomain,
+        softwareVersion: upstream.softwareVersion,
         leaving: this.catalogue.isLeaving(upstream.upstreamId),
       })),
     );
@@ -409,6 +410,7 @@
       failureDomain: this.members().membership.get(body.holder)?.failureDomain ?? '',
       prefixDigest: body.prefixDigest,
       excludedReplicaIds: body.excludedReplicaIds,
+      softwareVersion: body.softwareVersion,
       resumable: body.resumable,
       alone: body.alone,
       enqueuedAtMs: nowMs,
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -25,6 +25,8 @@
   readonly prefixDigest: string;
   /** Replicas that must not be chosen, because earlier attempts there failed. */
   readonly excludedReplicaIds: readonly string[];
+  /** The only software version at whose replicas the stream may run, because it began there; undefined for any. */
+  readonly softwareVersion?: string;
   /** Whether the stream can be stopped and continued later; only such batch streams are preempted. */
   readonly resumable: boolean;
   /** True for a batch item that may crash its replica: it runs in quarantine, with no other stream at the replica. */
--- a/packages/decisions/src/batch-queue.ts
+++ b/packages/decisions/src/batch-queue.ts
@@ -17,6 +17,11 @@
     return this.timely.size + this.late.size;
   }
 
+  /** The software versions that waiting items are bound to. */
+  get boundVersions(): string[] {
+    return [...new Set([...this.timely.boundVersions, ...this.late.boundVersions])];
+  }
+
   /** Whether the item is in the queue. */
   has(requestId: string): boolean {
     return this.timely.has(requestId) || this.late.has(requestId);
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -8,6 +8,8 @@
   /** Estimated cost, which is charged to the organisation when the request is taken. */
   readonly costTokens: number;
   readonly deadlineMs: number;
+  /** The only software version at whose replicas the request may run; undefined for any. */
+  readonly softwareVersion?: string;
 }
 
 /** A request that was taken from a queue, and what was chosen for it. */
@@ -24,6 +26,8 @@
   /** Virtual time up to which the organisation has been served, in tokens divided by weight. */
   servedVirtualTokens: number;
   waiting: T[];
+  /** Number of waiting requests that may run at one software version only. */
+  bound: number;
 }
 
 /** Key of an organisation with waiting requests in the order in which organisations are served. */
@@ -48,6 +52,8 @@
   private activeWeight = 0;
   private virtualTokens = 0;
   private readonly queueByRequestId = new Map<string, OrganisationQueue<T>>();
+  /** Numbers of waiting requests that may run at one software version only, by version. */
+  private readonly boundByVersion = new Map<string, number>();
   /** No waiting request has an earlier deadline; it may be too early after requests were taken. */
   private deadlineBoundMs = Number.POSITIVE_INFINITY;
 
@@ -56,6 +62,16 @@
     return this.queueByRequestId.size;
   }
 
+  /** The software versions that waiting requests are bound to. */
+  get boundVersions(): string[] {
+    return [...this.boundByVersion.keys()];
+  }
+
+  /** Number of waiting requests that may run at `softwareVersion` only. */
+  boundTo(softwareVersion: string): number {
+    return this.boundByVersion.get(softwareVersion) ?? 0;
+  }
+
   /** Whether the request is in the queue. */
   has(requestId: string): boolean {
     return this.queueByRequestId.has(requestId);
@@ -71,6 +87,7 @@
     const at = queue.waiting.findIndex((other) => other.deadlineMs > request.deadlineMs);
     queue.waiting.splice(at < 0 ? queue.waiting.length : at, 0, request);
     this.queueByRequestId.set(request.requestId, queue);
+    this.countBound(queue, request, 1);
     this.deadlineBoundMs = Math.min(this.deadlineBoundMs, request.deadlineMs);
   }
 
@@ -81,16 +98,17 @@
 
   /**
    * Removes and returns the next request for which `choose` returns a result, with that result, and charges its cost to
-   * its organisation. Only the first request of each organisation is considered; an organisation whose first request
-   * gets no result is skipped and not charged.
+   * its organisation. Of each organisation, the first request that may run anywhere and the first one of each software
+   * version are considered; an organisation that gets no result is skipped and not charged.
    */
   takeNextWith<C>(choose: (request: T) => C | undefined): Taken<T, C> | undefined {
     for (const [, queue] of this.active.entries()) {
-      const request = queue.waiting[0];
-      const choice = request && choose(request);
-      if (request && choice !== undefined) {
-        this.take(queue, request);
-        return { request, choice };
+      for (const request of firstByVersion(queue)) {
+        const choice = choose(request);
+        if (choice !== undefined) {
+          this.take(queue, request);
+          return { request, choice };
+        }
       }
     }
     return undefined;
@@ -164,10 +182,19 @@
     const at = queue.waiting.findIndex((request) => request.requestId === requestId);
     const [request] = queue.waiting.splice(at, 1);
     this.queueByRequestId.delete(requestId);
+    if (request) this.countBound(queue, request, -1);
     if (queue.waiting.length === 0) this.deactivate(queue);
     return request;
   }
 
+  private countBound(queue: OrganisationQueue<T>, { softwareVersion }: T, change: 1 | -1): void {
+    if (softwareVersion === undefined) return;
+    queue.bound += change;
+    const count = this.boundTo(softwareVersion) + change;
+    if (count === 0) this.boundByVersion.delete(softwareVersion);
+    else this.boundByVersion.set(softwareVersion, count);
+  }
+
   private charge(queue: OrganisationQueue<T>, tokens: number): void {
     const isActive = queue.waiting.length > 0;
     if (isActive) this.active.delete(keyOf(queue));
@@ -199,12 +226,24 @@
       weight,
       servedVirtualTokens: this.virtualTokens,
       waiting: [],
+      bound: 0,
     };
     this.organisations.set(organisation, created);
     return created;
   }
 }
 
+/** The first waiting request of each software version and of those without one, in the order in which they wait. */
+function firstByVersion<T extends QueuedRequest>(queue: OrganisationQueue<T>): T[] {
+  if (queue.bound === 0) return queue.waiting.slice(0, 1);
+  const seen = new Set<string | undefined>();
+  return queue.waiting.filter(({ softwareVersion }) => {
+    const isFirst = !seen.has(softwareVersion);
+    seen.add(softwareVersion);
+    return isFirst;
+  });
+}
+
 function keyOf(queue: OrganisationQueue<QueuedRequest>): ServiceKey {
   return { virtualTokens: queue.servedVirtualTokens, position: queue.position };
 }
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -100,8 +100,8 @@
    * is not expected to start in time, or when the online queue is full.
    */
   enqueue(request: SlotRequest, nowMs: number): void {
-    if (!this.places.hasUsableReplica(nowMs)) {
-      this.output.refused(request, this.noUpstream());
+    if (!this.places.hasUsableReplica(nowMs, request.softwareVersion)) {
+      this.output.refused(request, this.noUpstream(request.softwareVersion));
       return;
     }
     if (request.alone) {
@@ -113,7 +113,7 @@
       return;
     }
     this.reserve.onArrival(nowMs);
-    const waitMs = this.expectedWaitMs(request.organisation, nowMs);
+    const waitMs = this.expectedWaitOf(request, nowMs);
     if (
       nowMs + waitMs > (request.startByMs ?? request.deadlineMs) ||
       this.online.size >= MAX_ONLINE_QUEUE_REQUESTS
@@ -201,6 +201,7 @@
     this.places.dropExpired(nowMs);
     this.refuseOverdue(nowMs);
     if (!this.places.hasUsableReplica(nowMs)) this.refuseAll();
+    this.refuseVersionsWithoutReplica(nowMs);
     this.moveLateItems(nowMs);
     this.runQuarantine(nowMs);
     this.preemptForUnknownStreams(nowMs);
@@ -226,6 +227,21 @@
     return Math.max(0, onlineStreams - usableSlots + 1) * slotReleaseIntervalMs;
   }
 
+  private expectedWaitOf({ organisation, softwareVersion }: SlotRequest, nowMs: number): number {
+    return softwareVersion === undefined
+      ? this.expectedWaitMs(organisation, nowMs)
+      : this.expectedWaitAtVersionMs(softwareVersion, nowMs);
+  }
+
+  /** Expected wait of a new online request that may run at one software version only. Such requests are served first. */
+  private expectedWaitAtVersionMs(softwareVersion: string, nowMs: number): number {
+    const waiting = this.online.boundTo(softwareVersion);
+    if (waiting < this.places.freeSlotsOfVersion(softwareVersion, nowMs)) return 0;
+    if (waiting < this.places.preemptibleOfVersion(softwareVersion)) return 0;
+    const slots = this.places.total(nowMs, softwareVersion);
+    return ((waiting + 1) * this.meanStreamMs) / Math.max(1, slots);
+  }
+
   /** Expected waits of the organisations with the most waiting online requests, at most `MAX_ORGANISATION_WAITS`. */
   private organisationWaits(nowMs: number): OrganisationWait[] {
     return this.online
@@ -309,8 +325,20 @@
     );
   }
 
-  private noUpstream(): Problem {
-    return notRun('no_upstream', `no replica of pool ${this.poolId} accepts work`, NO_UPSTREAM_RETRY_MS);
+  /** Refuses the waiting requests that are bound to a software version without a usable replica. */
+  private refuseVersionsWithoutReplica(nowMs: number): void {
+    [this.online, this.batch].forEach((queue) =>
+      queue.boundVersions
+        .filter((version) => !this.places.hasUsableReplica(nowMs, version))
+        .flatMap((version) => queue.removeWhere((request) => request.softwareVersion === version))
+        .forEach((request) => this.output.refused(request, this.noUpstream(request.softwareVersion))),
+    );
+  }
+
+  private noUpstream(softwareVersion?: string): Problem {
+    const ofVersion = softwareVersion === undefined ? '' : ` with software version ${softwareVersion}`;
+    const detail = `no replica${ofVersion} of pool ${this.poolId} accepts work`;
+    return notRun('no_upstream', detail, NO_UPSTREAM_RETRY_MS);
   }
 
   /** Advances the quarantine: stops the batch streams at the isolated replica, or starts the suspect there. */
@@ -368,17 +396,28 @@
       const problem = notRun(
         'deadline_unreachable',
         'the deadline passed while the request waited for a slot',
-        this.expectedWaitMs(request.organisation, nowMs),
+        this.expectedWaitOf(request, nowMs),
       );
       this.output.refused(request, problem);
     });
   }
 
-  /** Grants online requests the free slots, and then the slots of batch streams that it preempts. */
+  /**
+   * Grants online requests the free slots, and then the slots of batch streams that it preempts. Resumed streams come
+   * first: new ones can run at any version, and would take the slots of the only version that a resumed one can use.
+   */
   private grantOnline(nowMs: number): void {
+    if (this.online.boundVersions.length > 0)
+      this.grantOnlineWhere(({ softwareVersion }) => softwareVersion !== undefined, nowMs);
+    this.grantOnlineWhere(() => true, nowMs);
+  }
+
+  private grantOnlineWhere(isEligible: (request: SlotRequest) => boolean, nowMs: number): void {
     repeatWhile(() => {
       if (!this.places.mayHaveSlot(nowMs)) return false;
-      const taken = this.online.takeNextWith((candidate) => this.placementOf(candidate, nowMs));
+      const taken = this.online.takeNextWith((candidate) =>
+        isEligible(candidate) ? this.placementOf(candidate, nowMs) : undefined,
+      );
       if (!taken) return false;
       const { request, choice } = taken;
       if (choice.victim) this.revoke(choice.victim, nowMs);
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -48,6 +48,7 @@
   private readonly silentOrder = new ReplicaOrder();
   private readonly countsByReplica = new Map<string, SlotCounts>();
   private readonly totals = new SlotTotals();
+  private readonly totalsByVersion = new Map<string, SlotTotals>();
   private onlineStreams = 0;
   private nonResumableStreams = 0;
   /** Replicas to look at again at the next decision. */
@@ -224,10 +225,16 @@
     return Math.max(0, this.inFlight(replicaId, nowMs) + drift.balance(nowMs));
   }
 
-  /** Number of slots of all replicas that are not leaving. */
-  total(nowMs: number): number {
+  /** Number of slots of all replicas that are not leaving, or of those of one software version. */
+  total(nowMs: number, softwareVersion?: string): number {
     this.refresh(nowMs);
-    return this.totals.slots;
+    return this.totalsOf(softwareVersion).slots;
+  }
+
+  /** Number of free slots of the replicas of one software version that may get work now; it may be negative. */
+  freeSlotsOfVersion(softwareVersion: string, nowMs: number): number {
+    this.refresh(nowMs);
+    return this.totalsOf(softwareVersion).freeSlots;
   }
 
   /**
@@ -239,6 +246,14 @@
     return this.totals.freeSlots - (this.countsOf(exceptReplicaId)?.freeSlots ?? 0);
   }
 
+  /** Number of batch streams at the replicas of one software version that may be preempted. */
+  preemptibleOfVersion(softwareVersion: string): number {
+    return this.replicas
+      .all()
+      .filter((replica) => replica.softwareVersion === softwareVersion)
+      .reduce((sum, { replicaId }) => sum + this.preemptible.countOf(this.permitsAt(replicaId)), 0);
+  }
+
   /** Estimated number of streams without a permit minus permits without a stream, over all replicas. */
   drift(nowMs: number): number {
     this.refresh(nowMs);
@@ -255,12 +270,12 @@
   }
 
   /**
-   * Whether any replica may get work. A paused replica whose load can be read counts, as it gets work again when its
-   * pause ends.
+   * Whether any replica, or any of one software version, may get work. A paused replica whose load can be read counts, as
+   * it gets work again when its pause ends.
    */
-  hasUsableReplica(nowMs: number): boolean {
+  hasUsableReplica(nowMs: number, softwareVersion?: string): boolean {
     this.refresh(nowMs);
-    return this.totals.usable > 0;
+    return this.totalsOf(softwareVersion).usable > 0;
   }
 
   /** False when no request can get a slot: no replica has a free one, and no stream may be preempted. */
@@ -280,19 +295,30 @@
     nowMs: number,
   ): PoolReplica | undefined {
     this.refresh(nowMs);
-    const except = this.countsOf(exceptReplicaId);
-    const anyReporting = this.totals.reporting - (except?.reporting ?? 0) > 0;
+    const { softwareVersion } = request;
+    const totals = this.totalsOf(softwareVersion);
+    const except = this.isOfVersion(exceptReplicaId, softwareVersion)
+      ? this.countsOf(exceptReplicaId)
+      : undefined;
+    const anyReporting = totals.reporting - (except?.reporting ?? 0) > 0;
     const availableOf = (counts: SlotCounts | undefined): number =>
       (anyReporting ? counts?.availableReporting : counts?.available) ?? 0;
-    const excluded = new Set(request.excludedReplicaIds.filter((id) => id !== exceptReplicaId));
+    const excluded = new Set(
+      request.excludedReplicaIds
+        .filter((id) => id !== exceptReplicaId)
+        .filter((id) => this.isOfVersion(id, softwareVersion)),
+    );
     const excludedCount = [...excluded].reduce((sum, id) => sum + availableOf(this.countsOf(id)), 0);
     // When the request has failed at every available replica, each of them may be tried again.
-    const skipsExcluded = availableOf(this.totals) - availableOf(except) > excludedCount;
+    const skipsExcluded = availableOf(totals) - availableOf(except) > excludedCount;
     const order = anyReporting ? this.reportingOrder : this.silentOrder;
     return order.pick(
       request,
       prefixes,
-      (replicaId) => replicaId !== exceptReplicaId && !(skipsExcluded && excluded.has(replicaId)),
+      (replicaId) =>
+        replicaId !== exceptReplicaId &&
+        this.isOfVersion(replicaId, softwareVersion) &&
+        !(skipsExcluded && excluded.has(replicaId)),
     );
   }
 
@@ -311,6 +337,7 @@
     const admits = (replicaId: string): boolean =>
       replicaId !== exceptReplicaId &&
       (this.countsOf(replicaId)?.available ?? 0) > 0 &&
+      this.isOfVersion(replicaId, request.softwareVersion) &&
       !request.excludedReplicaIds.includes(replicaId);
     const caching = prefixes
       .replicasOf(request.prefixDigest)
@@ -344,7 +371,7 @@
 
   private setReplica(info: ReplicaInfo): void {
     const known = this.replicas.get(info.replicaId);
-    if (known?.address === info.address) {
+    if (known?.address === info.address && known.softwareVersion === info.softwareVersion) {
       const hasNewMaximum = known.limit.setMaximum(info.maxConcurrency);
       if (hasNewMaximum || known.leaving !== info.leaving) this.changed.add(info.replicaId);
       known.leaving = info.leaving;
@@ -355,6 +382,7 @@
       replicaId: info.replicaId,
       address: info.address,
       failureDomain: info.failureDomain,
+      softwareVersion: info.softwareVersion,
       position: known?.position ?? this.nextPosition,
       limit: new ConcurrencyLimit(info.maxConcurrency),
       health: new ReplicaHealth(),
@@ -367,14 +395,12 @@
   }
 
   private removeReplica(replicaId: string): void {
-    this.replicas.take(replicaId);
     this.reportingOrder.delete(replicaId);
     this.silentOrder.delete(replicaId);
     this.timeDependent.delete(replicaId);
     this.drifting.delete(replicaId);
-    const counts = this.countsOf(replicaId);
-    if (counts) this.totals.subtract(counts);
-    this.countsByReplica.delete(replicaId);
+    this.dropCounts(replicaId);
+    this.replicas.take(replicaId);
   }
 
   /** Looks again at the replicas whose state may have changed since the last decision. */
@@ -419,10 +445,36 @@
   }
 
   private setCounts(replicaId: string, counts: SlotCounts): void {
-    const previous = this.countsOf(replicaId);
-    if (previous) this.totals.subtract(previous);
-    this.totals.add(counts);
+    this.dropCounts(replicaId);
     this.countsByReplica.set(replicaId, counts);
+    this.totalsWith(replicaId).forEach((totals) => totals.add(counts));
+  }
+
+  private dropCounts(replicaId: string): void {
+    const counts = this.countsOf(replicaId);
+    this.countsByReplica.delete(replicaId);
+    if (counts) this.totalsWith(replicaId).forEach((totals) => totals.subtract(counts));
+  }
+
+  /** The sums that a replica contributes to: of all replicas, and of those of its software version. */
+  private totalsWith(replicaId: string): readonly SlotTotals[] {
+    const softwareVersion = this.replicas.get(replicaId)?.softwareVersion;
+    if (softwareVersion === undefined) return [this.totals];
+    const ofVersion = this.totalsByVersion.get(softwareVersion) ?? new SlotTotals();
+    this.totalsByVersion.set(softwareVersion, ofVersion);
+    return [this.totals, ofVersion];
+  }
+
+  private totalsOf(softwareVersion: string | undefined): SlotCounts {
+    return softwareVersion === undefined
+      ? this.totals
+      : (this.totalsByVersion.get(softwareVersion) ?? new SlotTotals());
+  }
+
+  /** Whether a replica may run requests that are bound to `softwareVersion`. */
+  private isOfVersion(replicaId: string | undefined, softwareVersion: string | undefined): boolean {
+    if (replicaId === undefined) return false;
+    return softwareVersion === undefined || this.replicas.get(replicaId)?.softwareVersion === softwareVersion;
   }
 
   /** Whether a preempted stream at the replica still counts as gone. */
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -51,6 +51,8 @@
   readonly replicaId: string;
   readonly address: string;
   readonly failureDomain: string;
+  /** Undefined when the platform does not tell versions apart. */
+  readonly softwareVersion?: string;
   /** Position in the order in which the replicas were added, which decides between equal scores. */
   readonly position: number;
   readonly limit: ConcurrencyLimit;
@@ -67,6 +69,8 @@
   readonly replicaId: string;
   readonly address: string;
   readonly failureDomain: string;
+  /** Undefined when the platform does not tell versions apart. */
+  readonly softwareVersion?: string;
   /** Maximum number of concurrent streams. */
   readonly maxConcurrency: number;
   readonly leaving: boolean;
--- a/packages/decisions/src/preemptible-streams.ts
+++ b/packages/decisions/src/preemptible-streams.ts
@@ -65,6 +65,11 @@
     );
   }
 
+  /** Number of the given streams that may be preempted. */
+  countOf(permits: readonly Permit[]): number {
+    return permits.filter((permit) => this.keys.has(permit.permitId)).length;
+  }
+
   /** The given streams that may be preempted, in the order of preemption. */
   rank(permits: readonly Permit[], nowMs: number): Permit[] {
     return this.withKeys(permits)
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -6,7 +6,14 @@
   StoredResult,
   TableBucket,
 } from '@fighub/core';
-import type { MemberUpdate, PoolLoad, ReleaseReport, ReplicaLoadReport, WorkClass } from '@fighub/decisions';
+import type {
+  MemberUpdate,
+  PoolLoad,
+  ReleaseReport,
+  ReplicaLoadReport,
+  StreamOrigin,
+  WorkClass,
+} from '@fighub/decisions';
 
 /**
  * Requests a slot from the owner of a pool. The response only states whether the owner accepted the request; a later
@@ -30,6 +37,8 @@
   readonly deadlineInMs: number;
   readonly prefixDigest: string;
   readonly excludedReplicaIds: readonly string[];
+  /** The only software version at whose replicas the stream may run; omitted for any. */
+  readonly softwareVersion?: string;
   readonly resumable: boolean;
   /** True for a batch item that may crash its replica: it runs in quarantine, with no other stream at the replica. */
   readonly alone: boolean;
@@ -55,6 +64,15 @@
   readonly loads: readonly ReplicaLoadReport[];
 }
 
+/** Where a stream began, for the members that keep it for the instance that forwards the stream. */
+export interface BegunStream {
+  /** Id of the caller's attempt that brought the first event. */
+  readonly requestId: string;
+  readonly origin: StreamOrigin;
+  /** Time for which the origin is kept, in milliseconds. */
+  readonly keepForMs: number;
+}
+
 /** A permit as its holder describes it to the pool's owner, which may be a new one. */
 export interface HeldPermit {
   readonly permitId: string;
@@ -154,6 +172,8 @@
   'table.fetch': { body: { buckets: readonly number[] }; answer: { buckets: readonly TableBucket[] } };
   'pool.load': { body: { poolIds: readonly string[] }; answer: { loads: readonly PoolLoad[] } };
   'view.fetch': { body: Record<string, never>; answer: FleetViewBody };
+  /** Where a stream began that its caller resumes; the origin is omitted when it is not known. */
+  'stream.origin': { body: { requestId: string }; answer: { origin?: StreamOrigin } };
   'store.call': { body: StoreCall; answer: StoreCallResponse };
   'job.results': { body: JobResultsBody; answer: JobResultsResponse };
   /** Whether the responding instance still runs the request with this idempotency key. */
@@ -169,6 +189,7 @@
   'permit.revoked': { permitId: string };
   'owner.suspected': { instanceId: string };
   'table.push': { bucket: TableBucket };
+  'stream.begun': { streams: readonly BegunStream[] };
   'job.cancelled': { jobId: string };
   'job.offered': { jobId: string };
   'view.pushed': FleetViewBody;
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -4,8 +4,9 @@
  */
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
-import { LogCategory, mayHaveRun, notRun } from '@fighub/core';
-import { AttemptEnd, SendEvidence, mayRetry, returnDelayMs } from '@fighub/decisions';
+import { LogCategory, RouteKind, mayHaveRun, notRun } from '@fighub/core';
+import type { StreamOrigin } from '@fighub/decisions';
+import { AttemptEnd, SendEvidence, canContinue, mayRetry, returnDelayMs } from '@fighub/decisions';
 
 import type { FleetView } from '../routing/fleet-view.js';
 import type { AttemptListener } from './response-relay.js';
@@ -13,6 +14,7 @@
 import { pickBackend } from './backend-choice.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
 import { UpstreamEndKind, endOfStream } from './forwarding.js';
+import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
 /**
  * A request whose expected wait for a slot exceeds this fraction of its route's target is refused at once, since it
@@ -21,11 +23,15 @@
 const MAX_WAIT_FRACTION_OF_TARGET = 0.75;
 /** A request that has not started within this time is refused, since callers disconnect soon after. */
 const QUEUE_TIMEOUT_MS = 1_500;
+/** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
+const ORIGIN_MARGIN_MS = 2_000;
+
 /** Components that the forwarding of requests uses. */
 export interface ForwardDependencies {
   readonly view: FleetView;
   readonly permits: PermitClient;
   readonly transport: UpstreamTransport;
+  readonly origins: StreamOriginExchange;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: DecisionLog;
@@ -54,10 +60,21 @@
   }
 }
 
+/** What was sent to a replica, for the log. */
+interface SentRequest {
+  readonly sentAtMs: number;
+  readonly resumeAfter?: number;
+  readonly sentTo?: StreamOrigin;
+}
+
 /** The state of one forwarded request. */
 class ForwardRun {
   private readonly excluded: string[] = [];
-  private readonly service: string;
+  private service: string;
+  /** Where the stream began, at this instance or at another one; undefined before its first event. */
+  private origin: StreamOrigin | undefined;
+  /** Whether the stream has begun at a replica whose version is not certain. */
+  private hasUnknownOrigin = false;
   private readonly deadlineMs: number;
   private readonly deadlinePassed = new AbortController();
   private readonly relay: ResponseRelay;
@@ -83,21 +100,48 @@
     const timer = setTimeout(() => this.deadlinePassed.abort(), leftMs);
     const stop = AbortSignal.any([this.callerDisconnected, this.deadlinePassed.signal]);
     try {
+      if (!(await this.findOrigin())) return;
       while (await this.runAttempt(stop));
     } finally {
       clearTimeout(timer);
     }
   }
 
+  /**
+   * For a stream that its caller resumes, finds where it began, which decides where it may go on. Returns false when the
+   * request was refused because that is unknown, or because nothing is left there.
+   */
+  private async findOrigin(): Promise<boolean> {
+    const { resumeAfter, resumedRequestId } = this.request;
+    if (this.route.kind !== RouteKind.streaming || resumeAfter === undefined) return true;
+    const { origins, view, clock } = this.dependencies;
+    const known = resumedRequestId === undefined ? undefined : await origins.find(resumedRequestId);
+    const origin = known ?? view.originHistory.soleOrigin(this.route, clock.monotonicMs());
+    if (!origin) return this.refuseToResume('it is not known where the stream began', 'origin_unknown');
+    const isRouted = this.route.backends.some(
+      ({ service, weight }) => service === origin.service && weight > 0,
+    );
+    if (!isRouted || !view.serves(origin))
+      return this.refuseToResume('no replica can continue the stream', 'origin_gone');
+    this.service = origin.service;
+    this.origin = origin;
+    return true;
+  }
+
+  private refuseToResume(detail: string, reason: string): false {
+    return this.finishWithProblem(notRun('no_upstream', detail), reason);
+  }
+
   /** Acquires a slot and makes one attempt. Returns whether another attempt is to be made. */
   private async runAttempt(stop: AbortSignal): Promise<boolean> {
+    if (stop.aborted) return this.finishStopped();
     const slot = await this.dependencies.permits.acquire(this.demand(), stop);
     if (stop.aborted) {
       if (slot.ok) this.dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
       return this.finishStopped();
     }
     if (!slot.ok) return this.finishWithProblem(slot.error, 'no_place');
-    if (!this.dependencies.view.isUsable(slot.value.replicaId)) {
+    if (!this.isUsable(slot.value.replicaId)) {
       this.dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
       this.excluded.push(slot.value.replicaId);
       this.sends += 1;
@@ -106,6 +150,13 @@
     return this.sendToReplica(slot.value, stop);
   }
 
+  /** Whether this instance knows the replica as one that takes requests and may continue the stream, if it has begun. */
+  private isUsable(replicaId: string): boolean {
+    const { view } = this.dependencies;
+    const at = view.originOf(replicaId);
+    return at !== undefined && view.isUsable(replicaId) && (!this.origin || canContinue(this.origin, at));
+  }
+
   private demand(): SlotDemand {
     const { request, route } = this;
     const { clock } = this.dependencies;
@@ -122,6 +173,7 @@
       deadlineUnixMs: (this.runs > 0 ? this.deadlineMs : queueDeadlineMs) + offsetMs,
       prefixDigest: request.prefixDigest,
       excludedReplicaIds: this.excluded,
+      softwareVersion: this.origin?.softwareVersion,
       resumable: route.resumable,
       alone: false,
     };
@@ -132,7 +184,12 @@
     this.sends += 1;
     const sentAtMs = this.dependencies.clock.monotonicMs();
     const resumeAfter = this.relay.lastEventId;
-    const attempt = this.relay.startAttempt(stop, (load) => this.dependencies.permits.recordLoad(slot, load));
+    const sentTo = this.dependencies.view.originOf(slot.replicaId);
+    const attempt = this.relay.startAttempt(
+      stop,
+      (load) => this.dependencies.permits.recordLoad(slot, load),
+      () => this.onFirstEvent(slot.replicaId, sentTo),
+    );
     const sent = await this.dependencies.transport.send(
       {
         replicaId: slot.replicaId,
@@ -159,7 +216,7 @@
       tokens: attempt.events,
       ...attempt.timing(),
     });
-    this.logAttempt(slot, end, attempt, evidence, sentAtMs, resumeAfter);
+    this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, sentTo });
     if (end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun) {
       if (attempt.deliver()) return this.recordCompletion();
     }
@@ -168,6 +225,26 @@
     return this.afterAttempt(evidence, end.detail || `status ${String(attempt.status)}`);
   }
 
+  /**
+   * Records where the stream begins. If the directory has changed the version of the replica since the request was
+   * sent, it is not known which one responds, so that nothing may continue the stream.
+   */
+  private onFirstEvent(replicaId: string, sentTo: StreamOrigin | undefined): void {
+    if (this.origin || this.hasUnknownOrigin) return;
+    if (!sentTo || !this.dependencies.view.confirmsOrigin(replicaId, sentTo)) {
+      this.hasUnknownOrigin = true;
+      return;
+    }
+    this.origin = sentTo;
+    if (!this.route.resumable) return;
+    const leftMs = Math.max(0, this.request.deadlineMs - this.dependencies.clock.monotonicMs());
+    this.dependencies.origins.record({
+      requestId: this.request.requestId,
+      origin: this.origin,
+      keepForMs: leftMs + ORIGIN_MARGIN_MS,
+    });
+  }
+
   private recordCompletion(): false {
     const { clock, metrics } = this.dependencies;
     metrics.count('requests_completed');
@@ -178,7 +255,7 @@
   private afterAttempt(last: SendEvidence, detail: string): boolean {
     const { kind, resumable, maxAttempts } = this.route;
     const history = { sends: this.sends, runs: this.runs, last };
-    if (mayRetry({ kind, resumable, maxRuns: maxAttempts }, history)) {
+    if (!this.hasUnknownOrigin && mayRetry({ kind, resumable, maxRuns: maxAttempts }, history)) {
       this.dependencies.metrics.count('requests_sent_again');
       return true;
     }
@@ -235,8 +312,7 @@
     end: UpstreamEnd,
     attempt: AttemptListener,
     evidence: SendEvidence,
-    sentAtMs: number,
-    resumeAfter: number | undefined,
+    sent: SentRequest,
   ): void {
     const { status } = attempt;
     const { firstTokenMs } = attempt.timing();
@@ -247,20 +323,20 @@
       {
         requestId: this.request.requestId,
         replicaId: slot.replicaId,
-        softwareVersion: this.dependencies.view.replica(slot.replicaId)?.softwareVersion,
+        softwareVersion: sent.sentTo?.softwareVersion,
         permitId: slot.permitId,
-        resumeAfter,
+        resumeAfter: sent.resumeAfter,
         resumedRequestId: this.request.resumedRequestId,
         end: end.kind,
         detail: end.detail,
         status,
         evidence,
-        heldMs: Math.round(sentAtMs - this.request.arrivedAtMs),
+        heldMs: Math.round(sent.sentAtMs - this.request.arrivedAtMs),
         firstEventMs: firstTokenMs === undefined ? undefined : Math.round(firstTokenMs),
         events: attempt.events,
         framing: attempt.framing,
         unfinishedBytes: attempt.unfinishedBytes,
-        ranMs: Math.round(this.dependencies.clock.monotonicMs() - sentAtMs),
+        ranMs: Math.round(this.dependencies.clock.monotonicMs() - sent.sentAtMs),
         directoryRevision: this.dependencies.view.replicas.revision,
         configurationVersion: this.dependencies.view.configurationVersion,
       },
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -37,9 +37,12 @@
     this.lastEventId = resumeAfter;
   }
 
-  /** Creates the listener for one attempt. The attempt must stop when `stop` is aborted. */
-  startAttempt(stop: AbortSignal, onLoad: LoadListener): AttemptListener {
-    return new AttemptListener(this, stop, onLoad);
+  /**
+   * Creates the listener for one attempt. The attempt must stop when `stop` is aborted. `onFirstEvent` is called before
+   * its first event is passed on.
+   */
+  startAttempt(stop: AbortSignal, onLoad: LoadListener, onFirstEvent: () => void): AttemptListener {
+    return new AttemptListener(this, stop, onLoad, onFirstEvent);
   }
 
   /** Whether a part of the response has been written to the caller. */
@@ -117,6 +120,7 @@
     private readonly relay: ResponseRelay,
     stop: AbortSignal,
     private readonly onLoad: LoadListener,
+    private readonly onFirstEvent: () => void,
   ) {
     this.stop = AbortSignal.any([stop, this.silence.signal]);
     this.startedMs = relay.clock.monotonicMs();
@@ -201,6 +205,7 @@
     this.lastEventMs = this.relay.clock.monotonicMs();
     this.firstEventMs ??= this.lastEventMs;
     this.events += 1;
+    if (this.events === 1) this.onFirstEvent();
     this.relay.event(this.head, event);
   }
 
--- /dev/null
+++ b/packages/serving/src/online/stream-origin-exchange.ts
@@ -0,0 +1,112 @@
+/** Exchanges with other instances where resumable streams began. */
+import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
+import { LogCategory } from '@fighub/core';
+import type { StreamOrigin } from '@fighub/decisions';
+import { StreamOrigins, keepersOf, membersToAsk } from '@fighub/decisions';
+import type { BegunStream, MembershipRunner, PeerNode } from '@fighub/peers';
+
+/** A caller gets no answer to its request before the origin is known, so that a silent member must not hold it up. */
+const ASK_TIMEOUT_MS = 100;
+
+/**
+ * Records origins here and at the members that keep them, and finds the origin of a stream that its caller takes up at
+ * this instance. What neither this instance nor a keeper knows stays unknown.
+ */
+export class StreamOriginExchange implements System {
+  readonly name = 'stream origins';
+  private readonly origins = new StreamOrigins();
+  /** Streams that have begun since the last notice, by the member that is to keep them. */
+  private readonly outbox = new Map<string, BegunStream[]>();
+  private flushScheduled = false;
+
+  constructor(
+    private readonly selfId: () => string,
+    private readonly members: () => MembershipRunner,
+    private readonly node: PeerNode,
+    private readonly clock: Clock,
+    private readonly metrics: Metrics,
+    private readonly log: DecisionLog,
+  ) {
+    node.onNotice('stream.begun', ({ streams }) => streams.forEach((stream) => this.keep(stream)));
+    node.onRequest('stream.origin', ({ requestId }) => ({ origin: this.known(requestId) }));
+  }
+
+  get busy(): boolean {
+    return this.outbox.size > 0;
+  }
+
+  /** Records a stream that began at this instance. The notices to its keepers are sent in the same turn. */
+  record(stream: BegunStream): void {
+    this.keep(stream);
+    keepersOf(stream.requestId, this.members().owners())
+      .filter((instanceId) => instanceId !== this.selfId())
+      .forEach((instanceId) => this.outbox.set(instanceId, [...(this.outbox.get(instanceId) ?? []), stream]));
+    this.scheduleFlush();
+  }
+
+  /** Finds where a stream began, at this instance or at its keepers; undefined when that is unknown. */
+  async find(requestId: string): Promise<StreamOrigin | undefined> {
+    const own = this.known(requestId);
+    if (own) return own;
+    const asked = membersToAsk(requestId, this.members().owners()).filter(
+      (instanceId) => instanceId !== this.selfId(),
+    );
+    const origin = await firstKnown(asked.map((instanceId) => this.ask(instanceId, requestId)));
+    this.metrics.count(origin ? 'stream_origins_found' : 'stream_origins_unknown');
+    if (!origin) this.log.record(LogCategory.failure, 'stream_origin_unknown', { requestId, asked });
+    return origin;
+  }
+
+  run(nowMs: number): void {
+    this.origins.run(nowMs);
+  }
+
+  dump(): Record<string, unknown> {
+    return { kept: this.origins.size };
+  }
+
+  private keep({ requestId, origin, keepForMs }: BegunStream): void {
+    this.origins.add(requestId, origin, this.clock.monotonicMs() + keepForMs);
+  }
+
+  private known(requestId: string): StreamOrigin | undefined {
+    return this.origins.find(requestId, this.clock.monotonicMs());
+  }
+
+  private async ask(instanceId: string, requestId: string): Promise<StreamOrigin | undefined> {
+    const member = this.members().membership.get(instanceId);
+    if (!member) return undefined;
+    const answer = await this.node.request(
+      member.peerAddress,
+      'stream.origin',
+      { requestId },
+      ASK_TIMEOUT_MS,
+    );
+    return answer.ok ? answer.value.origin : undefined;
+  }
+
+  private scheduleFlush(): void {
+    if (this.flushScheduled) return;
+    this.flushScheduled = true;
+    setImmediate(() => {
+      this.flushScheduled = false;
+      this.outbox.forEach((streams, instanceId) => {
+        const member = this.members().membership.get(instanceId);
+        if (member) this.node.notify(member.peerAddress, 'stream.begun', { streams });
+      });
+      this.outbox.clear();
+    });
+  }
+}
+
+/** The first result that is not undefined; undefined once all results are. */
+function firstKnown<T>(results: readonly Promise<T | undefined>[]): Promise<T | undefined> {
+  return new Promise((resolve) => {
+    results.forEach((result) => {
+      void result.then((value) => {
+        if (value !== undefined) resolve(value);
+      });
+    });
+    void Promise.all(results).then(() => resolve(undefined));
+  });
+}
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -182,7 +182,7 @@
     this.storeReadAtMs = requestedAtMs;
     this.nextPushMs = 0;
     this.directory.apply(reading.value, this.clock.monotonicMs());
-    this.applyDirectoryFrom(this.directory.snapshot, 'store');
+    this.applyDirectoryFrom(this.directory.snapshot, 'store', requestedAtMs);
   }
 
   private recordStoreReachability(reachable: boolean, detail: string): void {
@@ -193,17 +193,20 @@
 
   private applyConfigurationFrom(configuration: FleetViewBody['configuration'], from: string): void {
     if (!configuration || !this.view.applyConfiguration(configuration)) return;
+    this.view.originHistory.observeRoutes(configuration.routes, this.clock.monotonicMs());
     this.nextPushMs = 0;
     const { version, routes } = configuration;
     this.log.record(LogCategory.state, 'configuration_applied', { version, routes: routes.length, from });
   }
 
   private applyReceivedDirectory({ directory, ageMs }: FleetViewBody, from: string): void {
-    this.directory.applyFromPeer(directory, this.clock.monotonicMs() - ageMs);
-    this.applyDirectoryFrom(directory, from);
+    const readAtMs = this.clock.monotonicMs() - ageMs;
+    this.directory.applyFromPeer(directory, readAtMs);
+    this.applyDirectoryFrom(directory, from, readAtMs);
   }
 
-  private applyDirectoryFrom(directory: FleetViewBody['directory'], from: string): void {
+  private applyDirectoryFrom(directory: FleetViewBody['directory'], from: string, readAtMs: number): void {
+    this.view.originHistory.observeReplicas(directory.replicas, readAtMs);
     if (!this.view.applyDirectory(directory)) return;
     this.nextPushMs = 0;
     this.log.record(LogCategory.state, 'directory_changed', {
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -1,6 +1,8 @@
 /** This instance's view of the routing configuration and of the replicas. Neither goes back to an older version. */
 import type { DirectorySnapshot, ReplicaRecord, RoutingConfiguration } from '@fighub/core';
 import { InvariantName, checkInvariant } from '@fighub/core';
+import type { StreamOrigin } from '@fighub/decisions';
+import { OriginHistory, canContinue } from '@fighub/decisions';
 
 import { RouteTable } from './route-table.js';
 
@@ -9,6 +11,7 @@
 
 /** The newest configuration and directory that this instance has seen. */
 export class FleetView {
+  readonly originHistory = new OriginHistory();
   private table: RouteTable | undefined;
   private directory: DirectorySnapshot = { revision: 0, replicas: [] };
   private replicasById = new Map<string, ReplicaRecord>();
@@ -49,6 +52,26 @@
     return replica !== undefined && !replica.leaving;
   }
 
+  /** Where streams begin that a replica starts; undefined when the replica is not known. */
+  originOf(replicaId: string): StreamOrigin | undefined {
+    const replica = this.replicasById.get(replicaId);
+    return replica && { service: replica.service, softwareVersion: replica.softwareVersion };
+  }
+
+  /**
+   * Whether streams of a replica still begin at `origin` as far as the directory tells. False when its entry has changed
+   * since, so that it is uncertain which version of it responds.
+   */
+  confirmsOrigin(replicaId: string, origin: StreamOrigin): boolean {
+    const current = this.originOf(replicaId);
+    return current === undefined || canContinue(origin, current);
+  }
+
+  /** Whether a replica of the service at this software version may get new requests. */
+  serves(origin: StreamOrigin): boolean {
+    return this.directory.replicas.some((replica) => !replica.leaving && canContinue(origin, replica));
+  }
+
   onChange(listener: ViewListener): void {
     this.listeners.push(listener);
   }
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -66,6 +66,7 @@
           upstreamId: replica.replicaId,
           address: replica.address,
           failureDomain: replica.failureDomain,
+          softwareVersion: replica.softwareVersion,
           maxConcurrency: replica.slots,
           fencingChecked: false,
         })),
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -22,6 +22,7 @@
 import { ForwardRunner } from './online/forward-runner.js';
 import type { FleetSource } from './routing/fleet-source.js';
 import { RelayedStore } from './relayed-store.js';
+import { StreamOriginExchange } from './online/stream-origin-exchange.js';
 import { FleetView } from './routing/fleet-view.js';
 import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
 import { FleetViewUpdater } from './routing/fleet-view-updater.js';
@@ -62,6 +63,7 @@
   host: token<PoolHost>('host'),
   direct: token<DirectDispatch>('direct'),
   permits: token<PermitClient>('permits'),
+  origins: token<StreamOriginExchange>('origins'),
   runner: token<ForwardRunner>('runner'),
   inputs: token<InputCache>('inputs'),
   backlog: token<BacklogView>('backlog'),
@@ -199,6 +201,19 @@
         Math.random,
       ),
   );
+  bindPart(
+    container,
+    Tokens.origins,
+    (get) =>
+      new StreamOriginExchange(
+        () => get(Tokens.self).instanceId,
+        () => get(Tokens.membership),
+        get(Tokens.node),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
   bindPart(container, Tokens.runner, (get) => new ForwardRunner(runDependencies(get)));
 }
 
@@ -220,6 +235,7 @@
     view: get(Tokens.view),
     permits: get(Tokens.permits),
     transport: get(Tokens.adapters).transport,
+    origins: get(Tokens.origins),
     clock: get(Tokens.clock),
     metrics: get(Tokens.metrics),
     log: get(Tokens.log),
