Continue a batch item only at the software version that began it

What callers saw: outputs of batch items whose text changes midway.

Cause: the partial output of an item, in memory and in the checkpoint, held events and the last id, but not where they came from. After a preemption, a broken stream, or a takeover by another holder, the item went on at any replica.

Change: the output keeps its origin (service and version) and the time in which it was received. The item asks for a slot at that version; if none is granted for as long as the output took, it accepts any slot, and if that is at another version, it starts anew and nothing of the old text stays. It starts anew at once when no replica of its version is left or its route leads elsewhere. Outputs of checkpoints without an origin are dropped.

Why this works: events are only appended when the replica that sends them has the origin of the output.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -12,6 +12,7 @@
 export * from './coordinators.js';
 export * from './disconnected-holders.js';
 export * from './fair-queue.js';
+export * from './item-continuation.js';
 export * from './job-checkpoint.js';
 export * from './job-progress.js';
 export * from './job-quota.js';
--- a/packages/decisions/src/job-checkpoint.ts
+++ b/packages/decisions/src/job-checkpoint.ts
@@ -1,10 +1,15 @@
 /** Decides when a batch job's partial outputs are saved as a checkpoint, and which of them it contains. */
+import type { StreamOrigin } from './stream-origins.js';
 
 /** Output received so far for an item that has not finished. */
 export interface PartialOutput {
   /** Index of the item within the job. */
   readonly index: number;
   readonly lastEventId: number;
+  /** Where the output comes from. Checkpoints of earlier releases lack it; their outputs cannot be continued. */
+  readonly origin?: StreamOrigin;
+  /** Time in which the output was received, in milliseconds. */
+  readonly ranMs?: number;
   /** Data of the events received so far, separated by line feeds. */
   readonly text: string;
 }
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -1,8 +1,9 @@
 /** Runs one item of a batch job once: acquires a slot and sends one request to its replica. */
-import type { PermitClient, Slot } from '@fighub/admission';
-import type { Clock, DecisionLog, Metrics, StoredItem } from '@fighub/core';
+import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
+import type { Clock, DecisionLog, Metrics, Outcome, Problem, Route, StoredItem } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
-import { AttemptEnd } from '@fighub/decisions';
+import type { StreamOrigin } from '@fighub/decisions';
+import { AttemptEnd, canContinue, continuationWaitMs } from '@fighub/decisions';
 
 import { pickBackend } from '../online/backend-choice.js';
 import { EventSplitter, dataOf } from '../online/event-splitter.js';
@@ -37,6 +38,10 @@
 export interface ItemOutput {
   readonly events: string[];
   lastEventId?: number;
+  /** Where the events come from; undefined before the first one. */
+  origin?: StreamOrigin;
+  /** Time in which the events were received, in milliseconds. */
+  ranMs: number;
 }
 
 /** One run of an item. */
@@ -90,8 +95,7 @@
   const route = dependencies.view.routes?.match(request.host, request.item.target);
   if (!dependencies.view.routes) return INTERRUPTED;
   if (!route) return { end: ItemRunOutcome.noRoute, givenWay: false };
-  const service = pickBackend(route.backends, dependencies.random());
-  const slot = await dependencies.permits.acquire(demandOf(request, route.name, service), stop);
+  const slot = await acquireSlot(request, route, dependencies, stop);
   if (!slot.ok) return INTERRUPTED;
   if (stop.aborted || !dependencies.view.isUsable(slot.value.replicaId) || !request.mayDispatch()) {
     dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
@@ -100,11 +104,34 @@
   return send(request, slot.value, dependencies, stop);
 }
 
+/**
+ * Acquires a slot where the output can be continued. If there is none for as long as it took to receive the output,
+ * any slot is accepted: from then on, waiting may cost more than the output is worth.
+ */
+async function acquireSlot(
+  { output, ...request }: ItemRunRequest,
+  route: Route,
+  { permits, view, random }: ItemRunDependencies,
+  stop: AbortSignal,
+): Promise<Outcome<Slot, Problem>> {
+  const { origin } = output;
+  const isRouted = route.backends.some(({ service, weight }) => service === origin?.service && weight > 0);
+  if (origin && isRouted && view.serves(origin)) {
+    const patience = AbortSignal.timeout(continuationWaitMs(output.ranMs));
+    const demand = demandOf({ output, ...request }, route.name, origin.service, origin.softwareVersion);
+    const slot = await permits.acquire(demand, AbortSignal.any([stop, patience]));
+    if (slot.ok || !patience.aborted) return slot;
+  }
+  const service = origin && isRouted ? origin.service : pickBackend(route.backends, random());
+  return permits.acquire(demandOf({ output, ...request }, route.name, service), stop);
+}
+
 function demandOf(
   request: ItemRunRequest,
   routeName: string,
   service: string,
-): Parameters<PermitClient['acquire']>[0] {
+  softwareVersion?: string,
+): SlotDemand {
   return {
     requestId: `${request.jobId}/${request.item.itemId}`,
     organisation: routeName,
@@ -114,6 +141,7 @@
     deadlineUnixMs: request.dueAtUnixMs,
     prefixDigest: '',
     excludedReplicaIds: request.excludedReplicaIds,
+    softwareVersion,
     resumable: true,
     alone: false,
     receivedTokens: request.output.lastEventId,
@@ -127,10 +155,14 @@
   stop: AbortSignal,
 ): Promise<ItemRunResult> {
   const { item, output } = request;
+  const sentTo = dependencies.view.originOf(slot.replicaId);
+  restartUnlessContinuable(request, sentTo, dependencies);
   const listener = new ItemListener(
     output,
     AbortSignal.any([stop, slot.revoked]),
     (load) => dependencies.permits.recordLoad(slot, load),
+    sentTo,
+    () => sentTo !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, sentTo),
     request.onEvent,
   );
   const startedMs = dependencies.clock.monotonicMs();
@@ -147,6 +179,7 @@
   };
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
+  output.ranMs += dependencies.clock.monotonicMs() - startedMs;
   const end = endOfStream(sent, listener.isInsideEvent);
   const verdict = listener.verdict(end);
   const preempted = slot.revoked.aborted;
@@ -160,7 +193,7 @@
     jobId: request.jobId,
     itemId: item.itemId,
     replicaId: slot.replicaId,
-    softwareVersion: dependencies.view.replica(slot.replicaId)?.softwareVersion,
+    softwareVersion: sentTo?.softwareVersion,
     permitId: slot.permitId,
     resumeAfter: call.resumeAfter,
     events: listener.events,
@@ -176,6 +209,28 @@
   return { end: verdict, brokenReplicaId: brokenByReplica ? slot.replicaId : undefined, givenWay: preempted };
 }
 
+/** Discards an output that the replica cannot continue, so that the item starts anew. */
+function restartUnlessContinuable(
+  { jobId, item, output }: ItemRunRequest,
+  at: StreamOrigin | undefined,
+  { metrics, log }: ItemRunDependencies,
+): void {
+  const { origin } = output;
+  if (!origin || (at && canContinue(origin, at))) return;
+  metrics.count('batch_items_restarted');
+  log.record(LogCategory.failure, 'item_restarted', {
+    jobId,
+    itemId: item.itemId,
+    lostEvents: output.lastEventId,
+    softwareVersion: origin.softwareVersion,
+    continuesAt: at?.softwareVersion,
+  });
+  output.events.length = 0;
+  output.lastEventId = undefined;
+  output.origin = undefined;
+  output.ranMs = 0;
+}
+
 function attemptEndOf(end: UpstreamEnd, verdict: ItemRunOutcome, brokenByReplica: boolean): AttemptEnd {
   if (verdict === ItemRunOutcome.done) return AttemptEnd.completed;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
@@ -198,6 +253,9 @@
     private readonly output: ItemOutput,
     stop: AbortSignal,
     private readonly onLoad: LoadListener,
+    private readonly sentTo: StreamOrigin | undefined,
+    /** Whether the directory still tells that the stream comes from `sentTo`. */
+    private readonly confirmsOrigin: () => boolean,
     private readonly onEvent: () => void,
   ) {
     this.stop = AbortSignal.any([stop, this.streamFault.signal]);
@@ -251,7 +309,7 @@
     const { lastEventId } = this.output;
     const isNext =
       event.eventId !== undefined && (lastEventId === undefined || event.eventId === lastEventId + 1);
-    if (!isNext) {
+    if (!isNext || !this.isFromOrigin()) {
       this.streamFault.abort();
       return;
     }
@@ -261,6 +319,14 @@
     this.onEvent();
   }
 
+  /** Whether an event is certain to come from where the output began. The first event of an output decides that. */
+  private isFromOrigin(): boolean {
+    if (this.events > 0) return true;
+    if (!this.confirmsOrigin()) return false;
+    this.output.origin ??= this.sentTo;
+    return true;
+  }
+
   private restartSilenceTimer(): void {
     clearTimeout(this.timer);
     this.timer = setTimeout(() => this.streamFault.abort(), SILENCE_TIMEOUT_MS);
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -9,6 +9,7 @@
 import { RunningJob } from './running-job.js';
 
 const DISCARDING_WRITER: LineWriter = { info: () => undefined, warn: () => undefined };
+const ORIGIN = { service: 's', softwareVersion: 'v1' };
 const SLOT = { permitId: 'p', replicaId: 'r', address: 'a', revoked: new AbortController().signal };
 
 /** A job whose items get the given outputs, each as one event. */
@@ -38,7 +39,8 @@
     view: {
       routes: { match: () => ({ name: 'r', backends: [] }) },
       isUsable: () => true,
-      replica: () => undefined,
+      originOf: () => ORIGIN,
+      confirmsOrigin: () => true,
     },
     permits: {
       acquire: () => Promise.resolve({ ok: true, value: SLOT }),
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -277,8 +277,8 @@
   }
 
   private partialOutputs(): PartialOutput[] {
-    return [...this.items.values()].flatMap(({ index, output: { events, lastEventId } }) =>
-      lastEventId === undefined ? [] : [{ index, lastEventId, text: events.join('\n') }],
+    return [...this.items.values()].flatMap(({ index, output: { events, lastEventId, origin, ranMs } }) =>
+      lastEventId === undefined ? [] : [{ index, lastEventId, origin, ranMs, text: events.join('\n') }],
     );
   }
 
@@ -353,6 +353,9 @@
   return Buffer.byteLength(JSON.stringify(text));
 }
 
+/** The output to continue. One of unknown origin is dropped, so that the item starts anew. */
 function toItemOutput(saved: PartialOutput | undefined): ItemOutput {
-  return saved ? { events: [saved.text], lastEventId: saved.lastEventId } : { events: [] };
+  if (!saved?.origin) return { events: [], ranMs: 0 };
+  const { text, lastEventId, origin, ranMs } = saved;
+  return { events: [text], lastEventId, origin, ranMs: ranMs ?? 0 };
 }
