Continue completions and chunk items only at the software version that began them

Change: a row upstream/<name> may state softwareVersion. A slot tells the version of its replica, a completion keeps that of its first token, and later attempts and runs ask for that version only. An item starts anew when no replica of its version accepts work. Rows without the field behave as before.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -81,6 +81,7 @@
       replicaId: chosen.upstreamId,
       address: chosen.address,
       fencingChecked: chosen.fencingChecked,
+      softwareVersion: chosen.softwareVersion,
       revoked: new AbortController().signal,
     });
   }
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -319,6 +319,7 @@
       address: replica.address,
       fencingChecked:
         description.upstreams.find((u) => u.upstreamId === replica.replicaId)?.fencingChecked ?? false,
+      softwareVersion: replica.softwareVersion,
     };
     this.sendToHolder(
       permit.request.holder,
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -43,6 +43,8 @@
   readonly address: string;
   /** Whether the replica refuses requests with an outdated fencing number. */
   readonly fencingChecked: boolean;
+  /** Undefined when the platform does not tell versions apart. */
+  readonly softwareVersion?: string;
   /** Aborted when the owner of the pool preempts the stream. */
   readonly revoked: AbortSignal;
 }
--- a/packages/core/src/table-rows.ts
+++ b/packages/core/src/table-rows.ts
@@ -40,6 +40,8 @@
   address: z.url(),
   failureDomain: z.string().min(1),
   fencingChecked: z.boolean().default(false),
+  /** Version of the replica's software. Streams continue only at the version that began them; absent if all fit. */
+  softwareVersion: z.string().min(1).optional(),
   maxConcurrency: z.number().int().positive().default(8),
 });
 
--- a/packages/decisions/src/item-continuation.test.ts
+++ b/packages/decisions/src/item-continuation.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { continuationWaitMs } from './item-continuation.js';
+import { continuationWaitMs, runToContinue } from './item-continuation.js';
 
 describe('continuationWaitMs', () => {
   it('loses at most twice what the better of waiting and starting anew would lose, for waits of any length', () => {
@@ -14,3 +14,16 @@
     );
   });
 });
+
+describe('runToContinue', () => {
+  const run = { tokens: ['a', 'b'], softwareVersion: 'v1' };
+
+  it('starts anew when no replica of the version that began the output accepts work', () => {
+    expect(runToContinue(run, true)).toEqual({ tokens: [] });
+  });
+
+  it('continues the output after any other end, and where versions are not known', () => {
+    expect(runToContinue(run, false)).toEqual(run);
+    expect(runToContinue({ tokens: ['a'] }, true)).toEqual({ tokens: ['a'] });
+  });
+});
--- a/packages/decisions/src/item-continuation.ts
+++ b/packages/decisions/src/item-continuation.ts
@@ -1,4 +1,4 @@
-/** Decides how long a batch item waits for a replica that can continue the output that it has received so far. */
+/** Decides what a batch item continues that has received a part of its output, and how long it waits to do so. */
 
 /**
  * How long an item waits for a slot where its output can be continued before it accepts any slot and starts anew, in
@@ -8,3 +8,16 @@
 export function continuationWaitMs(receivedInMs: number): number {
   return Math.max(0, Math.ceil(receivedInMs));
 }
+
+/** The part of an item's output that earlier runs have received. */
+export interface PartialRun {
+  readonly tokens: readonly string[];
+  /** Version of the replicas that produced the tokens; undefined when there are none, or versions are not known. */
+  readonly softwareVersion?: string;
+}
+
+/** What the next run continues, given whether the last one found no replica. Without one of its version it starts anew. */
+export function runToContinue({ tokens, softwareVersion }: PartialRun, foundNoReplica: boolean): PartialRun {
+  if (softwareVersion !== undefined && foundNoReplica) return { tokens: [] };
+  return { tokens, softwareVersion };
+}
--- a/packages/entry/src/batch/held-chunk.ts
+++ b/packages/entry/src/batch/held-chunk.ts
@@ -17,6 +17,7 @@
   openOffsets,
   releaseLease,
   renewLease,
+  runToContinue,
 } from '@fighub/decisions';
 import type { RecordStore, Versioned } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
@@ -36,6 +37,8 @@
 interface ItemProgress {
   /** Tokens of earlier runs, from which the next run resumes. */
   tokens: readonly string[];
+  /** Version of the replicas that produced the tokens. */
+  softwareVersion?: string;
   /** Number of attempts that count against the item, because it was rejected or its stream broke. */
   failedAttempts: number;
   lastCause: string;
@@ -269,6 +272,7 @@
       alone: (progress?.failedAttempts ?? 0) >= ALONE_AFTER_FAILURES,
       fencing: { scope: this.id, epoch: this.ledger.value.epoch },
       tokensSoFar: progress?.tokens ?? [],
+      softwareVersion: progress?.softwareVersion,
       mayDispatch: () => this.checkDispatch(),
       onDispatch: () => this.assertLease(),
     };
@@ -327,7 +331,8 @@
     }
     const retryDelayMs = end.kind === CompletionKind.failed ? FAILED_RETRY_DELAY_MS : 0;
     const retryAtMs = this.clock.monotonicMs() + retryDelayMs;
-    this.progress.set(offset, { tokens: end.tokens, failedAttempts, lastCause, retryAtMs });
+    const continued = runToContinue(end, end.problem?.code === 'no_upstream');
+    this.progress.set(offset, { ...continued, failedAttempts, lastCause, retryAtMs });
     this.queue.unshift(offset);
   }
 
--- a/packages/entry/src/online/completion-runner.ts
+++ b/packages/entry/src/online/completion-runner.ts
@@ -39,6 +39,8 @@
   readonly fencing?: Fencing;
   /** Tokens that an earlier run has produced; the stream continues after them. */
   readonly tokensSoFar: readonly string[];
+  /** Version of the replicas that produced `tokensSoFar`; undefined when there are none, or versions are not known. */
+  readonly softwareVersion?: string;
   /** Called right before each dispatch. When it returns false, the request is not sent and ends as cancelled. */
   readonly mayDispatch?: () => boolean;
   /** Called at each dispatch, so that whoever started the run can check its invariants at that moment. */
@@ -66,6 +68,8 @@
   readonly kind: CompletionKind;
   /** All tokens so far, including those of `tokensSoFar`. */
   readonly tokens: readonly string[];
+  /** Version of the replicas that produced the tokens; undefined when there are none, or versions are not known. */
+  readonly softwareVersion?: string;
   readonly problem?: Problem;
   /** Whether the stream of an attempt broke or went silent. */
   readonly brokeReplica: boolean;
@@ -140,6 +144,7 @@
 /** The state of one completion. */
 export class CompletionRun {
   private readonly tokens: string[];
+  private softwareVersion: string | undefined;
   private readonly excluded: string[] = [];
   /** Whether any byte of any attempt may have reached an upstream. */
   private everSent = false;
@@ -152,6 +157,7 @@
     runner: CompletionRunner,
   ) {
     this.tokens = [...spec.tokensSoFar];
+    this.softwareVersion = spec.softwareVersion;
     this.dependencies = runner.dependencies;
   }
 
@@ -181,6 +187,7 @@
       deadlineUnixMs: spec.deadlineUnixMs,
       prefixDigest: prefixDigest(spec.model, spec.prompt),
       excludedReplicaIds: this.excluded.slice(-MAX_EXCLUDED_REPLICAS),
+      softwareVersion: this.softwareVersion,
       resumable: spec.idempotent,
       alone: spec.alone,
     };
@@ -213,6 +220,7 @@
         () => ({ requestId: spec.requestId, chunk }),
       );
       firstTokenMs ??= this.dependencies.clock.monotonicMs() - startedMs;
+      if (this.tokens.length === 0) this.softwareVersion = slot.softwareVersion;
       this.tokens.push(chunk.text);
       this.spec.onToken?.(chunk.text);
     };
@@ -321,7 +329,8 @@
       problem?.run !== ExecutionStatus.notRun || !this.everSent,
       () => ({ requestId: this.spec.requestId, problem }),
     );
-    return { kind, tokens: this.tokens, problem, brokeReplica: this.brokeReplica, sent: this.everSent };
+    const { tokens, softwareVersion, brokeReplica, everSent: sent } = this;
+    return { kind, tokens, softwareVersion, problem, brokeReplica, sent };
   }
 }
 
--- a/packages/entry/src/testing/completion-fixture.ts
+++ b/packages/entry/src/testing/completion-fixture.ts
@@ -16,17 +16,26 @@
   tokensSoFar: [],
 };
 
-/** A runner that uses `engine` for all attempts. */
-export function runnerWith(engine: unknown): CompletionRunner {
+/** A runner that uses `engine` for all attempts. Slots are at replicas of `softwareVersion`. */
+export function runnerWith(
+  engine: unknown,
+  softwareVersion?: string,
+  demands: unknown[] = [],
+): CompletionRunner {
   const slot = {
     permitId: 'p',
     poolId: 'x',
     replicaId: 'r',
     address: 'a',
     fencingChecked: false,
+    softwareVersion,
     revoked: new AbortController().signal,
   };
-  const permits = { acquire: () => Promise.resolve({ ok: true, value: slot }), release: () => undefined };
+  const acquire = (demand: unknown): Promise<unknown> => {
+    demands.push(demand);
+    return Promise.resolve({ ok: true, value: slot });
+  };
+  const permits = { acquire, release: () => undefined };
   const limits = { headersMs: 1, gapMs: 1 };
   return new CompletionRunner(
     permits as never,
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -55,6 +55,8 @@
   readonly address: string;
   /** Whether the replica refuses requests with an outdated fencing number. */
   readonly fencingChecked: boolean;
+  /** Omitted when the platform does not tell versions apart. */
+  readonly softwareVersion?: string;
 }
 
 /** Permits that a holder releases, and the loads that replicas have reported with their responses. */
