Do not let an item that is preempted again and again lose more work than it has waited

The wait for a slot at the version that began an item's output was as long as that output had taken. An item that is preempted and starts anew several times had its wait reset each time, so it could lose the same work again and again. A demand for any slot no longer counts received tokens, since such a run may start anew.

--- a/packages/decisions/src/item-continuation.test.ts
+++ b/packages/decisions/src/item-continuation.test.ts
@@ -5,14 +5,28 @@
 describe('continuationWaitMs', () => {
   it('loses at most twice what the better of waiting and starting anew would lose, for waits of any length', () => {
     const durationsMs = [1, 20, 300, 4_000];
-    durationsMs.forEach((receivedInMs) =>
+    durationsMs.forEach((spentMs) =>
       [0, ...durationsMs, 60_000].forEach((slotFreeAfterMs) => {
-        const limitMs = continuationWaitMs(receivedInMs);
-        const lostMs = slotFreeAfterMs <= limitMs ? slotFreeAfterMs : limitMs + receivedInMs;
-        expect(lostMs).toBeLessThanOrEqual(2 * Math.min(slotFreeAfterMs, receivedInMs));
+        const limitMs = continuationWaitMs(spentMs);
+        const lostMs = slotFreeAfterMs <= limitMs ? slotFreeAfterMs : limitMs + spentMs;
+        expect(lostMs).toBeLessThanOrEqual(2 * Math.min(slotFreeAfterMs, spentMs));
       }),
     );
   });
+
+  it('discards no more work than it has waited, for an item that is preempted again and again', () => {
+    const runsMs = [300, 40, 900, 10, 10, 2_000, 50];
+    const total = runsMs.reduce(
+      ({ spentMs, waitedMs, lostMs }, ranMs) => ({
+        spentMs: spentMs + ranMs,
+        waitedMs: waitedMs + continuationWaitMs(spentMs + ranMs),
+        lostMs: lostMs + ranMs,
+      }),
+      { spentMs: 0, waitedMs: 0, lostMs: 0 },
+    );
+    expect(total.lostMs).toBeLessThanOrEqual(total.waitedMs);
+    expect(continuationWaitMs(total.spentMs)).toBeGreaterThanOrEqual(total.lostMs);
+  });
 });
 
 describe('runToContinue', () => {
--- a/packages/decisions/src/item-continuation.ts
+++ b/packages/decisions/src/item-continuation.ts
@@ -1,12 +1,12 @@
 /** Decides what a batch item continues that has received a part of its output, and how long it waits to do so. */
 
 /**
- * How long an item waits for a slot where its output can be continued before it accepts any slot and starts anew, in
- * milliseconds. Waiting as long as it took to receive the output costs at most twice the better choice, however long
- * the wait would be.
+ * How long an item waits for a slot where its output can be continued before it accepts any slot, in milliseconds.
+ * `spentMs` is the time that its runs have taken, also those whose output was discarded, so that an item that is
+ * preempted again and again does not lose more work than it has waited.
  */
-export function continuationWaitMs(receivedInMs: number): number {
-  return Math.max(0, Math.ceil(receivedInMs));
+export function continuationWaitMs(spentMs: number): number {
+  return Math.ceil(spentMs);
 }
 
 /** The part of an item's output that earlier runs have received. */
--- a/packages/decisions/src/job-checkpoint.ts
+++ b/packages/decisions/src/job-checkpoint.ts
@@ -8,8 +8,8 @@
   readonly lastEventId: number;
   /** Where the output comes from. Checkpoints of earlier releases lack it; their outputs cannot be continued. */
   readonly origin?: StreamOrigin;
-  /** Time in which the output was received, in milliseconds. */
-  readonly ranMs?: number;
+  /** Time that runs of the item have taken, in milliseconds. */
+  readonly spentMs?: number;
   /** Data of the events received so far, separated by line feeds. */
   readonly text: string;
 }
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -40,8 +40,8 @@
   lastEventId?: number;
   /** Where the events come from; undefined before the first one. */
   origin?: StreamOrigin;
-  /** Time in which the events were received, in milliseconds. */
-  ranMs: number;
+  /** Time that runs of the item have taken, including those whose events were discarded, in milliseconds. */
+  spentMs: number;
 }
 
 /** One run of an item. */
@@ -105,8 +105,8 @@
 }
 
 /**
- * Acquires a slot where the output can be continued. If there is none for as long as it took to receive the output,
- * any slot is accepted: from then on, waiting may cost more than the output is worth.
+ * Acquires a slot where the output can be continued, or any slot when the wait for such a one is over. The item starts
+ * anew if that slot is at another version.
  */
 async function acquireSlot(
   { output, ...request }: ItemRunRequest,
@@ -117,7 +117,7 @@
   const { origin } = output;
   const isRouted = route.backends.some(({ service, weight }) => service === origin?.service && weight > 0);
   if (origin && isRouted && view.serves(origin)) {
-    const patience = AbortSignal.timeout(continuationWaitMs(output.ranMs));
+    const patience = AbortSignal.timeout(continuationWaitMs(output.spentMs));
     const demand = demandOf({ output, ...request }, route.name, origin.service, origin.softwareVersion);
     const slot = await permits.acquire(demand, AbortSignal.any([stop, patience]));
     if (slot.ok || !patience.aborted) return slot;
@@ -144,7 +144,8 @@
     softwareVersion,
     resumable: true,
     alone: false,
-    receivedTokens: request.output.lastEventId,
+    // A run at any version may have to start anew.
+    receivedTokens: softwareVersion === undefined ? undefined : request.output.lastEventId,
   };
 }
 
@@ -179,7 +180,7 @@
   };
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
-  output.ranMs += dependencies.clock.monotonicMs() - startedMs;
+  output.spentMs += dependencies.clock.monotonicMs() - startedMs;
   const end = endOfStream(sent, listener.isInsideEvent);
   const verdict = listener.verdict(end);
   const preempted = slot.revoked.aborted;
@@ -228,7 +229,6 @@
   output.events.length = 0;
   output.lastEventId = undefined;
   output.origin = undefined;
-  output.ranMs = 0;
 }
 
 function attemptEndOf(end: UpstreamEnd, verdict: ItemRunOutcome, brokenByReplica: boolean): AttemptEnd {
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -277,8 +277,8 @@
   }
 
   private partialOutputs(): PartialOutput[] {
-    return [...this.items.values()].flatMap(({ index, output: { events, lastEventId, origin, ranMs } }) =>
-      lastEventId === undefined ? [] : [{ index, lastEventId, origin, ranMs, text: events.join('\n') }],
+    return [...this.items.values()].flatMap(({ index, output: { events, lastEventId, origin, spentMs } }) =>
+      lastEventId === undefined ? [] : [{ index, lastEventId, origin, spentMs, text: events.join('\n') }],
     );
   }
 
@@ -355,7 +355,7 @@
 
 /** The output to continue. One of unknown origin is dropped, so that the item starts anew. */
 function toItemOutput(saved: PartialOutput | undefined): ItemOutput {
-  if (!saved?.origin) return { events: [], ranMs: 0 };
-  const { text, lastEventId, origin, ranMs } = saved;
-  return { events: [text], lastEventId, origin, ranMs: ranMs ?? 0 };
+  if (!saved?.origin) return { events: [], spentMs: 0 };
+  const { text, lastEventId, origin, spentMs } = saved;
+  return { events: [text], lastEventId, origin, spentMs: spentMs ?? 0 };
 }
