--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -156,14 +156,14 @@
   stop: AbortSignal,
 ): Promise<ItemRunResult> {
   const { item, output } = request;
-  const sentTo = dependencies.view.originOf(slot.replicaId);
-  restartUnlessContinuable(request, sentTo, dependencies);
+  const expectedOrigin = dependencies.view.originOf(slot.replicaId);
+  restartUnlessContinuable(request, expectedOrigin, dependencies);
   const listener = new ItemListener(
     output,
     AbortSignal.any([stop, slot.revoked]),
     (load) => dependencies.permits.recordLoad(slot, load),
-    sentTo,
-    () => sentTo !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, sentTo),
+    expectedOrigin,
+    () => expectedOrigin !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, expectedOrigin),
     request.onEvent,
   );
   const startedMs = dependencies.clock.monotonicMs();
@@ -194,7 +194,7 @@
     jobId: request.jobId,
     itemId: item.itemId,
     replicaId: slot.replicaId,
-    softwareVersion: sentTo?.softwareVersion,
+    softwareVersion: expectedOrigin?.softwareVersion,
     permitId: slot.permitId,
     resumeAfter: call.resumeAfter,
     events: listener.events,
@@ -253,8 +253,9 @@
     private readonly output: ItemOutput,
     stop: AbortSignal,
     private readonly onLoad: LoadListener,
-    private readonly sentTo: StreamOrigin | undefined,
-    /** Whether the directory still tells that the stream comes from `sentTo`. */
+    /** Origin of the replica's streams as the directory told when the request was sent. */
+    private readonly expectedOrigin: StreamOrigin | undefined,
+    /** Whether the directory still tells `expectedOrigin`. */
     private readonly confirmsOrigin: () => boolean,
     private readonly onEvent: () => void,
   ) {
@@ -323,7 +324,7 @@
   private isFromOrigin(): boolean {
     if (this.events > 0) return true;
     if (!this.confirmsOrigin()) return false;
-    this.output.origin ??= this.sentTo;
+    this.output.origin ??= this.expectedOrigin;
     return true;
   }
 
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -64,7 +64,8 @@
 interface SentRequest {
   readonly sentAtMs: number;
   readonly resumeAfter?: number;
-  readonly sentTo?: StreamOrigin;
+  /** Origin of the replica's streams as the directory told when the request was sent. */
+  readonly expectedOrigin?: StreamOrigin;
 }
 
 /** The state of one forwarded request. */
@@ -184,11 +185,11 @@
     this.sends += 1;
     const sentAtMs = this.dependencies.clock.monotonicMs();
     const resumeAfter = this.relay.lastEventId;
-    const sentTo = this.dependencies.view.originOf(slot.replicaId);
+    const expectedOrigin = this.dependencies.view.originOf(slot.replicaId);
     const attempt = this.relay.startAttempt(
       stop,
       (load) => this.dependencies.permits.recordLoad(slot, load),
-      () => this.onFirstEvent(slot.replicaId, sentTo),
+      () => this.onFirstEvent(slot.replicaId, expectedOrigin),
     );
     const sent = await this.dependencies.transport.send(
       {
@@ -216,7 +217,7 @@
       tokens: attempt.events,
       ...attempt.timing(),
     });
-    this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, sentTo });
+    this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, expectedOrigin });
     if (end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun) {
       if (attempt.deliver()) return this.recordCompletion();
     }
@@ -229,13 +230,13 @@
    * Records where the stream begins. If the directory has changed the version of the replica since the request was
    * sent, it is not known which one responds, so that nothing may continue the stream.
    */
-  private onFirstEvent(replicaId: string, sentTo: StreamOrigin | undefined): void {
+  private onFirstEvent(replicaId: string, expectedOrigin: StreamOrigin | undefined): void {
     if (this.origin || this.hasUnknownOrigin) return;
-    if (!sentTo || !this.dependencies.view.confirmsOrigin(replicaId, sentTo)) {
+    if (!expectedOrigin || !this.dependencies.view.confirmsOrigin(replicaId, expectedOrigin)) {
       this.hasUnknownOrigin = true;
       return;
     }
-    this.origin = sentTo;
+    this.origin = expectedOrigin;
     if (!this.route.resumable) return;
     const leftMs = Math.max(0, this.request.deadlineMs - this.dependencies.clock.monotonicMs());
     this.dependencies.origins.record({
@@ -323,7 +324,7 @@
       {
         requestId: this.request.requestId,
         replicaId: slot.replicaId,
-        softwareVersion: sent.sentTo?.softwareVersion,
+        softwareVersion: sent.expectedOrigin?.softwareVersion,
         permitId: slot.permitId,
         resumeAfter: sent.resumeAfter,
         resumedRequestId: this.request.resumedRequestId,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -102,7 +102,7 @@
   complete: 'complete',
   /** No connection could be established, so nothing was sent. */
   notConnected: 'not_connected',
-  /** The connection broke, or the response that arrived was not for this request. */
+  /** The connection broke, a stream ended inside an event, or the response that arrived was not for this request. */
   broken: 'broken',
   /** The call was aborted through its signal. */
   cancelled: 'cancelled',
