--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -29,6 +29,8 @@
   readonly body: string;
   /** Time left for the request when it was sent; undefined if the request does not state it. */
   readonly deadlineMs?: number;
+  /** Number of events that have been written. */
+  writtenEvents: number;
   /** Whether the response has ended or its connection has closed. */
   closed: boolean;
 }
@@ -91,6 +93,7 @@
       resumeAfter: Number(req.headers['last-event-id'] ?? 0),
       body: Buffer.concat(parts).toString('utf8'),
       deadlineMs: req.headers['deadline-ms'] === undefined ? undefined : Number(req.headers['deadline-ms']),
+      writtenEvents: 0,
       closed: false,
     };
     this.runs.push(run);
@@ -120,6 +123,7 @@
         return;
       }
       res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index, this.softwareVersion)}\n\n`);
+      run.writtenEvents += 1;
       await new Promise((resolve) => setTimeout(resolve, this.eventMs));
     }
     res.end();
