--- a/packages/decisions/src/batch-run-estimates.test.ts
+++ b/packages/decisions/src/batch-run-estimates.test.ts
@@ -2,22 +2,10 @@
 
 import { BatchRunEstimates } from './batch-run-estimates.js';
 import type { SlotRequest } from './pool-types.js';
+import { slotRequest } from './testing/slot-request.js';
 
 function item(changes: Partial<SlotRequest> = {}): SlotRequest {
-  return {
-    requestId: 'q',
-    organisation: 'a',
-    costTokens: 1,
-    deadlineMs: 18_000,
-    holder: 'h',
-    workClass: 'batch',
-    prefixDigest: '',
-    excludedReplicaIds: [],
-    resumable: true,
-    alone: false,
-    enqueuedAtMs: 0,
-    ...changes,
-  };
+  return slotRequest('q', { costTokens: 1, deadlineMs: 18_000, workClass: 'batch', ...changes });
 }
 
 /** Estimates after many items of 200 tokens, in two runs each, at 25 ms a token. */
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -4,6 +4,7 @@
 import { PERMIT_LIFETIME_MS } from './pool-slots.js';
 import { PoolScheduler } from './pool-scheduler.js';
 import type { Permit, SlotRequest, PoolOutput, PoolPolicy } from './pool-types.js';
+import { slotRequest } from './testing/slot-request.js';
 
 class Recorder implements PoolOutput {
   readonly permits: Permit[] = [];
@@ -47,20 +48,7 @@
 let nextId = 0;
 function request(changes: Partial<SlotRequest> = {}): SlotRequest {
   nextId += 1;
-  return {
-    requestId: `q${String(nextId)}`,
-    organisation: 'a',
-    costTokens: 10,
-    deadlineMs: 60_000,
-    holder: 'h',
-    workClass: 'online',
-    prefixDigest: '',
-    excludedReplicaIds: [],
-    resumable: true,
-    alone: false,
-    enqueuedAtMs: 0,
-    ...changes,
-  };
+  return slotRequest(`q${String(nextId)}`, changes);
 }
 
 describe('PoolScheduler', () => {
--- a/packages/decisions/src/pool-versions.test.ts
+++ b/packages/decisions/src/pool-versions.test.ts
@@ -2,7 +2,8 @@
 import { describe, expect, it } from 'vitest';
 
 import { PoolScheduler } from './pool-scheduler.js';
-import type { Permit, PoolOutput, PoolPolicy, ReplicaInfo, SlotRequest } from './pool-types.js';
+import type { Permit, PoolOutput, PoolPolicy, ReplicaInfo } from './pool-types.js';
+import { slotRequest } from './testing/slot-request.js';
 
 const POLICY: PoolPolicy = {
   reserveMaxFraction: 0,
@@ -40,23 +41,6 @@
   return { scheduler, infos, permits, refusals, revocations, replicasOf };
 }
 
-function request(requestId: string, changes: Partial<SlotRequest> = {}): SlotRequest {
-  return {
-    requestId,
-    organisation: 'o',
-    costTokens: 10,
-    deadlineMs: 60_000,
-    holder: 'h',
-    workClass: 'online',
-    prefixDigest: '',
-    excludedReplicaIds: [],
-    resumable: true,
-    alone: false,
-    enqueuedAtMs: 0,
-    ...changes,
-  };
-}
-
 function release(scheduler: PoolScheduler, permit: Permit | undefined, nowMs: number): void {
   scheduler.release({ permitId: permit?.permitId ?? '', end: 'completed', tokens: 10 }, nowMs);
 }
@@ -64,16 +48,16 @@
 describe('PoolScheduler, for replicas of two software versions', () => {
   it('grants a resumed stream only a replica of its version, however loaded the others are', () => {
     const { scheduler, replicasOf } = poolOf(4, 40);
-    ['a', 'b', 'c', 'd'].forEach((id) => scheduler.enqueue(request(id, { softwareVersion: 'v1' }), 0));
+    ['a', 'b', 'c', 'd'].forEach((id) => scheduler.enqueue(slotRequest(id, { softwareVersion: 'v1' }), 0));
     scheduler.run(0);
     expect(replicasOf(['a', 'b', 'c', 'd'])).toEqual(['r1', 'r1', 'r1', 'r1']);
   });
 
   it('gives a freed slot to the resumed stream that waits for its version before new streams', () => {
     const { scheduler, permits, replicasOf } = poolOf(1, 1);
-    ['a', 'b', 'new-1', 'new-2'].forEach((id) => scheduler.enqueue(request(id), 0));
+    ['a', 'b', 'new-1', 'new-2'].forEach((id) => scheduler.enqueue(slotRequest(id), 0));
     scheduler.run(0);
-    scheduler.enqueue(request('resumed', { softwareVersion: 'v1' }), 10);
+    scheduler.enqueue(slotRequest('resumed', { softwareVersion: 'v1' }), 10);
     release(
       scheduler,
       permits.find((permit) => permit.replicaId === 'r1'),
@@ -85,19 +69,19 @@
 
   it('does not hold new streams back behind a resumed one whose version has no free slot', () => {
     const { scheduler, replicasOf } = poolOf(1, 2);
-    scheduler.enqueue(request('a', { softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('a', { softwareVersion: 'v1' }), 0);
     scheduler.run(0);
-    scheduler.enqueue(request('resumed', { softwareVersion: 'v1', deadlineMs: 1_000 }), 10);
-    scheduler.enqueue(request('new'), 10);
+    scheduler.enqueue(slotRequest('resumed', { softwareVersion: 'v1', deadlineMs: 1_000 }), 10);
+    scheduler.enqueue(slotRequest('new'), 10);
     scheduler.run(10);
     expect(replicasOf(['resumed', 'new'])).toEqual([undefined, 'r2']);
   });
 
   it('preempts a batch stream of its version for a resumed stream, although the other version has free slots', () => {
     const { scheduler, revocations, replicasOf } = poolOf(1, 10);
-    scheduler.enqueue(request('item', { workClass: 'batch', softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('item', { workClass: 'batch', softwareVersion: 'v1' }), 0);
     scheduler.run(0);
-    scheduler.enqueue(request('resumed', { softwareVersion: 'v1', startByMs: 225 }), 10);
+    scheduler.enqueue(slotRequest('resumed', { softwareVersion: 'v1', startByMs: 225 }), 10);
     scheduler.run(10);
     expect(revocations.map((permit) => permit.request.requestId)).toEqual(['item']);
     expect(replicasOf(['resumed'])).toEqual(['r1']);
@@ -105,33 +89,33 @@
 
   it('refuses a resumed stream at once that its version cannot start in time', () => {
     const { scheduler, refusals } = poolOf(1, 10);
-    scheduler.enqueue(request('a', { softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('a', { softwareVersion: 'v1' }), 0);
     scheduler.run(0);
-    scheduler.enqueue(request('resumed', { softwareVersion: 'v1', startByMs: 225 }), 10);
+    scheduler.enqueue(slotRequest('resumed', { softwareVersion: 'v1', startByMs: 225 }), 10);
     expect(refusals.map((problem) => problem.code)).toEqual(['deadline_unreachable']);
   });
 
   it('refuses waiting and new streams of a version whose last replica leaves', () => {
     const { scheduler, infos, refusals } = poolOf(1, 10);
-    scheduler.enqueue(request('a'), 0);
-    scheduler.enqueue(request('b', { softwareVersion: 'v1' }), 0);
-    scheduler.enqueue(request('c', { softwareVersion: 'v1' }), 0);
-    scheduler.enqueue(request('item', { workClass: 'batch', softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('a'), 0);
+    scheduler.enqueue(slotRequest('b', { softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('c', { softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('item', { workClass: 'batch', softwareVersion: 'v1' }), 0);
     scheduler.run(0);
     scheduler.setReplicas(infos.map((info) => ({ ...info, leaving: info.softwareVersion === 'v1' })));
     scheduler.run(10);
-    scheduler.enqueue(request('d', { softwareVersion: 'v1' }), 20);
+    scheduler.enqueue(slotRequest('d', { softwareVersion: 'v1' }), 20);
     expect(refusals.map((problem) => problem.code)).toEqual(['no_upstream', 'no_upstream', 'no_upstream']);
     expect(scheduler.busy).toBe(true);
   });
 
   it('lets batch items of the other version pass an item that waits for a slot of its own', () => {
     const { scheduler, replicasOf } = poolOf(1, 2);
-    scheduler.enqueue(request('a', { softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('a', { softwareVersion: 'v1' }), 0);
     scheduler.run(0);
     const item = { workClass: 'batch', softwareVersion: 'v1', deadlineMs: 1_000 } as const;
-    scheduler.enqueue(request('waiting', item), 10);
-    scheduler.enqueue(request('other', { workClass: 'batch' }), 10);
+    scheduler.enqueue(slotRequest('waiting', item), 10);
+    scheduler.enqueue(slotRequest('other', { workClass: 'batch' }), 10);
     scheduler.run(10);
     expect(replicasOf(['waiting', 'other'])).toEqual([undefined, 'r2']);
   });
@@ -139,9 +123,9 @@
   it('counts the slots of a replica for its new version when it registers again under its id', () => {
     const { scheduler, infos, refusals, replicasOf } = poolOf(1, 1);
     scheduler.setReplicas(infos.map((info) => ({ ...info, softwareVersion: 'v2' })));
-    scheduler.enqueue(request('a', { softwareVersion: 'v1' }), 0);
-    scheduler.enqueue(request('b', { softwareVersion: 'v2' }), 0);
-    scheduler.enqueue(request('c', { softwareVersion: 'v2' }), 0);
+    scheduler.enqueue(slotRequest('a', { softwareVersion: 'v1' }), 0);
+    scheduler.enqueue(slotRequest('b', { softwareVersion: 'v2' }), 0);
+    scheduler.enqueue(slotRequest('c', { softwareVersion: 'v2' }), 0);
     scheduler.run(0);
     expect(refusals).toHaveLength(1);
     expect(replicasOf(['b', 'c']).sort()).toEqual(['r1', 'r2']);
