Count what a preempted batch item has received while one software version serves

Cause, found by reading: an item that had waited as long as its runs had taken asked for any slot as an item without output, also where only one version serves. It then counted as one that has its whole run before it, and so as late, and waited behind others.

Change: while one version serves, the item keeps asking for that version with what it has received. The wait for a request of another version in the queue is looked up only when the first one gets no slot.

Evidence: the first of the two new tests of runItem fails without the change (second demand unbound and without received tokens).

--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -234,14 +234,13 @@
 }
 
 /** The first waiting request of each software version and of those without one, in the order in which they wait. */
-function firstByVersion<T extends QueuedRequest>(queue: OrganisationQueue<T>): T[] {
-  if (queue.bound === 0) return queue.waiting.slice(0, 1);
+function* firstByVersion<T extends QueuedRequest>(queue: OrganisationQueue<T>): Generator<T> {
   const seen = new Set<string | undefined>();
-  return queue.waiting.filter(({ softwareVersion }) => {
-    const isFirst = !seen.has(softwareVersion);
-    seen.add(softwareVersion);
-    return isFirst;
-  });
+  for (const request of queue.waiting) {
+    if (!seen.has(request.softwareVersion)) yield request;
+    seen.add(request.softwareVersion);
+    if (queue.bound === 0) return;
+  }
 }
 
 function keyOf(queue: OrganisationQueue<QueuedRequest>): ServiceKey {
--- a/packages/decisions/src/item-continuation.test.ts
+++ b/packages/decisions/src/item-continuation.test.ts
@@ -7,7 +7,7 @@
     const durationsMs = [1, 20, 300, 4_000];
     durationsMs.forEach((spentMs) =>
       [0, ...durationsMs, 60_000].forEach((slotFreeAfterMs) => {
-        const limitMs = continuationWaitMs(spentMs);
+        const limitMs = continuationWaitMs(spentMs, true);
         const lostMs = slotFreeAfterMs <= limitMs ? slotFreeAfterMs : limitMs + spentMs;
         expect(lostMs).toBeLessThanOrEqual(2 * Math.min(slotFreeAfterMs, spentMs));
       }),
@@ -19,13 +19,20 @@
     const total = runsMs.reduce(
       ({ spentMs, waitedMs, lostMs }, ranMs) => ({
         spentMs: spentMs + ranMs,
-        waitedMs: waitedMs + continuationWaitMs(spentMs + ranMs),
+        waitedMs: waitedMs + continuationWaitMs(spentMs + ranMs, true),
         lostMs: lostMs + ranMs,
       }),
       { spentMs: 0, waitedMs: 0, lostMs: 0 },
     );
     expect(total.lostMs).toBeLessThanOrEqual(total.waitedMs);
-    expect(continuationWaitMs(total.spentMs)).toBeGreaterThanOrEqual(total.lostMs);
+    expect(continuationWaitMs(total.spentMs, true)).toBeGreaterThanOrEqual(total.lostMs);
+  });
+});
+
+describe('continuationWaitMs, while one version serves', () => {
+  it('does not ask for the slot again and again, however short the runs of the item were', () => {
+    expect(continuationWaitMs(3, false)).toBe(1_000);
+    expect(continuationWaitMs(4_000, false)).toBe(4_000);
   });
 });
 
--- /dev/null
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -0,0 +1,68 @@
+import type { SlotDemand } from '@fighub/admission';
+import { DecisionLog, Metrics, SystemClock, fail, notRun } from '@fighub/core';
+import { describe, expect, it } from 'vitest';
+
+import type { ItemRunDependencies } from './item-run.js';
+import { runItem } from './item-run.js';
+
+const ORIGIN = { service: 's', softwareVersion: 'v1' };
+const ITEM = { itemId: 'i', target: '/t', headers: [], bodyBase64: '', tokens: 1 };
+
+/** Demands of one run of an item with five events, which gets no slot. Waits are cut short for `waits` demands. */
+async function demandsOf(otherVersionsServe: boolean, waits: number): Promise<SlotDemand[]> {
+  const clock = new SystemClock();
+  const metrics = new Metrics();
+  const demands: SlotDemand[] = [];
+  const dependencies = {
+    view: {
+      routes: { match: () => ({ name: 'r', backends: [{ service: 's', weight: 1 }] }) },
+      serves: () => true,
+      servesOtherVersions: () => otherVersionsServe,
+    },
+    permits: {
+      acquire: (demand: SlotDemand, signal: AbortSignal) => {
+        demands.push(demand);
+        const refusal = fail(notRun('overloaded', 'no slot'));
+        if (demands.length > waits) return Promise.resolve(refusal);
+        return new Promise((resolve) => signal.addEventListener('abort', () => resolve(refusal)));
+      },
+    },
+    clock,
+    metrics,
+    log: new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics),
+    random: () => 0,
+  } as unknown as ItemRunDependencies;
+  await runItem(
+    {
+      jobId: 'j',
+      host: 'h',
+      item: ITEM,
+      output: { events: ['a'], lastEventId: 5, origin: ORIGIN, spentMs: 20 },
+      dueAtUnixMs: clock.nowUnixMs() + 60_000,
+      excludedReplicaIds: [],
+      onEvent: () => undefined,
+      mayDispatch: () => true,
+    },
+    dependencies,
+    new AbortController().signal,
+  );
+  return demands;
+}
+
+describe('runItem', () => {
+  it('keeps what an item has received in its demands while one version serves', async () => {
+    const demands = await demandsOf(false, 1);
+    expect(demands.map((demand) => [demand.softwareVersion, demand.receivedTokens])).toEqual([
+      ['v1', 5],
+      ['v1', 5],
+    ]);
+  });
+
+  it('asks for any slot, as for a new item, after waiting for its version beside another one', async () => {
+    const demands = await demandsOf(true, 1);
+    expect(demands.map((demand) => [demand.softwareVersion, demand.receivedTokens])).toEqual([
+      ['v1', 5],
+      [undefined, undefined],
+    ]);
+  });
+});
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -116,11 +116,13 @@
 ): Promise<Outcome<Slot, Problem>> {
   const { origin } = output;
   const isRouted = route.backends.some(({ service, weight }) => service === origin?.service && weight > 0);
-  if (origin && isRouted && view.serves(origin)) {
-    const patience = AbortSignal.timeout(continuationWaitMs(output.spentMs));
+  while (origin && isRouted && view.serves(origin)) {
+    const waitMs = continuationWaitMs(output.spentMs, view.servesOtherVersions(origin));
+    const timeout = AbortSignal.timeout(waitMs);
     const demand = demandOf({ output, ...request }, route.name, origin.service, origin.softwareVersion);
-    const slot = await permits.acquire(demand, AbortSignal.any([stop, patience]));
-    if (slot.ok || !patience.aborted) return slot;
+    const slot = await permits.acquire(demand, AbortSignal.any([stop, timeout]));
+    if (slot.ok || stop.aborted || !timeout.aborted) return slot;
+    if (view.servesOtherVersions(origin)) break;
   }
   const service = origin && isRouted ? origin.service : pickBackend(route.backends, random());
   return permits.acquire(demandOf({ output, ...request }, route.name, service), stop);
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -9,7 +9,7 @@
 const ROUTE = { name: 'once', kind: 'streaming', resumable: false } as Route;
 const HEAD = { status: 200, headers: [], notRun: false, framing: BodyFraming.connection };
 
-/** Passes the parts of one whole stream on. Returns what the caller received, and whether the stream was delivered. */
+/** Passes on a stream that ends after these parts. Returns what the caller received, and whether it was delivered. */
 function relayStream(parts: readonly string[]): { written: string[]; delivered: boolean } {
   const written: string[] = [];
   const sink: ResponseSink = {
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -72,6 +72,13 @@
     return this.directory.replicas.some((replica) => !replica.leaving && canContinue(origin, replica));
   }
 
+  /** Whether a replica of the service at another software version may get new requests. */
+  servesOtherVersions(origin: StreamOrigin): boolean {
+    return this.directory.replicas.some(
+      (replica) => replica.service === origin.service && !replica.leaving && !canContinue(origin, replica),
+    );
+  }
+
   onChange(listener: ViewListener): void {
     this.listeners.push(listener);
   }
