Do not stop the process when a connection is reset that no request uses any more

Cause: a request listens for errors of its connection until its response has ended. The agent destroyed the connection with an error after that: when both sides had closed it, it has no remote address either, and nobody listened.

Change: a connection that this side has closed as well is not taken for a reset, and an error that no request listens for is ignored.

--- a/packages/outside/src/connection-reset.ts
+++ b/packages/outside/src/connection-reset.ts
@@ -23,8 +23,12 @@
 }
 
 function failOnReset(socket: Socket): void {
+  // A request listens for errors only until its response has ended; a later one must not stop the process.
+  socket.on('error', () => undefined);
   socket.prependOnceListener('end', () => {
-    // A connection that its peer has closed still has a remote address; one that was reset has none.
-    if (socket.remoteAddress === undefined) socket.destroy(new VError('the connection was reset'));
+    // A connection that its peer has closed still has a remote address, unless this side has closed it too; one that was
+    // reset has none.
+    if (socket.remoteAddress === undefined && !socket.writableEnded)
+      socket.destroy(new VError('the connection was reset'));
   });
 }
