Send nothing more to a replica that states in a response that it is leaving

The platform's replicas now say in all their answers that they leave (Server-Leaving), and a request that a caller sent later than drainMs after an instance passed on such an answer must not reach that replica from there.

Cause: only the entry in the directory told which replicas leave, which an instance that is cut off does not get, and which some replicas never change.

Change: the transport reads the header of every response, also of refusals and of responses that cannot be used. The view is asked before each send and once more when the connection is established. The owner of the pool is told, grants no more there and tells the coordinators, whose pushed views carry the ids on.

--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -107,6 +107,8 @@
   /** Time since the directory was read from the store, in milliseconds. */
   readonly ageMs: number;
   readonly backlog?: JobBacklog;
+  /** Listed replicas whose responses have stated that they are leaving; omitted when there are none. */
+  readonly leavingReplicaIds?: readonly string[];
 }
 
 /** Tokens of the unfinished batch items by route, from the latest listing that the sender knows. */
@@ -190,6 +192,8 @@
   'permit.refused': { requestId: string; problem: Problem };
   'permit.revoked': { permitId: string };
   'owner.suspected': { instanceId: string };
+  /** A response of the replica stated that it is leaving. The owner of its pool passes this on to the coordinators. */
+  'replica.leaving': { replicaId: string; passOn: boolean };
   'table.push': { bucket: TableBucket };
   'stream.begun': { streams: readonly BegunStream[] };
   'job.cancelled': { jobId: string };
--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -82,6 +82,7 @@
       },
       permits: { acquire: () => Promise.resolve(ok(slot)), release: () => undefined },
       transport: { send: () => Promise.resolve({ kind: 'broken', detail: '' }) },
+      leavingAnnouncements: { onUnusableSlot: () => undefined },
       clock,
       metrics,
       log: new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics),
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -18,6 +18,7 @@
 } from '../online/forwarding.js';
 import { UpstreamEndKind, endOfStream } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
+import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 
 /** How a run of an item ended. The values appear in logs and metric names. */
 export const ItemRunOutcome = {
@@ -55,7 +56,7 @@
   readonly excludedReplicaIds: readonly string[];
   /** Called after each event that is added to the output. */
   readonly onEvent: () => void;
-  /** Checked after a slot has been acquired, right before the request is sent. */
+  /** Checked after a slot has been acquired, and again right before the request is sent. */
   readonly mayDispatch: () => boolean;
 }
 
@@ -73,6 +74,7 @@
   readonly view: FleetView;
   readonly permits: PermitClient;
   readonly transport: UpstreamTransport;
+  readonly leavingAnnouncements: LeavingAnnouncements;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: DecisionLog;
@@ -97,13 +99,19 @@
   if (!route) return { end: ItemRunOutcome.noRoute, givenWay: false };
   const slot = await acquireSlot(request, route, dependencies, stop);
   if (!slot.ok) return INTERRUPTED;
-  if (stop.aborted || !dependencies.view.isUsable(slot.value.replicaId) || !request.mayDispatch()) {
+  if (stop.aborted || !mayBegin(request, slot.value, dependencies)) {
+    dependencies.leavingAnnouncements.onUnusableSlot(slot.value.replicaId);
     dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
     return INTERRUPTED;
   }
   return send(request, slot.value, dependencies, stop);
 }
 
+/** Whether the item may be sent to the replica. This can change until the connection to it is established. */
+function mayBegin(request: ItemRunRequest, { replicaId }: Slot, { view }: ItemRunDependencies): boolean {
+  return view.isUsable(replicaId) && request.mayDispatch();
+}
+
 /**
  * Acquires a slot where the output can be continued, or any slot when the wait for such a one is over. The item starts
  * anew if that slot is at another version.
@@ -164,6 +172,7 @@
     output,
     AbortSignal.any([stop, slot.revoked]),
     (load) => dependencies.permits.recordLoad(slot, load),
+    (replicaId) => dependencies.leavingAnnouncements.onResponse(replicaId),
     expectedOrigin,
     () => expectedOrigin !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, expectedOrigin),
     request.onEvent,
@@ -179,6 +188,7 @@
     headers: item.headers,
     body: Buffer.from(item.bodyBase64, 'base64'),
     resumeAfter: output.lastEventId,
+    mayBegin: () => mayBegin(request, slot, dependencies),
   };
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
@@ -255,6 +265,7 @@
     private readonly output: ItemOutput,
     stop: AbortSignal,
     private readonly onLoad: LoadListener,
+    readonly onLeaving: (replicaId: string) => void,
     /** Origin of the replica's streams as the directory told when the request was sent. */
     private readonly expectedOrigin: StreamOrigin | undefined,
     /** Whether the directory still tells `expectedOrigin`. */
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -9,6 +9,7 @@
 import { AttemptEnd, SendEvidence, canContinue, mayRetry, returnDelayMs } from '@fighub/decisions';
 
 import type { FleetView } from '../routing/fleet-view.js';
+import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 import type { AttemptListener } from './response-relay.js';
 import { ResponseRelay } from './response-relay.js';
 import { pickBackend } from './backend-choice.js';
@@ -32,6 +33,7 @@
   readonly permits: PermitClient;
   readonly transport: UpstreamTransport;
   readonly origins: StreamOriginExchange;
+  readonly leavingAnnouncements: LeavingAnnouncements;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: DecisionLog;
@@ -143,6 +145,7 @@
     }
     if (!slot.ok) return this.finishWithProblem(slot.error, 'no_place');
     if (!this.isUsable(slot.value.replicaId)) {
+      this.dependencies.leavingAnnouncements.onUnusableSlot(slot.value.replicaId);
       this.dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
       this.excluded.push(slot.value.replicaId);
       this.sends += 1;
@@ -186,11 +189,11 @@
     const sentAtMs = this.dependencies.clock.monotonicMs();
     const resumeAfter = this.relay.lastEventId;
     const expectedOrigin = this.dependencies.view.originOf(slot.replicaId);
-    const attempt = this.relay.startAttempt(
-      stop,
-      (load) => this.dependencies.permits.recordLoad(slot, load),
-      () => this.onFirstEvent(slot.replicaId, expectedOrigin),
-    );
+    const attempt = this.relay.startAttempt(stop, {
+      onLoad: (load) => this.dependencies.permits.recordLoad(slot, load),
+      onLeaving: (replicaId) => this.dependencies.leavingAnnouncements.onResponse(replicaId),
+      onFirstEvent: () => this.onFirstEvent(slot.replicaId, expectedOrigin),
+    });
     const sent = await this.dependencies.transport.send(
       {
         replicaId: slot.replicaId,
@@ -203,6 +206,7 @@
         body: request.body,
         deadlineMs: this.deadlineMs,
         resumeAfter,
+        mayBegin: () => this.isUsable(slot.replicaId),
       },
       attempt,
       attempt.signal,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -61,6 +61,8 @@
   readonly deadlineMs?: number;
   /** Id of the last event that was received, to resume a stream after it. */
   readonly resumeAfter?: number;
+  /** Checked once the connection is established. If it returns false, nothing is sent. */
+  readonly mayBegin: () => boolean;
 }
 
 /** What marks the end of the body of a response. The values appear in logs. */
@@ -92,6 +94,11 @@
 
 /** Receives a replica's response while it arrives. */
 export interface UpstreamListener {
+  /**
+   * The replica that responds states that it is leaving. Called before `onHead`, and also for a response that cannot be
+   * used. Another replica than the one that was called may have responded.
+   */
+  onLeaving(replicaId: string): void;
   onHead(head: UpstreamHead): void;
   onData(part: Buffer): void;
 }
@@ -100,7 +107,7 @@
 export const UpstreamEndKind = {
   /** The whole response arrived. */
   complete: 'complete',
-  /** No connection could be established, so nothing was sent. */
+  /** Nothing was sent, because no connection could be established or `mayBegin` returned false then. */
   notConnected: 'not_connected',
   /** The connection broke, a stream ended inside an event, or the response that arrived was not for this request. */
   broken: 'broken',
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -20,11 +20,11 @@
     refuse: () => written.push('refuse'),
   };
   const relay = new ResponseRelay(ROUTE, 'q1', undefined, sink, new SystemClock());
-  const attempt = relay.startAttempt(
-    new AbortController().signal,
-    () => undefined,
-    () => undefined,
-  );
+  const attempt = relay.startAttempt(new AbortController().signal, {
+    onLoad: () => undefined,
+    onLeaving: () => undefined,
+    onFirstEvent: () => undefined,
+  });
   attempt.onHead(HEAD);
   parts.forEach((part) => attempt.onData(Buffer.from(part)));
   attempt.close();
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -20,6 +20,15 @@
 /** Statuses that tell the caller that its request has not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
 
+/** Is told what one attempt shows about its replica. */
+export interface AttemptObserver {
+  readonly onLoad: LoadListener;
+  /** The replica that responds states that it is leaving. */
+  onLeaving(replicaId: string): void;
+  /** Called before the first event of the attempt is passed on. */
+  onFirstEvent(): void;
+}
+
 /** The response to one caller, over all attempts at replicas. */
 export class ResponseRelay {
   /** Id of the last event that was passed on; undefined before the first one with an id. */
@@ -37,12 +46,9 @@
     this.lastEventId = resumeAfter;
   }
 
-  /**
-   * Creates the listener for one attempt. The attempt must stop when `stop` is aborted. `onFirstEvent` is called before
-   * its first event is passed on.
-   */
-  startAttempt(stop: AbortSignal, onLoad: LoadListener, onFirstEvent: () => void): AttemptListener {
-    return new AttemptListener(this, stop, onLoad, onFirstEvent);
+  /** Creates the listener for one attempt. The attempt must stop when `stop` is aborted. */
+  startAttempt(stop: AbortSignal, observer: AttemptObserver): AttemptListener {
+    return new AttemptListener(this, stop, observer);
   }
 
   /** Whether a part of the response has been written to the caller. */
@@ -119,8 +125,7 @@
   constructor(
     private readonly relay: ResponseRelay,
     stop: AbortSignal,
-    private readonly onLoad: LoadListener,
-    private readonly onFirstEvent: () => void,
+    private readonly observer: AttemptObserver,
   ) {
     this.stop = AbortSignal.any([stop, this.silence.signal]);
     this.startedMs = relay.clock.monotonicMs();
@@ -133,11 +138,15 @@
     return this.stop;
   }
 
+  onLeaving(replicaId: string): void {
+    this.observer.onLeaving(replicaId);
+  }
+
   onHead(head: UpstreamHead): void {
     this.head = head;
     this.status = head.status;
     this.reportedNotRun = head.notRun || head.status === MISDIRECTED_STATUS;
-    if (head.load) this.onLoad(head.load);
+    if (head.load) this.observer.onLoad(head.load);
     this.restartSilenceTimer();
   }
 
@@ -205,7 +214,7 @@
     this.lastEventMs = this.relay.clock.monotonicMs();
     this.firstEventMs ??= this.lastEventMs;
     this.events += 1;
-    if (this.events === 1) this.onFirstEvent();
+    if (this.events === 1) this.observer.onFirstEvent();
     this.relay.event(this.head, event);
   }
 
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -126,6 +126,7 @@
       configurationVersion: this.view.configurationVersion,
       directoryRevision: this.view.replicas.revision,
       replicas: this.view.replicas.replicas,
+      leavingReplicaIds: this.view.leavingReplicaIds,
     };
   }
 
@@ -207,6 +208,7 @@
 
   private applyDirectoryFrom(directory: FleetViewBody['directory'], from: string, readAtMs: number): void {
     this.view.originHistory.observeReplicas(directory.replicas, readAtMs);
+    this.view.forgetLongGone(this.clock.monotonicMs());
     if (!this.view.applyDirectory(directory)) return;
     this.nextPushMs = 0;
     this.log.record(LogCategory.state, 'directory_changed', {
@@ -249,12 +251,14 @@
   }
 
   private body(withConfiguration: boolean): FleetViewBody {
+    const { leavingReplicaIds } = this.view;
     return {
       configurationVersion: this.view.configurationVersion,
       configuration: withConfiguration ? this.view.configuration : undefined,
       directory: this.view.replicas,
       ageMs: Math.min(this.ageMs, Number.MAX_SAFE_INTEGER),
       backlog: this.backlog.snapshot(),
+      leavingReplicaIds: leavingReplicaIds.length > 0 ? leavingReplicaIds : undefined,
     };
   }
 
@@ -263,6 +267,7 @@
     if (body.backlog) this.backlog.onPushed(body.backlog);
     this.applyConfigurationFrom(body.configuration, 'relay');
     this.applyReceivedDirectory(body, 'relay');
+    this.applyLeaving(body);
     if (body.configurationVersion > this.view.configurationVersion) this.metrics.count('views_behind');
     const isCurrent = body.configurationVersion <= this.view.configurationVersion;
     const isNewest = body.directory.revision >= this.view.replicas.revision;
@@ -273,6 +278,15 @@
     }
   }
 
+  private applyLeaving({ leavingReplicaIds }: FleetViewBody): void {
+    const announced = (leavingReplicaIds ?? []).filter((replicaId) =>
+      this.view.announceLeaving(replicaId, this.clock.monotonicMs()),
+    );
+    announced.forEach((replicaId) =>
+      this.log.record(LogCategory.state, 'replica_announced_leaving', { replicaId, from: 'relay' }),
+    );
+  }
+
   private async fetchFrom(address: string): Promise<void> {
     if (this.fetchingFrom !== undefined) return;
     this.fetchingFrom = address;
@@ -281,6 +295,7 @@
     if (!answer.ok) return;
     this.applyConfigurationFrom(answer.value.configuration, 'peer');
     this.applyReceivedDirectory(answer.value, 'peer');
+    this.applyLeaving(answer.value);
   }
 }
 
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -2,7 +2,7 @@
 import type { DirectorySnapshot, ReplicaRecord, RoutingConfiguration } from '@fighub/core';
 import { InvariantName, checkInvariant } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
-import { OriginHistory, canContinue } from '@fighub/decisions';
+import { LeavingReplicas, OriginHistory, canContinue } from '@fighub/decisions';
 
 import { RouteTable } from './route-table.js';
 
@@ -15,6 +15,7 @@
   private table: RouteTable | undefined;
   private directory: DirectorySnapshot = { revision: 0, replicas: [] };
   private replicasById = new Map<string, ReplicaRecord>();
+  private readonly announcedLeaving = new LeavingReplicas();
   private readonly listeners: ViewListener[] = [];
   private changes = 0;
 
@@ -49,7 +50,29 @@
   /** Whether a replica is known and not leaving, so that it may get new requests. */
   isUsable(replicaId: string): boolean {
     const replica = this.replicasById.get(replicaId);
-    return replica !== undefined && !replica.leaving;
+    return replica !== undefined && this.takesRequests(replica);
+  }
+
+  /** Whether a response of this replica has stated that it is leaving. No directory takes that back. */
+  hasAnnouncedLeaving(replicaId: string): boolean {
+    return this.announcedLeaving.has(replicaId);
+  }
+
+  /** Listed replicas whose responses have stated that they are leaving. */
+  get leavingReplicaIds(): string[] {
+    return this.announcedLeaving.ids().filter((replicaId) => this.replicasById.has(replicaId));
+  }
+
+  /** Records that a response of a replica stated that it is leaving. Returns false if that was known. */
+  announceLeaving(replicaId: string, nowMs: number): boolean {
+    if (!this.announcedLeaving.add(replicaId, nowMs)) return false;
+    this.notifyChange();
+    return true;
+  }
+
+  /** Forgets announcements of replicas that the directory has not listed for a long time. */
+  forgetLongGone(nowMs: number): void {
+    this.announcedLeaving.onDirectory((replicaId) => this.replicasById.has(replicaId), nowMs);
   }
 
   /** Where streams begin that a replica starts; undefined when the replica is not known. */
@@ -69,13 +92,16 @@
 
   /** Whether a replica of the service at this software version may get new requests. */
   serves(origin: StreamOrigin): boolean {
-    return this.directory.replicas.some((replica) => !replica.leaving && canContinue(origin, replica));
+    return this.directory.replicas.some(
+      (replica) => this.takesRequests(replica) && canContinue(origin, replica),
+    );
   }
 
   /** Whether a replica of the service at another software version may get new requests. */
   servesOtherVersions(origin: StreamOrigin): boolean {
     return this.directory.replicas.some(
-      (replica) => replica.service === origin.service && !replica.leaving && !canContinue(origin, replica),
+      (replica) =>
+        replica.service === origin.service && this.takesRequests(replica) && !canContinue(origin, replica),
     );
   }
 
@@ -104,6 +130,10 @@
     return true;
   }
 
+  private takesRequests(replica: ReplicaRecord): boolean {
+    return !replica.leaving && !this.announcedLeaving.has(replica.replicaId);
+  }
+
   private notifyChange(): void {
     this.changes += 1;
     this.listeners.forEach((listener) => listener());
--- a/packages/serving/src/routing/route-table.test.ts
+++ b/packages/serving/src/routing/route-table.test.ts
@@ -59,4 +59,16 @@
     expect(view.isUsable('r')).toBe(false);
     expect(view.isUsable('unknown')).toBe(false);
   });
+
+  it('does not use a replica again that announced that it is leaving, but another one at its address', () => {
+    const view = new FleetView();
+    const replica = { service: 's', address: 'r:1', failureDomain: 'd', softwareVersion: 'v1', slots: 8 };
+    const old = { ...replica, replicaId: 'old', leaving: false };
+    view.applyDirectory({ revision: 1, replicas: [old] });
+    view.announceLeaving('old', 0);
+    expect([view.isUsable('old'), view.serves(replica)]).toEqual([false, false]);
+    view.applyDirectory({ revision: 2, replicas: [] });
+    view.applyDirectory({ revision: 3, replicas: [old, { ...old, replicaId: 'new' }] });
+    expect([view.isUsable('old'), view.isUsable('new'), view.serves(replica)]).toEqual([false, true, true]);
+  });
 });
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -18,6 +18,11 @@
   limitsOf: () => NO_LIMITS,
 };
 
+/** Id of the pool of a service. */
+export function poolIdOfService(service: string): string {
+  return poolIdOf(service, WHOLE_FLEET);
+}
+
 /** Provides the pools of the current fleet view. */
 export class ServicePoolCatalogue implements PoolCatalogue {
   private describedVersion = -1;
@@ -57,7 +62,7 @@
     const { replicas } = this.view.replicas;
     const services = [...new Set(replicas.map((replica) => replica.service))];
     return services.map((service) => ({
-      poolId: poolIdOf(service, WHOLE_FLEET),
+      poolId: poolIdOfService(service),
       model: service,
       failureDomain: WHOLE_FLEET,
       upstreams: replicas
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -26,6 +26,7 @@
 import { FleetView } from './routing/fleet-view.js';
 import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
 import { FleetViewUpdater } from './routing/fleet-view-updater.js';
+import { LeavingAnnouncements } from './routing/leaving-announcements.js';
 import type { ServingSettings } from './settings.js';
 
 /** Adapters that a hosting platform implements so that instances can run on it. */
@@ -64,6 +65,7 @@
   direct: token<DirectDispatch>('direct'),
   permits: token<PermitClient>('permits'),
   origins: token<StreamOriginExchange>('origins'),
+  leavingAnnouncements: token<LeavingAnnouncements>('leavingAnnouncements'),
   runner: token<ForwardRunner>('runner'),
   inputs: token<InputCache>('inputs'),
   backlog: token<BacklogView>('backlog'),
@@ -214,6 +216,21 @@
         get(Tokens.log),
       ),
   );
+  bindPart(
+    container,
+    Tokens.leavingAnnouncements,
+    (get) =>
+      new LeavingAnnouncements(
+        get(Tokens.self).instanceId,
+        get(Tokens.view),
+        (poolId) => get(Tokens.host).ownerOfPool(poolId),
+        () => get(Tokens.membership),
+        get(Tokens.node),
+        get(Tokens.clock),
+        get(Tokens.metrics),
+        get(Tokens.log),
+      ),
+  );
   bindPart(container, Tokens.runner, (get) => new ForwardRunner(runDependencies(get)));
 }
 
@@ -236,6 +253,7 @@
     permits: get(Tokens.permits),
     transport: get(Tokens.adapters).transport,
     origins: get(Tokens.origins),
+    leavingAnnouncements: get(Tokens.leavingAnnouncements),
     clock: get(Tokens.clock),
     metrics: get(Tokens.metrics),
     log: get(Tokens.log),
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -18,6 +18,8 @@
   crossed: number;
   /** HTTP status with which every request fails after it has started to run; 0 to respond with an event stream. */
   status: number;
+  /** Whether all responses state that the replica is leaving. */
+  leaving: boolean;
 }
 
 /** Record of one request that the replica ran. */
@@ -53,7 +55,16 @@
 /** A replica that responds to each request with `eventCount` events, one every `eventMs`. */
 export class ReplicaStandin {
   readonly runs: ReplicaRun[] = [];
-  readonly faults: ReplicaFaults = { refuse: 0, breakOff: 0, unframed: 0, crossed: 0, status: 0 };
+  readonly faults: ReplicaFaults = {
+    refuse: 0,
+    breakOff: 0,
+    unframed: 0,
+    crossed: 0,
+    status: 0,
+    leaving: false,
+  };
+  /** Number of requests that have reached the replica, also those that it refused. */
+  receivedRequests = 0;
   /** Highest number of requests that ran at the same time. */
   peakConcurrency = 0;
   private readonly openResponses = new Set<ServerResponse>();
@@ -78,6 +89,8 @@
     const parts: Buffer[] = [];
     for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
     const requestId = String(req.headers['attempt-id']);
+    this.receivedRequests += 1;
+    if (this.faults.leaving) res.setHeader('Server-Leaving', '1');
     if (req.headers['expect-instance'] !== this.replicaId) {
       res.writeHead(421, { 'Instance-Id': this.replicaId });
       res.end();
