Keep only coordinators in the instance list, and let the others read it rarely

Cause: each instance renewed its lease and read the whole list every 2 s: 195 calls a second at 195 instances, each returning 195 entries, besides two calls each at every start.

Change: one listed member is enough to find all others, so only coordinators stay listed, and others only once they have known no coordinator for 3 s (decisions/discovery-schedule). Instances that know a coordinator read the list every 20 s, for the case that a partition separated them from others, besides the seed addresses, which are still tried in each round.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
 export * from './connect-timeout.js';
 export * from './coordinators.js';
 export * from './disconnected-holders.js';
+export * from './discovery-schedule.js';
 export * from './fair-queue.js';
 export * from './item-continuation.js';
 export * from './job-checkpoint.js';
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -132,6 +132,7 @@
         this.settings.seedAddresses,
         container.get(Tokens.self),
         membership,
+        container.get(Tokens.clock),
         container.get(Tokens.log),
       ),
     );
