Do not ask for the load of a pool that is the only one of its model

Cause: each instance asked the owner of every pool in use for its load twice a second, 330 requests a second at one owner with 165 entries, although loads only decide the order of several pools, and a service has one pool here. A stale load of 0 slots also kept requests from the owner for up to 2.5 s.

Change: loads are asked for only where there is a choice, or where batch leasing has marked the model as in use.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -100,7 +100,6 @@
    */
   async acquire(demand: SlotDemand, signal: AbortSignal): Promise<Outcome<Slot, Problem>> {
     if (this.alwaysDirect && demand.workClass === 'online') return this.direct.acquire(demand);
-    this.modelUsedAtMs.set(demand.model, this.clock.monotonicMs());
     const pools = this.candidatePools(demand);
     if (pools.length === 0)
       return fail(
@@ -190,8 +189,13 @@
   }
 
   private candidatePools(demand: SlotDemand): string[] {
+    const pools = this.host.poolsOpenTo(demand.organisation, demand.model);
+    // The loads of pools only decide their order.
+    if (pools.length <= 1)
+      return pools.filter((pool) => pool.upstreams.length > 0).map((pool) => pool.poolId);
+    this.markModelInUse(demand.model);
     const loads = new Map(this.poolLoads().map((load) => [load.poolId, load]));
-    const candidates = this.host.poolsOpenTo(demand.organisation, demand.model).map((pool) => ({
+    const candidates = pools.map((pool) => ({
       model: pool.model,
       failureDomain: pool.failureDomain,
       places: loads.get(pool.poolId)?.places ?? pool.upstreams.length,
