Send heartbeats only where a message may not have arrived

Cause: each connection sent a heartbeat every 800 ms, and got one back, for 4 s after its last message, also where the response to that message had arrived. With a probe of another member every 0.7 s that is about 28 messages a second at each instance at rest.

Change: the dialling end sends one only while nothing was received since its last message. A connection on which nothing arrives any more is closed as soon as before.

Tests: over real connections; the first two of three failed before.

--- /dev/null
+++ b/packages/peers/src/peer-connection.test.ts
@@ -0,0 +1,91 @@
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { connect, createServer } from 'node:net';
+
+import { Metrics } from '@fighub/core';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+
+import { HEARTBEAT_PERIOD_MS } from './peer-connection.js';
+import { PeerNode } from './peer-node.js';
+
+const TIMEOUT_MS = 1_000;
+/** Longer than the time limit of a test, which ends a wait that never succeeds. */
+const WAIT = { timeout: 600_000 };
+
+/** Two nodes, one of which reaches the other through a proxy that can stop passing bytes on. */
+class ProxiedNodes {
+  isSilent = false;
+  readonly dialling = this.newNode('dialling');
+  private readonly accepting = this.newNode('accepting');
+  private proxy: Server | undefined;
+  private readonly sockets: Socket[] = [];
+
+  /** Starts listening and returns the address of the proxy. */
+  async start(): Promise<string> {
+    this.accepting.onRequest('swim.members', () => ({ members: [] }));
+    const port = await this.accepting.listen();
+    const proxy = createServer((socket) => this.relay(socket, connect(port, '127.0.0.1')));
+    this.proxy = proxy;
+    await new Promise<void>((resolve) => proxy.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${String((proxy.address() as AddressInfo).port)}`;
+  }
+
+  stop(): void {
+    this.dialling.close();
+    this.accepting.close();
+    this.sockets.forEach((socket) => socket.destroy());
+    this.proxy?.close();
+  }
+
+  private newNode(instanceId: string): PeerNode {
+    return new PeerNode({ instanceId, host: '127.0.0.1', port: 0, secret: 's' }, new Metrics(), (error) => {
+      throw error;
+    });
+  }
+
+  private relay(near: Socket, far: Socket): void {
+    this.sockets.push(near, far);
+    near.on('data', (bytes) => this.isSilent || far.write(bytes));
+    far.on('data', (bytes) => this.isSilent || near.write(bytes));
+  }
+}
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+describe('PeerConnection', () => {
+  let nodes: ProxiedNodes;
+
+  afterEach(() => nodes.stop());
+
+  it('sends no heartbeats after the response to its last message', async () => {
+    nodes = new ProxiedNodes();
+    const address = await nodes.start();
+    expect((await nodes.dialling.request(address, 'swim.members', {}, TIMEOUT_MS)).ok).toBe(true);
+    const before = nodes.dialling.traffic();
+    await pause(3 * HEARTBEAT_PERIOD_MS);
+    expect(nodes.dialling.traffic()).toEqual(before);
+  });
+
+  it('sends one heartbeat after a notice, which has no response', async () => {
+    nodes = new ProxiedNodes();
+    const address = await nodes.start();
+    await nodes.dialling.request(address, 'swim.members', {}, TIMEOUT_MS);
+    nodes.dialling.notify(address, 'job.offered', { jobId: 'j' });
+    const received = nodes.dialling.traffic().bytesReceived;
+    await vi.waitUntil(() => nodes.dialling.traffic().bytesReceived > received, WAIT);
+    const confirmed = nodes.dialling.traffic();
+    await pause(2 * HEARTBEAT_PERIOD_MS);
+    expect(nodes.dialling.traffic()).toEqual(confirmed);
+  });
+
+  it('is closed when nothing is received after a notice', async () => {
+    nodes = new ProxiedNodes();
+    const address = await nodes.start();
+    await nodes.dialling.request(address, 'swim.members', {}, TIMEOUT_MS);
+    const closed = new Promise<void>((resolve) => nodes.dialling.onOutboundClosed(resolve));
+    nodes.isSilent = true;
+    nodes.dialling.notify(address, 'job.offered', { jobId: 'j' });
+    await closed;
+  });
+});
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -10,8 +10,6 @@
 export const SILENCE_LIMIT_MS = 2_500;
 /** Period of the heartbeats and of the checks for silent connections. */
 export const HEARTBEAT_PERIOD_MS = 800;
-/** Heartbeats stop this long after the last message was sent, so that an idle connection causes no traffic. */
-const HEARTBEATS_AFTER_USE_MS = 4_000;
 /** An accepted connection that receives nothing for this long is closed. */
 const ACCEPTED_IDLE_LIMIT_MS = 60_000;
 const HANDSHAKE_TIMEOUT_MS = 2_000;
@@ -41,7 +39,8 @@
   private readonly ownHello: HelloBody;
   private peerHello: HelloBody | undefined;
   private lastReceivedMs = performance.now();
-  private lastUsedMs = performance.now();
+  /** Whether a message was sent after the last bytes were received, so that it is not known whether it arrived. */
+  private isUnconfirmed = false;
   /** When the first heartbeat since the last received bytes was sent; undefined when none was sent since. */
   private unansweredSinceMs: number | undefined;
   private readonly openedMs = performance.now();
@@ -79,7 +78,7 @@
   /** Sends a frame; does nothing on a closed connection. */
   send(frame: Frame): void {
     if (this.closed) return;
-    if (frame.kind !== FrameKind.heartbeat) this.lastUsedMs = performance.now();
+    this.isUnconfirmed = true;
     const bytes = encodeFrame(frame);
     this.bytesSent += bytes.length;
     this.socket.write(bytes);
@@ -106,15 +105,15 @@
   }
 
   /**
-   * Sends a heartbeat while the connection is in use, and closes the connection when nothing is received in response.
-   * Only the dialling end does this; the accepting end returns each heartbeat.
+   * Sends a heartbeat when nothing was received since the last message, and closes the connection when nothing is
+   * received in response. Only the dialling end does this; the accepting end returns each heartbeat.
    */
   private sendHeartbeat(nowMs: number): void {
     if (this.unansweredSinceMs !== undefined && nowMs - this.unansweredSinceMs > SILENCE_LIMIT_MS) {
       this.close('nothing received within the silence limit');
       return;
     }
-    if (nowMs - this.lastUsedMs > HEARTBEATS_AFTER_USE_MS && this.unansweredSinceMs === undefined) return;
+    if (!this.isUnconfirmed) return;
     this.unansweredSinceMs ??= nowMs;
     this.send({ kind: FrameKind.heartbeat });
   }
@@ -122,6 +121,7 @@
   private onData(bytes: Buffer): void {
     this.lastReceivedMs = performance.now();
     this.unansweredSinceMs = undefined;
+    this.isUnconfirmed = false;
     this.bytesReceived += bytes.length;
     const frames = this.reader.push(bytes);
     if (!frames.ok) {
