Probe and notify neighbours on a ring in place of random members

Cause: each instance probed another random member every 0.7 s. With 195 members no connection was used twice before it was closed as idle, so that every probe paid for a new one with its handshake. Each change of a member's state was passed on to 8 random members, again over new connections: some 1,500 for one change.

Change: an instance probes and notifies the members 1, 2, 4, 8, … places after it on a ring ordered by digests of the ids (decisions/member-ring): 8 of 195, over connections that stay open. Since a lost update is no longer repaired by a probe of everybody sooner or later, pings carry a digest of the live members; after four responses in a row with another one the peer's list is fetched, and members that are live on one side only are probed next.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,6 +20,7 @@
 export * from './leaving-replicas.js';
 export * from './limit-parts.js';
 export * from './load-drift.js';
+export * from './member-ring.js';
 export * from './membership.js';
 export * from './ordered-map.js';
 export * from './organisation-limits.js';
--- a/packages/decisions/src/membership.test.ts
+++ b/packages/decisions/src/membership.test.ts
@@ -59,6 +59,25 @@
     ).toEqual(['a2', 'b', 'self']);
   });
 
+  it('probes its neighbours on the ring only, each once in a round', () => {
+    const members = membership();
+    members.merge(
+      Array.from({ length: 63 }, (_, index) => member(`m${String(index)}`)),
+      0,
+    );
+    const round = Array.from({ length: 6 }, () => members.nextProbe()?.instanceId);
+    expect(new Set(round)).toEqual(new Set(members.neighbours().map(({ instanceId }) => instanceId)));
+    expect(new Set(round).size).toBe(6);
+  });
+
+  it('probes members next that a peer counts as live and this instance as dead, or the reverse', () => {
+    const members = membership();
+    members.merge([member('gone'), member('back', { state: 'dead' }), member('both')], 0);
+    members.mergeSnapshot([member('back'), member('both')], 1);
+    const probed = [members.nextProbe()?.instanceId, members.nextProbe()?.instanceId];
+    expect(probed.sort()).toEqual(['back', 'gone']);
+  });
+
   it('ignores an alive update of an older incarnation for a leaving member', () => {
     const members = membership();
     members.merge([member('a', { state: 'leaving', incarnation: 2 })], 0);
--- a/packages/decisions/src/membership.ts
+++ b/packages/decisions/src/membership.ts
@@ -1,6 +1,8 @@
 /**
- * SWIM-style membership as a pure state machine: probe order, suspicion with incarnations, and dissemination.
+ * SWIM-style membership as a pure state machine: probe order, suspicion with incarnations, and dissemination. Unlike in
+ * SWIM, an instance probes its neighbours on a ring in place of random members.
  */
+import { MemberRing } from './member-ring.js';
 
 /**
  * States of a member. Between updates of the same incarnation, a later state in this list takes precedence.
@@ -40,7 +42,12 @@
 /** The members that one instance knows, itself included. All times are monotonic, in milliseconds. */
 export class Membership {
   private readonly members = new Map<string, Member>();
+  private readonly ring: MemberRing;
+  /** Value of `changes` for which `ring` holds the live members. */
+  private ringVersion = -1;
   private probeOrder: string[] = [];
+  /** Members whose state differs between this instance and a peer, to be probed before the neighbours. */
+  private readonly doubtedIds = new Set<string>();
   private changes = 0;
 
   /** A suspect is declared dead after `suspicionMs`; `random` returns values in [0, 1). */
@@ -50,6 +57,7 @@
     private readonly random: () => number,
   ) {
     this.members.set(self.instanceId, { ...self, spreadLeft: 1 });
+    this.ring = new MemberRing(self.instanceId);
   }
 
   /** Incremented whenever the state of a member changes, since that may change ownership. */
@@ -82,15 +90,30 @@
   }
 
   /**
-   * Applies the complete member list of another member. Members learned from it are already known there, so
-   * they are not disseminated further.
+   * Applies the complete list of the live members of another member. Members learned from it are already known there,
+   * so they are not disseminated further. Those that are live on one side only are probed next.
    */
   mergeSnapshot(updates: readonly MemberUpdate[], nowMs: number): void {
     const known = new Set(this.members.keys());
+    const listed = new Set(updates.map((update) => update.instanceId));
+    const missing = this.otherLiveIds().filter((id) => !listed.has(id));
     this.merge(updates, nowMs);
     this.all()
       .filter((member) => !known.has(member.instanceId))
       .forEach((member) => this.members.set(member.instanceId, { ...member, spreadLeft: 0 }));
+    const dead = [...listed].filter((id) => this.members.get(id)?.state === MemberState.dead);
+    // In random order, so that the instances that are given the same list do not all begin with the same member.
+    this.shuffled([...dead, ...missing]).forEach((id) => this.doubtedIds.add(id));
+  }
+
+  /** A digest of the ids of the live members. Instances that know the same live members have the same one. */
+  get liveDigest(): number {
+    return this.currentRing().setDigest;
+  }
+
+  /** The live members that this instance probes and notifies itself, its neighbours on the ring. */
+  neighbours(): Member[] {
+    return this.currentRing().neighbourIds.flatMap((id) => this.members.get(id) ?? []);
   }
 
   /** Number of members whose update still has to be disseminated. */
@@ -141,11 +164,16 @@
   }
 
   /**
-   * The next member to probe, or undefined when there is none. Each round probes every live member once, in random
-   * order.
+   * The next member to probe, or undefined when there is none: one whose state is in doubt, otherwise a neighbour. Each
+   * round probes every neighbour once, in random order.
    */
   nextProbe(): Member | undefined {
-    if (this.probeOrder.length === 0) this.probeOrder = this.shuffledOthers();
+    const [doubtedId] = this.doubtedIds;
+    if (doubtedId !== undefined) {
+      this.doubtedIds.delete(doubtedId);
+      return this.members.get(doubtedId);
+    }
+    if (this.probeOrder.length === 0) this.probeOrder = this.shuffled(this.currentRing().neighbourIds);
     const id = this.probeOrder.pop();
     return id === undefined ? undefined : this.members.get(id);
   }
@@ -158,7 +186,7 @@
 
   /** Up to `count` random alive members other than this instance and `exceptId`, for example for indirect probes. */
   randomAliveMembers(exceptId: string, count: number): Member[] {
-    return this.shuffledOthers()
+    return this.shuffled(this.otherLiveIds())
       .filter((id) => id !== exceptId)
       .map((id) => this.members.get(id))
       .filter((member) => member?.state === MemberState.alive)
@@ -211,10 +239,23 @@
     if (known?.state !== update.state) this.changes += 1;
   }
 
-  private shuffledOthers(): string[] {
+  private currentRing(): MemberRing {
+    if (this.ringVersion !== this.changes) {
+      this.ringVersion = this.changes;
+      this.ring.setOthers(this.otherLiveIds());
+    }
+    return this.ring;
+  }
+
+  private otherLiveIds(): string[] {
     return this.all()
       .filter((member) => member.instanceId !== this.self.instanceId && !isDeadOrLeaving(member.state))
-      .map((member) => ({ id: member.instanceId, key: this.random() }))
+      .map((member) => member.instanceId);
+  }
+
+  private shuffled(ids: readonly string[]): string[] {
+    return ids
+      .map((id) => ({ id, key: this.random() }))
       .sort((a, b) => a.key - b.key)
       .map((entry) => entry.id);
   }
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -31,10 +31,10 @@
   readonly peerAddress: string;
 }
 
-/** Number of members that are notified of a change at once. The others learn of it from the following pings. */
-const EAGER_FANOUT = 8;
 /** Number of members that are asked to confirm that an instance is unreachable. */
 const CONFIRMATION_PROBES = 4;
+/** After this many responses in a row from instances that know other live members, the next one's list is fetched. */
+const MAX_DIFFERING_RESPONSES = 4;
 /** Maximum number of listed instances that one call to `seed` pings. */
 const SEEDS_PER_ROUND = 4;
 
@@ -43,6 +43,8 @@
   readonly membership: Membership;
   private timer: NodeJS.Timeout | undefined;
   private lastDisseminatedVersion = 0;
+  /** Responses to pings in a row whose sender knows other live members. */
+  private differingResponses = 0;
 
   constructor(
     private readonly self: MemberUpdate,
@@ -99,13 +101,12 @@
    */
   private async join(candidate: SeedCandidate): Promise<void> {
     const known = this.membership.get(candidate.instanceId);
-    if (!(await this.ping(candidate.peerAddress, known))) return;
-    const answer = await this.node.request(
-      candidate.peerAddress,
-      'swim.members',
-      {},
-      this.options.probeTimeoutMs * 2,
-    );
+    if (await this.ping(candidate.peerAddress, known)) await this.fetchMembers(candidate.peerAddress);
+  }
+
+  private async fetchMembers(address: string): Promise<void> {
+    const timeoutMs = this.options.probeTimeoutMs * 2;
+    const answer = await this.node.request(address, 'swim.members', {}, timeoutMs);
     if (answer.ok) this.membership.mergeSnapshot(answer.value.members, performance.now());
   }
 
@@ -169,9 +170,23 @@
     if (!answer.ok) return false;
     this.membership.recordAnswer(answer.value.from, performance.now());
     this.applyPing(answer.value);
+    this.compareMembers(address, answer.value.liveDigest);
     return target === undefined || target.instanceId === answer.value.from.instanceId;
   }
 
+  /**
+   * Fetches the members of a peer when others are known there than here for longer than a change takes to spread. This
+   * finds updates that were lost, also those of members that no instance probes.
+   */
+  private compareMembers(address: string, liveDigest: number | undefined): void {
+    const differs = liveDigest !== undefined && liveDigest !== this.membership.liveDigest;
+    this.differingResponses = differs ? this.differingResponses + 1 : 0;
+    if (this.differingResponses < MAX_DIFFERING_RESPONSES) return;
+    this.differingResponses = 0;
+    this.metrics.count('member_lists_fetched');
+    void this.fetchMembers(address);
+  }
+
   private onPing(body: PingBody): PingBody {
     this.applyPing(body);
     return this.pingBody(this.membership.get(body.from.instanceId));
@@ -188,6 +203,7 @@
       from: updateOf(self),
       updates: receiver ? [...updates, updateOf(receiver)] : updates,
       table: this.piggyback.tableDigest(),
+      liveDigest: this.membership.liveDigest,
     };
   }
 
@@ -206,8 +222,7 @@
 
   private disseminateEagerly(): void {
     const updates = this.membership.takeUpdatesToSend();
-    this.membership
-      .randomAliveMembers(this.self.instanceId, EAGER_FANOUT)
-      .forEach((peer) => this.node.notify(peer.peerAddress, 'swim.update', { updates }));
+    const addresses = this.membership.neighbours().map((peer) => peer.peerAddress);
+    this.node.notifyAll(addresses, 'swim.update', { updates });
   }
 }
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -159,11 +159,13 @@
   readonly outcome: unknown;
 }
 
-/** Body of a ping and of the response to it: the sender, membership updates and a table digest. */
+/** Body of a ping and of the response to it: the sender, membership updates, and digests of what the sender knows. */
 export interface PingBody {
   readonly from: MemberUpdate;
   readonly updates: readonly MemberUpdate[];
   readonly table: TableDigest;
+  /** Digest of the live members that the sender knows; absent in messages of older releases. */
+  readonly liveDigest?: number;
 }
 
 /** Bodies of the requests (`body`) and of their responses (`answer`), by message name. */
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -51,7 +51,7 @@
 /** Maximum number of frames that wait for the handshake of one connection. */
 const MAX_WAITING_FRAMES = 1_000;
 /** Outbound connections that were not used for this long are closed when another one is dialled. */
-const IDLE_LINK_MS = 10_000;
+const IDLE_LINK_MS = 30_000;
 
 /** The listening port of one instance, with its inbound and outbound connections. */
 export class PeerNode {
