Write the results, progress and checkpoints of several jobs in one transaction

Cause: each job committed its own results, mostly one at a time, renewed its own claim every 3.5 s and saved its own checkpoint.

Change: when any job of a holder has something to write, the others write along what they have: results at once, signs of activity and checkpoints from half of their period on (mayCommit, mayCheckpoint). The writes are packed into transactions of up to 16 keys (decisions/write-groups). If one of them conflicts, the writes are repeated one by one, so that a job depends on no other. The checkpoint of a finished job is deleted along with other writes. A job that is being released takes no part.

What is written, how often at least, and who takes over a job when is as before.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -41,3 +41,4 @@
 export * from './retry-policy.js';
 export * from './stream-origins.js';
 export * from './token-bucket.js';
+export * from './write-groups.js';
--- a/packages/decisions/src/job-checkpoint.ts
+++ b/packages/decisions/src/job-checkpoint.ts
@@ -18,6 +18,8 @@
 const CHECKPOINT_PERIOD_MS = 2_000;
 /** With fewer unsaved events than this, generating them again is quicker than saving them. */
 const MIN_UNSAVED_EVENTS = 60;
+/** A checkpoint is saved along with another write when the last one is at least this old. */
+const MIN_CHECKPOINT_PERIOD_MS = CHECKPOINT_PERIOD_MS / 2;
 /** Maximum bytes of the outputs as JSON; the store limits a value to 1 MB. */
 const MAX_RECORD_BYTES = 500_000;
 
@@ -26,6 +28,11 @@
   return unsavedEvents >= MIN_UNSAVED_EVENTS && sinceLastMs >= CHECKPOINT_PERIOD_MS;
 }
 
+/** Whether a checkpoint is worth saving if another write is made anyway. */
+export function mayCheckpoint(unsavedEvents: number, sinceLastMs: number): boolean {
+  return unsavedEvents >= MIN_UNSAVED_EVENTS && sinceLastMs >= MIN_CHECKPOINT_PERIOD_MS;
+}
+
 /**
  * Selects the outputs with the most events, since they are the costliest to generate again, up to the first one that
  * does not fit into the record.
--- a/packages/decisions/src/job-progress.test.ts
+++ b/packages/decisions/src/job-progress.test.ts
@@ -9,6 +9,7 @@
   endJob,
   releaseJob,
   isClosed,
+  mayCommit,
   nextSegmentKey,
   shouldClaim,
   shouldCommit,
@@ -107,6 +108,16 @@
   });
 });
 
+describe('mayCommit', () => {
+  const state = { pendingResults: 0, oldestPendingMs: 0, itemsLeft: 3, lastWriteMs: 0, dueMs: 18_000 };
+
+  it('commits any result along with another write, and otherwise shows activity after half of the period', () => {
+    expect(mayCommit({ ...state, pendingResults: 1 }, 0)).toBe(true);
+    expect(mayCommit(state, 1_749)).toBe(false);
+    expect(mayCommit(state, 1_750)).toBe(true);
+  });
+});
+
 describe('waitingTokensByRoute', () => {
   it('sums the open tokens of each route over jobs that are not closed', () => {
     const other = { ...PROGRESS, routeName: 'other' };
--- a/packages/decisions/src/job-progress.ts
+++ b/packages/decisions/src/job-progress.ts
@@ -98,6 +98,8 @@
 const NEAR_DUE_MS = 2_500;
 /** A holder writes at least this often, with or without results, so that others see that it is active. */
 const TOUCH_AFTER_MS = 3_500;
+/** A holder shows that it is active along with another write when its last one is at least this old. */
+const MIN_TOUCH_PERIOD_MS = TOUCH_AFTER_MS / 2;
 
 /** Whether the holder should write now, either to commit results or to show that it is active. */
 export function shouldCommit(state: CommitState, nowMs: number): boolean {
@@ -107,6 +109,11 @@
   return isNearDue || nowMs - state.oldestPendingMs >= COMMIT_AFTER_MS;
 }
 
+/** Whether the holder should write if it makes another write anyway, for example for another job. */
+export function mayCommit(state: CommitState, nowMs: number): boolean {
+  return state.pendingResults > 0 || nowMs - state.lastWriteMs >= MIN_TOUCH_PERIOD_MS;
+}
+
 /** What an instance knows about a job's holder when it decides whether to claim the job. */
 export interface HolderEvidence {
   /** Whether the membership counts the holder as live. */
--- a/packages/serving/src/batch/job-checkpoint.ts
+++ b/packages/serving/src/batch/job-checkpoint.ts
@@ -2,24 +2,30 @@
 import type { Clock, Metrics } from '@fighub/core';
 import { batchJobKeys } from '@fighub/core';
 import type { PartialOutput } from '@fighub/decisions';
-import { outputsToSave, shouldCheckpoint } from '@fighub/decisions';
+import { outputsToSave, mayCheckpoint, shouldCheckpoint } from '@fighub/decisions';
 import type { RecordStore, Versioned } from '@fighub/outside';
 
+import type { JobWrite } from './job-writes.js';
+import { writeTogether } from './job-writes.js';
+
 /** The stored record of a checkpoint. */
 interface StoredCheckpoint {
   readonly outputs: readonly PartialOutput[];
 }
 
+/** The checkpoint of a finished job is deleted by itself when no other write was made for this long. */
+const REMOVE_AFTER_MS = 5_000;
+
 /**
- * Saves the partial outputs of a job's unfinished items, so that the next holder resumes their streams. A lost
- * checkpoint costs only time, since the items are then run from the start.
+ * Prepares the writes that save the partial outputs of a job's unfinished items, so that the next holder resumes their
+ * streams. A lost checkpoint costs only time, since the items are then run from the start.
  */
 export class JobCheckpoint {
   private record: Versioned<StoredCheckpoint> | undefined;
-  /** Value of `receivedEvents` at the last checkpoint. */
+  /** Number of received events at the last checkpoint. */
   private savedEvents = 0;
   private savedAtMs: number;
-  private saving = false;
+  private writing = false;
 
   constructor(
     private readonly jobId: string,
@@ -39,31 +45,57 @@
   }
 
   /**
-   * Saves the outputs when a checkpoint is due. `receivedEvents` is the number of events that this instance has
-   * received for the job; it never falls.
+   * Whether a checkpoint is due. `receivedEvents` is the number of events that this instance has received for the job;
+   * it never falls.
    */
-  run(receivedEvents: number, outputs: () => readonly PartialOutput[]): void {
-    const sinceLastMs = this.clock.monotonicMs() - this.savedAtMs;
-    if (this.saving || !shouldCheckpoint(receivedEvents - this.savedEvents, sinceLastMs)) return;
+  isDue(receivedEvents: number): boolean {
+    return !this.writing && shouldCheckpoint(receivedEvents - this.savedEvents, this.sinceLastMs);
+  }
+
+  /** The write of a checkpoint, if it is due, or soon enough to be saved along with other writes. */
+  takeWrite(receivedEvents: number, outputs: () => readonly PartialOutput[]): JobWrite[] {
+    if (this.writing || !mayCheckpoint(receivedEvents - this.savedEvents, this.sinceLastMs)) return [];
     this.savedEvents = receivedEvents;
     this.savedAtMs = this.clock.monotonicMs();
-    void this.save(outputs());
+    return [this.writeOf(outputs())];
   }
 
   /** Saves the outputs now. Does not overwrite a checkpoint that another holder has written since. */
   async save(outputs: readonly PartialOutput[]): Promise<void> {
-    this.saving = true;
-    const written = await this.store.write<StoredCheckpoint>(this.key, this.record, {
-      outputs: outputsToSave(outputs),
-    });
-    this.saving = false;
-    if (written.ok) this.record = written.value;
-    this.metrics.count(written.ok ? 'batch_checkpoints' : 'batch_checkpoints_failed');
+    await writeTogether(this.store, [this.writeOf(outputs)]);
+  }
+
+  /** Whether the checkpoint of a finished job is to be deleted even if nothing else is written. */
+  get isRemovalDue(): boolean {
+    return this.record !== undefined && !this.writing && this.sinceLastMs >= REMOVE_AFTER_MS;
+  }
+
+  /** The deletion of the checkpoint of a finished job, if there is one. */
+  takeRemoval(): JobWrite[] {
+    const { record } = this;
+    if (!record || this.writing) return [];
+    this.record = undefined;
+    return [{ changes: [{ key: this.key, previous: record }], keys: 1, bytes: 0, settle: () => undefined }];
+  }
+
+  private get sinceLastMs(): number {
+    return this.clock.monotonicMs() - this.savedAtMs;
   }
 
-  /** Deletes the checkpoint of a finished job. */
-  async remove(): Promise<void> {
-    if (this.record) await this.store.remove(this.record);
+  private writeOf(outputs: readonly PartialOutput[]): JobWrite {
+    this.writing = true;
+    const value: StoredCheckpoint = { outputs: outputsToSave(outputs) };
+    return {
+      changes: [{ key: this.key, previous: this.record, value }],
+      keys: 1,
+      bytes: value.outputs.reduce((sum, output) => sum + output.text.length, 0),
+      settle: (outcome) => {
+        this.writing = false;
+        const written = outcome.ok ? outcome.value.get(this.key) : undefined;
+        if (written) this.record = written as Versioned<StoredCheckpoint>;
+        this.metrics.count(written ? 'batch_checkpoints' : 'batch_checkpoints_failed');
+      },
+    };
   }
 
   private get key(): string {
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -17,6 +17,7 @@
 import type { InputCache } from './input-cache.js';
 import type { ItemRunDependencies } from './item-run.js';
 import { JobCheckpoint } from './job-checkpoint.js';
+import { writeTogether } from './job-writes.js';
 import { RunningJob } from './running-job.js';
 
 /** Sequence number of a job's progress, and when a listing first contained it. */
@@ -103,6 +104,7 @@
 
   run(nowMs: number): void {
     this.jobs.all().forEach((job) => job.run(nowMs));
+    this.writeDue(nowMs);
     this.dropFinished(nowMs);
     const isIdle = !this.busy;
     if (this.stopped || this.listing || nowMs < this.nextListMs) return;
@@ -116,7 +118,12 @@
   async drain(): Promise<void> {
     this.stopped = true;
     const held = this.jobs.all().filter((job) => !job.finished);
-    await Promise.all(held.map((job) => job.release()));
+    const nowMs = this.clock.monotonicMs();
+    const lastWrites = this.jobs
+      .all()
+      .filter((job) => job.finished)
+      .flatMap((job) => job.takeWrites(nowMs));
+    await Promise.all([writeTogether(this.store, lastWrites), ...held.map((job) => job.release())]);
     const others = this.members()
       .owners()
       .filter((member) => member.instanceId !== this.selfId());
@@ -244,6 +251,16 @@
     job.run(this.clock.monotonicMs());
   }
 
+  /** Makes the writes that are due, and along with them those of all jobs that have something to write. */
+  private writeDue(nowMs: number): void {
+    const jobs = this.jobs.all();
+    if (!jobs.some((job) => job.isWriteDue(nowMs))) return;
+    void writeTogether(
+      this.store,
+      jobs.flatMap((job) => job.takeWrites(nowMs)),
+    );
+  }
+
   private dropFinished(nowMs: number): void {
     this.jobs
       .all()
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -6,6 +6,7 @@
 import type { UpstreamCall, UpstreamListener } from '../online/forwarding.js';
 import type { ItemRunDependencies } from './item-run.js';
 import { JobCheckpoint } from './job-checkpoint.js';
+import { writeTogether } from './job-writes.js';
 import { RunningJob } from './running-job.js';
 
 const DISCARDING_WRITER: LineWriter = { info: () => undefined, warn: () => undefined };
@@ -71,10 +72,11 @@
   const job = new RunningJob(record.value, items, [], [], checkpoint, store, dependencies, () => true);
   const complete = (): void => {
     job.run(clock.monotonicMs());
+    void writeTogether(store, job.takeWrites(clock.monotonicMs()));
     expect(job.finished).toBe(true);
   };
   await vi.waitFor(complete, { timeout: 20_000 });
-  return { job, store };
+  return { job, store, clock };
 }
 
 describe('RunningJob', () => {
@@ -99,4 +101,12 @@
       1, 1, 1, 1, 1, 1,
     ]);
   });
+
+  it('deletes its checkpoint only after it has finished, and makes no write while it is released', async () => {
+    const { job, clock } = await startJob(['short']);
+    expect(job.takeWrites(clock.monotonicMs())).toEqual([]);
+    void job.release();
+    expect(job.isWriteDue(clock.monotonicMs() + 60_000)).toBe(false);
+    expect(job.takeWrites(clock.monotonicMs() + 60_000)).toEqual([]);
+  });
 });
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -3,11 +3,12 @@
 
 import type { Clock, DecisionLog, JobProgress, Metrics, StoredItem, StoredResult } from '@fighub/core';
 import { InvariantName, LogCategory, batchJobKeys, checkInvariant } from '@fighub/core';
-import type { EndedItem, PartialOutput } from '@fighub/decisions';
+import type { CommitState, EndedItem, PartialOutput } from '@fighub/decisions';
 import {
   commitResults,
   releaseJob,
   isClosed,
+  mayCommit,
   nextSegmentKey,
   shouldCommit,
   touchJob,
@@ -19,6 +20,8 @@
 import type { ItemOutput, ItemRunDependencies, ItemRunResult } from './item-run.js';
 import { ItemRunOutcome, runItem } from './item-run.js';
 import type { JobCheckpoint } from './job-checkpoint.js';
+import type { JobWrite, JobWriteOutcome } from './job-writes.js';
+import { writeTogether } from './job-writes.js';
 
 /** An item without a result. */
 interface OpenItem {
@@ -45,8 +48,8 @@
 const WRITE_RETRY_DELAY_MS = 400;
 
 /**
- * Runs the open items of a job and commits their results. An item is finished once the stored progress lists
- * it.
+ * Runs the open items of a job and prepares the writes that commit their results. An item is finished once the stored
+ * progress lists it.
  */
 export class RunningJob {
   private readonly items = new Map<number, OpenItem>();
@@ -58,6 +61,8 @@
   private writing: Promise<void> | undefined;
   private readonly stopping = new AbortController();
   private failuresChanged = false;
+  /** Whether `release` has begun, which makes the last writes of this instance itself. */
+  private releasing = false;
   /** Whether this instance has stopped running the job. `isClosed` is about the stored progress instead. */
   private closed = false;
   private receivedEvents = 0;
@@ -121,18 +126,33 @@
     };
   }
 
-  /** Starts the items that may run, and writes results and checkpoints when they are due. */
+  /** Starts the items that may run. */
   run(nowMs: number): void {
     if (this.finished) return;
     this.abandonOverdue();
-    if (this.writing === undefined && nowMs >= this.retryWriteAtMs && this.shouldWrite(nowMs)) this.commit();
-    this.checkpoint.run(this.receivedEvents, () => this.partialOutputs());
     if (!this.mayDispatch()) return;
     [...this.items.values()]
       .filter((entry) => !entry.running && entry.retryAtMs <= nowMs)
       .forEach((entry) => void this.start(entry));
   }
 
+  /** Whether results, the progress or a checkpoint are to be written now, whatever other jobs write. */
+  isWriteDue(nowMs: number): boolean {
+    if (this.releasing) return false;
+    if (this.finished) return !this.closed && this.checkpoint.isRemovalDue;
+    const isDue = this.failuresChanged || shouldCommit(this.commitState(), nowMs);
+    return (isDue && this.mayWrite(nowMs)) || this.checkpoint.isDue(this.receivedEvents);
+  }
+
+  /** The writes that are due, and those that can be made along with others. Each must be settled. */
+  takeWrites(nowMs: number): JobWrite[] {
+    if (this.releasing) return [];
+    if (this.finished) return this.closed ? [] : this.checkpoint.takeRemoval();
+    const isDue = this.failuresChanged || mayCommit(this.commitState(), nowMs);
+    const progress = isDue && this.mayWrite(nowMs) ? [this.takeProgressWrite()] : [];
+    return [...progress, ...this.checkpoint.takeWrite(this.receivedEvents, () => this.partialOutputs())];
+  }
+
   /** Checks the stored progress from a listing, and stops the job if it was ended or has another holder. */
   observe(listed: JobProgress): void {
     const isSameEpoch = listed.epoch === this.record.value.epoch;
@@ -156,12 +176,10 @@
 
   /** Commits pending results, saves a checkpoint and releases the job for another instance to claim. */
   async release(): Promise<void> {
+    this.releasing = true;
     this.stopping.abort();
     await this.writing;
-    if (!this.closed && this.pending.length > 0) {
-      this.commit();
-      await this.writing;
-    }
+    if (!this.closed && this.pending.length > 0) await writeTogether(this.store, [this.takeProgressWrite()]);
     if (this.finished) return;
     await this.checkpoint.save(this.partialOutputs());
     const { value } = this.record;
@@ -195,18 +213,18 @@
     return this.dependencies.log;
   }
 
-  private shouldWrite(nowMs: number): boolean {
-    if (this.failuresChanged) return true;
-    return shouldCommit(
-      {
-        pendingResults: this.pending.length,
-        oldestPendingMs: this.oldestPendingMs,
-        itemsLeft: this.items.size,
-        lastWriteMs: this.lastWriteMs,
-        dueMs: this.dueMs,
-      },
-      nowMs,
-    );
+  private mayWrite(nowMs: number): boolean {
+    return this.writing === undefined && nowMs >= this.retryWriteAtMs;
+  }
+
+  private commitState(): CommitState {
+    return {
+      pendingResults: this.pending.length,
+      oldestPendingMs: this.oldestPendingMs,
+      itemsLeft: this.items.size,
+      lastWriteMs: this.lastWriteMs,
+      dueMs: this.dueMs,
+    };
   }
 
   private async start(entry: OpenItem): Promise<void> {
@@ -290,12 +308,8 @@
     this.metrics.count(succeeded ? 'batch_items_done' : 'batch_items_given_up');
   }
 
-  private commit(): void {
-    this.writing = this.write().finally(() => (this.writing = undefined));
-  }
-
-  /** Writes pending results and the progress in one transaction. Without results it only updates the progress. */
-  private async write(): Promise<void> {
+  /** The write of pending results and the progress. Without results it only updates the progress. */
+  private takeProgressWrite(): JobWrite {
     const batch = this.nextBatch();
     const { value } = this.record;
     const failures = [...this.items.values()]
@@ -304,17 +318,35 @@
     const next = batch.length > 0 ? commitResults(value, batch, failures) : touchJob(value, failures);
     const key = batchJobKeys.progress(value.jobId);
     const results = batch.map((entry) => entry.result);
+    const segmentKey = nextSegmentKey(value);
     const changes: RecordChange[] = [
       { key, previous: this.record, value: next },
-      ...(batch.length > 0 ? [{ key: nextSegmentKey(value), value: { results } }] : []),
+      ...(batch.length > 0 ? [{ key: segmentKey, value: { results } }] : []),
     ];
     this.failuresChanged = false;
-    const written = await this.store.transact(changes);
-    if (!written.ok) {
-      this.onWriteFailed(written.error.kind, written.error.detail);
+    let endWriting: () => void = () => undefined;
+    this.writing = new Promise((resolve) => (endWriting = resolve));
+    return {
+      changes,
+      keys: changes.length,
+      bytes: results.reduce((sum, { output }) => sum + output.length, 0),
+      settle: (outcome) => {
+        this.writing = undefined;
+        this.onWritten(outcome, batch);
+        endWriting();
+      },
+    };
+  }
+
+  private onWritten(outcome: JobWriteOutcome, batch: readonly EndedItem[]): void {
+    if (!outcome.ok) {
+      this.onWriteFailed(outcome.error.kind, outcome.error.detail);
       return;
     }
-    const record = written.value.get(key) as Versioned<JobProgress> | undefined;
+    const { value } = this.record;
+    const key = batchJobKeys.progress(value.jobId);
+    const results = batch.map((entry) => entry.result);
+    const record = outcome.value.get(key) as Versioned<JobProgress> | undefined;
     checkInvariant(InvariantName.countsAddUp, record !== undefined, () => ({ key }));
     if (record) this.record = record;
     this.lastWriteMs = this.clock.monotonicMs();
@@ -322,7 +354,6 @@
     this.oldestPendingMs = this.lastWriteMs;
     this.committed.push(...results);
     this.metrics.count('batch_commits');
-    if (isClosed(record?.value ?? value)) void this.checkpoint.remove();
     this.log.record(LogCategory.routine, 'job_committed', {
       jobId: value.jobId,
       epoch: value.epoch,
