Tick every 50 ms, not every 10 ms, while an instance only holds permits

Cause: an entry with a single open stream ran its systems 100 times a second, although held permits are renewed every second and released at once.

Change: only waiting requests and unsent reports ask for frequent ticks.

Test: the client asks for frequent ticks while a request waits, and not while it only holds a permit; the last part failed before.

--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -9,6 +9,18 @@
 import type { PoolHost } from './pool-host.js';
 
 const TICK_MS = 10;
+const DEMAND = {
+  requestId: 'q',
+  organisation: 'o',
+  model: 'm',
+  workClass: 'batch',
+  costTokens: 1,
+  deadlineUnixMs: 60_000,
+  prefixDigest: '',
+  excludedReplicaIds: [],
+  resumable: true,
+  alone: false,
+} as const;
 const OWNER = { instanceId: 'owner', peerAddress: 'owner:1' };
 
 function pool(failureDomain: string): PoolDescription {
@@ -16,8 +28,8 @@
   return { poolId: `m@${failureDomain}`, model: 'm', failureDomain, upstreams: [{ upstreamId: 'r', ...at }] };
 }
 
-/** Names of the requests that an instance sends in 5 s in which it asks once for a slot in one of `pools`. */
-function requestsFor(pools: readonly PoolDescription[]): string[] {
+/** A client of `pools`, the names of the requests that it sends, and a function that lets time pass. */
+function setup(pools: readonly PoolDescription[]) {
   const sent: string[] = [];
   const node = {
     onNotice: () => undefined,
@@ -51,23 +63,20 @@
     new Metrics(),
     () => 0.5,
   );
-  const demand = {
-    requestId: 'q',
-    organisation: 'o',
-    model: 'm',
-    workClass: 'batch',
-    costTokens: 1,
-    deadlineUnixMs: 60_000,
-    prefixDigest: '',
-    excludedReplicaIds: [],
-    resumable: true,
-    alone: false,
-  } as const;
-  void client.acquire(demand, new AbortController().signal);
-  for (let passedMs = 0; passedMs < 5_000; passedMs += TICK_MS) {
-    clock.advance(TICK_MS);
-    client.run(clock.monotonicMs());
-  }
+  const pass = (durationMs: number): void => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += TICK_MS) {
+      clock.advance(TICK_MS);
+      client.run(clock.monotonicMs());
+    }
+  };
+  return { client, sent, pass };
+}
+
+/** Names of the requests that an instance sends in 5 s in which it asks once for a slot in one of `pools`. */
+function requestsFor(pools: readonly PoolDescription[]): string[] {
+  const { client, sent, pass } = setup(pools);
+  void client.acquire(DEMAND, new AbortController().signal);
+  pass(5_000);
   return sent;
 }
 
@@ -81,4 +90,15 @@
   it('asks for the loads of the pools of a model among which it chooses', () => {
     expect(requestsFor([pool('d'), pool('e')])).toContain('pool.load');
   });
+
+  it('asks for frequent ticks while a request waits, and not while it only holds a permit', async () => {
+    const { client, pass } = setup([pool('')]);
+    const acquired = client.acquire(DEMAND, new AbortController().signal);
+    expect(client.busy).toBe(true);
+    const at = { poolId: 'm@', replicaId: 'r', address: 'r:1', fencingChecked: false };
+    client.granted({ ...at, requestId: 'self/q/0', permitId: 'p' });
+    expect((await acquired).ok).toBe(true);
+    pass(TICK_MS);
+    expect(client.busy).toBe(false);
+  });
 });
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -168,8 +168,9 @@
     return [...own, ...fresh.map((summary) => summary.load).filter((load) => !ownIds.has(load.poolId))];
   }
 
+  /** Permits that are only held need no frequent ticks: they are renewed every second, and released at once. */
   get busy(): boolean {
-    return this.waiting.size + this.places.size + this.outbox.size > 0;
+    return this.waiting.size + this.outbox.size > 0;
   }
 
   run(nowMs: number): void {
