Leave a replica whose stream sends a byte now and then but completes no event

Cause: the limit on silence started anew with each byte, so that a stalled stream that still sent single bytes never reached it. A resumable stream ended at its time limit in place of going on at another replica; a batch item, which has no time limit of its own, was held for ever.

Change: besides the limit without bytes there is one without a whole event (decisions/stream-stall): 1.8 s for resumable streams, 4 s for batch items. Slow streams whose events keep coming are not touched. A resumable route of another kind than streaming, which cannot be resumed, has no limit any more but its time limit.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -40,5 +40,6 @@
 export * from './return-delay.js';
 export * from './retry-policy.js';
 export * from './stream-origins.js';
+export * from './stream-stall.js';
 export * from './token-bucket.js';
 export * from './write-groups.js';
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -8,6 +8,7 @@
 import { pickBackend } from '../online/backend-choice.js';
 import { EventSplitter, dataOf } from '../online/event-splitter.js';
 import type { RawEvent } from '../online/event-splitter.js';
+import { StallTimer } from '../online/stall-timer.js';
 import type {
   BodyFraming,
   UpstreamEnd,
@@ -81,8 +82,8 @@
   readonly random: () => number;
 }
 
-/** A run is interrupted when its replica sends no data for this long. */
-const SILENCE_TIMEOUT_MS = 2_000;
+/** A run is interrupted when its stream exceeds these limits. */
+const STALL_LIMITS = { silenceMs: 2_000, eventGapMs: 4_000 };
 const HTTP_OK = 200;
 const HTTP_UNPROCESSABLE_CONTENT = 422;
 const HTTP_INTERNAL_SERVER_ERROR = 500;
@@ -176,6 +177,7 @@
     expectedOrigin,
     () => expectedOrigin !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, expectedOrigin),
     request.onEvent,
+    dependencies.clock,
   );
   const startedMs = dependencies.clock.monotonicMs();
   const call = {
@@ -256,10 +258,10 @@
   /** What marks the end of the response; undefined before its head arrives. */
   framing: BodyFraming | undefined;
   private readonly splitter = new EventSplitter();
-  /** Aborted when the stream skips or repeats an event, or when the replica is silent for too long. */
+  /** Aborted when the stream skips or repeats an event, or has stalled. */
   private readonly streamFault = new AbortController();
   private readonly stop: AbortSignal;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly stallTimer: StallTimer;
 
   constructor(
     private readonly output: ItemOutput,
@@ -271,9 +273,10 @@
     /** Whether the directory still tells `expectedOrigin`. */
     private readonly confirmsOrigin: () => boolean,
     private readonly onEvent: () => void,
+    clock: Clock,
   ) {
     this.stop = AbortSignal.any([stop, this.streamFault.signal]);
-    this.restartSilenceTimer();
+    this.stallTimer = new StallTimer(STALL_LIMITS, clock, () => this.streamFault.abort());
   }
 
   get signal(): AbortSignal {
@@ -294,17 +297,17 @@
     this.status = head.notRun ? 0 : head.status;
     this.framing = head.framing;
     if (head.load) this.onLoad(head.load);
-    this.restartSilenceTimer();
+    this.stallTimer.onBytes();
   }
 
   onData(part: Buffer): void {
-    this.restartSilenceTimer();
+    this.stallTimer.onBytes();
     if (this.status === HTTP_OK) this.splitter.push(part).forEach((event) => this.appendEvent(event));
   }
 
-  /** Stops the silence timer; to be called when the call has ended. */
+  /** Stops the timer; to be called when the call has ended. */
   close(): void {
-    clearTimeout(this.timer);
+    this.stallTimer.stop();
   }
 
   /** The outcome of the run, given how the call to the replica ended. */
@@ -327,6 +330,7 @@
       this.streamFault.abort();
       return;
     }
+    this.stallTimer.onEvent();
     this.output.lastEventId = event.eventId;
     this.output.events.push(dataOf(event));
     this.events += 1;
@@ -340,9 +344,4 @@
     this.output.origin ??= this.expectedOrigin;
     return true;
   }
-
-  private restartSilenceTimer(): void {
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.streamFault.abort(), SILENCE_TIMEOUT_MS);
-  }
 }
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -4,6 +4,7 @@
 
 import type { RawEvent } from './event-splitter.js';
 import { EventSplitter } from './event-splitter.js';
+import { StallTimer } from './stall-timer.js';
 import type {
   BodyFraming,
   ResponseSink,
@@ -12,8 +13,8 @@
   UpstreamListener,
 } from './forwarding.js';
 
-/** A resumable stream that delivers no bytes for this long is resumed at another replica. */
-const SILENCE_TIMEOUT_MS = 900;
+/** A resumable stream that exceeds these limits is resumed at another replica. */
+const STALL_LIMITS = { silenceMs: 900, eventGapMs: 1_800 };
 /** HTTP 421: the process at this address is not the intended replica, so it did not run the request. */
 const MISDIRECTED_STATUS = 421;
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -112,13 +113,14 @@
   private head: UpstreamHead | undefined;
   private readonly splitter = new EventSplitter();
   private readonly parts: Buffer[] = [];
-  /** Aborted when the stream delivers nothing for too long, or does not continue with the next event. */
-  private readonly silence = new AbortController();
+  /** Aborted when the stream has stalled, or does not continue with the next event. */
+  private readonly streamFault = new AbortController();
   private readonly stop: AbortSignal;
   private readonly startedMs: number;
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
-  private timer: NodeJS.Timeout | undefined;
+  /** Undefined for a stream that cannot be resumed. */
+  private readonly stallTimer: StallTimer | undefined;
   /** Whether the next event is the first one of a resumed stream. */
   private isFirstOfResumed: boolean;
 
@@ -127,13 +129,15 @@
     stop: AbortSignal,
     private readonly observer: AttemptObserver,
   ) {
-    this.stop = AbortSignal.any([stop, this.silence.signal]);
+    this.stop = AbortSignal.any([stop, this.streamFault.signal]);
     this.startedMs = relay.clock.monotonicMs();
     this.isFirstOfResumed = relay.lastEventId !== undefined;
-    this.restartSilenceTimer();
+    const { kind, resumable } = relay.route;
+    if (kind === RouteKind.streaming && resumable)
+      this.stallTimer = new StallTimer(STALL_LIMITS, relay.clock, () => this.streamFault.abort());
   }
 
-  /** Aborted when the attempt must stop: the caller disconnected, the deadline passed, or `silence` was aborted. */
+  /** Aborted when the attempt must stop: the caller disconnected, the deadline passed, or the stream is faulty. */
   get signal(): AbortSignal {
     return this.stop;
   }
@@ -147,11 +151,11 @@
     this.status = head.status;
     this.reportedNotRun = head.notRun || head.status === MISDIRECTED_STATUS;
     if (head.load) this.observer.onLoad(head.load);
-    this.restartSilenceTimer();
+    this.stallTimer?.onBytes();
   }
 
   onData(part: Buffer): void {
-    this.restartSilenceTimer();
+    this.stallTimer?.onBytes();
     if (!this.isStream) this.parts.push(part);
     else this.splitter.push(part).forEach((event) => this.onEvent(event));
   }
@@ -171,15 +175,15 @@
     return this.isStream && this.splitter.isInsideEvent;
   }
 
-  /** Stops the silence timer; to be called when the attempt has ended. */
+  /** Stops the timer; to be called when the attempt has ended. */
   close(): void {
-    clearTimeout(this.timer);
+    this.stallTimer?.stop();
   }
 
   /** Passes a complete response on to the caller. Returns false when it must not be passed on. */
   deliver(): boolean {
     const { head } = this;
-    if (!head || this.silence.signal.aborted || this.isInsideEvent) return false;
+    if (!head || this.streamFault.signal.aborted || this.isInsideEvent) return false;
     if (this.isStream) {
       this.relay.end(head, this.splitter.rest);
       return true;
@@ -205,12 +209,13 @@
   }
 
   private onEvent(event: RawEvent): void {
-    if (!this.head || this.silence.signal.aborted) return;
+    if (!this.head || this.streamFault.signal.aborted) return;
     if (!this.isNextEvent(event)) {
-      this.silence.abort();
+      this.streamFault.abort();
       return;
     }
     this.isFirstOfResumed = false;
+    this.stallTimer?.onEvent();
     this.lastEventMs = this.relay.clock.monotonicMs();
     this.firstEventMs ??= this.lastEventMs;
     this.events += 1;
@@ -227,10 +232,4 @@
     if (event.eventId === undefined || lastEventId === undefined) return true;
     return this.isFirstOfResumed ? event.eventId === lastEventId + 1 : event.eventId > lastEventId;
   }
-
-  private restartSilenceTimer(): void {
-    if (!this.relay.route.resumable) return;
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.silence.abort(), SILENCE_TIMEOUT_MS);
-  }
 }
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -16,6 +16,8 @@
   unframed: number;
   /** Number of following requests whose response has the id of another request. */
   crossed: number;
+  /** Number of following requests whose response sends single bytes now and then after the third event. */
+  stall: number;
   /** HTTP status with which every request fails after it has started to run; 0 to respond with an event stream. */
   status: number;
   /** Whether all responses state that the replica is leaving. */
@@ -37,6 +39,9 @@
   closed: boolean;
 }
 
+/** Time between two bytes of a response that stalls. */
+const STALL_BYTE_PERIOD_MS = 200;
+
 /** The software version of a replica unless a test states another one. */
 export const DEFAULT_SOFTWARE_VERSION = 'v1';
 
@@ -60,6 +65,7 @@
     breakOff: 0,
     unframed: 0,
     crossed: 0,
+    stall: 0,
     status: 0,
     leaving: false,
   };
@@ -128,6 +134,7 @@
       return;
     }
     const breaksOff = consumeFault(this.faults, 'breakOff');
+    const stalls = consumeFault(this.faults, 'stall');
     if (consumeFault(this.faults, 'unframed')) res.removeHeader('Transfer-Encoding');
     res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
     for (let index = run.resumeAfter + 1; index <= this.eventCount && !run.closed; index += 1) {
@@ -135,15 +142,28 @@
         res.write(`id: ${String(index)}\ndata: brok`, () => res.destroy());
         return;
       }
+      if (stalls && index === run.resumeAfter + 4) return this.stall(run, res);
       res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index, this.softwareVersion)}\n\n`);
       run.writtenEvents += 1;
       await new Promise((resolve) => setTimeout(resolve, this.eventMs));
     }
     res.end();
   }
+
+  /** Sends the bytes of an event that never ends, until the connection closes. */
+  private async stall(run: ReplicaRun, res: ServerResponse): Promise<void> {
+    res.write('data: ');
+    while (!run.closed) {
+      res.write('x');
+      await new Promise((resolve) => setTimeout(resolve, STALL_BYTE_PERIOD_MS));
+    }
+  }
 }
 
-function consumeFault(faults: ReplicaFaults, name: 'refuse' | 'breakOff' | 'unframed' | 'crossed'): boolean {
+function consumeFault(
+  faults: ReplicaFaults,
+  name: 'refuse' | 'breakOff' | 'unframed' | 'crossed' | 'stall',
+): boolean {
   if (faults[name] === 0) return false;
   faults[name] -= 1;
   return true;
