End an engine's stream that sends bytes but completes no event

A second limit of twice the gap runs from one whole event to the next; the attempt ends as broken, so that the replica is excluded from the next one.

Test: an engine that sends a byte each 30 ms ended only with the response before.

--- a/packages/outside/src/http-engine.test.ts
+++ b/packages/outside/src/http-engine.test.ts
@@ -34,7 +34,10 @@
   });
 
   /** Sends the parts as one response, each in a packet of its own. */
-  async function run(parts: readonly Buffer[]): Promise<{ end: EngineEnd; chunks: EngineChunk[] }> {
+  async function run(
+    parts: readonly Buffer[],
+    gapMs = 5_000,
+  ): Promise<{ end: EngineEnd; chunks: EngineChunk[] }> {
     server.on('request', (_request, response) => {
       response.writeHead(200, { 'content-type': 'text/event-stream' });
       parts.forEach((part, index) => setTimeout(() => response.write(part), 30 * index));
@@ -45,13 +48,19 @@
     const chunks: EngineChunk[] = [];
     const end = await engine.run(
       { ...CALL, address: `http://127.0.0.1:${String(port)}` },
-      { headersMs: 5_000, gapMs: 5_000 },
+      { headersMs: 5_000, gapMs },
       (chunk) => chunks.push(chunk),
       new AbortController().signal,
     );
     return { end, chunks };
   }
 
+  it('ends a stream as broken that sends bytes but completes no event', async () => {
+    const bytes = Array.from({ length: 200 }, () => Buffer.from('x'));
+    const { end } = await run([Buffer.from(eventOf('one', 0)), Buffer.from('data: '), ...bytes], 1_000);
+    expect(end).toMatchObject({ kind: 'broken', detail: 'the upstream completed no event in 2000 ms' });
+  });
+
   it('ends a stream as broken at a malformed event', async () => {
     const { end, chunks } = await run([Buffer.from(eventOf('one', 0)), Buffer.from('data: {"id":\n\n')]);
     expect(end).toMatchObject({ kind: 'broken', sent: true });
--- a/packages/outside/src/http-engine.ts
+++ b/packages/outside/src/http-engine.ts
@@ -70,6 +70,9 @@
   }
 }
 
+/** A whole event may take this many times as long as any bytes. */
+const EVENT_GAP_FACTOR = 2;
+
 /** Runs one stream, from sending its request until its end. Calls `resolve` exactly once. */
 class StreamRun {
   private settled = false;
@@ -79,6 +82,8 @@
   /** Keeps the bytes of a character that is split between two parts. */
   private readonly decoder = new StringDecoder('utf8');
   private inactivityTimer: NodeJS.Timeout | undefined;
+  /** Runs while no whole event has arrived since the head or the last one. */
+  private eventTimer: NodeJS.Timeout | undefined;
   private destroyStream: () => void = () => undefined;
 
   constructor(
@@ -108,6 +113,7 @@
     stream.on('response', (response: { statusCode: number }) => {
       this.status = response.statusCode;
       this.restartInactivityTimer(this.limits.gapMs);
+      this.restartEventTimer();
     });
     stream.on('data', (part: Buffer) => this.onData(part));
     stream.on('end', () => this.onEnd());
@@ -135,6 +141,7 @@
       return;
     }
     if (this.settled) return;
+    this.restartEventTimer();
     const event = parseStreamEvent(data);
     if (event) this.onChunk(event);
     else this.finish(EngineEndKind.broken, 'the upstream sent a malformed event');
@@ -160,10 +167,21 @@
     }, limitMs);
   }
 
+  /** Ends a stream that sends bytes now and then but completes no event. */
+  private restartEventTimer(): void {
+    clearTimeout(this.eventTimer);
+    const limitMs = this.limits.gapMs * EVENT_GAP_FACTOR;
+    this.eventTimer = setTimeout(
+      () => this.finish(EngineEndKind.broken, `the upstream completed no event in ${String(limitMs)} ms`),
+      limitMs,
+    );
+  }
+
   private finish(kind: EngineEndKind, detail: string, sent = true): void {
     if (this.settled) return;
     this.settled = true;
     clearTimeout(this.inactivityTimer);
+    clearTimeout(this.eventTimer);
     this.signal.removeEventListener('abort', this.onAbort);
     if (kind !== EngineEndKind.completed) this.destroyStream();
     this.resolve({ kind, detail, sent });
