Do not stop the process when a connection is reset before the response has begun

Three soaks beside each other ended five and six instances each, so it was traced there: the request is /v1/completions, without a response yet, and got listens for one error of a request only.

Cause: Node.js reports such a reset twice. At the end of the connection it emits a hang-up on the request; then the error with which our agent destroys the connection arrives as a second one, which nobody listens for. Every got call through this agent could end its process so, those of fighub-node to the platform's store too.

Change: the agent adds a listener to each request, which ignores what the client's own listener does not take any more. The first error is reported as before.

--- a/packages/outside/src/connection-reset.ts
+++ b/packages/outside/src/connection-reset.ts
@@ -1,6 +1,7 @@
 /** Reports every reset of a connection as an error. */
 import type { ClientRequestArgs } from 'node:http';
 import { Agent } from 'node:http';
+import type { ClientRequest } from 'node:http';
 import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
@@ -12,6 +13,17 @@
  * counts as complete.
  */
 export class ResetReportingAgent extends Agent {
+  /**
+   * Called by Node.js for each request, though it is not documented. A reset before the response has begun is reported
+   * to the request twice: as a hang-up at the end of the connection, and as the error of the connection. Clients that
+   * listen for one error only must not be stopped by the second.
+   */
+  addRequest(request: ClientRequest, ...rest: unknown[]): void {
+    request.on('error', () => undefined);
+    const agent = Agent.prototype as unknown as { addRequest: (...all: unknown[]) => void };
+    agent.addRequest.call(this, request, ...rest);
+  }
+
   override createConnection(
     options: ClientRequestArgs,
     callback?: (error: Error | null, stream: Duplex) => void,
