Do not take a replica for unreachable when a batch job stops while it connects

Found by reading. With the check at the established connection, an item whose job may not be dispatched any more, for example because the list of jobs is too old at the begin of an outage of the store, ended as not connected. The replica was then paused for all requests and avoided by the item, though it was sound; callers had fewer slots just when the store was down.

The check at the connection now asks for the replica only. That the job may go on is checked before, as it was.

Test: a job that stops between the slot and the connection; it failed before.

--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -93,4 +93,36 @@
     expect(output.lastEventId).toBeUndefined();
     expect(output.spentMs).toBeGreaterThanOrEqual(20);
   });
+
+  it('does not take a replica for unreachable when its job is stopped while the connection is established', async () => {
+    const clock = new SystemClock();
+    const metrics = new Metrics();
+    const slot = { permitId: 'p', replicaId: 'r', address: 'a', revoked: new AbortController().signal };
+    const ends: string[] = [];
+    let mayDispatch = true;
+    const dependencies = {
+      view: {
+        routes: { match: () => ({ name: 'r', backends: [{ service: 's', weight: 1 }] }) },
+        isUsable: () => true,
+        originOf: () => ORIGIN,
+      },
+      permits: {
+        acquire: () => Promise.resolve(ok(slot)),
+        release: (_slot: unknown, report: { end: string }) => ends.push(report.end),
+      },
+      transport: {
+        send: ({ mayBegin }: { mayBegin: () => boolean }) => {
+          mayDispatch = false;
+          return Promise.resolve({ kind: mayBegin() ? 'cancelled' : 'not_connected', detail: '' });
+        },
+      },
+      clock,
+      metrics,
+      log: new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics),
+      random: () => 0,
+    } as unknown as ItemRunDependencies;
+    const request = { ...requestWith({ events: [], spentMs: 0 }, clock), mayDispatch: () => mayDispatch };
+    await runItem(request, dependencies, new AbortController().signal);
+    expect(ends).toEqual(['cancelled']);
+  });
 });
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -57,7 +57,7 @@
   readonly excludedReplicaIds: readonly string[];
   /** Called after each event that is added to the output. */
   readonly onEvent: () => void;
-  /** Checked after a slot has been acquired, and again right before the request is sent. */
+  /** Checked after a slot has been acquired, right before the request is sent. */
   readonly mayDispatch: () => boolean;
 }
 
@@ -100,19 +100,15 @@
   if (!route) return { end: ItemRunOutcome.noRoute, givenWay: false };
   const slot = await acquireSlot(request, route, dependencies, stop);
   if (!slot.ok) return INTERRUPTED;
-  if (stop.aborted || !mayBegin(request, slot.value, dependencies)) {
-    dependencies.leavingAnnouncements.onUnusableSlot(slot.value.replicaId);
+  const { replicaId } = slot.value;
+  if (stop.aborted || !dependencies.view.isUsable(replicaId) || !request.mayDispatch()) {
+    dependencies.leavingAnnouncements.onUnusableSlot(replicaId);
     dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
     return INTERRUPTED;
   }
   return send(request, slot.value, dependencies, stop);
 }
 
-/** Whether the item may be sent to the replica. This can change until the connection to it is established. */
-function mayBegin(request: ItemRunRequest, { replicaId }: Slot, { view }: ItemRunDependencies): boolean {
-  return view.isUsable(replicaId) && request.mayDispatch();
-}
-
 /**
  * Acquires a slot where the output can be continued, or any slot when the wait for such a one is over. The item starts
  * anew if that slot is at another version.
@@ -190,7 +186,8 @@
     headers: item.headers,
     body: Buffer.from(item.bodyBase64, 'base64'),
     resumeAfter: output.lastEventId,
-    mayBegin: () => mayBegin(request, slot, dependencies),
+    // Whether the job may go on is left out: the replica would be taken for one that cannot be reached.
+    mayBegin: () => dependencies.view.isUsable(slot.replicaId),
   };
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
