Do not take the response to an earlier request for a sign that a notice has arrived

Found by reading. Any bytes received after a notice stopped the heartbeats, also the response to a request that was sent before it. If the connection was lost in between, the notice was lost too, and that showed only with the next message: a release or a job that was offered could wait for the next renewal or listing.

Frames arrive in order, so the connection now keeps the last frame that it sent and regards it as arrived once its own answer comes: the response with the same call id, or the returned heartbeat.

Test: a notice between a request and its response, over real connections; without the change no heartbeat follows, and the test ran into a time limit of 6 s.

--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -19,9 +19,16 @@
   private proxy: Server | undefined;
   private readonly sockets: Socket[] = [];
 
+  /** Responds to the request for a job's results; undefined until it has arrived. */
+  respond: (() => void) | undefined;
+
   /** Starts listening and returns the address of the proxy. */
   async start(): Promise<string> {
     this.accepting.onRequest('swim.members', () => ({ members: [] }));
+    this.accepting.onRequest('job.results', async () => {
+      await new Promise<void>((resolve) => (this.respond = resolve));
+      return { held: false, itemCount: 0, committedCount: 0, results: [] };
+    });
     const port = await this.accepting.listen();
     const proxy = createServer((socket) => this.relay(socket, connect(port, '127.0.0.1')));
     this.proxy = proxy;
@@ -79,6 +86,19 @@
     expect(nodes.dialling.traffic()).toEqual(confirmed);
   });
 
+  it('does not take the response to an earlier request for a sign that a notice has arrived', async () => {
+    nodes = new ProxiedNodes();
+    const address = await nodes.start();
+    await nodes.dialling.request(address, 'swim.members', {}, TIMEOUT_MS);
+    const earlier = nodes.dialling.request(address, 'job.results', { jobId: 'j', afterPosition: 0 }, 60_000);
+    await vi.waitUntil(() => nodes.respond !== undefined, WAIT);
+    nodes.dialling.notify(address, 'job.offered', { jobId: 'j' });
+    nodes.respond?.();
+    await earlier;
+    const { bytesSent } = nodes.dialling.traffic();
+    await vi.waitUntil(() => nodes.dialling.traffic().bytesSent > bytesSent, WAIT);
+  });
+
   it('is closed when nothing is received after a notice', async () => {
     nodes = new ProxiedNodes();
     const address = await nodes.start();
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -15,6 +15,13 @@
 const HANDSHAKE_TIMEOUT_MS = 2_000;
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
+/** The frame that each frame from the accepting end answers, with the same call id. */
+const ANSWER_TO: Partial<Record<FrameKind, FrameKind>> = {
+  [FrameKind.response]: FrameKind.request,
+  [FrameKind.heartbeat]: FrameKind.heartbeat,
+  [FrameKind.proof]: FrameKind.proof,
+};
+
 /** Receives the events of a connection. */
 export interface ConnectionListener {
   /** The handshake has succeeded. */
@@ -39,8 +46,11 @@
   private readonly ownHello: HelloBody;
   private peerHello: HelloBody | undefined;
   private lastReceivedMs = performance.now();
-  /** Whether a message was sent after the last bytes were received, so that it is not known whether it arrived. */
-  private isUnconfirmed = false;
+  /**
+   * The last frame that was sent, until it is known to have arrived. Frames arrive in order, so that the response to it
+   * confirms all earlier ones too; a notice has none and is confirmed by the heartbeat after it.
+   */
+  private unconfirmed: Frame | undefined;
   /** When the first heartbeat since the last received bytes was sent; undefined when none was sent since. */
   private unansweredSinceMs: number | undefined;
   private readonly openedMs = performance.now();
@@ -78,7 +88,7 @@
   /** Sends a frame; does nothing on a closed connection. */
   send(frame: Frame): void {
     if (this.closed) return;
-    this.isUnconfirmed = true;
+    this.unconfirmed = frame;
     const bytes = encodeFrame(frame);
     this.bytesSent += bytes.length;
     this.socket.write(bytes);
@@ -105,7 +115,7 @@
   }
 
   /**
-   * Sends a heartbeat when nothing was received since the last message, and closes the connection when nothing is
+   * Sends a heartbeat when it is not known whether the last message arrived, and closes the connection when nothing is
    * received in response. Only the dialling end does this; the accepting end returns each heartbeat.
    */
   private sendHeartbeat(nowMs: number): void {
@@ -113,7 +123,7 @@
       this.close('nothing received within the silence limit');
       return;
     }
-    if (!this.isUnconfirmed) return;
+    if (!this.unconfirmed) return;
     this.unansweredSinceMs ??= nowMs;
     this.send({ kind: FrameKind.heartbeat });
   }
@@ -121,7 +131,6 @@
   private onData(bytes: Buffer): void {
     this.lastReceivedMs = performance.now();
     this.unansweredSinceMs = undefined;
-    this.isUnconfirmed = false;
     this.bytesReceived += bytes.length;
     const frames = this.reader.push(bytes);
     if (!frames.ok) {
@@ -133,6 +142,8 @@
 
   private onFrame(frame: Frame): void {
     if (this.closed) return;
+    if (this.unconfirmed?.kind === ANSWER_TO[frame.kind] && this.unconfirmed?.callId === frame.callId)
+      this.unconfirmed = undefined;
     if (frame.kind === FrameKind.heartbeat) {
       if (!this.dialled) this.send(frame);
       return;
