Delete the checkpoint of a finished job again when the store could not be reached

Found by reading. The deletion forgot the record before the store had answered, so that one failed write, which now may hold many jobs, left checkpoints behind for good. The record is kept until the store has deleted it or another holder has written it, and the deletion is due again after 5 s.

The test of a job that is released passed also without its fix, as its job was finished and had nothing to write; it is replaced by one with running items, which fails without it. The other two tests of the file are as they were.

--- a/packages/serving/src/batch/job-checkpoint.ts
+++ b/packages/serving/src/batch/job-checkpoint.ts
@@ -4,8 +4,9 @@
 import type { PartialOutput } from '@fighub/decisions';
 import { outputsToSave, mayCheckpoint, shouldCheckpoint } from '@fighub/decisions';
 import type { RecordStore, Versioned } from '@fighub/outside';
+import { StoreErrorKind } from '@fighub/outside';
 
-import type { JobWrite } from './job-writes.js';
+import type { JobWrite, JobWriteOutcome } from './job-writes.js';
 import { writeTogether } from './job-writes.js';
 
 /** The stored record of a checkpoint. */
@@ -13,7 +14,7 @@
   readonly outputs: readonly PartialOutput[];
 }
 
-/** The checkpoint of a finished job is deleted by itself when no other write was made for this long. */
+/** The checkpoint of a finished job is deleted by itself when this long has passed since its last write. */
 const REMOVE_AFTER_MS = 5_000;
 
 /**
@@ -74,8 +75,14 @@
   takeRemoval(): JobWrite[] {
     const { record } = this;
     if (!record || this.writing) return [];
-    this.record = undefined;
-    return [{ changes: [{ key: this.key, previous: record }], keys: 1, bytes: 0, settle: () => undefined }];
+    this.savedAtMs = this.clock.monotonicMs();
+    this.writing = true;
+    const settle = (outcome: JobWriteOutcome): void => {
+      this.writing = false;
+      // After a conflict another holder has written or deleted it.
+      if (outcome.ok || outcome.error.kind === StoreErrorKind.conflict) this.record = undefined;
+    };
+    return [{ changes: [{ key: this.key, previous: record }], keys: 1, bytes: 0, settle }];
   }
 
   private get sinceLastMs(): number {
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -13,8 +13,11 @@
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
 const SLOT = { permitId: 'p', replicaId: 'r', address: 'a', revoked: new AbortController().signal };
 
-/** A job whose items get the given outputs, each as one event. */
-async function startJob(outputs: readonly string[]) {
+/** Sends an item to a replica. */
+type Send = (call: UpstreamCall, listener: UpstreamListener) => Promise<unknown>;
+
+/** A job with an item for each of `outputs`. By default each item gets its output as one event. */
+async function newJob(outputs: readonly string[], send: Send = respondWith(outputs)) {
   const clock = new SystemClock();
   const metrics = new Metrics();
   const options = { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 };
@@ -48,14 +51,8 @@
       release: () => undefined,
       recordLoad: () => undefined,
     },
-    transport: {
-      send: (call: UpstreamCall, listener: UpstreamListener) => {
-        listener.onHead({ status: 200, headers: [], notRun: false, framing: 'chunks' });
-        const output = outputs[Number(call.requestId)] ?? '';
-        listener.onData(Buffer.from(`id: 0\ndata: ${output}\n\n`));
-        return Promise.resolve({ kind: 'complete', detail: '' });
-      },
-    },
+    transport: { send },
+    leavingAnnouncements: { onUnusableSlot: () => undefined },
     clock,
     metrics,
     log: new DecisionLog(DISCARDING_WRITER, clock, metrics),
@@ -70,18 +67,34 @@
   }));
   const checkpoint = new JobCheckpoint('j', store, clock, metrics);
   const job = new RunningJob(record.value, items, [], [], checkpoint, store, dependencies, () => true);
+  return { job, store, clock };
+}
+
+/** Responds to each item with its output as one event. */
+function respondWith(outputs: readonly string[]): Send {
+  return (call, listener) => {
+    listener.onHead({ status: 200, headers: [], notRun: false, framing: 'chunks' });
+    const output = outputs[Number(call.requestId)] ?? '';
+    listener.onData(Buffer.from(`id: 0\ndata: ${output}\n\n`));
+    return Promise.resolve({ kind: 'complete', detail: '' });
+  };
+}
+
+/** A job that has been run until it was finished. */
+async function finishedJob(outputs: readonly string[]) {
+  const { job, store, clock } = await newJob(outputs);
   const complete = (): void => {
     job.run(clock.monotonicMs());
     void writeTogether(store, job.takeWrites(clock.monotonicMs()));
     expect(job.finished).toBe(true);
   };
   await vi.waitFor(complete, { timeout: 20_000 });
-  return { job, store, clock };
+  return { job, store };
 }
 
 describe('RunningJob', () => {
   it('gives up an item whose output no stored value can hold, and commits the others', async () => {
-    const { job } = await startJob(['short', 'š'.repeat(600_000)]);
+    const { job } = await finishedJob(['short', 'š'.repeat(600_000)]);
     expect(
       job
         .results(0)
@@ -94,7 +107,7 @@
   });
 
   it('splits results by their bytes, so that each segment fits into a stored value', async () => {
-    const { job, store } = await startJob(Array.from({ length: 6 }, () => 'š'.repeat(150_000)));
+    const { job, store } = await finishedJob(Array.from({ length: 6 }, () => 'š'.repeat(150_000)));
     expect(job.results(0).committedCount).toBe(6);
     const segments = await store.list<ResultSegment>('results/', 10);
     expect(segments.ok ? segments.value.map(({ value }) => value.results.length) : []).toEqual([
@@ -102,11 +115,15 @@
     ]);
   });
 
-  it('deletes its checkpoint only after it has finished, and makes no write while it is released', async () => {
-    const { job, clock } = await startJob(['short']);
-    expect(job.takeWrites(clock.monotonicMs())).toEqual([]);
-    void job.release();
-    expect(job.isWriteDue(clock.monotonicMs() + 60_000)).toBe(false);
-    expect(job.takeWrites(clock.monotonicMs() + 60_000)).toEqual([]);
+  it('makes no other write while it is released', async () => {
+    const { job, clock } = await newJob(['short'], () => new Promise(() => undefined));
+    const laterMs = clock.monotonicMs() + 60_000;
+    job.run(clock.monotonicMs());
+    expect(job.isWriteDue(laterMs)).toBe(true);
+    const released = job.release();
+    expect(job.isWriteDue(laterMs)).toBe(false);
+    expect(job.takeWrites(laterMs)).toEqual([]);
+    await released;
+    expect(job.stopped).toBe(true);
   });
 });
