Test that lists of members repair lost updates

The test of an instance that alone counts a member as dead also passes without the digests and lists: the member hears of it and refutes it. The new one has two instances that do not probe each other, one of which does not know the other, and nothing to pass on elsewhere; without the comparison of digests it fails, as does the test of the partition that heals.

--- a/packages/peers/src/membership-runner.test.ts
+++ b/packages/peers/src/membership-runner.test.ts
@@ -19,15 +19,10 @@
   readonly pairs = new Set<string>();
   private readonly handlers = new Map<string, Handler>();
 
-  constructor(count: number) {
+  /** All know each other at the start, but for the instance `unaware`, which does not know `missing`. */
+  constructor(count: number, gap?: { unaware: string; missing: string }) {
     Array.from({ length: count }, (_, index) => `m${String(index)}`).forEach((id, index) => {
-      const self: MemberUpdate = {
-        instanceId: id,
-        failureDomain: 'd',
-        peerAddress: id,
-        state: 'alive',
-        incarnation: 1,
-      };
+      const self = updateAt(id);
       const random = (): number => (Math.abs(Math.sin(index * 7_919 + this.drawn++)) * 10_000) % 1;
       this.runners.set(
         id,
@@ -35,7 +30,10 @@
       );
     });
     const all = [...this.runners.values()].map(({ membership }) => membership.owners()).flat();
-    this.runners.forEach(({ membership }) => membership.mergeSnapshot(all, performance.now()));
+    this.runners.forEach(({ membership }, id) => {
+      const known = all.filter(({ instanceId }) => id !== gap?.unaware || instanceId !== gap.missing);
+      membership.mergeSnapshot(known, performance.now());
+    });
     this.runners.forEach((runner) => runner.start());
   }
 
@@ -77,6 +75,10 @@
   }
 }
 
+function updateAt(instanceId: string): MemberUpdate {
+  return { instanceId, failureDomain: 'd', peerAddress: instanceId, state: 'alive', incarnation: 1 };
+}
+
 describe('MembershipRunner', () => {
   let instances: Instances;
 
@@ -112,6 +114,21 @@
     expect(missing).toEqual([]);
   });
 
+  it('learns from the list of a neighbour of a member whose updates were lost', async () => {
+    const [missing, unaware] = ['m9', 'm5'];
+    instances = new Instances(30, { unaware, missing });
+    // The two do not probe each other, and no other instance has anything to pass on.
+    const neighboursOf = (id: string): string[] =>
+      instances
+        .runner(id)
+        .membership.neighbours()
+        .map(({ instanceId }) => instanceId);
+    expect([...neighboursOf(missing), ...neighboursOf(unaware)]).not.toContain(unaware);
+    expect(instances.withoutLive(missing)).toEqual([unaware]);
+    await vi.advanceTimersByTimeAsync(20_000);
+    expect(instances.withoutLive(missing)).toEqual([]);
+  });
+
   it('corrects an instance that alone counts a member as dead', async () => {
     instances = new Instances(30);
     instances
@@ -121,7 +138,3 @@
     expect(instances.withoutLive('m9')).toEqual([]);
   });
 });
-
-function updateAt(instanceId: string): MemberUpdate {
-  return { instanceId, failureDomain: 'd', peerAddress: instanceId, state: 'alive', incarnation: 1 };
-}
