Record announcements in one place, and keep the limit on silence for all resumable routes

That a replica announced that it is leaving was recorded and logged in two places, one of which did not count it. The limit on streams that complete no event had taken the one on silence from resumable routes of another kind than streaming; they have it again, without the limit on events.

Tests: a long response of such a route goes on and a silent one is left; the last part failed before.

--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -26,7 +26,10 @@
   readonly firstSeenAtMs: number;
 }
 
-/** Items are started and writes made this often at most. Requests for slots wake the loop much more often. */
+/**
+ * Items are started and writes made this often at most, since requests for slots wake the loop much more often. Less than
+ * the period of a busy loop, so that no timed tick is left out.
+ */
 const RUN_PERIOD_MS = 9;
 /** Interval between listings of the jobs while this instance runs jobs. */
 const LIST_PERIOD_MS = 1_000;
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -1,6 +1,6 @@
 import type { Route } from '@fighub/core';
 import { SystemClock } from '@fighub/core';
-import { describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import type { ResponseSink } from './forwarding.js';
 import { BodyFraming } from './forwarding.js';
@@ -53,4 +53,37 @@
       expect(written.slice(1, -1).join('')).toBe(`id: 1\ndata: a\n\n${rest}`);
     },
   );
+
+  describe('with a route that allows to resume', () => {
+    beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
+    afterEach(() => vi.useRealTimers());
+
+    /** Whether an attempt is stopped while bytes that complete no event arrive every `periodMs` for 5 s. */
+    async function isStopped(kind: Route['kind'], periodMs: number): Promise<boolean> {
+      const sink = { head: () => undefined, data: () => undefined } as unknown as ResponseSink;
+      const route = { ...ROUTE, kind, resumable: true };
+      const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock());
+      const attempt = relay.startAttempt(new AbortController().signal, {
+        onLoad: () => undefined,
+        onLeaving: () => undefined,
+        onFirstEvent: () => undefined,
+      });
+      attempt.onHead(HEAD);
+      for (let passedMs = 0; passedMs < 5_000 && !attempt.signal.aborted; passedMs += periodMs) {
+        await vi.advanceTimersByTimeAsync(periodMs);
+        if (!attempt.signal.aborted) attempt.onData(Buffer.from('x'));
+      }
+      attempt.close();
+      return attempt.signal.aborted;
+    }
+
+    it('leaves a stream that completes no event', async () => {
+      expect(await isStopped('streaming', 300)).toBe(true);
+    });
+
+    it('goes on with a long response that is no stream, and leaves a silent one', async () => {
+      expect(await isStopped('safe', 300)).toBe(false);
+      expect(await isStopped('safe', 1_000)).toBe(true);
+    });
+  });
 });
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -119,7 +119,7 @@
   private readonly startedMs: number;
   private firstEventMs: number | undefined;
   private lastEventMs = 0;
-  /** Undefined for a stream that cannot be resumed. */
+  /** Undefined where the route does not allow to resume. */
   private readonly stallTimer: StallTimer | undefined;
   /** Whether the next event is the first one of a resumed stream. */
   private isFirstOfResumed: boolean;
@@ -133,8 +133,10 @@
     this.startedMs = relay.clock.monotonicMs();
     this.isFirstOfResumed = relay.lastEventId !== undefined;
     const { kind, resumable } = relay.route;
-    if (kind === RouteKind.streaming && resumable)
-      this.stallTimer = new StallTimer(STALL_LIMITS, relay.clock, () => this.streamFault.abort());
+    // Only streams consist of events.
+    const limits =
+      kind === RouteKind.streaming ? STALL_LIMITS : { ...STALL_LIMITS, eventGapMs: Number.POSITIVE_INFINITY };
+    if (resumable) this.stallTimer = new StallTimer(limits, relay.clock, () => this.streamFault.abort());
   }
 
   /** Aborted when the attempt must stop: the caller disconnected, the deadline passed, or the stream is faulty. */
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -12,6 +12,7 @@
 import type { BacklogView } from '../batch/backlog-view.js';
 import type { FleetSource } from './fleet-source.js';
 import type { FleetView } from './fleet-view.js';
+import { AnnouncementSource, recordAnnouncement } from './leaving-announcements.js';
 
 /** The directory is read this often: the hosting platform requires that changes take effect within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
@@ -279,11 +280,9 @@
   }
 
   private applyLeaving({ leavingReplicaIds }: FleetViewBody): void {
-    const announced = (leavingReplicaIds ?? []).filter((replicaId) =>
-      this.view.announceLeaving(replicaId, this.clock.monotonicMs()),
-    );
-    announced.forEach((replicaId) =>
-      this.log.record(LogCategory.state, 'replica_announced_leaving', { replicaId, from: 'relay' }),
+    const { view, clock, metrics, log } = this;
+    leavingReplicaIds?.forEach((replicaId) =>
+      recordAnnouncement(replicaId, AnnouncementSource.relay, { view, clock, metrics, log }),
     );
   }
 
--- a/packages/serving/src/routing/leaving-announcements.ts
+++ b/packages/serving/src/routing/leaving-announcements.ts
@@ -11,6 +11,28 @@
 import type { FleetView } from './fleet-view.js';
 import { poolIdOfService } from './service-pool-catalogue.js';
 
+/** Where an instance learned that a replica is leaving. The values appear in logs. */
+export const AnnouncementSource = {
+  /** The replica itself said so in a response to this instance. */
+  response: 'response',
+  holder: 'holder',
+  owner: 'owner',
+  relay: 'relay',
+} as const;
+export type AnnouncementSource = (typeof AnnouncementSource)[keyof typeof AnnouncementSource];
+
+/** Records in the fleet view that a replica is leaving. Returns false if that was known. */
+export function recordAnnouncement(
+  replicaId: string,
+  from: AnnouncementSource,
+  { view, clock, metrics, log }: { view: FleetView; clock: Clock; metrics: Metrics; log: DecisionLog },
+): boolean {
+  if (!view.announceLeaving(replicaId, clock.monotonicMs())) return false;
+  metrics.count('replicas_announced_leaving');
+  log.record(LogCategory.state, 'replica_announced_leaving', { replicaId, from });
+  return true;
+}
+
 /** Records announcements in the fleet view and passes them on. */
 export class LeavingAnnouncements {
   constructor(
@@ -24,13 +46,14 @@
     private readonly log: DecisionLog,
   ) {
     node.onNotice('replica.leaving', ({ replicaId, passOn }) => {
-      if (this.record(replicaId, passOn ? 'holder' : 'owner') && passOn) this.tellCoordinators(replicaId);
+      const from = passOn ? AnnouncementSource.holder : AnnouncementSource.owner;
+      if (this.record(replicaId, from) && passOn) this.tellCoordinators(replicaId);
     });
   }
 
   /** Records that a response of a replica stated that it is leaving. */
   onResponse(replicaId: string): void {
-    if (this.record(replicaId, 'response')) this.tellOwner(replicaId);
+    if (this.record(replicaId, AnnouncementSource.response)) this.tellOwner(replicaId);
   }
 
   /**
@@ -41,11 +64,9 @@
     if (this.view.hasAnnouncedLeaving(replicaId)) this.tellOwner(replicaId);
   }
 
-  private record(replicaId: string, from: string): boolean {
-    if (!this.view.announceLeaving(replicaId, this.clock.monotonicMs())) return false;
-    this.metrics.count('replicas_announced_leaving');
-    this.log.record(LogCategory.state, 'replica_announced_leaving', { replicaId, from });
-    return true;
+  private record(replicaId: string, from: AnnouncementSource): boolean {
+    const { view, clock, metrics, log } = this;
+    return recordAnnouncement(replicaId, from, { view, clock, metrics, log });
   }
 
   private tellOwner(replicaId: string): void {
