Log the shared parts of a prompt with each send

The logs of a crashed replica named requests and routes but nothing of their prompts, so that it could not be told whether the requests under which replicas ended had something in common. Lines of sends and of item runs now carry the ids of all parts but the last, and a counter tells how many attempts broke before their first event. No decision uses them yet.

--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -12,6 +12,10 @@
   readonly bodyBase64: string;
   /** Upper bound of the prompt and output tokens together. */
   readonly tokens: number;
+  /**
+   * Ids of the parts of the prompt that other requests may share, in order. Absent in records of older releases.
+   */
+  readonly sharedPartIds?: readonly string[];
 }
 
 /** The result of one item. */
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -200,6 +200,8 @@
     end: attemptEndOf(end, verdict, brokenByReplica),
     tokens: listener.events,
   });
+  if (end.kind === UpstreamEndKind.broken && listener.events === 0)
+    dependencies.metrics.count('attempts_broken_before_first_event');
   dependencies.metrics.count(`batch_runs_${preempted ? 'given_way' : verdict}`);
   dependencies.log.record(brokenByReplica ? LogCategory.failure : LogCategory.routine, 'item_run', {
     jobId: request.jobId,
@@ -211,6 +213,7 @@
     events: listener.events,
     framing: listener.framing,
     unfinishedBytes: listener.unfinishedBytes,
+    sharedPartIds: item.sharedPartIds,
     status: listener.status,
     end: end.kind,
     detail: end.detail,
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -322,6 +322,8 @@
     const { status } = attempt;
     const { firstTokenMs } = attempt.timing();
     const failed = end.kind !== UpstreamEndKind.complete || status >= 300;
+    if (end.kind === UpstreamEndKind.broken && attempt.events === 0)
+      this.dependencies.metrics.count('attempts_broken_before_first_event');
     this.dependencies.log.record(
       failed ? LogCategory.failure : LogCategory.routine,
       failed ? 'send_failed' : 'sent',
@@ -341,6 +343,7 @@
         events: attempt.events,
         framing: attempt.framing,
         unfinishedBytes: attempt.unfinishedBytes,
+        sharedPartIds: this.request.sharedPartIds,
         ranMs: Math.round(this.dependencies.clock.monotonicMs() - sent.sentAtMs),
         directoryRevision: this.dependencies.view.replicas.revision,
         configurationVersion: this.dependencies.view.configurationVersion,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -22,6 +22,8 @@
   readonly costTokens: number;
   /** Digest of the start of the prompt, which replicas may have cached. */
   readonly prefixDigest: string;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly sharedPartIds: readonly string[];
   /** Id of the last event that the caller has received, when the caller itself resumes a stream. */
   readonly resumeAfter?: number;
   /** Id of the caller's attempt that brought the first event of the stream that it resumes. */
