--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -1,5 +1,5 @@
 /** Stand-in for a replica of the hosting platform. It serves event streams, with faults that tests set. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { digest } from '@fighub/core';
 
@@ -22,6 +22,8 @@
   status: number;
   /** Whether all responses state that the replica is leaving. */
   leaving: boolean;
+  /** Id of a part of a prompt. The replica crashes when it has begun to respond to a request with it; empty for none. */
+  crashPartId: string;
 }
 
 /** Record of one request that the replica ran. */
@@ -31,6 +33,10 @@
   /** Index of the last event that the caller already has; 0 for none. */
   readonly resumeAfter: number;
   readonly body: string;
+  /** Ids of the parts of the prompt, in order. */
+  readonly promptPartIds: readonly string[];
+  /** When the replica began to run the request, in the time of `performance.now()`. */
+  readonly startedAtMs: number;
   /** Time left for the request when it was sent; undefined if the request does not state it. */
   readonly deadlineMs?: number;
   /** Number of events that have been written. */
@@ -41,6 +47,8 @@
 
 /** Time between two bytes of a response that stalls. */
 const STALL_BYTE_PERIOD_MS = 200;
+/** Time from the head of a response to the crash of the replica, if its request has the part that crashes replicas. */
+const CRASH_DELAY_MS = 40;
 
 /** The software version of a replica unless a test states another one. */
 export const DEFAULT_SOFTWARE_VERSION = 'v1';
@@ -68,12 +76,18 @@
     stall: 0,
     status: 0,
     leaving: false,
+    crashPartId: '',
   };
+  /** When the replica crashed, in the time of `performance.now()`; undefined while it serves. */
+  crashedAtMs: number | undefined;
+  /** Called when the replica has crashed. */
+  onCrash: () => void = () => undefined;
   /** Number of requests that have reached the replica, also those that it refused. */
   receivedRequests = 0;
   /** Highest number of requests that ran at the same time. */
   peakConcurrency = 0;
   private readonly openResponses = new Set<ServerResponse>();
+  private server: Server | undefined;
 
   constructor(
     readonly replicaId: string,
@@ -82,8 +96,10 @@
     readonly softwareVersion: string = DEFAULT_SOFTWARE_VERSION,
   ) {}
 
-  start(): Promise<RunningServer> {
-    return serve(0, (req, res) => void this.handle(req, res));
+  async start(): Promise<RunningServer> {
+    const running = await serve(0, (req, res) => void this.handle(req, res));
+    this.server = running.server;
+    return running;
   }
 
   /** Closes the connections of all running requests. */
@@ -91,6 +107,15 @@
     this.openResponses.forEach((res) => res.destroy());
   }
 
+  /** Closes all connections and accepts no more, like a process that has ended. */
+  private crash(): void {
+    if (this.crashedAtMs !== undefined) return;
+    this.crashedAtMs = performance.now();
+    this.server?.close();
+    this.server?.closeAllConnections();
+    this.onCrash();
+  }
+
   private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const parts: Buffer[] = [];
     for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
@@ -111,6 +136,8 @@
       requestId,
       resumeAfter: Number(req.headers['last-event-id'] ?? 0),
       body: Buffer.concat(parts).toString('utf8'),
+      promptPartIds: promptPartIdsOf(req),
+      startedAtMs: performance.now(),
       deadlineMs: req.headers['deadline-ms'] === undefined ? undefined : Number(req.headers['deadline-ms']),
       writtenEvents: 0,
       closed: false,
@@ -137,6 +164,12 @@
     const stalls = consumeFault(this.faults, 'stall');
     if (consumeFault(this.faults, 'unframed')) res.removeHeader('Transfer-Encoding');
     res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
+    if (run.promptPartIds.includes(this.faults.crashPartId)) {
+      res.flushHeaders();
+      await new Promise((resolve) => setTimeout(resolve, CRASH_DELAY_MS));
+      this.crash();
+      return;
+    }
     for (let index = run.resumeAfter + 1; index <= this.eventCount && !run.closed; index += 1) {
       if (breaksOff && index === run.resumeAfter + 3) {
         res.write(`id: ${String(index)}\ndata: brok`, () => res.destroy());
@@ -160,6 +193,11 @@
   }
 }
 
+function promptPartIdsOf(req: IncomingMessage): string[] {
+  const header = req.headers['prompt-prefix'];
+  return typeof header === 'string' ? header.split(',').map((entry) => entry.split(':')[0] ?? '') : [];
+}
+
 function consumeFault(
   faults: ReplicaFaults,
   name: 'refuse' | 'breakOff' | 'unframed' | 'crossed' | 'stall',
