--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -33,7 +33,7 @@
  */
 export class DirectDispatch {
   private readonly replicas = new Map<string, ReplicaView>();
-  private readonly organisationByPermit = new Map<string, string>();
+  private readonly demands = new Map<string, SlotDemand>();
   private nextPermit = 1;
 
   constructor(
@@ -74,7 +74,7 @@
     this.viewOf(chosen.upstreamId).inFlight += 1;
     this.nextPermit += 1;
     const permitId = `${this.selfId}/direct/${String(this.nextPermit)}`;
-    this.organisationByPermit.set(permitId, demand.organisation);
+    this.demands.set(permitId, demand);
     return ok({
       permitId,
       poolId: DIRECT_POOL_ID,
@@ -86,14 +86,15 @@
     });
   }
 
-  /** Releases a slot. Returns false when the slot was granted by the owner of a pool. */
-  release(slot: Slot, report: Omit<ReleaseReport, 'permitId'>): boolean {
-    if (slot.poolId !== DIRECT_POOL_ID) return false;
-    this.organisationByPermit.delete(slot.permitId);
+  /** Releases a slot and returns its demand; undefined when the slot was granted by the owner of a pool. */
+  release(slot: Slot, report: Omit<ReleaseReport, 'permitId'>): SlotDemand | undefined {
+    const demand = this.demands.get(slot.permitId);
+    if (!demand) return undefined;
+    this.demands.delete(slot.permitId);
     const view = this.viewOf(slot.replicaId);
     view.inFlight -= 1;
     view.health.observe(report.end, this.clock.monotonicMs());
-    return true;
+    return demand;
   }
 
   /** Records a replica's own load report. Returns false when the slot was granted by the owner of a pool. */
@@ -122,7 +123,9 @@
     const limit = this.catalogue.limitsOf(demand.organisation, demand.model).maxInFlight;
     if (limit === undefined || !this.conservative) return true;
     const equalShare = Math.max(1, Math.floor(limit / Math.max(1, this.members().owners().length)));
-    const inFlight = [...this.organisationByPermit.values()].filter((name) => name === demand.organisation);
+    const inFlight = [...this.demands.values()].filter(
+      ({ organisation }) => organisation === demand.organisation,
+    );
     return limit > 0 && inFlight.length < equalShare;
   }
 
--- a/packages/admission/src/owner-outbox.ts
+++ b/packages/admission/src/owner-outbox.ts
@@ -1,10 +1,11 @@
-import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
+import type { ReleaseReport, ReplicaCrashReport, ReplicaLoadReport } from '@fighub/decisions';
 import type { PermitReleaseBody } from '@fighub/peers';
 
 interface PendingReports {
   readonly reports: ReleaseReport[];
   /** Last load report of each replica. */
   readonly loads: Map<string, ReplicaLoadReport>;
+  readonly crashes: ReplicaCrashReport[];
 }
 
 /**
@@ -27,12 +28,17 @@
     this.pendingReportsOf(poolId).loads.set(report.replicaId, report);
   }
 
+  addCrash(poolId: string, report: ReplicaCrashReport): void {
+    this.pendingReportsOf(poolId).crashes.push(report);
+  }
+
   /** Removes the pending reports and returns them as one message body for each pool. */
   takeAll(): PermitReleaseBody[] {
-    const bodies = [...this.pools].map(([poolId, { reports, loads }]) => ({
+    const bodies = [...this.pools].map(([poolId, { reports, loads, crashes }]) => ({
       poolId,
       reports,
       loads: [...loads.values()],
+      ...(crashes.length > 0 ? { crashes } : {}),
     }));
     this.pools.clear();
     return bodies;
@@ -41,7 +47,7 @@
   private pendingReportsOf(poolId: string): PendingReports {
     const known = this.pools.get(poolId);
     if (known) return known;
-    const created = { reports: [], loads: new Map<string, ReplicaLoadReport>() };
+    const created = { reports: [], loads: new Map<string, ReplicaLoadReport>(), crashes: [] };
     this.pools.set(poolId, created);
     return created;
   }
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -2,7 +2,7 @@
 import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
 import { EntityTable, fail, notRun, ok } from '@fighub/core';
 import type { PoolLoad, ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { orderPools } from '@fighub/decisions';
+import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, orderPools } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
@@ -120,11 +120,25 @@
   /** Releases a slot and reports to the owner of its pool how the stream ended. */
   release(slot: Slot, report: Omit<ReleaseReport, 'permitId'>): void {
     this.places.take(slot.permitId);
-    if (this.direct.release(slot, report)) return;
+    const direct = this.direct.release(slot, report);
+    if (direct) {
+      this.reportDirectCrash(slot, report, direct);
+      return;
+    }
     this.outbox.addRelease(slot.poolId, { ...report, permitId: slot.permitId });
     this.scheduleReleases();
   }
 
+  /** Tells the owner of the pool that the stream has shown that its prompt does not crash replicas. */
+  reportProgress({ poolId, permitId }: Slot): void {
+    const ownerId = this.host.ownerOfPool(poolId);
+    if (ownerId === this.selfId) this.host.observeProgress(poolId, permitId);
+    else
+      this.notifyOwner(ownerId, (address) =>
+        this.node.notify(address, 'permit.progress', { poolId, permitId }),
+      );
+  }
+
   /** Records the load that a replica reported with a response. By the next tick it is sent to the owner of the pool. */
   recordLoad(slot: Slot, load: Omit<ReplicaLoadReport, 'replicaId'>): void {
     const report = { ...load, replicaId: slot.replicaId };
@@ -326,6 +340,18 @@
       });
   }
 
+  /** Tells the owner of a pool of the model about a replica that crashed under a request without a permit. */
+  private reportDirectCrash(
+    { replicaId }: Slot,
+    { end, tokens }: Omit<ReleaseReport, 'permitId'>,
+    { requestId, organisation, model, sharedPartIds = [] }: SlotDemand,
+  ): void {
+    const [pool] = this.host.poolsOpenTo(organisation, model);
+    if (!pool || end !== AttemptEnd.broken || tokens >= EVENTS_OF_SOUND_PROMPT) return;
+    this.outbox.addCrash(pool.poolId, { requestId, replicaId, sharedPartIds });
+    this.scheduleReleases();
+  }
+
   private releaseUnwanted(body: GrantedBody): void {
     this.outbox.addRelease(body.poolId, { permitId: body.permitId, end: 'cancelled', tokens: 0 });
   }
@@ -412,6 +438,7 @@
       startInMs: demand.startByUnixMs === undefined ? undefined : demand.startByUnixMs - nowUnixMs,
       deadlineInMs: demand.deadlineUnixMs - nowUnixMs,
       prefixDigest: demand.prefixDigest,
+      ...(demand.sharedPartIds?.length ? { sharedPartIds: demand.sharedPartIds } : {}),
       excludedReplicaIds: demand.excludedReplicaIds,
       softwareVersion: demand.softwareVersion,
       resumable: demand.resumable,
--- a/packages/admission/src/pool-catalogue.ts
+++ b/packages/admission/src/pool-catalogue.ts
@@ -1,5 +1,5 @@
 /** Pools, replicas and policies as admission needs them, independent of where they are configured. */
-import type { OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
+import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
 
 /** An upstream replica as it is configured or registered. */
 export interface CataloguedUpstream {
@@ -34,6 +34,8 @@
   poolsOpenTo(organisation: string, model: string): readonly PoolDescription[];
   /** Limits of an organisation that apply to all pools of a model together. */
   limitsOf(organisation: string, model: string): OrganisationLimitSettings;
+  /** The prompts that this instance knows to be blocked, in all pools. */
+  readonly blockedPrompts: BlockedPrompts;
   /** Whether an upstream must get no new streams, for example because it is shutting down. */
   isLeaving(upstreamId: string): boolean;
 }
--- a/packages/admission/src/pool-host.test.ts
+++ b/packages/admission/src/pool-host.test.ts
@@ -1,6 +1,6 @@
 import { Metrics, ManualClock } from '@fighub/core';
 import type { PoolPolicy } from '@fighub/decisions';
-import { MemberState } from '@fighub/decisions';
+import { BlockedPrompts, MemberState } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner } from '@fighub/peers';
 import { PeerNode } from '@fighub/peers';
 import { describe, expect, it } from 'vitest';
@@ -29,6 +29,7 @@
   policyOf: () => POLICY,
   poolsOpenTo: () => [POOL],
   limitsOf: () => ({}),
+  blockedPrompts: new BlockedPrompts(),
   isLeaving: () => false,
 };
 
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -2,7 +2,7 @@
 import type { Clock, DecisionLog, Metrics, Problem, System } from '@fighub/core';
 import { EntityTable, LogCategory } from '@fighub/core';
 import type { Permit, SlotRequest, PoolLoad, PoolOutput, PoolPolicy, PoolReplica } from '@fighub/decisions';
-import { DisconnectedHolders, MemberState, PoolScheduler, ownerOf } from '@fighub/decisions';
+import { DisconnectedHolders, MemberState, PoolScheduler, PromptFinding, ownerOf } from '@fighub/decisions';
 import type {
   AcquireBody,
   GrantedBody,
@@ -56,6 +56,7 @@
   private syncedOwnershipVersion = -1;
   private syncedCatalogueVersion: unknown;
   private wake: () => void = () => undefined;
+  private promptsBlocked: () => void = () => undefined;
 
   constructor(
     private readonly selfId: string,
@@ -82,6 +83,7 @@
     );
     node.onNotice('permit.withdraw', (body) => this.withdraw(body.poolId, body.requestId));
     node.onNotice('permit.release', (body) => this.release(body));
+    node.onNotice('permit.progress', (body) => this.observeProgress(body.poolId, body.permitId));
     node.onRequest('permit.renew', (body) => {
       this.renew(body);
       return {};
@@ -94,6 +96,11 @@
     this.wake = wake;
   }
 
+  /** Sets the function that is called when a pool of this instance has blocked a prompt. */
+  onPromptsBlocked(listener: () => void): void {
+    this.promptsBlocked = listener;
+  }
+
   /** All configured pools, whoever owns them. */
   describePools(): readonly PoolDescription[] {
     return this.catalogue.pools();
@@ -143,7 +150,7 @@
   }
 
   /** Applies the release and load reports of a holder. */
-  release({ poolId, reports, loads }: PermitReleaseBody): void {
+  release({ poolId, reports, loads, crashes }: PermitReleaseBody): void {
     const pool = this.pools.get(poolId);
     const nowMs = this.clock.monotonicMs();
     reports.forEach((report) => {
@@ -151,6 +158,13 @@
       this.sampleSlotFreedTime(report.permitId);
     });
     loads.forEach((report) => pool?.observeLoad(report, nowMs));
+    crashes?.forEach((report) => pool?.observeCrash(report, nowMs));
+    this.wake();
+  }
+
+  /** Records that the stream of a permit has shown that its prompt does not crash replicas. */
+  observeProgress(poolId: string, permitId: string): void {
+    this.pools.get(poolId)?.observeProgress(permitId, this.clock.monotonicMs());
     this.wake();
   }
 
@@ -296,7 +310,9 @@
   private newScheduler(description: PoolDescription, policy: PoolPolicy): PoolScheduler {
     this.schedulersCreated += 1;
     const permitIdPrefix = `${this.selfId}/${String(this.schedulersCreated)}`;
-    return new PoolScheduler(description.poolId, permitIdPrefix, policy, this.outputOf(description));
+    const output = this.outputOf(description);
+    const { blockedPrompts } = this.catalogue;
+    return new PoolScheduler(description.poolId, permitIdPrefix, policy, output, blockedPrompts);
   }
 
   private outputOf(description: PoolDescription): PoolOutput {
@@ -307,6 +323,15 @@
         this.logRefusalCause(description.poolId);
       },
       revoked: (permit) => this.sendRevocation(permit),
+      promptFound: (finding, { untilMs, ...prompt }) => {
+        this.metrics.count(`prompts_${finding}`);
+        this.log?.record(LogCategory.state, `prompt_${finding}`, {
+          poolId: description.poolId,
+          ...prompt,
+          forMs: untilMs === undefined ? undefined : Math.round(untilMs - this.clock.monotonicMs()),
+        });
+        if (finding === PromptFinding.blocked) this.promptsBlocked();
+      },
     };
   }
 
@@ -321,6 +346,7 @@
       fencingChecked:
         description.upstreams.find((u) => u.upstreamId === replica.replicaId)?.fencingChecked ?? false,
       softwareVersion: replica.softwareVersion,
+      ...(permit.reportsProgress ? { reportsProgress: true } : {}),
     };
     this.sendToHolder(
       permit.request.holder,
@@ -411,6 +437,7 @@
       deadlineMs: nowMs + body.deadlineInMs,
       failureDomain: this.members().membership.get(body.holder)?.failureDomain ?? '',
       prefixDigest: body.prefixDigest,
+      sharedPartIds: body.sharedPartIds ?? [],
       excludedReplicaIds: body.excludedReplicaIds,
       softwareVersion: body.softwareVersion,
       resumable: body.resumable,
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -23,6 +23,8 @@
   readonly deadlineUnixMs: number;
   /** Digest of the start of the prompt, which replicas may have cached; empty when there is none. */
   readonly prefixDigest: string;
+  /** Ids of the parts of the prompt that other requests may share; undefined when they are not known. */
+  readonly sharedPartIds?: readonly string[];
   /** Replicas that must not be chosen, because earlier attempts there failed. */
   readonly excludedReplicaIds: readonly string[];
   /** The only software version at whose replicas the stream may run, because it began there; undefined for any. */
@@ -45,6 +47,8 @@
   readonly fencingChecked: boolean;
   /** Undefined when the platform does not tell versions apart. */
   readonly softwareVersion?: string;
+  /** Whether `PermitClient.reportProgress` is to be called once the stream shows that its prompt is sound. */
+  readonly reportsProgress?: boolean;
   /** Aborted when the owner of the pool preempts the stream. */
   readonly revoked: AbortSignal;
 }
--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -35,10 +35,19 @@
   draining: 503,
   upstream_failed: 502,
   deadline_passed: 504,
+  prompt_crashes_upstream: 500,
   internal: 500,
 } as const;
 export type ProblemCode = keyof typeof ProblemStatus;
 
+/** Codes of requests that would be refused again if their callers sent them again. */
+const FINAL_CODES: ReadonlySet<ProblemCode> = new Set(['prompt_crashes_upstream']);
+
+/** Whether the caller must not be told to come back. */
+export function isFinal(code: ProblemCode): boolean {
+  return FINAL_CODES.has(code);
+}
+
 /** A refusal or failure as it is sent to a caller. */
 export interface Problem {
   readonly code: ProblemCode;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './batch-queue.js';
 export * from './batch-run-estimates.js';
+export * from './blocked-prompts.js';
 export * from './burst-reserve.js';
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
@@ -31,6 +32,7 @@
 export * from './pool-scheduler.js';
 export * from './pool-types.js';
 export * from './prefix-index.js';
+export * from './prompt-crashes.js';
 export * from './quarantine.js';
 export * from './rendezvous.js';
 export * from './replica-choice.js';
@@ -41,5 +43,6 @@
 export * from './retry-policy.js';
 export * from './stream-origins.js';
 export * from './stream-stall.js';
+export * from './suspect-queue.js';
 export * from './token-bucket.js';
 export * from './write-groups.js';
--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -22,6 +22,10 @@
   revoked(permit: Permit): void {
     this.revocations.push(permit);
   }
+
+  promptFound(): void {
+    return;
+  }
 }
 
 const POLICY: PoolPolicy = {
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -3,6 +3,7 @@
 import { notRun } from '@fighub/core';
 
 import { BatchQueue } from './batch-queue.js';
+import { BlockedPrompts } from './blocked-prompts.js';
 import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
 import { FairQueue } from './fair-queue.js';
@@ -17,12 +18,16 @@
   PoolPolicy,
   PoolReplica,
   ReleaseReport,
+  ReplicaCrashReport,
   ReplicaInfo,
   ReplicaLoadReport,
 } from './pool-types.js';
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
+import { EVENTS_OF_SOUND_PROMPT, PromptCrashes } from './prompt-crashes.js';
 import { Quarantine } from './quarantine.js';
+import { AttemptEnd } from './replica-health.js';
+import { SuspectQueue } from './suspect-queue.js';
 
 /** The slot of a preempted stream counts as free for this long, and as occupied again if the permit is still held. */
 const REVOKE_GRACE_MS = 300;
@@ -63,6 +68,10 @@
   /** Replicas of the pool, and the permits for their slots. */
   private readonly places = new PoolSlots(this.limits);
   private readonly quarantine = new Quarantine();
+  private readonly promptCrashes: PromptCrashes;
+  private readonly suspects = new SuspectQueue();
+  /** Version of `promptCrashes` by which the waiting requests were last checked. */
+  private checkedPromptsVersion = 0;
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
 
@@ -72,7 +81,13 @@
     private readonly permitIdPrefix: string,
     private policy: PoolPolicy,
     private readonly output: PoolOutput,
-  ) {}
+    /** The blocked prompts of this instance, which the pools that it owns share. */
+    blockedPrompts: BlockedPrompts = new BlockedPrompts(),
+  ) {
+    this.promptCrashes = new PromptCrashes(blockedPrompts, (finding, prompt) =>
+      this.output.promptFound(finding, prompt),
+    );
+  }
 
   get replicas(): EntityTable<PoolReplica> {
     return this.places.replicas;
@@ -104,10 +119,16 @@
       this.output.refused(request, this.noUpstream(request.softwareVersion));
       return;
     }
-    if (request.alone) {
-      this.quarantine.push(request);
+    if (this.promptCrashes.isBlocked(request.sharedPartIds, nowMs)) {
+      this.output.refused(request, promptBlocked());
       return;
     }
+    if (request.alone) this.quarantine.push(request);
+    else if (this.mayStart(request, nowMs)) this.enqueueUnsuspected(request, nowMs);
+    else this.suspects.push(request);
+  }
+
+  private enqueueUnsuspected(request: SlotRequest, nowMs: number): void {
     if (request.workClass === WorkClass.batch) {
       this.batch.push(request, this.policy.weightOf(request.organisation));
       return;
@@ -127,12 +148,19 @@
 
   /** Whether the pool has a waiting request or a permit. */
   get busy(): boolean {
-    return this.permits.size + this.online.size + this.batch.size + this.quarantine.size > 0;
+    return (
+      this.permits.size + this.online.size + this.batch.size + this.quarantine.size + this.suspects.size > 0
+    );
   }
 
   /** Whether the request is in one of the queues of this pool. */
   isWaiting(requestId: string): boolean {
-    return this.online.has(requestId) || this.batch.has(requestId) || this.quarantine.has(requestId);
+    return (
+      this.online.has(requestId) ||
+      this.batch.has(requestId) ||
+      this.quarantine.has(requestId) ||
+      this.suspects.has(requestId)
+    );
   }
 
   /** The permit that was granted to a request, or undefined when it has none. */
@@ -143,6 +171,7 @@
   /** Removes a waiting request from its queue; does nothing when the request is not waiting. */
   withdraw(requestId: string): void {
     this.quarantine.remove(requestId);
+    this.suspects.takeWhere((request) => request.requestId === requestId);
     if (!this.online.remove(requestId)) this.batch.remove(requestId);
   }
 
@@ -154,10 +183,22 @@
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correctCharge(permit.request.organisation, report.tokens - permit.request.costTokens);
     if (permit.request.workClass === WorkClass.batch) this.observeBatchRun(permit, report, nowMs);
+    this.observePrompt(permit, report, nowMs);
     this.places.observeEnd(permit.replicaId, report.end, nowMs);
     if (report.end === 'completed') this.recordMeasurements(permit, report, nowMs);
   }
 
+  /** Records that the stream of a permit has shown that its prompt does not crash replicas. */
+  observeProgress(permitId: string, nowMs: number): void {
+    const permit = this.permits.get(permitId);
+    if (permit) this.promptCrashes.onSound(permit.request.sharedPartIds, nowMs);
+  }
+
+  /** Records the crash of a replica under a request without a permit. */
+  observeCrash({ replicaId, ...request }: ReplicaCrashReport, nowMs: number): void {
+    this.promptCrashes.onCrash(request, replicaId, nowMs);
+  }
+
   /** Applies a renewal by a holder, which lists all permits that it holds. See `PoolSlots.renew`. */
   renew(holder: string, permits: readonly Permit[], nowMs: number): void {
     this.places.renew(holder, permits, nowMs);
@@ -173,6 +214,7 @@
     this.online.removeWhere((request) => request.holder === holder);
     this.batch.removeWhere((request) => request.holder === holder);
     this.quarantine.removeHolder(holder);
+    this.suspects.takeWhere((request) => request.holder === holder);
     this.places.removeHolder(holder);
   }
 
@@ -200,6 +242,8 @@
   run(nowMs: number): void {
     this.places.dropExpired(nowMs);
     this.refuseOverdue(nowMs);
+    this.checkWaitingPrompts(nowMs);
+    this.startSuspects(nowMs);
     if (!this.places.hasUsableReplica(nowMs)) this.refuseAll();
     this.refuseVersionsWithoutReplica(nowMs);
     this.moveLateItems(nowMs);
@@ -262,8 +306,8 @@
       places: this.places.total(nowMs),
       onlineStreams: this.places.streamsOf(WorkClass.online),
       batchStreams: this.places.streamsOf(WorkClass.batch),
-      onlineWaiting: this.online.size,
-      batchWaiting: this.batch.size + this.quarantine.size,
+      onlineWaiting: this.online.size + this.suspects.sizeOf(WorkClass.online),
+      batchWaiting: this.batch.size + this.quarantine.size + this.suspects.sizeOf(WorkClass.batch),
       newcomerWaitMs: this.expectedWaitMs(IDLE_ORGANISATION, nowMs),
       organisationWaits: this.organisationWaits(nowMs),
       reservedPlaces: this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs),
@@ -285,6 +329,7 @@
       ...this.describe(nowMs),
       onlineByOrganisation: this.online.depths(),
       quarantine: this.quarantine.dump(),
+      prompts: { ...this.promptCrashes.dump(nowMs), waiting: this.suspects.size },
       batchByOrganisation: this.batch.depths(),
       permits: this.permits.all(),
     };
@@ -320,9 +365,11 @@
    */
   private refuseAll(): void {
     const anyRequest = (): boolean => true;
-    [...this.online.removeWhere(anyRequest), ...this.batch.removeWhere(anyRequest)].forEach((request) =>
-      this.output.refused(request, this.noUpstream()),
-    );
+    [
+      ...this.online.removeWhere(anyRequest),
+      ...this.batch.removeWhere(anyRequest),
+      ...this.suspects.takeWhere(anyRequest),
+    ].forEach((request) => this.output.refused(request, this.noUpstream()));
   }
 
   /** Refuses the waiting requests that are bound to a software version without a usable replica. */
@@ -341,6 +388,69 @@
     return notRun('no_upstream', detail, NO_UPSTREAM_RETRY_MS);
   }
 
+  /** Derives from the end of a stream whether its prompt crashes replicas. */
+  private observePrompt({ request, replicaId }: Permit, report: ReleaseReport, nowMs: number): void {
+    if (request.sharedPartIds.length === 0) return;
+    if (report.end === AttemptEnd.completed || report.tokens >= EVENTS_OF_SOUND_PROMPT)
+      this.promptCrashes.onSound(request.sharedPartIds, nowMs);
+    else if (report.end === AttemptEnd.broken) this.promptCrashes.onCrash(request, replicaId, nowMs);
+  }
+
+  /**
+   * Whether a request may be queued: no other request with a part of its prompt that is suspected waits or runs. An online
+   * request takes the place of a batch item that still waits for a slot.
+   */
+  private mayStart(request: SlotRequest, nowMs: number): boolean {
+    const isPending = (requestId: string): boolean =>
+      this.online.has(requestId) || this.batch.has(requestId) || this.permitOf(requestId) !== undefined;
+    if (this.promptCrashes.mayStart(request, isPending, nowMs)) return true;
+    if (request.workClass === WorkClass.batch) return false;
+    this.promptCrashes
+      .probeIdsOf(request.sharedPartIds, nowMs)
+      .map((requestId) => this.batch.remove(requestId))
+      .filter((item) => item !== undefined)
+      .forEach((item) => this.suspects.push(item));
+    return this.promptCrashes.mayStart(request, isPending, nowMs);
+  }
+
+  /** After a crash, refuses the waiting requests that are blocked now, and holds those that are suspected. */
+  private checkWaitingPrompts(nowMs: number): void {
+    if (this.promptCrashes.version === this.checkedPromptsVersion) return;
+    this.checkedPromptsVersion = this.promptCrashes.version;
+    const isAffected = (request: SlotRequest): boolean =>
+      this.promptCrashes.isBlocked(request.sharedPartIds, nowMs) || !this.mayStart(request, nowMs);
+    const affected = [
+      ...this.suspects.takeWhere(() => true),
+      ...this.online.removeWhere(isAffected),
+      ...this.batch.removeWhere(isAffected),
+    ];
+    affected.forEach((request) => {
+      if (this.promptCrashes.isBlocked(request.sharedPartIds, nowMs))
+        this.output.refused(request, promptBlocked());
+      else this.suspects.push(request);
+    });
+  }
+
+  /** Queues the held requests that may run now, and refuses those that would start too late. */
+  private startSuspects(nowMs: number): void {
+    if (this.suspects.size === 0) return;
+    const isOverdue = ({ workClass, startByMs, deadlineMs }: SlotRequest): boolean =>
+      workClass === WorkClass.online && nowMs > (startByMs ?? deadlineMs);
+    this.suspects
+      .takeWhere(isOverdue)
+      .forEach((request) =>
+        this.output.refused(
+          request,
+          notRun('deadline_unreachable', 'requests with a part of this prompt run one at a time'),
+        ),
+      );
+    repeatWhile(() => {
+      const next = this.suspects.takeFirst((request) => this.mayStart(request, nowMs));
+      if (next) this.enqueueUnsuspected(next, nowMs);
+      return next !== undefined;
+    });
+  }
+
   /** Advances the quarantine: stops the batch streams at the isolated replica, or starts the suspect there. */
   private runQuarantine(nowMs: number): void {
     if (this.quarantine.size === 0 && this.quarantine.replicaId === undefined) return;
@@ -477,6 +587,7 @@
       request,
       replicaId: replica.replicaId,
       grantedAtMs: nowMs,
+      reportsProgress: this.promptCrashes.isProbe(request, nowMs),
       expiresAtMs: nowMs + PERMIT_LIFETIME_MS,
     };
     this.nextPermit += 1;
@@ -487,6 +598,10 @@
   }
 }
 
+function promptBlocked(): Problem {
+  return notRun('prompt_crashes_upstream', 'requests with a part of this prompt have crashed replicas');
+}
+
 function repeatWhile(step: () => boolean): void {
   while (step());
 }
--- a/packages/decisions/src/pool-slots.test.ts
+++ b/packages/decisions/src/pool-slots.test.ts
@@ -146,6 +146,7 @@
             failureDomain: `d${String(number % 2)}`,
             workClass: batch ? 'batch' : 'online',
             prefixDigest: prefix,
+            sharedPartIds: [],
             excludedReplicaIds: excluded.map((id) => `r${String(id)}`),
             resumable,
             alone: false,
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -4,6 +4,7 @@
 import type { ConcurrencyLimit, LatencyTargets } from './concurrency.js';
 import type { QueuedRequest } from './fair-queue.js';
 import type { LoadDrift } from './load-drift.js';
+import type { PromptReporter } from './prompt-crashes.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
 
 /** Class of work of a request. Online requests are served before batch items. */
@@ -24,6 +25,8 @@
   readonly workClass: WorkClass;
   /** Digest of the prompt prefix, to find replicas that cache it. */
   readonly prefixDigest: string;
+  /** Ids of the parts of the prompt that other requests may share; empty when they are not known. */
+  readonly sharedPartIds: readonly string[];
   /** Replicas at which earlier attempts of the request failed. */
   readonly excludedReplicaIds: readonly string[];
   /** Whether the stream can be stopped and continued later; only such batch streams are preempted. */
@@ -35,12 +38,21 @@
   readonly receivedTokens?: number;
 }
 
+/** A crash of a replica under a request that ran there without a permit of the pool's owner. */
+export interface ReplicaCrashReport {
+  readonly requestId: string;
+  readonly replicaId: string;
+  readonly sharedPartIds: readonly string[];
+}
+
 /** The right of a holder to run one stream at one replica. Times are monotonic milliseconds of the pool's owner. */
 export interface Permit {
   readonly permitId: string;
   readonly request: SlotRequest;
   readonly replicaId: string;
   readonly grantedAtMs: number;
+  /** Whether the holder reports once the stream shows that its prompt does not crash replicas. */
+  readonly reportsProgress?: boolean;
   expiresAtMs: number;
   /** Set when the permit is revoked: its slot counts as free until this time, and then as occupied again. */
   revokedUntilMs?: number;
@@ -106,6 +118,8 @@
   refused(request: SlotRequest, problem: Problem): void;
   /** The holder of the permit must stop the stream. */
   revoked(permit: Permit): void;
+  /** A prompt was suspected of crashing replicas, or blocked for it. */
+  promptFound: PromptReporter;
 }
 
 /** Settings of a pool, read at each decision. */
--- a/packages/decisions/src/pool-versions.test.ts
+++ b/packages/decisions/src/pool-versions.test.ts
@@ -32,6 +32,7 @@
     granted: (permit) => permits.push(permit),
     refused: (_request, problem) => refusals.push(problem),
     revoked: (permit) => revocations.push(permit),
+    promptFound: () => undefined,
   };
   const scheduler = new PoolScheduler('s@', 'owner', POLICY, output);
   const infos = [replica('r1', 'v1', slotsOfV1), replica('r2', 'v2', slotsOfV2)];
--- /dev/null
+++ b/packages/decisions/src/suspect-queue.ts
@@ -0,0 +1,42 @@
+/** Requests that wait until another one has shown whether a part of their prompts crashes replicas. */
+import type { SlotRequest } from './pool-types.js';
+import { WorkClass } from './pool-types.js';
+
+/** Waiting requests in the order of their arrival, online requests first. */
+export class SuspectQueue {
+  private waiting: SlotRequest[] = [];
+
+  get size(): number {
+    return this.waiting.length;
+  }
+
+  /** Number of waiting requests of a class of work. */
+  sizeOf(workClass: WorkClass): number {
+    return this.waiting.filter((request) => request.workClass === workClass).length;
+  }
+
+  has(requestId: string): boolean {
+    return this.waiting.some((request) => request.requestId === requestId);
+  }
+
+  push(request: SlotRequest): void {
+    const at = this.waiting.findIndex(
+      (other) => request.workClass === WorkClass.online && other.workClass !== WorkClass.online,
+    );
+    this.waiting.splice(at < 0 ? this.waiting.length : at, 0, request);
+  }
+
+  /** Removes and returns the first request that `matches` selects; undefined if there is none. */
+  takeFirst(matches: (request: SlotRequest) => boolean): SlotRequest | undefined {
+    const first = this.waiting.find(matches);
+    this.waiting = this.waiting.filter((request) => request !== first);
+    return first;
+  }
+
+  /** Removes and returns the requests that `matches` selects. */
+  takeWhere(matches: (request: SlotRequest) => boolean): SlotRequest[] {
+    const taken = this.waiting.filter(matches);
+    this.waiting = this.waiting.filter((request) => !taken.includes(request));
+    return taken;
+  }
+}
--- a/packages/decisions/src/testing/slot-request.ts
+++ b/packages/decisions/src/testing/slot-request.ts
@@ -11,6 +11,7 @@
     holder: 'h',
     workClass: 'online',
     prefixDigest: '',
+    sharedPartIds: [],
     excludedReplicaIds: [],
     resumable: true,
     alone: false,
--- a/packages/entry/src/batch/invariants.test.ts
+++ b/packages/entry/src/batch/invariants.test.ts
@@ -67,7 +67,12 @@
       weightOf: () => 1,
       limitsOf: () => ({}),
     };
-    const output = { granted: () => undefined, refused: () => undefined, revoked: () => undefined };
+    const output = {
+      granted: () => undefined,
+      refused: () => undefined,
+      revoked: () => undefined,
+      promptFound: () => undefined,
+    };
     const scheduler = new PoolScheduler('m@d', 'owner', policy, output);
     scheduler.setReplicas([
       { replicaId: 'r', address: 'a', failureDomain: 'd', maxConcurrency: 2, leaving: false },
@@ -80,6 +85,7 @@
       holder: 'h',
       workClass: 'online' as const,
       prefixDigest: '',
+      sharedPartIds: [],
       excludedReplicaIds: [],
       resumable: true,
       alone: false,
--- a/packages/entry/src/table/table-pool-catalogue.ts
+++ b/packages/entry/src/table/table-pool-catalogue.ts
@@ -1,7 +1,7 @@
 /** Pools as configured in the operators' table: one for each model in each failure domain. */
 import type { PoolCatalogue, PoolDescription, UpstreamStates } from '@fighub/admission';
 import type { OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
-import { partOfRate, partOfStreams, poolIdOf } from '@fighub/decisions';
+import { BlockedPrompts, partOfRate, partOfStreams, poolIdOf } from '@fighub/decisions';
 
 import type { TableStore } from './table-store.js';
 import type { TableView } from './table-view.js';
@@ -14,6 +14,8 @@
 
 /** Provides the pools and policies in the table to admission. Pools are derived again when the table has changed. */
 export class TablePoolCatalogue implements PoolCatalogue {
+  /** Always empty: requests of this interface do not tell the parts of their prompts. */
+  readonly blockedPrompts = new BlockedPrompts();
   /** The table view from which `descriptions` was derived. */
   private describedView: TableView | undefined;
   private descriptions: PoolDescription[] = [];
--- a/packages/lab/src/experiments/scheduler.ts
+++ b/packages/lab/src/experiments/scheduler.ts
@@ -52,6 +52,10 @@
     return;
   }
 
+  promptFound(): void {
+    return;
+  }
+
   revoked(permit: Permit): void {
     this.preempted.push(permit);
   }
@@ -69,6 +73,7 @@
         failureDomain: `d${String(index % FAILURE_DOMAINS)}`,
         workClass,
         prefixDigest: workClass === 'online' ? `p${String(index % PREFIXES)}` : '',
+        sharedPartIds: [],
         excludedReplicaIds: [],
         resumable: true,
         alone: false,
--- a/packages/lab/src/pool-simulation.ts
+++ b/packages/lab/src/pool-simulation.ts
@@ -195,6 +195,10 @@
     this.after(this.returnDelayMs(problem.retryAfterMs ?? 0, leftMs), () => this.enqueue(work));
   }
 
+  promptFound(): void {
+    return;
+  }
+
   revoked(permit: Permit): void {
     this.preemptions += 1;
     this.after(NETWORK_DELAY_MS, () => {
@@ -222,6 +226,7 @@
         holder: 'h',
         workClass: work.workClass,
         prefixDigest: '',
+        sharedPartIds: [],
         excludedReplicaIds: [],
         resumable: true,
         alone: false,
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -10,6 +10,7 @@
   MemberUpdate,
   PoolLoad,
   ReleaseReport,
+  ReplicaCrashReport,
   ReplicaLoadReport,
   StreamOrigin,
   WorkClass,
@@ -36,6 +37,8 @@
   /** Time left until a waiting online request is refused or a waiting batch request is put behind all others. */
   readonly deadlineInMs: number;
   readonly prefixDigest: string;
+  /** Ids of the parts of the prompt that other requests may share; omitted when there are none. */
+  readonly sharedPartIds?: readonly string[];
   readonly excludedReplicaIds: readonly string[];
   /** The only software version at whose replicas the stream may run; omitted for any. */
   readonly softwareVersion?: string;
@@ -57,6 +60,8 @@
   readonly fencingChecked: boolean;
   /** Omitted when the platform does not tell versions apart. */
   readonly softwareVersion?: string;
+  /** Whether the holder must report once the stream shows that its prompt does not crash replicas; omitted if not. */
+  readonly reportsProgress?: boolean;
 }
 
 /** Permits that a holder releases, and the loads that replicas have reported with their responses. */
@@ -64,6 +69,15 @@
   readonly poolId: string;
   readonly reports: readonly ReleaseReport[];
   readonly loads: readonly ReplicaLoadReport[];
+  /** Crashes of replicas under requests without a permit; omitted when there are none. */
+  readonly crashes?: readonly ReplicaCrashReport[];
+}
+
+/** A blocked prompt, with the time that is left of the block in milliseconds. */
+export interface BlockedPromptBody {
+  readonly partIds: readonly string[];
+  readonly leftMs: number;
+  readonly blockCount: number;
 }
 
 /** Where a stream began, for the members that keep it for the instance that forwards the stream. */
@@ -109,6 +123,8 @@
   readonly backlog?: JobBacklog;
   /** Listed replicas whose responses have stated that they are leaving; omitted when there are none. */
   readonly leavingReplicaIds?: readonly string[];
+  /** Prompts with which requests are refused; omitted when there are none. */
+  readonly blockedPrompts?: readonly BlockedPromptBody[];
 }
 
 /** Tokens of the unfinished batch items by route, from the latest listing that the sender knows. */
@@ -196,6 +212,10 @@
   'owner.suspected': { instanceId: string };
   /** A response of the replica stated that it is leaving. The owner of its pool passes this on to the coordinators. */
   'replica.leaving': { replicaId: string; passOn: boolean };
+  /** The stream of a permit has shown that its prompt does not crash replicas. */
+  'permit.progress': { poolId: string; permitId: string };
+  /** The owner of a pool blocks prompts. The coordinators pass this on with their views. */
+  'prompts.blocked': { prompts: readonly BlockedPromptBody[] };
   'table.push': { bucket: TableBucket };
   'stream.begun': { streams: readonly BegunStream[] };
   'job.cancelled': { jobId: string };
--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -1,5 +1,6 @@
 import type { SlotDemand } from '@fighub/admission';
 import { DecisionLog, Metrics, SystemClock, fail, notRun, ok } from '@fighub/core';
+import { BlockedPrompts } from '@fighub/decisions';
 import { describe, expect, it } from 'vitest';
 
 import type { ItemOutput, ItemRunDependencies, ItemRunRequest } from './item-run.js';
@@ -28,6 +29,7 @@
   const demands: SlotDemand[] = [];
   const dependencies = {
     view: {
+      blockedPrompts: new BlockedPrompts(),
       routes: { match: () => ({ name: 'r', backends: [{ service: 's', weight: 1 }] }) },
       serves: () => true,
       servesOtherVersions: () => otherVersionsServe,
@@ -75,6 +77,7 @@
     const elsewhere = { service: 's', softwareVersion: 'v2' };
     const dependencies = {
       view: {
+        blockedPrompts: new BlockedPrompts(),
         routes: { match: () => ({ name: 'r', backends: [{ service: 's', weight: 1 }] }) },
         serves: () => false,
         isUsable: () => true,
@@ -102,6 +105,7 @@
     let mayDispatch = true;
     const dependencies = {
       view: {
+        blockedPrompts: new BlockedPrompts(),
         routes: { match: () => ({ name: 'r', backends: [{ service: 's', weight: 1 }] }) },
         isUsable: () => true,
         originOf: () => ORIGIN,
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -3,7 +3,7 @@
 import type { Clock, DecisionLog, Metrics, Outcome, Problem, Route, StoredItem } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
-import { AttemptEnd, canContinue, continuationWaitMs } from '@fighub/decisions';
+import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, canContinue, continuationWaitMs } from '@fighub/decisions';
 
 import { pickBackend } from '../online/backend-choice.js';
 import { EventSplitter, dataOf } from '../online/event-splitter.js';
@@ -31,6 +31,8 @@
   failed: 'failed',
   /** No route matches the item any more. */
   noRoute: 'no_route',
+  /** Nothing was sent, since requests with a part of the item's prompt, or the item itself, have crashed replicas. */
+  blocked: 'blocked',
   /** The run was stopped, refused or cut short. A later run resumes after the last received event. */
   interrupted: 'interrupted',
 } as const;
@@ -98,7 +100,10 @@
   const route = dependencies.view.routes?.match(request.host, request.item.target);
   if (!dependencies.view.routes) return INTERRUPTED;
   if (!route) return { end: ItemRunOutcome.noRoute, givenWay: false };
+  if (isPromptBlocked(request.item, dependencies)) return { end: ItemRunOutcome.blocked, givenWay: false };
   const slot = await acquireSlot(request, route, dependencies, stop);
+  if (!slot.ok && slot.error.code === 'prompt_crashes_upstream')
+    return { end: ItemRunOutcome.blocked, givenWay: false };
   if (!slot.ok) return INTERRUPTED;
   const { replicaId } = slot.value;
   if (stop.aborted || !dependencies.view.isUsable(replicaId) || !request.mayDispatch()) {
@@ -109,6 +114,15 @@
   return send(request, slot.value, dependencies, stop);
 }
 
+/** An item is sent again after each crash, so that it is also judged by itself, as a part that only it has. */
+function judgedPartIds({ itemId, sharedPartIds = [] }: StoredItem): string[] {
+  return [...sharedPartIds, `item/${itemId}`];
+}
+
+function isPromptBlocked(item: StoredItem, { view, clock }: ItemRunDependencies): boolean {
+  return view.blockedPrompts.find(judgedPartIds(item), clock.monotonicMs()) !== undefined;
+}
+
 /**
  * Acquires a slot where the output can be continued, or any slot when the wait for such a one is over. The item starts
  * anew if that slot is at another version.
@@ -147,6 +161,7 @@
     costTokens: request.item.tokens,
     deadlineUnixMs: request.dueAtUnixMs,
     prefixDigest: '',
+    sharedPartIds: judgedPartIds(request.item),
     excludedReplicaIds: request.excludedReplicaIds,
     softwareVersion,
     resumable: true,
@@ -172,7 +187,11 @@
     (replicaId) => dependencies.leavingAnnouncements.onResponse(replicaId),
     expectedOrigin,
     () => expectedOrigin !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, expectedOrigin),
-    request.onEvent,
+    (events) => {
+      request.onEvent();
+      if (events === EVENTS_OF_SOUND_PROMPT && slot.reportsProgress)
+        dependencies.permits.reportProgress(slot);
+    },
     dependencies.clock,
   );
   const startedMs = dependencies.clock.monotonicMs();
@@ -187,7 +206,7 @@
     body: Buffer.from(item.bodyBase64, 'base64'),
     resumeAfter: output.lastEventId,
     // Whether the job may go on is left out: the replica would be taken for one that cannot be reached.
-    mayBegin: () => dependencies.view.isUsable(slot.replicaId),
+    mayBegin: () => dependencies.view.isUsable(slot.replicaId) && !isPromptBlocked(item, dependencies),
   };
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
@@ -196,8 +215,9 @@
   const verdict = listener.verdict(end);
   const preempted = slot.revoked.aborted;
   const brokenByReplica = verdict === ItemRunOutcome.interrupted && !preempted && !stop.aborted;
+  const wasBlocked = end.kind === UpstreamEndKind.notConnected && isPromptBlocked(item, dependencies);
   dependencies.permits.release(slot, {
-    end: attemptEndOf(end, verdict, brokenByReplica),
+    end: wasBlocked ? AttemptEnd.cancelled : attemptEndOf(end, verdict, brokenByReplica),
     tokens: listener.events,
   });
   if (end.kind === UpstreamEndKind.broken && listener.events === 0)
@@ -272,7 +292,8 @@
     private readonly expectedOrigin: StreamOrigin | undefined,
     /** Whether the directory still tells `expectedOrigin`. */
     private readonly confirmsOrigin: () => boolean,
-    private readonly onEvent: () => void,
+    /** Called after each event with the number of events of this run. */
+    private readonly onEvent: (events: number) => void,
     clock: Clock,
   ) {
     this.stop = AbortSignal.any([stop, this.streamFault.signal]);
@@ -334,7 +355,7 @@
     this.output.lastEventId = event.eventId;
     this.output.events.push(dataOf(event));
     this.events += 1;
-    this.onEvent();
+    this.onEvent(this.events);
   }
 
   /** Whether an event is certain to come from where the output began. The first event of an output decides that. */
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -1,6 +1,7 @@
 import type { JobProgress, LineWriter, ResultSegment } from '@fighub/core';
 import { DecisionLog, Metrics, SystemClock, batchJobKeys } from '@fighub/core';
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
+import { BlockedPrompts } from '@fighub/decisions';
 import { describe, expect, it, vi } from 'vitest';
 
 import type { UpstreamCall, UpstreamListener } from '../online/forwarding.js';
@@ -41,6 +42,7 @@
   if (!record.ok) throw new Error('the progress could not be written');
   const dependencies = {
     view: {
+      blockedPrompts: new BlockedPrompts(),
       routes: { match: () => ({ name: 'r', backends: [] }) },
       isUsable: () => true,
       originOf: () => ORIGIN,
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -32,12 +32,16 @@
   failedAttempts: number;
   retryAtMs: number;
   running: boolean;
+  /** Whether the last run was not made because its prompt crashes replicas. */
+  isBlocked: boolean;
 }
 
 /** Delay before an interrupted item is run again; a preempted one may run again at once. */
 const INTERRUPTED_RETRY_DELAY_MS = 150;
 /** Delay before a failed item is run again. */
 const FAILED_RETRY_DELAY_MS = 300;
+/** Delay before an item is tried again whose prompt is blocked because it crashes replicas. */
+const BLOCKED_RETRY_DELAY_MS = 5_000;
 /** Number of replicas that an item avoids because they interrupted its last runs. */
 const MAX_EXCLUDED_REPLICAS = 2;
 /** Maximum bytes of output in one commit, as JSON. */
@@ -98,6 +102,7 @@
         failedAttempts,
         retryAtMs: 0,
         running: false,
+        isBlocked: false,
       });
     });
   }
@@ -249,9 +254,11 @@
   }
 
   private onEnd(entry: OpenItem, { end, brokenReplicaId, givenWay: preempted }: ItemRunResult): void {
+    if (end !== ItemRunOutcome.blocked) entry.isBlocked = false;
     if (end === ItemRunOutcome.done) this.onDone(entry);
     else if (end === ItemRunOutcome.impossible || end === ItemRunOutcome.noRoute) this.giveUp(entry, end);
     else if (end === ItemRunOutcome.failed) this.onFailure(entry);
+    else if (end === ItemRunOutcome.blocked) this.onBlocked(entry);
     else {
       if (brokenReplicaId !== undefined) {
         entry.excludedReplicaIds.push(brokenReplicaId);
@@ -275,6 +282,19 @@
     if (entry.failedAttempts >= this.record.value.maxAttempts) this.giveUp(entry, ItemRunOutcome.failed);
   }
 
+  /** The job may not give the item up yet. Its other items go on. */
+  private onBlocked(entry: OpenItem): void {
+    entry.retryAtMs = this.clock.monotonicMs() + BLOCKED_RETRY_DELAY_MS;
+    if (entry.isBlocked) return;
+    entry.isBlocked = true;
+    this.metrics.count('batch_items_blocked');
+    this.log.record(LogCategory.failure, 'item_blocked', {
+      jobId: this.jobId,
+      itemId: entry.item.itemId,
+      sharedPartIds: entry.item.sharedPartIds,
+    });
+  }
+
   private giveUp(entry: OpenItem, cause: string): void {
     this.log.record(LogCategory.failure, 'item_given_up', {
       jobId: this.jobId,
@@ -289,7 +309,12 @@
   private abandonOverdue(): void {
     if (this.clock.nowUnixMs() < this.record.value.abandonAtUnixMs) return;
     [...this.items.values()].forEach((entry) =>
-      this.giveUp(entry, 'the time to abandon the item was reached'),
+      this.giveUp(
+        entry,
+        entry.isBlocked
+          ? 'its prompt has crashed replicas until the time to abandon the item'
+          : 'the time to abandon the item was reached',
+      ),
     );
     this.stopping.abort();
   }
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -4,7 +4,7 @@
  */
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
-import { LogCategory, RouteKind, mayHaveRun, notRun } from '@fighub/core';
+import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
 import { AttemptEnd, SendEvidence, canContinue, mayRetry, returnDelayMs } from '@fighub/decisions';
 
@@ -27,6 +27,11 @@
 /** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
 const ORIGIN_MARGIN_MS = 2_000;
 
+const PROMPT_BLOCKED = notRun(
+  'prompt_crashes_upstream',
+  'requests with a part of this prompt have crashed replicas',
+);
+
 /** Components that the forwarding of requests uses. */
 export interface ForwardDependencies {
   readonly view: FleetView;
@@ -138,6 +143,7 @@
   /** Acquires a slot and makes one attempt. Returns whether another attempt is to be made. */
   private async runAttempt(stop: AbortSignal): Promise<boolean> {
     if (stop.aborted) return this.finishStopped();
+    if (this.isPromptBlocked()) return this.finishWithProblem(PROMPT_BLOCKED, 'prompt_blocked');
     const slot = await this.dependencies.permits.acquire(this.demand(), stop);
     if (stop.aborted) {
       if (slot.ok) this.dependencies.permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
@@ -161,6 +167,11 @@
     return at !== undefined && view.isUsable(replicaId) && (!this.origin || canContinue(this.origin, at));
   }
 
+  private isPromptBlocked(): boolean {
+    const { view, clock } = this.dependencies;
+    return view.blockedPrompts.find(this.request.sharedPartIds, clock.monotonicMs()) !== undefined;
+  }
+
   private demand(): SlotDemand {
     const { request, route } = this;
     const { clock } = this.dependencies;
@@ -176,6 +187,7 @@
       startByUnixMs: this.runs > 0 ? undefined : startByMs + offsetMs,
       deadlineUnixMs: (this.runs > 0 ? this.deadlineMs : queueDeadlineMs) + offsetMs,
       prefixDigest: request.prefixDigest,
+      sharedPartIds: request.sharedPartIds,
       excludedReplicaIds: this.excluded,
       softwareVersion: this.origin?.softwareVersion,
       resumable: route.resumable,
@@ -193,6 +205,9 @@
       onLoad: (load) => this.dependencies.permits.recordLoad(slot, load),
       onLeaving: (replicaId) => this.dependencies.leavingAnnouncements.onResponse(replicaId),
       onFirstEvent: () => this.onFirstEvent(slot.replicaId, expectedOrigin),
+      onSoundPrompt: () => {
+        if (slot.reportsProgress) this.dependencies.permits.reportProgress(slot);
+      },
     });
     const sent = await this.dependencies.transport.send(
       {
@@ -206,7 +221,7 @@
         body: request.body,
         deadlineMs: this.deadlineMs,
         resumeAfter,
-        mayBegin: () => this.isUsable(slot.replicaId),
+        mayBegin: () => this.isUsable(slot.replicaId) && !this.isPromptBlocked(),
       },
       attempt,
       attempt.signal,
@@ -216,8 +231,10 @@
     const evidence =
       attempt.reportedNotRun || end.kind === UpstreamEndKind.notConnected ? 'not_run' : 'may_have_run';
     if (evidence === SendEvidence.mayHaveRun) this.runs += 1;
+    // A request that was blocked while it connected says nothing about the replica.
+    const wasBlocked = end.kind === UpstreamEndKind.notConnected && this.isPromptBlocked();
     this.dependencies.permits.release(slot, {
-      end: attemptEndOf(end, attempt.reportedNotRun, attempt.status),
+      end: wasBlocked ? AttemptEnd.cancelled : attemptEndOf(end, attempt.reportedNotRun, attempt.status),
       tokens: attempt.events,
       ...attempt.timing(),
     });
@@ -288,7 +305,7 @@
     const reported =
       this.runs > 0
         ? mayHaveRun(problem.code, problem.detail)
-        : { ...problem, retryAfterMs: this.returnDelayMs(problem) };
+        : { ...problem, retryAfterMs: isFinal(problem.code) ? undefined : this.returnDelayMs(problem) };
     this.dependencies.metrics.count('requests_failed', 1, [reported.code]);
     this.dependencies.log.record(LogCategory.failure, 'request_failed', {
       requestId: this.request.requestId,
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -24,6 +24,7 @@
     onLoad: () => undefined,
     onLeaving: () => undefined,
     onFirstEvent: () => undefined,
+    onSoundPrompt: () => undefined,
   });
   attempt.onHead(HEAD);
   parts.forEach((part) => attempt.onData(Buffer.from(part)));
@@ -67,6 +68,7 @@
         onLoad: () => undefined,
         onLeaving: () => undefined,
         onFirstEvent: () => undefined,
+        onSoundPrompt: () => undefined,
       });
       attempt.onHead(HEAD);
       for (let passedMs = 0; passedMs < 5_000 && !attempt.signal.aborted; passedMs += periodMs) {
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -1,6 +1,7 @@
 /** Passes the responses of replicas on to the caller, from several attempts when a stream is resumed. */
 import type { Clock, Problem, Route } from '@fighub/core';
 import { RouteKind } from '@fighub/core';
+import { EVENTS_OF_SOUND_PROMPT } from '@fighub/decisions';
 
 import type { RawEvent } from './event-splitter.js';
 import { EventSplitter } from './event-splitter.js';
@@ -28,6 +29,8 @@
   onLeaving(replicaId: string): void;
   /** Called before the first event of the attempt is passed on. */
   onFirstEvent(): void;
+  /** Called when the attempt has brought enough events to show that its prompt does not crash the replica. */
+  onSoundPrompt(): void;
 }
 
 /** The response to one caller, over all attempts at replicas. */
@@ -223,6 +226,7 @@
     this.events += 1;
     if (this.events === 1) this.observer.onFirstEvent();
     this.relay.event(this.head, event);
+    if (this.events === EVENTS_OF_SOUND_PROMPT) this.observer.onSoundPrompt();
   }
 
   /**
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -13,6 +13,7 @@
 import type { FleetSource } from './fleet-source.js';
 import type { FleetView } from './fleet-view.js';
 import { AnnouncementSource, recordAnnouncement } from './leaving-announcements.js';
+import { BlockSource, blockedPromptBodies, recordBlockedPrompts } from './prompt-blocks.js';
 
 /** The directory is read this often: the hosting platform requires that changes take effect within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
@@ -128,6 +129,7 @@
       directoryRevision: this.view.replicas.revision,
       replicas: this.view.replicas.replicas,
       leavingReplicaIds: this.view.leavingReplicaIds,
+      blockedPrompts: blockedPromptBodies(this.view, this.clock.monotonicMs()),
     };
   }
 
@@ -253,6 +255,7 @@
 
   private body(withConfiguration: boolean): FleetViewBody {
     const { leavingReplicaIds } = this.view;
+    const blockedPrompts = blockedPromptBodies(this.view, this.clock.monotonicMs());
     return {
       configurationVersion: this.view.configurationVersion,
       configuration: withConfiguration ? this.view.configuration : undefined,
@@ -260,6 +263,7 @@
       ageMs: Math.min(this.ageMs, Number.MAX_SAFE_INTEGER),
       backlog: this.backlog.snapshot(),
       leavingReplicaIds: leavingReplicaIds.length > 0 ? leavingReplicaIds : undefined,
+      blockedPrompts: blockedPrompts.length > 0 ? blockedPrompts : undefined,
     };
   }
 
@@ -268,7 +272,7 @@
     if (body.backlog) this.backlog.onPushed(body.backlog);
     this.applyConfigurationFrom(body.configuration, 'relay');
     this.applyReceivedDirectory(body, 'relay');
-    this.applyLeaving(body);
+    this.applyObservations(body);
     if (body.configurationVersion > this.view.configurationVersion) this.metrics.count('views_behind');
     const isCurrent = body.configurationVersion <= this.view.configurationVersion;
     const isNewest = body.directory.revision >= this.view.replicas.revision;
@@ -279,8 +283,10 @@
     }
   }
 
-  private applyLeaving({ leavingReplicaIds }: FleetViewBody): void {
+  /** Applies what replicas and their responses have shown to other instances. */
+  private applyObservations({ leavingReplicaIds, blockedPrompts }: FleetViewBody): void {
     const { view, clock, metrics, log } = this;
+    recordBlockedPrompts(blockedPrompts ?? [], BlockSource.relay, { view, clock, metrics, log });
     leavingReplicaIds?.forEach((replicaId) =>
       recordAnnouncement(replicaId, AnnouncementSource.relay, { view, clock, metrics, log }),
     );
@@ -294,7 +300,7 @@
     if (!answer.ok) return;
     this.applyConfigurationFrom(answer.value.configuration, 'peer');
     this.applyReceivedDirectory(answer.value, 'peer');
-    this.applyLeaving(answer.value);
+    this.applyObservations(answer.value);
   }
 }
 
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -2,7 +2,7 @@
 import type { DirectorySnapshot, ReplicaRecord, RoutingConfiguration } from '@fighub/core';
 import { InvariantName, checkInvariant } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
-import { LeavingReplicas, OriginHistory, canContinue } from '@fighub/decisions';
+import { BlockedPrompts, LeavingReplicas, OriginHistory, canContinue } from '@fighub/decisions';
 
 import { RouteTable } from './route-table.js';
 
@@ -12,6 +12,7 @@
 /** The newest configuration and directory that this instance has seen. */
 export class FleetView {
   readonly originHistory = new OriginHistory();
+  readonly blockedPrompts = new BlockedPrompts();
   private table: RouteTable | undefined;
   private directory: DirectorySnapshot = { revision: 0, replicas: [] };
   private replicasById = new Map<string, ReplicaRecord>();
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -1,6 +1,6 @@
 /** Derives pools from the replica directory: one pool for each service. */
 import type { PoolCatalogue, PoolDescription } from '@fighub/admission';
-import type { OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
+import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
 import { poolIdOf } from '@fighub/decisions';
 
 import type { FleetView } from './fleet-view.js';
@@ -34,6 +34,10 @@
     return this.view.version;
   }
 
+  get blockedPrompts(): BlockedPrompts {
+    return this.view.blockedPrompts;
+  }
+
   pools(): readonly PoolDescription[] {
     if (this.view.version !== this.describedVersion) {
       this.describedVersion = this.view.version;
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -27,6 +27,7 @@
 import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
 import { FleetViewUpdater } from './routing/fleet-view-updater.js';
 import { LeavingAnnouncements } from './routing/leaving-announcements.js';
+import { PromptBlocks } from './routing/prompt-blocks.js';
 import type { ServingSettings } from './settings.js';
 
 /** Adapters that a hosting platform implements so that instances can run on it. */
@@ -66,6 +67,7 @@
   permits: token<PermitClient>('permits'),
   origins: token<StreamOriginExchange>('origins'),
   leavingAnnouncements: token<LeavingAnnouncements>('leavingAnnouncements'),
+  promptBlocks: token<PromptBlocks>('promptBlocks'),
   runner: token<ForwardRunner>('runner'),
   inputs: token<InputCache>('inputs'),
   backlog: token<BacklogView>('backlog'),
@@ -231,6 +233,22 @@
         get(Tokens.log),
       ),
   );
+  bindPart(
+    container,
+    Tokens.promptBlocks,
+    (get) =>
+      new PromptBlocks(
+        get(Tokens.self).instanceId,
+        {
+          view: get(Tokens.view),
+          clock: get(Tokens.clock),
+          metrics: get(Tokens.metrics),
+          log: get(Tokens.log),
+        },
+        () => get(Tokens.membership),
+        get(Tokens.node),
+      ),
+  );
   bindPart(container, Tokens.runner, (get) => new ForwardRunner(runDependencies(get)));
 }
 
