--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -234,6 +234,7 @@
     framing: listener.framing,
     unfinishedBytes: listener.unfinishedBytes,
     sharedPartIds: item.sharedPartIds,
+    requestsPerSecond: listener.requestsPerSecond,
     status: listener.status,
     end: end.kind,
     detail: end.detail,
@@ -277,6 +278,8 @@
   events = 0;
   /** What marks the end of the response; undefined before its head arrives. */
   framing: BodyFraming | undefined;
+  /** Requests a second that the replica takes, as the response states. */
+  requestsPerSecond: number | undefined;
   private readonly splitter = new EventSplitter();
   /** Aborted when the stream skips or repeats an event, or has stalled. */
   private readonly streamFault = new AbortController();
@@ -317,6 +320,7 @@
   onHead(head: UpstreamHead): void {
     this.status = head.notRun ? 0 : head.status;
     this.framing = head.framing;
+    this.requestsPerSecond = head.requestsPerSecond;
     if (head.load) this.onLoad(head.load);
     this.stallTimer.onBytes();
   }
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -361,6 +361,7 @@
         framing: attempt.framing,
         unfinishedBytes: attempt.unfinishedBytes,
         sharedPartIds: this.request.sharedPartIds,
+        requestsPerSecond: attempt.requestsPerSecond,
         ranMs: Math.round(this.dependencies.clock.monotonicMs() - sent.sentAtMs),
         directoryRevision: this.dependencies.view.replicas.revision,
         configurationVersion: this.dependencies.view.configurationVersion,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -83,6 +83,8 @@
   readonly notRun: boolean;
   /** The load that the replica reports with the response. */
   readonly load?: UpstreamLoad;
+  /** Requests a second that the replica takes from all instances together; undefined if it states no limit. */
+  readonly requestsPerSecond?: number;
 }
 
 /** Numbers of requests at a replica, as it reports them with a response. */
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -170,6 +170,11 @@
     return this.head?.framing;
   }
 
+  /** Requests a second that the replica takes, as the response states. */
+  get requestsPerSecond(): number | undefined {
+    return this.head?.requestsPerSecond;
+  }
+
   /** Bytes of a stream that arrived after its last whole event. */
   get unfinishedBytes(): number {
     return this.splitter.rest.length;
