--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -24,6 +24,8 @@
   leaving: boolean;
   /** Id of a part of a prompt. The replica crashes when it has begun to respond to a request with it; empty for none. */
   crashPartId: string;
+  /** Requests a second that all responses state as the replica's limit, as the header value; empty for no limit. */
+  requestLimit: string;
 }
 
 /** Record of one request that the replica ran. */
@@ -77,13 +79,14 @@
     status: 0,
     leaving: false,
     crashPartId: '',
+    requestLimit: '',
   };
   /** When the replica crashed, in the time of `performance.now()`; undefined while it serves. */
   crashedAtMs: number | undefined;
   /** Called when the replica has crashed. */
   onCrash: () => void = () => undefined;
-  /** Number of requests that have reached the replica, also those that it refused. */
-  receivedRequests = 0;
+  /** When each request reached the replica, also those that it refused, in the time of `performance.now()`. */
+  readonly receivedAtMs: number[] = [];
   /** Highest number of requests that ran at the same time. */
   peakConcurrency = 0;
   private readonly openResponses = new Set<ServerResponse>();
@@ -102,6 +105,11 @@
     return running;
   }
 
+  /** Number of requests that have reached the replica, also those that it refused. */
+  get receivedRequests(): number {
+    return this.receivedAtMs.length;
+  }
+
   /** Closes the connections of all running requests. */
   closeConnections(): void {
     this.openResponses.forEach((res) => res.destroy());
@@ -120,7 +128,8 @@
     const parts: Buffer[] = [];
     for await (const part of req as AsyncIterable<Buffer>) parts.push(part);
     const requestId = String(req.headers['attempt-id']);
-    this.receivedRequests += 1;
+    this.receivedAtMs.push(performance.now());
+    if (this.faults.requestLimit !== '') res.setHeader('Server-Limit', this.faults.requestLimit);
     if (this.faults.leaving) res.setHeader('Server-Leaving', '1');
     if (req.headers['expect-instance'] !== this.replicaId) {
       res.writeHead(421, { 'Instance-Id': this.replicaId });
