--- a/packages/admission/src/direct-dispatch.test.ts
+++ b/packages/admission/src/direct-dispatch.test.ts
@@ -1,5 +1,6 @@
 import { ManualClock, Metrics } from '@fighub/core';
 import type { MembershipRunner } from '@fighub/peers';
+import { RequestLimits } from '@fighub/decisions';
 import { describe, expect, it } from 'vitest';
 
 import { DirectDispatch } from './direct-dispatch.js';
@@ -24,6 +25,7 @@
     },
   ],
   limitsOf: () => ({ maxInFlight: 1 }),
+  requestLimits: new RequestLimits(),
   isLeaving: () => false,
 } as unknown as PoolCatalogue;
 const DEMAND = {
@@ -39,19 +41,15 @@
   alone: false,
 };
 
-function newDirectDispatch(): DirectDispatch {
-  const members = { owners: () => [{ failureDomain: 'd' }] } as unknown as MembershipRunner;
+function newDirectDispatch(
+  catalogue: PoolCatalogue = CATALOGUE,
+  clock = new ManualClock(),
+  instances = 1,
+): DirectDispatch {
+  const owners = Array.from({ length: instances }, () => ({ failureDomain: 'd' }));
+  const members = { owners: () => owners } as unknown as MembershipRunner;
   const loads = { load: () => Promise.resolve(undefined) };
-  return new DirectDispatch(
-    'self',
-    'd',
-    CATALOGUE,
-    () => members,
-    loads,
-    true,
-    new ManualClock(),
-    new Metrics(),
-  );
+  return new DirectDispatch('self', 'd', catalogue, () => members, loads, true, clock, new Metrics());
 }
 
 describe('DirectDispatch', () => {
@@ -61,6 +59,33 @@
     expect(outcomes.map((outcome) => outcome.ok)).toEqual([true, false]);
   });
 
+  it('sends a replica no more than an equal share of the limit that it states', async () => {
+    const requestLimits = new RequestLimits();
+    requestLimits.observe('r', 10, 0, 0);
+    const clock = new ManualClock();
+    const catalogue = { ...CATALOGUE, limitsOf: () => ({}), requestLimits };
+    const direct = newDirectDispatch(catalogue, clock, 5);
+    const outcomes: boolean[] = [];
+    for (let passedMs = 0; passedMs < 4_000; passedMs += 50) {
+      const slot = await direct.acquire(DEMAND);
+      outcomes.push(slot.ok);
+      if (slot.ok) direct.release(slot.value, { end: 'completed', tokens: 0 });
+      clock.advance(50);
+    }
+    const sent = outcomes.filter(Boolean).length;
+    expect(sent).toBeLessThanOrEqual(8);
+    expect(sent).toBeGreaterThanOrEqual(6);
+  });
+
+  it('tells the demand of its slots, so that the owner of the pool can be told what they showed', async () => {
+    const direct = newDirectDispatch();
+    const slot = await direct.acquire(DEMAND);
+    if (!slot.ok) throw new Error('no slot');
+    expect(direct.demandOf(slot.value)).toEqual(DEMAND);
+    expect(direct.release(slot.value, { end: 'broken', tokens: 0 })).toEqual(DEMAND);
+    expect(direct.demandOf(slot.value)).toBeUndefined();
+  });
+
   it('grants a resumed stream only a replica of its software version', async () => {
     const other = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v2' });
     const same = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v1' });
--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -2,7 +2,7 @@
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { fail, notRun, ok } from '@fighub/core';
 import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { ReplicaHealth } from '@fighub/decisions';
+import { ReplicaHealth, RequestRate } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { EngineLoad, LoadReader } from '@fighub/outside';
 
@@ -14,6 +14,8 @@
   /** Streams of this instance at the replica. */
   inFlight: number;
   readonly health: ReplicaHealth;
+  /** Share of this instance in the limit that the replica states. */
+  readonly rate: RequestRate;
   /** Result of the baseline's last read of the replica's load report; undefined when the read failed. */
   report?: EngineLoad;
   /** Streams of other instances at the replica, by the load report in its last response. Used until `untilMs`. */
@@ -71,7 +73,9 @@
     }
     const chosen = this.choose(candidates);
     if (!chosen) return fail(notRun('overloaded', `no replica of ${demand.model} has a free slot`, 1_000));
-    this.viewOf(chosen.upstreamId).inFlight += 1;
+    const view = this.viewOf(chosen.upstreamId);
+    view.inFlight += 1;
+    view.rate.take(this.clock.monotonicMs());
     this.nextPermit += 1;
     const permitId = `${this.selfId}/direct/${String(this.nextPermit)}`;
     this.demands.set(permitId, demand);
@@ -97,6 +101,11 @@
     return demand;
   }
 
+  /** The demand of a slot; undefined when it was granted by the owner of a pool. */
+  demandOf({ permitId }: Slot): SlotDemand | undefined {
+    return this.demands.get(permitId);
+  }
+
   /** Records a replica's own load report. Returns false when the slot was granted by the owner of a pool. */
   recordLoad(slot: Slot, report: ReplicaLoadReport): boolean {
     if (slot.poolId !== DIRECT_POOL_ID) return false;
@@ -152,6 +161,7 @@
     const free = candidates
       .map((upstream) => ({ upstream, load: this.loadOf(upstream) }))
       .filter(({ upstream }) => this.viewOf(upstream.upstreamId).inFlight < this.limitOf(upstream))
+      .filter(({ upstream }) => this.rateOf(upstream).available(this.clock.monotonicMs()) > 0)
       .sort((a, b) => a.load - b.load)
       .map(({ upstream }) => upstream);
     const sameDomain = free.find(
@@ -191,6 +201,15 @@
     return Math.max(1, Math.floor(upstream.maxConcurrency / Math.max(1, instancesInDomain)));
   }
 
+  /** The rate of this instance at an upstream. All instances share the limit of a replica equally. */
+  private rateOf({ upstreamId }: CataloguedUpstream): RequestRate {
+    const { rate } = this.viewOf(upstreamId);
+    const limit = this.catalogue.requestLimits.of(upstreamId);
+    const instances = Math.max(1, this.members().owners().length);
+    rate.setLimit(limit, this.clock.monotonicMs(), 1 / instances);
+    return rate;
+  }
+
   /** Reads the load report of an upstream for the baseline, unless it was read recently. */
   private async refresh(upstream: CataloguedUpstream): Promise<void> {
     const view = this.viewOf(upstream.upstreamId);
@@ -203,7 +222,12 @@
   private viewOf(upstreamId: string): ReplicaView {
     const known = this.replicas.get(upstreamId);
     if (known) return known;
-    const created = { inFlight: 0, health: new ReplicaHealth(), readAtMs: Number.NEGATIVE_INFINITY };
+    const created = {
+      inFlight: 0,
+      health: new ReplicaHealth(),
+      rate: new RequestRate(),
+      readAtMs: Number.NEGATIVE_INFINITY,
+    };
     this.replicas.set(upstreamId, created);
     return created;
   }
--- a/packages/admission/src/owner-outbox.ts
+++ b/packages/admission/src/owner-outbox.ts
@@ -1,4 +1,9 @@
-import type { ReleaseReport, ReplicaCrashReport, ReplicaLoadReport } from '@fighub/decisions';
+import type {
+  ReleaseReport,
+  ReplicaCrashReport,
+  ReplicaLoadReport,
+  RequestLimitReport,
+} from '@fighub/decisions';
 import type { PermitReleaseBody } from '@fighub/peers';
 
 interface PendingReports {
@@ -6,6 +11,8 @@
   /** Last load report of each replica. */
   readonly loads: Map<string, ReplicaLoadReport>;
   readonly crashes: ReplicaCrashReport[];
+  /** Last statement of each replica about its limit. */
+  readonly limits: Map<string, RequestLimitReport>;
 }
 
 /**
@@ -32,13 +39,18 @@
     this.pendingReportsOf(poolId).crashes.push(report);
   }
 
+  addLimit(poolId: string, report: RequestLimitReport): void {
+    this.pendingReportsOf(poolId).limits.set(report.replicaId, report);
+  }
+
   /** Removes the pending reports and returns them as one message body for each pool. */
   takeAll(): PermitReleaseBody[] {
-    const bodies = [...this.pools].map(([poolId, { reports, loads, crashes }]) => ({
+    const bodies = [...this.pools].map(([poolId, { reports, loads, crashes, limits }]) => ({
       poolId,
       reports,
       loads: [...loads.values()],
       ...(crashes.length > 0 ? { crashes } : {}),
+      ...(limits.size > 0 ? { limits: [...limits.values()] } : {}),
     }));
     this.pools.clear();
     return bodies;
@@ -47,7 +59,12 @@
   private pendingReportsOf(poolId: string): PendingReports {
     const known = this.pools.get(poolId);
     if (known) return known;
-    const created = { reports: [], loads: new Map<string, ReplicaLoadReport>(), crashes: [] };
+    const created = {
+      reports: [],
+      loads: new Map<string, ReplicaLoadReport>(),
+      crashes: [],
+      limits: new Map<string, RequestLimitReport>(),
+    };
     this.pools.set(poolId, created);
     return created;
   }
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -145,6 +145,18 @@
     if (!this.direct.recordLoad(slot, report)) this.outbox.addLoad(slot.poolId, report);
   }
 
+  /**
+   * Records what a response states about the limit of its replica, in requests a second; undefined if it states none. What
+   * counts is sent to the owner of the pool along with the loads.
+   */
+  recordRequestLimit(slot: Slot, requestsPerSecond: number | undefined, sentAtMs: number): void {
+    const { replicaId, permitId } = slot;
+    const { requestLimits } = this.host;
+    if (!requestLimits.observe(replicaId, requestsPerSecond, sentAtMs, this.clock.monotonicMs())) return;
+    const poolId = this.poolIdOf(slot);
+    if (poolId !== undefined) this.outbox.addLimit(poolId, { replicaId, permitId, requestsPerSecond });
+  }
+
   /**
    * Resolves the request that was granted. If the request no longer waits, the slot is released, unless the grant was
    * only sent again.
@@ -340,6 +352,12 @@
       });
   }
 
+  /** The pool of a slot, or for a slot without an owner a pool of its model. */
+  private poolIdOf(slot: Slot): string | undefined {
+    const demand = this.direct.demandOf(slot);
+    return demand ? this.host.poolsOpenTo(demand.organisation, demand.model)[0]?.poolId : slot.poolId;
+  }
+
   /** Tells the owner of a pool of the model about a replica that crashed under a request without a permit. */
   private reportDirectCrash(
     { replicaId }: Slot,
--- a/packages/admission/src/pool-catalogue.ts
+++ b/packages/admission/src/pool-catalogue.ts
@@ -1,5 +1,5 @@
 /** Pools, replicas and policies as admission needs them, independent of where they are configured. */
-import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
+import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy, RequestLimits } from '@fighub/decisions';
 
 /** An upstream replica as it is configured or registered. */
 export interface CataloguedUpstream {
@@ -36,6 +36,8 @@
   limitsOf(organisation: string, model: string): OrganisationLimitSettings;
   /** The prompts that this instance knows to be blocked, in all pools. */
   readonly blockedPrompts: BlockedPrompts;
+  /** The limits that replicas state, as far as this instance knows. */
+  readonly requestLimits: RequestLimits;
   /** Whether an upstream must get no new streams, for example because it is shutting down. */
   isLeaving(upstreamId: string): boolean;
 }
--- a/packages/admission/src/pool-host.test.ts
+++ b/packages/admission/src/pool-host.test.ts
@@ -1,6 +1,6 @@
 import { Metrics, ManualClock } from '@fighub/core';
 import type { PoolPolicy } from '@fighub/decisions';
-import { BlockedPrompts, MemberState } from '@fighub/decisions';
+import { BlockedPrompts, MemberState, RequestLimits } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner } from '@fighub/peers';
 import { PeerNode } from '@fighub/peers';
 import { describe, expect, it } from 'vitest';
@@ -30,6 +30,7 @@
   poolsOpenTo: () => [POOL],
   limitsOf: () => ({}),
   blockedPrompts: new BlockedPrompts(),
+  requestLimits: new RequestLimits(),
   isLeaving: () => false,
 };
 
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -1,7 +1,16 @@
 /** The owner's side of admission: runs the schedulers of the pools that this instance owns. */
 import type { Clock, DecisionLog, Metrics, Problem, System } from '@fighub/core';
 import { EntityTable, LogCategory } from '@fighub/core';
-import type { Permit, SlotRequest, PoolLoad, PoolOutput, PoolPolicy, PoolReplica } from '@fighub/decisions';
+import type {
+  Permit,
+  SlotRequest,
+  PoolLoad,
+  PoolOutput,
+  PoolPolicy,
+  PoolReplica,
+  RequestLimitReport,
+  RequestLimits,
+} from '@fighub/decisions';
 import { DisconnectedHolders, MemberState, PoolScheduler, PromptFinding, ownerOf } from '@fighub/decisions';
 import type {
   AcquireBody,
@@ -56,7 +65,7 @@
   private syncedOwnershipVersion = -1;
   private syncedCatalogueVersion: unknown;
   private wake: () => void = () => undefined;
-  private promptsBlocked: () => void = () => undefined;
+  private observed: () => void = () => undefined;
 
   constructor(
     private readonly selfId: string,
@@ -96,9 +105,14 @@
     this.wake = wake;
   }
 
-  /** Sets the function that is called when a pool of this instance has blocked a prompt. */
-  onPromptsBlocked(listener: () => void): void {
-    this.promptsBlocked = listener;
+  /** Sets the function that is called when a pool of this instance has observed what other instances must know. */
+  onObserved(listener: () => void): void {
+    this.observed = listener;
+  }
+
+  /** The limits that replicas state, as far as this instance knows. */
+  get requestLimits(): RequestLimits {
+    return this.catalogue.requestLimits;
   }
 
   /** All configured pools, whoever owns them. */
@@ -150,9 +164,11 @@
   }
 
   /** Applies the release and load reports of a holder. */
-  release({ poolId, reports, loads, crashes }: PermitReleaseBody): void {
+  release({ poolId, reports, loads, crashes, limits }: PermitReleaseBody): void {
     const pool = this.pools.get(poolId);
     const nowMs = this.clock.monotonicMs();
+    // Applied first, since a limit is compared with the time at which its permit was granted.
+    if (pool) limits?.forEach((report) => this.observeLimit(pool, report, nowMs));
     reports.forEach((report) => {
       pool?.release(report, nowMs);
       this.sampleSlotFreedTime(report.permitId);
@@ -162,6 +178,18 @@
     this.wake();
   }
 
+  private observeLimit(
+    pool: PoolScheduler,
+    { replicaId, permitId, requestsPerSecond }: RequestLimitReport,
+    nowMs: number,
+  ): void {
+    const { requestLimits } = this.catalogue;
+    const grantedAtMs = pool.permits.get(permitId)?.grantedAtMs ?? nowMs;
+    requestLimits.observe(replicaId, requestsPerSecond, grantedAtMs, nowMs);
+    pool.setRequestLimit(replicaId, requestLimits.of(replicaId), nowMs);
+    this.observed();
+  }
+
   /** Records that the stream of a permit has shown that its prompt does not crash replicas. */
   observeProgress(poolId: string, permitId: string): void {
     this.pools.get(poolId)?.observeProgress(permitId, this.clock.monotonicMs());
@@ -296,6 +324,12 @@
         leaving: this.catalogue.isLeaving(upstream.upstreamId),
       })),
     );
+    const nowMs = this.clock.monotonicMs();
+    this.catalogue.requestLimits
+      .all()
+      .forEach(({ replicaId, requestsPerSecond }) =>
+        pool.setRequestLimit(replicaId, requestsPerSecond, nowMs),
+      );
   }
 
   /** Pools of a model in which an organisation may have streams. */
@@ -330,7 +364,7 @@
           ...prompt,
           forMs: untilMs === undefined ? undefined : Math.round(untilMs - this.clock.monotonicMs()),
         });
-        if (finding === PromptFinding.blocked) this.promptsBlocked();
+        if (finding === PromptFinding.blocked) this.observed();
       },
     };
   }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -38,6 +38,8 @@
 export * from './replica-choice.js';
 export * from './replica-directory.js';
 export * from './replica-health.js';
+export * from './request-limits.js';
+export * from './request-rate.js';
 export * from './retry-budget.js';
 export * from './return-delay.js';
 export * from './retry-policy.js';
--- /dev/null
+++ b/packages/decisions/src/pool-request-limits.test.ts
@@ -0,0 +1,109 @@
+import type { Problem } from '@fighub/core';
+import { describe, expect, it } from 'vitest';
+
+import { PoolScheduler } from './pool-scheduler.js';
+import type { Permit, PoolPolicy, SlotRequest } from './pool-types.js';
+import { slotRequest } from './testing/slot-request.js';
+
+const POLICY: PoolPolicy = {
+  reserveMaxFraction: 0,
+  targets: { firstTokenTargetMs: 570, betweenTokensTargetMs: 33 },
+  weightOf: () => 1,
+  limitsOf: () => ({}),
+};
+const STREAM_MS = 1_000;
+const STEP_MS = 10;
+
+/** A pool of replicas with eight slots each, of which some state limits of requests a second. */
+function pool(limits: readonly (number | undefined)[]) {
+  const permits: Permit[] = [];
+  const refusals: Problem[] = [];
+  const revoked: Permit[] = [];
+  const scheduler = new PoolScheduler('s@', 'owner', POLICY, {
+    granted: (permit) => permits.push(permit),
+    refused: (_request, problem) => refusals.push(problem),
+    revoked: (permit) => revoked.push(permit),
+    promptFound: () => undefined,
+  });
+  scheduler.setReplicas(
+    limits.map((_, index) => ({
+      replicaId: `r${String(index)}`,
+      address: 'a',
+      failureDomain: 'd',
+      maxConcurrency: 8,
+      leaving: false,
+    })),
+  );
+  limits.forEach((limit, index) => scheduler.setRequestLimit(`r${String(index)}`, limit, 0));
+  let requests = 0;
+  const enqueue = (nowMs: number, changes: Partial<SlotRequest> = {}): void => {
+    requests += 1;
+    scheduler.enqueue(slotRequest(`q${String(requests)}`, { enqueuedAtMs: nowMs, ...changes }), nowMs);
+    scheduler.run(nowMs);
+  };
+  const grantsAt = (replicaId: string): number =>
+    permits.filter((permit) => permit.replicaId === replicaId).length;
+  /** Lets time pass, and ends each stream after `STREAM_MS`, or when it is preempted. */
+  const pass = (fromMs: number, untilMs: number, arrive: (nowMs: number) => void): void => {
+    for (let nowMs = fromMs; nowMs < untilMs; nowMs += STEP_MS) {
+      permits
+        .filter(({ permitId }) => scheduler.permits.get(permitId) !== undefined)
+        .filter((permit) => nowMs - permit.grantedAtMs >= STREAM_MS || revoked.includes(permit))
+        .forEach(({ permitId }) => scheduler.release({ permitId, end: 'completed', tokens: 10 }, nowMs));
+      arrive(nowMs);
+      scheduler.run(nowMs);
+    }
+  };
+  return { scheduler, permits, refusals, revoked, enqueue, grantsAt, pass };
+}
+
+describe('PoolScheduler with replicas that state limits of requests a second', () => {
+  it('grants no more requests than a limit allows, and the rest elsewhere', () => {
+    const { enqueue, grantsAt, pass, refusals } = pool([2, undefined, undefined]);
+    pass(0, 8_000, (nowMs) => {
+      if (nowMs % 100 === 0) enqueue(nowMs, { startByMs: nowMs + 200 });
+    });
+    expect(grantsAt('r0')).toBeLessThanOrEqual(16);
+    expect(grantsAt('r0')).toBeGreaterThanOrEqual(12);
+    expect(refusals).toEqual([]);
+  });
+
+  it('refuses at once what the limits leave no time for, and serves as many as they allow', () => {
+    const { scheduler, enqueue, permits, pass, refusals } = pool([2, 2]);
+    pass(0, 8_000, (nowMs) => {
+      if (nowMs % 50 === 0) enqueue(nowMs, { startByMs: nowMs + 225, deadlineMs: nowMs + 1_500 });
+    });
+    expect(permits.length).toBeGreaterThanOrEqual(0.9 * 8 * 4);
+    expect(permits.length + refusals.length + scheduler.load(8_000).onlineWaiting).toBe(160);
+    expect(refusals.every(({ retryAfterMs }) => (retryAfterMs ?? 0) >= 1)).toBe(true);
+    const delays = permits.map(({ request, grantedAtMs }) => grantedAtMs - request.enqueuedAtMs);
+    expect(Math.max(...delays)).toBeLessThanOrEqual(1_500);
+  });
+
+  it('preempts no batch item where the limit allows no request', () => {
+    const { scheduler, enqueue, permits, revoked } = pool([1, undefined]);
+    Array.from({ length: 40 }, () => enqueue(5_000, { workClass: 'batch' }));
+    const limited = permits.filter(({ replicaId }) => replicaId === 'r0').length;
+    expect(limited).toBeLessThanOrEqual(1);
+    Array.from({ length: 4 }, () => enqueue(5_010));
+    expect(revoked.every(({ replicaId }) => replicaId === 'r1')).toBe(true);
+    expect(scheduler.load(5_010).onlineWaiting).toBe(0);
+  });
+
+  it('begins batch items at a limited replica only beside a request that it keeps for online work', () => {
+    const { enqueue, grantsAt } = pool([4]);
+    enqueue(400, { workClass: 'batch' });
+    expect(grantsAt('r0')).toBe(0);
+    enqueue(500, { workClass: 'batch' });
+    expect(grantsAt('r0')).toBe(1);
+    enqueue(500);
+    expect(grantsAt('r0')).toBe(2);
+  });
+
+  it('uses all slots again when the limit has ended', () => {
+    const { scheduler, enqueue, grantsAt } = pool([0.2]);
+    scheduler.setRequestLimit('r0', undefined, 100);
+    Array.from({ length: 8 }, () => enqueue(100));
+    expect(grantsAt('r0')).toBe(8);
+  });
+});
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -110,6 +110,11 @@
     this.places.setReplicas(infos);
   }
 
+  /** Sets or removes the limit that a replica states, in requests a second from all instances. */
+  setRequestLimit(replicaId: string, requestsPerSecond: number | undefined, nowMs: number): void {
+    this.places.setRequestLimit(replicaId, requestsPerSecond, nowMs);
+  }
+
   /**
    * Adds a request to its queue, or refuses it when no replica is usable. An online request is also refused when it
    * is not expected to start in time, or when the online queue is full.
@@ -259,14 +264,17 @@
    * the weights.
    */
   expectedWaitMs(organisation: string, nowMs: number): number {
-    const usableSlots = this.places.total(nowMs) - this.places.drift(nowMs);
+    const isLimited = this.places.hasRequestLimits(nowMs);
+    const usableSlots = this.places.sustained(this.meanStreamMs, nowMs) - this.places.drift(nowMs);
     const onlineStreams = this.places.streamsOf(WorkClass.online);
     // The next scheduling round gives waiting requests a free slot, or the slot of a preempted batch stream.
-    if (onlineStreams + this.online.size + this.places.nonResumableBatchStreams() < usableSlots) return 0;
+    const fits = onlineStreams + this.online.size + this.places.nonResumableBatchStreams() < usableSlots;
+    if (fits && (!isLimited || this.places.mayHaveSlot(nowMs))) return 0;
     const slotReleaseIntervalMs = this.meanStreamMs / Math.max(1, usableSlots);
     const weight = this.policy.weightOf(organisation);
     const share = weight / (weight + this.online.otherActiveWeight(organisation));
-    if (this.online.size > 0)
+    // Limits let the next request start after an interval, however many streams run.
+    if (this.online.size > 0 || isLimited)
       return ((this.online.waitingOf(organisation) + 1) * slotReleaseIntervalMs) / share;
     return Math.max(0, onlineStreams - usableSlots + 1) * slotReleaseIntervalMs;
   }
@@ -282,7 +290,7 @@
     const waiting = this.online.boundTo(softwareVersion);
     if (waiting < this.places.freeSlotsOfVersion(softwareVersion, nowMs)) return 0;
     if (waiting < this.places.preemptibleOfVersion(softwareVersion)) return 0;
-    const slots = this.places.total(nowMs, softwareVersion);
+    const slots = this.places.sustained(this.meanStreamMs, nowMs, softwareVersion);
     return ((waiting + 1) * this.meanStreamMs) / Math.max(1, slots);
   }
 
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -11,6 +11,7 @@
 import { isReporting, usableSlots } from './replica-choice.js';
 import type { AttemptEnd } from './replica-health.js';
 import { ReplicaHealth } from './replica-health.js';
+import { RequestRate } from './request-rate.js';
 import { ReplicaOrder } from './replica-order.js';
 import type { SlotCounts } from './slot-totals.js';
 import { SlotTotals } from './slot-totals.js';
@@ -25,6 +26,8 @@
 /** Time after the grant by which a stream has reached its replica and is counted in the replica's load reports. */
 const SETTLED_AFTER_MS = 300;
 
+const MS_PER_S = 1_000;
+
 /** The permits for slots of one replica. */
 interface ReplicaPermits {
   readonly permits: Map<string, Permit>;
@@ -77,6 +80,11 @@
     infos.forEach((info) => this.setReplica(info));
   }
 
+  /** Sets or removes the limit that a replica states, in requests a second. */
+  setRequestLimit(replicaId: string, requestsPerSecond: number | undefined, nowMs: number): void {
+    if (this.replicas.get(replicaId)?.rate.setLimit(requestsPerSecond, nowMs)) this.changed.add(replicaId);
+  }
+
   /** Marks a replica as leaving: it refuses new work and is granted no more permits. */
   markLeaving(replicaId: string): void {
     this.change(replicaId, (replica) => (replica.leaving = true));
@@ -109,6 +117,7 @@
   /** Adds a permit that was just granted, and checks the invariant that each permit id is granted only once. */
   add(permit: Permit): void {
     checkInvariant(InvariantName.permitUsedOnce, !this.permits.has(permit.permitId), () => ({ permit }));
+    this.replicas.get(permit.replicaId)?.rate.take(permit.grantedAtMs);
     this.put(permit);
   }
 
@@ -231,6 +240,22 @@
     return this.totalsOf(softwareVersion).slots;
   }
 
+  /**
+   * Number of slots that replicas can keep in use, with streams of `meanStreamMs` each: those that state a limit of
+   * requests a second may be able to use fewer than they have.
+   */
+  sustained(meanStreamMs: number, nowMs: number, softwareVersion?: string): number {
+    this.refresh(nowMs);
+    const { slots, limitedSlots, requestsPerSecond } = this.totalsOf(softwareVersion);
+    return slots - limitedSlots + Math.min(limitedSlots, (requestsPerSecond * meanStreamMs) / MS_PER_S);
+  }
+
+  /** Whether a replica that is not leaving states a limit of requests a second. */
+  hasRequestLimits(nowMs: number): boolean {
+    this.refresh(nowMs);
+    return this.totals.limitedSlots > 0;
+  }
+
   /** Number of free slots of the replicas of one software version that may get work now; it may be negative. */
   freeSlotsOfVersion(softwareVersion: string, nowMs: number): number {
     this.refresh(nowMs);
@@ -318,6 +343,7 @@
       (replicaId) =>
         replicaId !== exceptReplicaId &&
         this.isOfVersion(replicaId, softwareVersion) &&
+        this.allows(replicaId, request, nowMs) &&
         !(skipsExcluded && excluded.has(replicaId)),
     );
   }
@@ -363,6 +389,7 @@
       unknownStreams: replica.drift.unknownStreams(nowMs),
       endedStreams: replica.drift.endedStreams(nowMs),
       leaving: replica.leaving,
+      requestsPerSecond: replica.rate.requestsPerSecond,
       missedReports: replica.missedReports,
       open: replica.health.isAvailable(nowMs),
       onProbation: replica.health.onProbation,
@@ -385,6 +412,7 @@
       softwareVersion: info.softwareVersion,
       position: known?.position ?? this.nextPosition,
       limit: new ConcurrencyLimit(info.maxConcurrency),
+      rate: new RequestRate(),
       health: new ReplicaHealth(),
       drift: new LoadDrift(),
       leaving: info.leaving,
@@ -420,11 +448,16 @@
     const streams = this.occupied(replica, nowMs);
     const drift = replica.drift.balance(nowMs);
     const isOpen = replica.health.isAvailable(nowMs);
-    const isAvailable = isOpen && !replica.leaving;
+    const { requestsPerSecond } = replica.rate;
+    const isLimited = requestsPerSecond !== undefined && !replica.leaving;
+    const allowedRequests = replica.rate.available(nowMs);
+    const isAvailable = isOpen && !replica.leaving && allowedRequests > 0;
     const reports = isReporting(replica);
     this.setCounts(replicaId, {
       slots: replica.leaving ? 0 : replica.limit.places,
-      freeSlots: isAvailable ? replica.limit.places - streams : 0,
+      limitedSlots: isLimited ? replica.limit.places : 0,
+      requestsPerSecond: isLimited ? requestsPerSecond : 0,
+      freeSlots: isAvailable ? Math.min(replica.limit.places - streams, allowedRequests) : 0,
       drift,
       reporting: reports ? 1 : 0,
       available: isAvailable ? 1 : 0,
@@ -440,7 +473,8 @@
     else order.delete(replicaId);
     if (drift === 0) this.drifting.delete(replicaId);
     else this.drifting.add(replicaId);
-    if (drift !== 0 || !isOpen || this.hasRevokeGrace(replicaId, nowMs)) this.timeDependent.add(replicaId);
+    if (drift !== 0 || !isOpen || isLimited || this.hasRevokeGrace(replicaId, nowMs))
+      this.timeDependent.add(replicaId);
     else this.timeDependent.delete(replicaId);
   }
 
@@ -477,6 +511,11 @@
     return softwareVersion === undefined || this.replicas.get(replicaId)?.softwareVersion === softwareVersion;
   }
 
+  /** Whether the limit of a replica allows the request. Batch items leave a part of it to online requests. */
+  private allows(replicaId: string, { workClass }: SlotRequest, nowMs: number): boolean {
+    return workClass === WorkClass.online || this.replicas.get(replicaId)?.rate.allowsBatch(nowMs) === true;
+  }
+
   /** Whether a preempted stream at the replica still counts as gone. */
   private hasRevokeGrace(replicaId: string, nowMs: number): boolean {
     const revoked = this.byReplica.get(replicaId)?.revoked;
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -6,6 +6,7 @@
 import type { LoadDrift } from './load-drift.js';
 import type { PromptReporter } from './prompt-crashes.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
+import type { RequestRate } from './request-rate.js';
 
 /** Class of work of a request. Online requests are served before batch items. */
 export const WorkClass = { online: 'online', batch: 'batch' } as const;
@@ -68,6 +69,7 @@
   /** Position in the order in which the replicas were added, which decides between equal scores. */
   readonly position: number;
   readonly limit: ConcurrencyLimit;
+  readonly rate: RequestRate;
   readonly health: ReplicaHealth;
   readonly drift: LoadDrift;
   /** True when the replica gets no new work because it is about to shut down. */
@@ -98,6 +100,14 @@
   readonly waiting: number;
 }
 
+/** What a response to a request with a permit states as the limit of its replica. */
+export interface RequestLimitReport {
+  readonly replicaId: string;
+  readonly permitId: string;
+  /** Requests a second; undefined when the replica states no limit any more. */
+  readonly requestsPerSecond?: number;
+}
+
 /** What the holder reports when it releases a permit. */
 export interface ReleaseReport {
   readonly permitId: string;
--- /dev/null
+++ b/packages/decisions/src/request-rate.ts
@@ -0,0 +1,61 @@
+/**
+ * Spaces the requests to a replica that states a limit. Load that it answers: arrivals that one replica takes more slowly than
+ * its slots become free, and batch items that begin again after each preemption.
+ */
+import { TokenBucket } from './token-bucket.js';
+
+/** Requests beyond the steady rate that may follow one another: one, and those of this time. */
+const BURST_MS = 500;
+/** A replica gets a request now and then even if its limit is 0, since only a response tells that the limit has ended. */
+const MIN_REQUESTS_PER_SECOND = 0.25;
+/** Requests that a batch item needs available, so that one is left for an online request. */
+const AVAILABLE_FOR_BATCH = 2;
+const MS_PER_S = 1_000;
+
+/** The rate at which requests may be sent to one replica; unlimited at first. */
+export class RequestRate {
+  private bucket: TokenBucket | undefined;
+  private burst = Number.POSITIVE_INFINITY;
+  private limit: number | undefined;
+
+  /** The limit in requests a second; undefined if there is none. */
+  get requestsPerSecond(): number | undefined {
+    return this.limit;
+  }
+
+  /**
+   * Sets or removes the limit of the replica, in requests a second, of which `share` (above 0, at most 1) may be used here. A
+   * new limit allows no request at first. Returns whether it changed.
+   */
+  setLimit(requestsPerSecond: number | undefined, nowMs: number, share = 1): boolean {
+    if (requestsPerSecond === this.limit) return false;
+    this.limit = requestsPerSecond;
+    if (requestsPerSecond === undefined) {
+      this.bucket = undefined;
+      return true;
+    }
+    const rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * share;
+    this.burst = 1 + (rate * BURST_MS) / MS_PER_S;
+    if (this.bucket) this.bucket.configure(rate, this.burst);
+    else {
+      this.bucket = new TokenBucket(rate, this.burst);
+      this.bucket.take(this.burst, nowMs);
+    }
+    return true;
+  }
+
+  /** Number of requests that may be sent now; infinite without a limit. */
+  available(nowMs: number): number {
+    return this.bucket ? Math.floor(this.bucket.available(nowMs)) : Number.POSITIVE_INFINITY;
+  }
+
+  /** Whether a batch item may be sent now. */
+  allowsBatch(nowMs: number): boolean {
+    return !this.bucket || this.bucket.available(nowMs) >= Math.min(AVAILABLE_FOR_BATCH, this.burst);
+  }
+
+  /** Counts a request that is sent. */
+  take(nowMs: number): void {
+    this.bucket?.take(1, nowMs);
+  }
+}
--- a/packages/decisions/src/slot-totals.ts
+++ b/packages/decisions/src/slot-totals.ts
@@ -4,7 +4,14 @@
 export interface SlotCounts {
   /** Slots, if the replica is not leaving. */
   readonly slots: number;
-  /** Free slots, if the replica may get work now; negative when it runs more streams than its limit. */
+  /** Slots of a replica that states a limit of requests a second, if it is not leaving. */
+  readonly limitedSlots: number;
+  /** That limit; 0 if there is none. */
+  readonly requestsPerSecond: number;
+  /**
+   * Free slots, if the replica may get work now, or the requests that its limit allows now if these are fewer; negative when
+   * it runs more streams than its limit.
+   */
   readonly freeSlots: number;
   /** Estimated streams without a permit minus permits without a stream. */
   readonly drift: number;
@@ -21,6 +28,8 @@
 /** Sums of the contributions of several replicas. */
 export class SlotTotals implements SlotCounts {
   slots = 0;
+  limitedSlots = 0;
+  requestsPerSecond = 0;
   freeSlots = 0;
   drift = 0;
   reporting = 0;
@@ -38,6 +47,8 @@
 
   private change(counts: SlotCounts, sign: 1 | -1): void {
     this.slots += sign * counts.slots;
+    this.limitedSlots += sign * counts.limitedSlots;
+    this.requestsPerSecond += sign * counts.requestsPerSecond;
     this.freeSlots += sign * counts.freeSlots;
     this.drift += sign * counts.drift;
     this.reporting += sign * counts.reporting;
--- a/packages/entry/src/table/table-pool-catalogue.ts
+++ b/packages/entry/src/table/table-pool-catalogue.ts
@@ -1,7 +1,7 @@
 /** Pools as configured in the operators' table: one for each model in each failure domain. */
 import type { PoolCatalogue, PoolDescription, UpstreamStates } from '@fighub/admission';
 import type { OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
-import { BlockedPrompts, partOfRate, partOfStreams, poolIdOf } from '@fighub/decisions';
+import { BlockedPrompts, RequestLimits, partOfRate, partOfStreams, poolIdOf } from '@fighub/decisions';
 
 import type { TableStore } from './table-store.js';
 import type { TableView } from './table-view.js';
@@ -16,6 +16,8 @@
 export class TablePoolCatalogue implements PoolCatalogue {
   /** Always empty: requests of this interface do not tell the parts of their prompts. */
   readonly blockedPrompts = new BlockedPrompts();
+  /** Always empty: engines state no limits of requests a second. */
+  readonly requestLimits = new RequestLimits();
   /** The table view from which `descriptions` was derived. */
   private describedView: TableView | undefined;
   private descriptions: PoolDescription[] = [];
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -12,6 +12,7 @@
   ReleaseReport,
   ReplicaCrashReport,
   ReplicaLoadReport,
+  RequestLimitReport,
   StreamOrigin,
   WorkClass,
 } from '@fighub/decisions';
@@ -71,6 +72,8 @@
   readonly loads: readonly ReplicaLoadReport[];
   /** Crashes of replicas under requests without a permit; omitted when there are none. */
   readonly crashes?: readonly ReplicaCrashReport[];
+  /** Limits that replicas have stated with responses, or stated no more; omitted when there are none. */
+  readonly limits?: readonly RequestLimitReport[];
 }
 
 /** A blocked prompt, with the time that is left of the block in milliseconds. */
@@ -80,6 +83,23 @@
   readonly blockCount: number;
 }
 
+/** The newest statement of a replica about its limit. */
+export interface RequestLimitBody {
+  readonly replicaId: string;
+  /** Requests a second; omitted when the replica has stopped to state a limit. */
+  readonly requestsPerSecond?: number;
+  /** Time since the statement was received, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What the responses and ends of replicas have shown, for all instances. */
+export interface ObservationsBody {
+  /** Prompts with which requests are refused; omitted when there are none. */
+  readonly blockedPrompts?: readonly BlockedPromptBody[];
+  /** Limits of replicas; omitted when there are none. */
+  readonly requestLimits?: readonly RequestLimitBody[];
+}
+
 /** Where a stream began, for the members that keep it for the instance that forwards the stream. */
 export interface BegunStream {
   /** Id of the caller's attempt that brought the first event. */
@@ -113,7 +133,7 @@
 }
 
 /** A relay's view of the fleet: configuration, replica directory and backlog of batch jobs. */
-export interface FleetViewBody {
+export interface FleetViewBody extends ObservationsBody {
   readonly configurationVersion: number;
   /** Omitted when the receiver probably has this version already. */
   readonly configuration?: RoutingConfiguration;
@@ -123,8 +143,6 @@
   readonly backlog?: JobBacklog;
   /** Listed replicas whose responses have stated that they are leaving; omitted when there are none. */
   readonly leavingReplicaIds?: readonly string[];
-  /** Prompts with which requests are refused; omitted when there are none. */
-  readonly blockedPrompts?: readonly BlockedPromptBody[];
 }
 
 /** Tokens of the unfinished batch items by route, from the latest listing that the sender knows. */
@@ -214,8 +232,8 @@
   'replica.leaving': { replicaId: string; passOn: boolean };
   /** The stream of a permit has shown that its prompt does not crash replicas. */
   'permit.progress': { poolId: string; permitId: string };
-  /** The owner of a pool blocks prompts. The coordinators pass this on with their views. */
-  'prompts.blocked': { prompts: readonly BlockedPromptBody[] };
+  /** What the owner of a pool has observed. The coordinators pass it on with their views. */
+  'replicas.observed': ObservationsBody;
   'table.push': { bucket: TableBucket };
   'stream.begun': { streams: readonly BegunStream[] };
   'job.cancelled': { jobId: string };
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -12,7 +12,6 @@
 import type {
   BodyFraming,
   UpstreamEnd,
-  LoadListener,
   UpstreamHead,
   UpstreamListener,
   UpstreamTransport,
@@ -180,10 +179,14 @@
   const { item, output } = request;
   const expectedOrigin = dependencies.view.originOf(slot.replicaId);
   restartUnlessContinuable(request, expectedOrigin, dependencies);
+  const startedMs = dependencies.clock.monotonicMs();
   const listener = new ItemListener(
     output,
     AbortSignal.any([stop, slot.revoked]),
-    (load) => dependencies.permits.recordLoad(slot, load),
+    (head) => {
+      if (head.load) dependencies.permits.recordLoad(slot, head.load);
+      dependencies.permits.recordRequestLimit(slot, head.requestsPerSecond, startedMs);
+    },
     (replicaId) => dependencies.leavingAnnouncements.onResponse(replicaId),
     expectedOrigin,
     () => expectedOrigin !== undefined && dependencies.view.confirmsOrigin(slot.replicaId, expectedOrigin),
@@ -194,7 +197,6 @@
     },
     dependencies.clock,
   );
-  const startedMs = dependencies.clock.monotonicMs();
   const call = {
     replicaId: slot.replicaId,
     address: slot.address,
@@ -289,7 +291,7 @@
   constructor(
     private readonly output: ItemOutput,
     stop: AbortSignal,
-    private readonly onLoad: LoadListener,
+    private readonly onResponse: (head: UpstreamHead) => void,
     readonly onLeaving: (replicaId: string) => void,
     /** Origin of the replica's streams as the directory told when the request was sent. */
     private readonly expectedOrigin: StreamOrigin | undefined,
@@ -321,7 +323,7 @@
     this.status = head.notRun ? 0 : head.status;
     this.framing = head.framing;
     this.requestsPerSecond = head.requestsPerSecond;
-    if (head.load) this.onLoad(head.load);
+    this.onResponse(head);
     this.stallTimer.onBytes();
   }
 
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -52,6 +52,7 @@
       acquire: () => Promise.resolve({ ok: true, value: SLOT }),
       release: () => undefined,
       recordLoad: () => undefined,
+      recordRequestLimit: () => undefined,
     },
     transport: { send },
     leavingAnnouncements: { onUnusableSlot: () => undefined },
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -203,6 +203,8 @@
     const expectedOrigin = this.dependencies.view.originOf(slot.replicaId);
     const attempt = this.relay.startAttempt(stop, {
       onLoad: (load) => this.dependencies.permits.recordLoad(slot, load),
+      onRequestLimit: (requestsPerSecond) =>
+        this.dependencies.permits.recordRequestLimit(slot, requestsPerSecond, sentAtMs),
       onLeaving: (replicaId) => this.dependencies.leavingAnnouncements.onResponse(replicaId),
       onFirstEvent: () => this.onFirstEvent(slot.replicaId, expectedOrigin),
       onSoundPrompt: () => {
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -22,6 +22,7 @@
   const relay = new ResponseRelay(ROUTE, 'q1', undefined, sink, new SystemClock());
   const attempt = relay.startAttempt(new AbortController().signal, {
     onLoad: () => undefined,
+    onRequestLimit: () => undefined,
     onLeaving: () => undefined,
     onFirstEvent: () => undefined,
     onSoundPrompt: () => undefined,
@@ -66,6 +67,7 @@
       const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock());
       const attempt = relay.startAttempt(new AbortController().signal, {
         onLoad: () => undefined,
+        onRequestLimit: () => undefined,
         onLeaving: () => undefined,
         onFirstEvent: () => undefined,
         onSoundPrompt: () => undefined,
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -25,6 +25,8 @@
 /** Is told what one attempt shows about its replica. */
 export interface AttemptObserver {
   readonly onLoad: LoadListener;
+  /** Told with each response: requests a second that the replica takes, undefined if it states no limit. */
+  onRequestLimit(requestsPerSecond: number | undefined): void;
   /** The replica that responds states that it is leaving. */
   onLeaving(replicaId: string): void;
   /** Called before the first event of the attempt is passed on. */
@@ -156,6 +158,7 @@
     this.status = head.status;
     this.reportedNotRun = head.notRun || head.status === MISDIRECTED_STATUS;
     if (head.load) this.observer.onLoad(head.load);
+    this.observer.onRequestLimit(head.requestsPerSecond);
     this.stallTimer?.onBytes();
   }
 
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -13,7 +13,7 @@
 import type { FleetSource } from './fleet-source.js';
 import type { FleetView } from './fleet-view.js';
 import { AnnouncementSource, recordAnnouncement } from './leaving-announcements.js';
-import { BlockSource, blockedPromptBodies, recordBlockedPrompts } from './prompt-blocks.js';
+import { ObservationSource, observationsBody, recordObservations } from './observation-exchange.js';
 
 /** The directory is read this often: the hosting platform requires that changes take effect within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
@@ -129,7 +129,7 @@
       directoryRevision: this.view.replicas.revision,
       replicas: this.view.replicas.replicas,
       leavingReplicaIds: this.view.leavingReplicaIds,
-      blockedPrompts: blockedPromptBodies(this.view, this.clock.monotonicMs()),
+      ...observationsBody(this.view, this.clock.monotonicMs()),
     };
   }
 
@@ -255,15 +255,14 @@
 
   private body(withConfiguration: boolean): FleetViewBody {
     const { leavingReplicaIds } = this.view;
-    const blockedPrompts = blockedPromptBodies(this.view, this.clock.monotonicMs());
     return {
+      ...observationsBody(this.view, this.clock.monotonicMs()),
       configurationVersion: this.view.configurationVersion,
       configuration: withConfiguration ? this.view.configuration : undefined,
       directory: this.view.replicas,
       ageMs: Math.min(this.ageMs, Number.MAX_SAFE_INTEGER),
       backlog: this.backlog.snapshot(),
       leavingReplicaIds: leavingReplicaIds.length > 0 ? leavingReplicaIds : undefined,
-      blockedPrompts: blockedPrompts.length > 0 ? blockedPrompts : undefined,
     };
   }
 
@@ -284,10 +283,10 @@
   }
 
   /** Applies what replicas and their responses have shown to other instances. */
-  private applyObservations({ leavingReplicaIds, blockedPrompts }: FleetViewBody): void {
+  private applyObservations(body: FleetViewBody): void {
     const { view, clock, metrics, log } = this;
-    recordBlockedPrompts(blockedPrompts ?? [], BlockSource.relay, { view, clock, metrics, log });
-    leavingReplicaIds?.forEach((replicaId) =>
+    recordObservations(body, ObservationSource.relay, { view, clock, metrics, log });
+    body.leavingReplicaIds?.forEach((replicaId) =>
       recordAnnouncement(replicaId, AnnouncementSource.relay, { view, clock, metrics, log }),
     );
   }
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -2,7 +2,13 @@
 import type { DirectorySnapshot, ReplicaRecord, RoutingConfiguration } from '@fighub/core';
 import { InvariantName, checkInvariant } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
-import { BlockedPrompts, LeavingReplicas, OriginHistory, canContinue } from '@fighub/decisions';
+import {
+  BlockedPrompts,
+  LeavingReplicas,
+  OriginHistory,
+  RequestLimits,
+  canContinue,
+} from '@fighub/decisions';
 
 import { RouteTable } from './route-table.js';
 
@@ -13,6 +19,7 @@
 export class FleetView {
   readonly originHistory = new OriginHistory();
   readonly blockedPrompts = new BlockedPrompts();
+  readonly requestLimits = new RequestLimits();
   private table: RouteTable | undefined;
   private directory: DirectorySnapshot = { revision: 0, replicas: [] };
   private replicasById = new Map<string, ReplicaRecord>();
@@ -71,9 +78,11 @@
     return true;
   }
 
-  /** Forgets announcements of replicas that the directory has not listed for a long time. */
+  /** Forgets what replicas have stated that the directory has not listed for a long time. */
   forgetLongGone(nowMs: number): void {
-    this.announcedLeaving.onDirectory((replicaId) => this.replicasById.has(replicaId), nowMs);
+    const isListed = (replicaId: string): boolean => this.replicasById.has(replicaId);
+    this.announcedLeaving.onDirectory(isListed, nowMs);
+    this.requestLimits.forgetOld(isListed, nowMs);
   }
 
   /** Where streams begin that a replica starts; undefined when the replica is not known. */
--- a/packages/serving/src/routing/prompt-blocks.test.ts
+++ b/packages/serving/src/routing/observation-exchange.test.ts
@@ -3,9 +3,9 @@
 import { describe, expect, it } from 'vitest';
 
 import { FleetView } from './fleet-view.js';
-import { PromptBlocks, blockedPromptBodies } from './prompt-blocks.js';
+import { ObservationExchange, observationsBody } from './observation-exchange.js';
 
-type Notice = PeerNotices['prompts.blocked'];
+type Notice = PeerNotices['replicas.observed'];
 
 const MEMBERS = ['owner', 'coordinator', 'entry'].map((instanceId) => ({
   instanceId,
@@ -32,8 +32,8 @@
       const members = { owners: () => MEMBERS } as unknown as MembershipRunner;
       const metrics = new Metrics();
       const log = new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics);
-      const blocks = new PromptBlocks(self, { view, clock, metrics, log }, () => members, node);
-      return [self, { view, blocks }] as const;
+      const exchange = new ObservationExchange(self, { view, clock, metrics, log }, () => members, node);
+      return [self, { view, exchange }] as const;
     }),
   );
   const at = (id: string) => {
@@ -44,39 +44,71 @@
   return { at, clock, network };
 }
 
-describe('PromptBlocks', () => {
+describe('ObservationExchange', () => {
   it('tells the coordinators, with the time that is left', () => {
     const { at, clock } = fleet();
     at('owner').view.blockedPrompts.add(BLOCK, clock.monotonicMs());
-    at('owner').blocks.onFound();
-    expect(blockedPromptBodies(at('coordinator').view, clock.monotonicMs())).toEqual([
+    at('owner').exchange.onObserved();
+    expect(observationsBody(at('coordinator').view, clock.monotonicMs()).blockedPrompts).toEqual([
       { partIds: ['bad'], leftMs: BLOCK.untilMs - clock.monotonicMs(), blockCount: 1 },
     ]);
-    expect(blockedPromptBodies(at('entry').view, clock.monotonicMs())).toEqual([]);
+    expect(observationsBody(at('entry').view, clock.monotonicMs())).toEqual({});
   });
 
   it('tells them again when the notice was lost, and no more when the block has ended', () => {
     const { at, clock, network } = fleet();
     network.isDown = true;
     at('owner').view.blockedPrompts.add(BLOCK, 0);
-    at('owner').blocks.onFound();
+    at('owner').exchange.onObserved();
     network.isDown = false;
     clock.advance(1_000);
-    at('owner').blocks.run(clock.monotonicMs());
+    at('owner').exchange.run(clock.monotonicMs());
     expect(at('coordinator').view.blockedPrompts.find(['bad'], 1_000)).toBeDefined();
     clock.advance(60_000);
     const before = network.sent;
-    at('owner').blocks.run(clock.monotonicMs());
+    at('owner').exchange.run(clock.monotonicMs());
     expect(network.sent).toBe(before);
   });
 
   it('sends nothing from an instance that has only been told', () => {
     const { at, clock, network } = fleet();
     at('owner').view.blockedPrompts.add(BLOCK, 0);
-    at('owner').blocks.onFound();
+    at('owner').exchange.onObserved();
     const before = network.sent;
     clock.advance(5_000);
-    at('coordinator').blocks.run(clock.monotonicMs());
+    at('coordinator').exchange.run(clock.monotonicMs());
+    expect(network.sent).toBe(before);
+  });
+
+  it('tells of limits of replicas with their age, and of their end', () => {
+    const { at, clock } = fleet();
+    const state = (requestsPerSecond: number | undefined): void => {
+      const nowMs = clock.monotonicMs();
+      at('owner').view.requestLimits.observe('r', requestsPerSecond, nowMs, nowMs);
+      at('owner').exchange.onObserved();
+    };
+    state(2.5);
+    expect(at('coordinator').view.requestLimits.of('r')).toBe(2.5);
+    clock.advance(300);
+    expect(observationsBody(at('coordinator').view, clock.monotonicMs()).requestLimits).toEqual([
+      { replicaId: 'r', requestsPerSecond: 2.5, ageMs: 300 },
+    ]);
+    state(undefined);
+    expect(at('coordinator').view.requestLimits.of('r')).toBeUndefined();
+  });
+
+  it('repeats a limit for a while after the last response with it, since a notice may be lost', () => {
+    const { at, clock, network } = fleet();
+    network.isDown = true;
+    at('owner').view.requestLimits.observe('r', 2, 0, clock.monotonicMs());
+    at('owner').exchange.onObserved();
+    network.isDown = false;
+    clock.advance(1_000);
+    at('owner').exchange.run(clock.monotonicMs());
+    expect(at('coordinator').view.requestLimits.of('r')).toBe(2);
+    clock.advance(5_000);
+    const before = network.sent;
+    at('owner').exchange.run(clock.monotonicMs());
     expect(network.sent).toBe(before);
   });
 });
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -1,6 +1,6 @@
 /** Derives pools from the replica directory: one pool for each service. */
 import type { PoolCatalogue, PoolDescription } from '@fighub/admission';
-import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy } from '@fighub/decisions';
+import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy, RequestLimits } from '@fighub/decisions';
 import { poolIdOf } from '@fighub/decisions';
 
 import type { FleetView } from './fleet-view.js';
@@ -46,6 +46,10 @@
     return this.described;
   }
 
+  get requestLimits(): RequestLimits {
+    return this.view.requestLimits;
+  }
+
   policyOf(): PoolPolicy {
     return EQUAL_WEIGHT_POLICY;
   }
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -27,7 +27,7 @@
 import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
 import { FleetViewUpdater } from './routing/fleet-view-updater.js';
 import { LeavingAnnouncements } from './routing/leaving-announcements.js';
-import { PromptBlocks } from './routing/prompt-blocks.js';
+import { ObservationExchange } from './routing/observation-exchange.js';
 import type { ServingSettings } from './settings.js';
 
 /** Adapters that a hosting platform implements so that instances can run on it. */
@@ -67,7 +67,7 @@
   permits: token<PermitClient>('permits'),
   origins: token<StreamOriginExchange>('origins'),
   leavingAnnouncements: token<LeavingAnnouncements>('leavingAnnouncements'),
-  promptBlocks: token<PromptBlocks>('promptBlocks'),
+  observations: token<ObservationExchange>('observations'),
   runner: token<ForwardRunner>('runner'),
   inputs: token<InputCache>('inputs'),
   backlog: token<BacklogView>('backlog'),
@@ -235,9 +235,9 @@
   );
   bindPart(
     container,
-    Tokens.promptBlocks,
+    Tokens.observations,
     (get) =>
-      new PromptBlocks(
+      new ObservationExchange(
         get(Tokens.self).instanceId,
         {
           view: get(Tokens.view),
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -144,7 +144,7 @@
     const permits = container.get(Tokens.permits);
     const jobs = container.get(Tokens.jobs);
     const fleetViewUpdater = container.get(Tokens.fleetViewUpdater);
-    const promptBlocks = container.get(Tokens.promptBlocks);
+    const observations = container.get(Tokens.observations);
     const tick = new TickLoop(
       [
         fleetViewUpdater,
@@ -152,14 +152,14 @@
         permits,
         jobs,
         container.get(Tokens.origins),
-        promptBlocks,
+        observations,
         new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
       ],
       TICK_PERIODS,
       this.onError,
     );
     host.connect(permits, () => tick.wake());
-    host.onPromptsBlocked(() => promptBlocks.onFound());
+    host.onObserved(() => observations.onObserved());
     container.get(Tokens.view).onChange(() => tick.wake());
     await this.lifeCycle.start({
       name: 'tick',
