Keep the requests of limited replicas for peaks that the others cannot take

Cause: limited replicas run the fewest streams, so they were chosen first and their buckets were always empty when a peak came; then all of it fell on the two others, whose batch items were preempted.

Change: a limited replica counts as the more loaded the more of its burst is used up, so that it gets what the others have no slots for, and what would be lost otherwise. The burst is two requests and those of 1.5 s, which keeps any 4 s below one and a half times the limit and five more; batch items leave half of it to online requests.

--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -469,7 +469,8 @@
       ? [this.reportingOrder, this.silentOrder]
       : [this.silentOrder, this.reportingOrder];
     other.delete(replicaId);
-    if (isFree) order.set(replica, streams);
+    // A limited replica is left to peaks that the others cannot take, unless its requests would be lost.
+    if (isFree) order.set(replica, streams + replica.limit.places * replica.rate.usedFraction(nowMs));
     else order.delete(replicaId);
     if (drift === 0) this.drifting.delete(replicaId);
     else this.drifting.add(replicaId);
--- a/packages/decisions/src/request-rate.ts
+++ b/packages/decisions/src/request-rate.ts
@@ -4,12 +4,13 @@
  */
 import { TokenBucket } from './token-bucket.js';
 
-/** Requests beyond the steady rate that may follow one another: one, and those of this time. */
-const BURST_MS = 500;
+/** Requests beyond the steady rate that may follow one another: these, and those of `BURST_MS`. */
+const BURST_REQUESTS = 2;
+const BURST_MS = 1_500;
 /** A replica gets a request now and then even if its limit is 0, since only a response tells that the limit has ended. */
 const MIN_REQUESTS_PER_SECOND = 0.25;
-/** Requests that a batch item needs available, so that one is left for an online request. */
-const AVAILABLE_FOR_BATCH = 2;
+/** Fraction of the burst that batch items leave to online requests. */
+const ONLINE_FRACTION = 0.5;
 const MS_PER_S = 1_000;
 
 /** The rate at which requests may be sent to one replica; unlimited at first. */
@@ -25,7 +26,7 @@
 
   /**
    * Sets or removes the limit of the replica, in requests a second, of which `share` (above 0, at most 1) may be used here. A
-   * new limit allows no request at first. Returns whether it changed.
+   * new limit allows no request at first, since the replica has just got as many as it could. Returns whether it changed.
    */
   setLimit(requestsPerSecond: number | undefined, nowMs: number, share = 1): boolean {
     if (requestsPerSecond === this.limit) return false;
@@ -35,7 +36,7 @@
       return true;
     }
     const rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * share;
-    this.burst = 1 + (rate * BURST_MS) / MS_PER_S;
+    this.burst = Math.max(1, BURST_REQUESTS * share) + (rate * BURST_MS) / MS_PER_S;
     if (this.bucket) this.bucket.configure(rate, this.burst);
     else {
       this.bucket = new TokenBucket(rate, this.burst);
@@ -51,7 +52,12 @@
 
   /** Whether a batch item may be sent now. */
   allowsBatch(nowMs: number): boolean {
-    return !this.bucket || this.bucket.available(nowMs) >= Math.min(AVAILABLE_FOR_BATCH, this.burst);
+    return !this.bucket || this.bucket.available(nowMs) >= Math.max(1, ONLINE_FRACTION * this.burst);
+  }
+
+  /** The part of the burst that has been used up, from 0 to 1; 0 without a limit. */
+  usedFraction(nowMs: number): number {
+    return this.bucket ? 1 - Math.max(0, this.bucket.available(nowMs)) / this.burst : 0;
   }
 
   /** Counts a request that is sent. */
