Give the requests of limited replicas to batch items first, and what is left to peaks

Cause: an online request uses a slot for half a second and an item for five, so that online requests used up the limits while items held the slots of the replicas without one, were preempted there, and could not start elsewhere; and where items were preempted at limited replicas, both the online request and the item that began again were counted.

Change: while items wait, a limited replica keeps one request for them, which they use before the slots of other replicas; they leave the slots there that online requests of the mean duration can use. Streams there are preempted only while half of the burst is left. Of the expected wait: a slot counts as free only if a request could really start.

--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -254,6 +254,7 @@
     this.moveLateItems(nowMs);
     this.runQuarantine(nowMs);
     this.preemptForUnknownStreams(nowMs);
+    this.places.setDemand(this.batch.size > 0, this.meanStreamMs);
     this.grantOnline(nowMs);
     this.grantBatch(nowMs);
   }
@@ -269,7 +270,7 @@
     const onlineStreams = this.places.streamsOf(WorkClass.online);
     // The next scheduling round gives waiting requests a free slot, or the slot of a preempted batch stream.
     const fits = onlineStreams + this.online.size + this.places.nonResumableBatchStreams() < usableSlots;
-    if (fits && (!isLimited || this.places.mayHaveSlot(nowMs))) return 0;
+    if (fits && (!isLimited || (this.online.size === 0 && this.places.hasSlot(nowMs)))) return 0;
     const slotReleaseIntervalMs = this.meanStreamMs / Math.max(1, usableSlots);
     const weight = this.policy.weightOf(organisation);
     const share = weight / (weight + this.online.otherActiveWeight(organisation));
@@ -564,18 +565,25 @@
       const spareSlots =
         this.places.freeSlots(this.quarantine.replicaId, nowMs) -
         this.reserve.places(this.places.total(nowMs), this.policy.reserveMaxFraction, nowMs);
-      if (spareSlots <= 0) return false;
-      const taken = this.batch.takeNextWith((candidate) => this.batchPlacementOf(candidate, nowMs));
+      const hasSpareSlot = spareSlots > 0;
+      if (!hasSpareSlot && !this.places.hasLimitedForBatch(nowMs)) return false;
+      const taken = this.batch.takeNextWith((candidate) =>
+        this.batchPlacementOf(candidate, hasSpareSlot, nowMs),
+      );
       if (!taken) return false;
       this.grant(taken.request, taken.choice, nowMs);
       return true;
     });
   }
 
-  private batchPlacementOf(request: SlotRequest, nowMs: number): PoolReplica | undefined {
+  private batchPlacementOf(
+    request: SlotRequest,
+    hasSpareSlot: boolean,
+    nowMs: number,
+  ): PoolReplica | undefined {
     if (!this.limits.admits(request, this.policy.limitsOf(request.organisation), nowMs)) return undefined;
     if (!request.resumable && !this.nonResumableBatchFits(nowMs)) return undefined;
-    return this.pickFreeReplica(request, nowMs);
+    return this.pickFreeReplica(request, nowMs, !hasSpareSlot);
   }
 
   private nonResumableBatchFits(nowMs: number): boolean {
@@ -585,8 +593,9 @@
     );
   }
 
-  private pickFreeReplica(request: SlotRequest, nowMs: number): PoolReplica | undefined {
-    return this.places.pickFreeReplica(request, this.prefixes, this.quarantine.replicaId, nowMs);
+  private pickFreeReplica(request: SlotRequest, nowMs: number, onlyLimited = false): PoolReplica | undefined {
+    const { replicaId } = this.quarantine;
+    return this.places.pickFreeReplica(request, this.prefixes, replicaId, nowMs, onlyLimited);
   }
 
   private grant(request: SlotRequest, replica: PoolReplica, nowMs: number): void {
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -27,6 +27,10 @@
 const SETTLED_AFTER_MS = 300;
 
 const MS_PER_S = 1_000;
+/** Requests of a limited replica that are kept for batch items while some wait. */
+const LIMITED_REQUESTS_FOR_BATCH = 1;
+/** Part of the burst of a limited replica that may be used up when a batch stream there is preempted. */
+const MAX_USED_FRACTION_TO_PREEMPT = 0.5;
 
 /** The permits for slots of one replica. */
 interface ReplicaPermits {
@@ -58,6 +62,10 @@
   private readonly changed = new Set<string>();
   /** Replicas whose state changes with time, without a call: paused ones, and those with drift or preempted streams. */
   private readonly timeDependent = new Set<string>();
+  /** Replicas with a free slot that state a limit of requests a second, where it allows a batch item now. */
+  private readonly freeLimited = new Set<string>();
+  private batchWaits = false;
+  private meanOnlineStreamMs = 0;
   /** Replicas whose reports differ from their permits. */
   private readonly drifting = new Set<string>();
   private refreshedAtMs = Number.NEGATIVE_INFINITY;
@@ -250,6 +258,24 @@
     return slots - limitedSlots + Math.min(limitedSlots, (requestsPerSecond * meanStreamMs) / MS_PER_S);
   }
 
+  /**
+   * Sets what decides the use of limited replicas. While batch items wait, such a replica keeps one request for them: an item
+   * uses its slot for longer than an online request, and does not occupy one where no limit holds. The items leave as many
+   * slots as online requests of the mean duration can use, so that none has to be preempted.
+   */
+  setDemand(batchWaits: boolean, meanOnlineStreamMs: number): void {
+    this.meanOnlineStreamMs = meanOnlineStreamMs;
+    if (batchWaits === this.batchWaits) return;
+    this.batchWaits = batchWaits;
+    this.timeDependent.forEach((replicaId) => this.changed.add(replicaId));
+  }
+
+  /** Whether a batch item could start at a replica that states a limit of requests a second. */
+  hasLimitedForBatch(nowMs: number): boolean {
+    this.refresh(nowMs);
+    return this.freeLimited.size > 0;
+  }
+
   /** Whether a replica that is not leaving states a limit of requests a second. */
   hasRequestLimits(nowMs: number): boolean {
     this.refresh(nowMs);
@@ -311,13 +337,15 @@
 
   /**
    * The available replica with a free slot and the lowest score, or undefined when there is none. Replicas at which the
-   * request has failed are used only when no other is available.
+   * request has failed are used only when no other is available. With `onlyLimited`, only replicas that state a limit of
+   * requests a second are considered.
    */
   pickFreeReplica(
     request: SlotRequest,
     prefixes: PrefixIndex,
     exceptReplicaId: string | undefined,
     nowMs: number,
+    onlyLimited = false,
   ): PoolReplica | undefined {
     this.refresh(nowMs);
     const { softwareVersion } = request;
@@ -337,15 +365,32 @@
     // When the request has failed at every available replica, each of them may be tried again.
     const skipsExcluded = availableOf(totals) - availableOf(except) > excludedCount;
     const order = anyReporting ? this.reportingOrder : this.silentOrder;
-    return order.pick(
-      request,
-      prefixes,
-      (replicaId) =>
-        replicaId !== exceptReplicaId &&
-        this.isOfVersion(replicaId, softwareVersion) &&
-        this.allows(replicaId, request, nowMs) &&
-        !(skipsExcluded && excluded.has(replicaId)),
-    );
+    const admits = (replicaId: string): boolean =>
+      replicaId !== exceptReplicaId &&
+      this.isOfVersion(replicaId, softwareVersion) &&
+      !(skipsExcluded && excluded.has(replicaId));
+    const limited = this.pickLimitedForBatch(request, admits, nowMs);
+    return limited ?? (onlyLimited ? undefined : order.pick(request, prefixes, admits));
+  }
+
+  /**
+   * The replica for a batch item among those that state a limit of requests a second. Of the requests that these take, batch
+   * items use their slots for the longest time, and the slots of the other replicas are left to online requests.
+   */
+  private pickLimitedForBatch(
+    { workClass }: SlotRequest,
+    admits: (replicaId: string) => boolean,
+    nowMs: number,
+  ): PoolReplica | undefined {
+    if (workClass !== WorkClass.batch || this.freeLimited.size === 0) return undefined;
+    return [...this.freeLimited]
+      .filter(admits)
+      .flatMap((replicaId) => this.replicas.get(replicaId) ?? [])
+      .map((replica) => ({ replica, used: replica.rate.usedFraction(nowMs) }))
+      .reduce<{ replica: PoolReplica; used: number } | undefined>(
+        (best, each) => (best === undefined || each.used < best.used ? each : best),
+        undefined,
+      )?.replica;
   }
 
   /**
@@ -362,7 +407,7 @@
     this.refresh(nowMs);
     const admits = (replicaId: string): boolean =>
       replicaId !== exceptReplicaId &&
-      (this.countsOf(replicaId)?.available ?? 0) > 0 &&
+      this.allowsPreemption(replicaId, nowMs) &&
       this.isOfVersion(replicaId, request.softwareVersion) &&
       !request.excludedReplicaIds.includes(replicaId);
     const caching = prefixes
@@ -371,10 +416,28 @@
       .flatMap((replicaId) => this.permitsAt(replicaId));
     return (
       this.preemptible.firstOf(caching, nowMs) ??
-      this.preemptible.first((permit) => admits(permit.replicaId), nowMs)
+      this.preemptible.first(({ replicaId }) => admits(replicaId), nowMs)
     );
   }
 
+  /**
+   * Whether batch streams at a replica may be preempted. At a limited one, the online request and the item that begins
+   * again are both counted, so that it is done only where the limit leaves many requests.
+   */
+  private allowsPreemption(replicaId: string, nowMs: number): boolean {
+    if ((this.countsOf(replicaId)?.available ?? 0) === 0) return false;
+    const rate = this.replicas.get(replicaId)?.rate;
+    return rate !== undefined && rate.usedFraction(nowMs) <= MAX_USED_FRACTION_TO_PREEMPT;
+  }
+
+  /** Whether an online request could get a slot now, a free one or that of a batch stream. */
+  hasSlot(nowMs: number): boolean {
+    if (!this.mayHaveSlot(nowMs)) return false;
+    if (!this.reportingOrder.isEmpty || !this.silentOrder.isEmpty) return true;
+    const victim = this.preemptible.first(({ replicaId }) => this.allowsPreemption(replicaId, nowMs), nowMs);
+    return victim !== undefined;
+  }
+
   /** The streams at a replica that may be preempted, in the order of preemption. */
   rankVictimsAt(replicaId: string, nowMs: number): Permit[] {
     return this.preemptible.rank(this.permitsAt(replicaId), nowMs);
@@ -427,6 +490,7 @@
     this.silentOrder.delete(replicaId);
     this.timeDependent.delete(replicaId);
     this.drifting.delete(replicaId);
+    this.freeLimited.delete(replicaId);
     this.dropCounts(replicaId);
     this.replicas.take(replicaId);
   }
@@ -450,7 +514,8 @@
     const isOpen = replica.health.isAvailable(nowMs);
     const { requestsPerSecond } = replica.rate;
     const isLimited = requestsPerSecond !== undefined && !replica.leaving;
-    const allowedRequests = replica.rate.available(nowMs);
+    const allowedRequests =
+      replica.rate.available(nowMs) - (this.batchWaits ? LIMITED_REQUESTS_FOR_BATCH : 0);
     const isAvailable = isOpen && !replica.leaving && allowedRequests > 0;
     const reports = isReporting(replica);
     this.setCounts(replicaId, {
@@ -472,6 +537,10 @@
     // A limited replica is left to peaks that the others cannot take, unless its requests would be lost.
     if (isFree) order.set(replica, streams + replica.limit.places * replica.rate.usedFraction(nowMs));
     else order.delete(replicaId);
+    const isFreeForBatch = streams + this.slotsForOnline(replica) < usableSlots(replica);
+    if (isLimited && isOpen && isFreeForBatch && replica.rate.available(nowMs) > 0)
+      this.freeLimited.add(replicaId);
+    else this.freeLimited.delete(replicaId);
     if (drift === 0) this.drifting.delete(replicaId);
     else this.drifting.add(replicaId);
     if (drift !== 0 || !isOpen || isLimited || this.hasRevokeGrace(replicaId, nowMs))
@@ -479,6 +548,11 @@
     else this.timeDependent.delete(replicaId);
   }
 
+  /** Slots of a limited replica that online requests can keep in use. */
+  private slotsForOnline({ rate }: PoolReplica): number {
+    return Math.ceil(((rate.requestsPerSecond ?? 0) * this.meanOnlineStreamMs) / MS_PER_S);
+  }
+
   private setCounts(replicaId: string, counts: SlotCounts): void {
     this.dropCounts(replicaId);
     this.countsByReplica.set(replicaId, counts);
@@ -512,11 +586,6 @@
     return softwareVersion === undefined || this.replicas.get(replicaId)?.softwareVersion === softwareVersion;
   }
 
-  /** Whether the limit of a replica allows the request. Batch items leave a part of it to online requests. */
-  private allows(replicaId: string, { workClass }: SlotRequest, nowMs: number): boolean {
-    return workClass === WorkClass.online || this.replicas.get(replicaId)?.rate.allowsBatch(nowMs) === true;
-  }
-
   /** Whether a preempted stream at the replica still counts as gone. */
   private hasRevokeGrace(replicaId: string, nowMs: number): boolean {
     const revoked = this.byReplica.get(replicaId)?.revoked;
--- a/packages/decisions/src/request-rate.ts
+++ b/packages/decisions/src/request-rate.ts
@@ -5,12 +5,10 @@
 import { TokenBucket } from './token-bucket.js';
 
 /** Requests beyond the steady rate that may follow one another: these, and those of `BURST_MS`. */
-const BURST_REQUESTS = 2;
-const BURST_MS = 1_500;
+const BURST_REQUESTS = 3;
+const BURST_MS = 2_000;
 /** A replica gets a request now and then even if its limit is 0, since only a response tells that the limit has ended. */
 const MIN_REQUESTS_PER_SECOND = 0.25;
-/** Fraction of the burst that batch items leave to online requests. */
-const ONLINE_FRACTION = 0.5;
 const MS_PER_S = 1_000;
 
 /** The rate at which requests may be sent to one replica; unlimited at first. */
@@ -50,11 +48,6 @@
     return this.bucket ? Math.floor(this.bucket.available(nowMs)) : Number.POSITIVE_INFINITY;
   }
 
-  /** Whether a batch item may be sent now. */
-  allowsBatch(nowMs: number): boolean {
-    return !this.bucket || this.bucket.available(nowMs) >= Math.max(1, ONLINE_FRACTION * this.burst);
-  }
-
   /** The part of the burst that has been used up, from 0 to 1; 0 without a limit. */
   usedFraction(nowMs: number): number {
     return this.bucket ? 1 - Math.max(0, this.bucket.available(nowMs)) / this.burst : 0;
