Leave responses of replicas that do not end

What a caller would have seen: an instance that runs out of memory, with all requests that it holds.

Such an attempt counts as broken, so that a repeatable request goes on elsewhere. Each byte of a stream is scanned once.

--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -47,7 +47,7 @@
     log: new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics),
     random: () => 0,
   } as unknown as ItemRunDependencies;
-  const output = { events: ['a'], lastEventId: 5, origin: ORIGIN, spentMs: 20 };
+  const output = { events: ['a'], lastEventId: 5, origin: ORIGIN, bytes: 0, spentMs: 20 };
   await runItem(requestWith(output, clock), dependencies, new AbortController().signal);
   return demands;
 }
@@ -70,7 +70,7 @@
   });
 
   it('keeps the time that an item has spent when it starts anew, so that each loss costs at least as long a wait', async () => {
-    const output: ItemOutput = { events: ['a'], lastEventId: 5, origin: ORIGIN, spentMs: 20 };
+    const output: ItemOutput = { events: ['a'], lastEventId: 5, origin: ORIGIN, bytes: 0, spentMs: 20 };
     const clock = new SystemClock();
     const metrics = new Metrics();
     const slot = { permitId: 'p', replicaId: 'r', address: 'a', revoked: new AbortController().signal };
@@ -125,7 +125,10 @@
       log: new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics),
       random: () => 0,
     } as unknown as ItemRunDependencies;
-    const request = { ...requestWith({ events: [], spentMs: 0 }, clock), mayDispatch: () => mayDispatch };
+    const request = {
+      ...requestWith({ events: [], bytes: 0, spentMs: 0 }, clock),
+      mayDispatch: () => mayDispatch,
+    };
     await runItem(request, dependencies, new AbortController().signal);
     expect(ends).toEqual(['cancelled']);
   });
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -6,7 +6,7 @@
 import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, canContinue, continuationWaitMs } from '@fighub/decisions';
 
 import { pickBackend } from '../online/backend-choice.js';
-import { EventSplitter, dataOf } from '../online/event-splitter.js';
+import { EventSplitter, MAX_EVENT_BYTES, dataOf } from '../online/event-splitter.js';
 import type { RawEvent } from '../online/event-splitter.js';
 import { StallTimer } from '../online/stall-timer.js';
 import type {
@@ -16,7 +16,7 @@
   UpstreamListener,
   UpstreamTransport,
 } from '../online/forwarding.js';
-import { UpstreamEndKind, endOfStream } from '../online/forwarding.js';
+import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 
@@ -30,6 +30,8 @@
   failed: 'failed',
   /** No route matches the item any more. */
   noRoute: 'no_route',
+  /** The output is larger than a stored value may be. */
+  tooLarge: 'too_large',
   /** Nothing was sent, since requests with a part of the item's prompt, or the item itself, have crashed replicas. */
   blocked: 'blocked',
   /** The run was stopped, refused or cut short. A later run resumes after the last received event. */
@@ -40,6 +42,8 @@
 /** Output of an item so far, kept across interrupted runs. */
 export interface ItemOutput {
   readonly events: string[];
+  /** Size of the events in a stored record, in bytes. */
+  bytes: number;
   lastEventId?: number;
   /** Where the events come from; undefined before the first one. */
   origin?: StreamOrigin;
@@ -83,6 +87,8 @@
   readonly random: () => number;
 }
 
+/** Maximum bytes of one output, as JSON; with its envelope it must fit into one stored value of 1 MB. */
+export const MAX_OUTPUT_BYTES = 900_000;
 /** A run is interrupted when its stream exceeds these limits. */
 const STALL_LIMITS = { silenceMs: 2_000, eventGapMs: 4_000 };
 const HTTP_OK = 200;
@@ -213,7 +219,7 @@
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
   output.spentMs += dependencies.clock.monotonicMs() - startedMs;
-  const end = endOfStream(sent, listener.isInsideEvent);
+  const end = listener.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, listener.isInsideEvent);
   const verdict = listener.verdict(end);
   const preempted = slot.revoked.aborted;
   const brokenByReplica = verdict === ItemRunOutcome.interrupted && !preempted && !stop.aborted;
@@ -264,10 +270,16 @@
     continuesAt: at?.softwareVersion,
   });
   output.events.length = 0;
+  output.bytes = 0;
   output.lastEventId = undefined;
   output.origin = undefined;
 }
 
+/** Size of a text in a stored record, in bytes. */
+export function jsonBytes(text: string): number {
+  return Buffer.byteLength(JSON.stringify(text));
+}
+
 function attemptEndOf(end: UpstreamEnd, verdict: ItemRunOutcome, brokenByReplica: boolean): AttemptEnd {
   if (verdict === ItemRunOutcome.done) return AttemptEnd.completed;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
@@ -285,6 +297,7 @@
   private readonly splitter = new EventSplitter();
   /** Aborted when the stream skips or repeats an event, or has stalled. */
   private readonly streamFault = new AbortController();
+  private exceeded = false;
   private readonly stop: AbortSignal;
   private readonly stallTimer: StallTimer;
 
@@ -311,7 +324,7 @@
 
   /** Bytes that arrived after the last whole event. */
   get unfinishedBytes(): number {
-    return this.splitter.rest.length;
+    return this.splitter.unfinishedBytes;
   }
 
   /** Whether the stream ends inside an event if no more data arrives. */
@@ -330,6 +343,12 @@
   onData(part: Buffer): void {
     this.stallTimer.onBytes();
     if (this.status === HTTP_OK) this.splitter.push(part).forEach((event) => this.appendEvent(event));
+    if (this.splitter.unfinishedBytes > MAX_EVENT_BYTES) this.exceed();
+  }
+
+  /** Whether the response was left because it does not end. */
+  get isEndless(): boolean {
+    return this.exceeded;
   }
 
   /** Stops the timer; to be called when the call has ended. */
@@ -339,6 +358,7 @@
 
   /** The outcome of the run, given how the call to the replica ended. */
   verdict(end: UpstreamEnd): ItemRunOutcome {
+    if (this.output.bytes > MAX_OUTPUT_BYTES) return ItemRunOutcome.tooLarge;
     if (end.kind !== UpstreamEndKind.complete || this.streamFault.signal.aborted)
       return ItemRunOutcome.interrupted;
     if (this.status === HTTP_UNPROCESSABLE_CONTENT) return ItemRunOutcome.impossible;
@@ -348,6 +368,11 @@
       : ItemRunOutcome.interrupted;
   }
 
+  private exceed(): void {
+    this.exceeded = true;
+    this.streamFault.abort();
+  }
+
   private appendEvent(event: RawEvent): void {
     if (this.streamFault.signal.aborted) return;
     const { lastEventId } = this.output;
@@ -359,8 +384,11 @@
     }
     this.stallTimer.onEvent();
     this.output.lastEventId = event.eventId;
-    this.output.events.push(dataOf(event));
+    const data = dataOf(event);
+    this.output.events.push(data);
+    this.output.bytes += jsonBytes(data);
     this.events += 1;
+    if (this.output.bytes > MAX_OUTPUT_BYTES) this.streamFault.abort();
     this.onEvent(this.events);
   }
 
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -15,7 +15,7 @@
 const SLOT = { permitId: 'p', replicaId: 'r', address: 'a', revoked: new AbortController().signal };
 
 /** Sends an item to a replica. */
-type Send = (call: UpstreamCall, listener: UpstreamListener) => Promise<unknown>;
+type Send = (call: UpstreamCall, listener: UpstreamListener, signal: AbortSignal) => Promise<unknown>;
 
 /** A job with an item for each of `outputs`. By default each item gets its output as one event. */
 async function newJob(outputs: readonly string[], send: Send = respondWith(outputs)) {
@@ -109,6 +109,26 @@
     ]);
   });
 
+  it('leaves a run whose output grows without end, and gives the item up', async () => {
+    let sentEvents = 0;
+    const endless: Send = (_call, listener, signal) => {
+      listener.onHead({ status: 200, headers: [], notRun: false, framing: 'chunks' });
+      while (!signal.aborted && sentEvents < 1_000) {
+        listener.onData(Buffer.from(`id: ${String(sentEvents)}\ndata: ${'x'.repeat(10_000)}\n\n`));
+        sentEvents += 1;
+      }
+      return Promise.resolve({ kind: 'cancelled', detail: '' });
+    };
+    const { job, clock, store } = await newJob([''], endless);
+    await vi.waitFor(() => {
+      job.run(clock.monotonicMs());
+      void writeTogether(store, job.takeWrites(clock.monotonicMs()));
+      expect(job.finished).toBe(true);
+    });
+    expect(job.results(0).results.map(({ succeeded }) => succeeded)).toEqual([false]);
+    expect(sentEvents).toBeLessThan(100);
+  });
+
   it('splits results by their bytes, so that each segment fits into a stored value', async () => {
     const { job, store } = await finishedJob(Array.from({ length: 6 }, () => 'š'.repeat(150_000)));
     expect(job.results(0).committedCount).toBe(6);
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -18,7 +18,7 @@
 import { StoreErrorKind } from '@fighub/outside';
 
 import type { ItemOutput, ItemRunDependencies, ItemRunResult } from './item-run.js';
-import { ItemRunOutcome, runItem } from './item-run.js';
+import { ItemRunOutcome, MAX_OUTPUT_BYTES, jsonBytes, runItem } from './item-run.js';
 import type { JobCheckpoint } from './job-checkpoint.js';
 import type { JobWrite, JobWriteOutcome } from './job-writes.js';
 import { writeTogether } from './job-writes.js';
@@ -46,8 +46,7 @@
 const MAX_EXCLUDED_REPLICAS = 2;
 /** Maximum bytes of output in one commit, as JSON. */
 const MAX_COMMIT_BYTES = 500_000;
-/** Maximum bytes of one output, as JSON; with its envelope it must fit into one stored value of 1 MB. */
-const MAX_OUTPUT_BYTES = 900_000;
+const TOO_LARGE = 'the output is too large to be stored';
 /** Delay before the next write after a failed one. */
 const WRITE_RETRY_DELAY_MS = 400;
 
@@ -257,6 +256,7 @@
     if (end !== ItemRunOutcome.blocked) entry.isBlocked = false;
     if (end === ItemRunOutcome.done) this.onDone(entry);
     else if (end === ItemRunOutcome.impossible || end === ItemRunOutcome.noRoute) this.giveUp(entry, end);
+    else if (end === ItemRunOutcome.tooLarge) this.giveUp(entry, TOO_LARGE);
     else if (end === ItemRunOutcome.failed) this.onFailure(entry);
     else if (end === ItemRunOutcome.blocked) this.onBlocked(entry);
     else {
@@ -271,7 +271,7 @@
   /** An output that no stored value can hold would be written in vain again and again, so its item is given up. */
   private onDone(entry: OpenItem): void {
     const output = entry.output.events.join('\n');
-    if (jsonBytes(output) > MAX_OUTPUT_BYTES) this.giveUp(entry, 'the output is too large to be stored');
+    if (jsonBytes(output) > MAX_OUTPUT_BYTES) this.giveUp(entry, TOO_LARGE);
     else this.addResult(entry, true, output);
   }
 
@@ -404,14 +404,9 @@
   }
 }
 
-/** Size of a text in a stored record. */
-function jsonBytes(text: string): number {
-  return Buffer.byteLength(JSON.stringify(text));
-}
-
 /** The output to continue. One of unknown origin is dropped, so that the item starts anew. */
 function toItemOutput(saved: PartialOutput | undefined): ItemOutput {
-  if (!saved?.origin) return { events: [], spentMs: 0 };
+  if (!saved?.origin) return { events: [], bytes: 0, spentMs: 0 };
   const { text, lastEventId, origin, spentMs } = saved;
-  return { events: [text], lastEventId, origin, spentMs: spentMs ?? 0 };
+  return { events: [text], bytes: jsonBytes(text), lastEventId, origin, spentMs: spentMs ?? 0 };
 }
--- a/packages/serving/src/online/event-splitter.ts
+++ b/packages/serving/src/online/event-splitter.ts
@@ -8,6 +8,9 @@
   readonly eventId?: number;
 }
 
+/** A response whose unfinished event is longer is not a stream of events, and is left. */
+export const MAX_EVENT_BYTES = 1_048_576;
+
 const NEWLINE = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id: ?(\d+)\r?$/m;
@@ -15,32 +18,76 @@
 const BETWEEN_EVENTS = /^(?::[^\n]*\n|\r?\n)*$/;
 const DATA_LINE = /^data: ?(.*)$/gm;
 
-/** Buffers the bytes of an incomplete event until the rest arrives. */
+/** What the bytes scanned so far end with. */
+const ScanState = {
+  insideLine: 'inside_line',
+  /** A newline. */
+  afterLine: 'after_line',
+  /** A newline and a carriage return, which another newline may make a blank line. */
+  afterLineAndReturn: 'after_line_and_return',
+} as const;
+type ScanState = (typeof ScanState)[keyof typeof ScanState];
+
+/** Buffers the bytes of an incomplete event until the rest arrives. Each byte is scanned once. */
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  private parts: Buffer[] = [];
+  private size = 0;
+  private state: ScanState = ScanState.insideLine;
 
   /** Adds received bytes and returns the events that they complete. */
   push(part: Buffer): RawEvent[] {
-    this.pending = this.pending.length === 0 ? part : Buffer.concat([this.pending, part]);
     const events: RawEvent[] = [];
-    let end = endOfEvent(this.pending);
+    let rest = part;
+    let end = this.scan(rest);
     while (end > 0) {
-      const bytes = this.pending.subarray(0, end);
+      const bytes = Buffer.concat([...this.parts, rest.subarray(0, end)]);
       events.push({ bytes, eventId: eventIdOf(bytes) });
-      this.pending = this.pending.subarray(end);
-      end = endOfEvent(this.pending);
+      this.parts = [];
+      this.size = 0;
+      rest = rest.subarray(end);
+      end = this.scan(rest);
     }
+    if (rest.length > 0) this.parts.push(rest);
+    this.size += rest.length;
     return events;
   }
 
   /** Whether the bytes after the last whole event begin another one, so that a stream must not end here. */
   get isInsideEvent(): boolean {
-    return !BETWEEN_EVENTS.test(this.pending.toString('latin1'));
+    return !BETWEEN_EVENTS.test(this.rest.toString('latin1'));
   }
 
   /** The bytes after the last whole event. */
   get rest(): Buffer {
-    return this.pending;
+    return Buffer.concat(this.parts);
+  }
+
+  /** Number of bytes after the last whole event. */
+  get unfinishedBytes(): number {
+    return this.size;
+  }
+
+  /** Scans the next bytes. Returns the index after the blank line that ends the event, or 0 when there is none. */
+  private scan(bytes: Buffer): number {
+    let at = 0;
+    while (at < bytes.length) {
+      if (this.state === ScanState.insideLine) {
+        at = bytes.indexOf(NEWLINE, at);
+        if (at < 0) return 0;
+        at += 1;
+        this.state = ScanState.afterLine;
+        continue;
+      }
+      const byte = bytes[at];
+      at += 1;
+      if (byte === NEWLINE) {
+        this.state = ScanState.insideLine;
+        return at;
+      }
+      const mayBeBlank = byte === CARRIAGE_RETURN && this.state === ScanState.afterLine;
+      this.state = mayBeBlank ? ScanState.afterLineAndReturn : ScanState.insideLine;
+    }
+    return 0;
   }
 }
 
@@ -51,17 +98,6 @@
     .join('\n');
 }
 
-/** Index after the blank line that ends the first event, or 0 when there is none. */
-function endOfEvent(bytes: Buffer): number {
-  let at = bytes.indexOf(NEWLINE);
-  while (at >= 0) {
-    const next = bytes[at + 1] === CARRIAGE_RETURN ? at + 2 : at + 1;
-    if (bytes[next] === NEWLINE) return next + 1;
-    at = bytes.indexOf(NEWLINE, at + 1);
-  }
-  return 0;
-}
-
 function eventIdOf(bytes: Buffer): number | undefined {
   const match = ID_LINE.exec(bytes.toString('latin1'));
   return match ? Number(match[1]) : undefined;
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -11,10 +11,11 @@
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 import type { AttemptListener } from './response-relay.js';
+import { BufferBudget } from './buffer-budget.js';
 import { ResponseRelay } from './response-relay.js';
 import { pickBackend } from './backend-choice.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
-import { UpstreamEndKind, endOfStream } from './forwarding.js';
+import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream } from './forwarding.js';
 import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
 /**
@@ -24,6 +25,8 @@
 const MAX_WAIT_FRACTION_OF_TARGET = 0.75;
 /** A request that has not started within this time is refused, since callers disconnect soon after. */
 const QUEUE_TIMEOUT_MS = 1_500;
+/** Bytes of incomplete responses that are kept in memory at most, of all requests together. */
+const MAX_BUFFERED_BYTES = 64 * 1_048_576;
 /** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
 const ORIGIN_MARGIN_MS = 2_000;
 
@@ -48,6 +51,7 @@
 /** Forwards the requests of callers to replicas. */
 export class ForwardRunner {
   private open = 0;
+  private readonly buffers = new BufferBudget(MAX_BUFFERED_BYTES);
 
   constructor(private readonly dependencies: ForwardDependencies) {}
 
@@ -60,7 +64,7 @@
   async run(request: ForwardedRequest, route: Route, sink: ResponseSink, signal: AbortSignal): Promise<void> {
     this.open += 1;
     try {
-      await new ForwardRun(request, route, sink, signal, this.dependencies).run();
+      await new ForwardRun(request, route, sink, signal, this.buffers, this.dependencies).run();
     } finally {
       this.open -= 1;
     }
@@ -96,11 +100,19 @@
     private readonly route: Route,
     sink: ResponseSink,
     private readonly callerDisconnected: AbortSignal,
+    buffers: BufferBudget,
     private readonly dependencies: ForwardDependencies,
   ) {
     this.service = pickBackend(route.backends, dependencies.random());
     this.deadlineMs = Math.min(request.deadlineMs, request.arrivedAtMs + route.timeoutMs);
-    this.relay = new ResponseRelay(route, request.requestId, request.resumeAfter, sink, dependencies.clock);
+    this.relay = new ResponseRelay(
+      route,
+      request.requestId,
+      request.resumeAfter,
+      sink,
+      dependencies.clock,
+      buffers,
+    );
   }
 
   async run(): Promise<void> {
@@ -228,8 +240,7 @@
       attempt,
       attempt.signal,
     );
-    attempt.close();
-    const end = endOfStream(sent, attempt.isInsideEvent);
+    const end = attempt.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, attempt.isInsideEvent);
     const evidence =
       attempt.reportedNotRun || end.kind === UpstreamEndKind.notConnected ? 'not_run' : 'may_have_run';
     if (evidence === SendEvidence.mayHaveRun) this.runs += 1;
@@ -241,9 +252,9 @@
       ...attempt.timing(),
     });
     this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, expectedOrigin });
-    if (end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun) {
-      if (attempt.deliver()) return this.recordCompletion();
-    }
+    const delivered = end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun && attempt.deliver();
+    attempt.close();
+    if (delivered) return this.recordCompletion();
     if (this.callerDisconnected.aborted || this.deadlinePassed.signal.aborted) return this.finishStopped();
     this.excluded.push(slot.replicaId);
     return this.afterAttempt(evidence, end.detail || `status ${String(attempt.status)}`);
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -135,6 +135,12 @@
   return { kind: UpstreamEndKind.broken, detail: 'the stream ended inside an event' };
 }
 
+/** The end of a call that was aborted because the response exceeds what a replica's response may hold. */
+export const ENDLESS_RESPONSE: UpstreamEnd = {
+  kind: UpstreamEndKind.broken,
+  detail: 'the response does not end',
+};
+
 /** Sends requests to replicas and passes their responses on while they arrive. */
 export interface UpstreamTransport {
   /** Never rejects. Aborting `signal` closes the connection at once. */
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -2,6 +2,7 @@
 import { SystemClock } from '@fighub/core';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
+import { BufferBudget } from './buffer-budget.js';
 import type { ResponseSink } from './forwarding.js';
 import { BodyFraming } from './forwarding.js';
 import { ResponseRelay } from './response-relay.js';
@@ -19,7 +20,7 @@
     cut: () => written.push('cut'),
     refuse: () => written.push('refuse'),
   };
-  const relay = new ResponseRelay(ROUTE, 'q1', undefined, sink, new SystemClock());
+  const relay = new ResponseRelay(ROUTE, 'q1', undefined, sink, new SystemClock(), new BufferBudget(1_000));
   const attempt = relay.startAttempt(new AbortController().signal, {
     onLoad: () => undefined,
     onRequestLimit: () => undefined,
@@ -64,7 +65,14 @@
     async function isStopped(kind: Route['kind'], periodMs: number): Promise<boolean> {
       const sink = { head: () => undefined, data: () => undefined } as unknown as ResponseSink;
       const route = { ...ROUTE, kind, resumable: true };
-      const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock());
+      const relay = new ResponseRelay(
+        route,
+        'q1',
+        undefined,
+        sink,
+        new SystemClock(),
+        new BufferBudget(1_000),
+      );
       const attempt = relay.startAttempt(new AbortController().signal, {
         onLoad: () => undefined,
         onRequestLimit: () => undefined,
@@ -90,4 +98,51 @@
       expect(await isStopped('safe', 1_000)).toBe(true);
     });
   });
+
+  describe('with a response that does not end', () => {
+    const MIB = 1_048_576;
+
+    /** Sends the same bytes until the attempt is left, at most 100 MiB. Returns the bytes that were sent. */
+    function sendUntilLeft(kind: Route['kind'], part: Buffer, budget: BufferBudget): number {
+      const sink = { head: () => undefined, data: () => undefined } as unknown as ResponseSink;
+      const route = { ...ROUTE, kind };
+      const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock(), budget);
+      const attempt = relay.startAttempt(new AbortController().signal, {
+        onLoad: () => undefined,
+        onRequestLimit: () => undefined,
+        onLeaving: () => undefined,
+        onFirstEvent: () => undefined,
+        onSoundPrompt: () => undefined,
+      });
+      attempt.onHead(HEAD);
+      let sentBytes = 0;
+      while (!attempt.signal.aborted && sentBytes < 100 * MIB) {
+        attempt.onData(part);
+        sentBytes += part.length;
+      }
+      expect(attempt.isEndless).toBe(true);
+      expect(attempt.deliver()).toBe(false);
+      attempt.close();
+      return sentBytes;
+    }
+
+    it('leaves a stream whose event does not end, whatever the size of its pieces', () => {
+      const budget = new BufferBudget(0);
+      expect(sendUntilLeft('streaming', Buffer.alloc(64_000, 'x'), budget)).toBeLessThan(2 * MIB);
+      expect(sendUntilLeft('streaming', Buffer.from('data: x\n'), budget)).toBeLessThan(2 * MIB);
+    });
+
+    it('leaves a body that does not end, and gives its memory back', () => {
+      const budget = new BufferBudget(64 * MIB);
+      const part = Buffer.alloc(64_000, 'x');
+      expect(sendUntilLeft('safe', part, budget)).toBeLessThan(17 * MIB);
+      expect(budget.take(64 * MIB)).toBe(true);
+    });
+
+    it('leaves it sooner when other responses use the memory', () => {
+      const budget = new BufferBudget(64 * MIB);
+      budget.take(60 * MIB);
+      expect(sendUntilLeft('safe', Buffer.alloc(64_000, 'x'), budget)).toBeLessThan(5 * MIB);
+    });
+  });
 });
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -3,8 +3,9 @@
 import { RouteKind } from '@fighub/core';
 import { EVENTS_OF_SOUND_PROMPT } from '@fighub/decisions';
 
+import type { BufferBudget } from './buffer-budget.js';
 import type { RawEvent } from './event-splitter.js';
-import { EventSplitter } from './event-splitter.js';
+import { EventSplitter, MAX_EVENT_BYTES } from './event-splitter.js';
 import { StallTimer } from './stall-timer.js';
 import type {
   BodyFraming,
@@ -16,6 +17,8 @@
 
 /** A resumable stream that exceeds these limits is resumed at another replica. */
 const STALL_LIMITS = { silenceMs: 900, eventGapMs: 1_800 };
+/** Longest response that is kept until it is complete, in bytes. */
+const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1_048_576;
 /** HTTP 421: the process at this address is not the intended replica, so it did not run the request. */
 const MISDIRECTED_STATUS = 421;
 const FIRST_NON_SUCCESS_STATUS = 300;
@@ -48,6 +51,7 @@
     resumeAfter: number | undefined,
     private readonly sink: ResponseSink,
     readonly clock: Clock,
+    readonly buffers: BufferBudget,
   ) {
     this.lastEventId = resumeAfter;
   }
@@ -118,6 +122,8 @@
   private head: UpstreamHead | undefined;
   private readonly splitter = new EventSplitter();
   private readonly parts: Buffer[] = [];
+  private keptBytes = 0;
+  private exceeded = false;
   /** Aborted when the stream has stalled, or does not continue with the next event. */
   private readonly streamFault = new AbortController();
   private readonly stop: AbortSignal;
@@ -164,8 +170,14 @@
 
   onData(part: Buffer): void {
     this.stallTimer?.onBytes();
-    if (!this.isStream) this.parts.push(part);
+    if (!this.isStream) this.keep(part);
     else this.splitter.push(part).forEach((event) => this.onEvent(event));
+    if (this.splitter.unfinishedBytes > MAX_EVENT_BYTES) this.exceed();
+  }
+
+  /** Whether the response was left because it does not end. */
+  get isEndless(): boolean {
+    return this.exceeded;
   }
 
   /** What marks the end of the response; undefined before its head arrives. */
@@ -180,7 +192,7 @@
 
   /** Bytes of a stream that arrived after its last whole event. */
   get unfinishedBytes(): number {
-    return this.splitter.rest.length;
+    return this.splitter.unfinishedBytes;
   }
 
   /** Whether a stream ends inside an event if no more data arrives. */
@@ -188,9 +200,12 @@
     return this.isStream && this.splitter.isInsideEvent;
   }
 
-  /** Stops the timer; to be called when the attempt has ended. */
+  /** Stops the timer and gives the memory back; to be called when the attempt has ended and been delivered. */
   close(): void {
     this.stallTimer?.stop();
+    this.relay.buffers.release(this.keptBytes);
+    this.keptBytes = 0;
+    this.parts.length = 0;
   }
 
   /** Passes a complete response on to the caller. Returns false when it must not be passed on. */
@@ -216,6 +231,23 @@
     return { firstTokenMs: this.firstEventMs - this.startedMs, betweenTokensMs };
   }
 
+  /** Keeps a part of a response until it is complete. */
+  private keep(part: Buffer): void {
+    if (this.exceeded) return;
+    const fits = this.keptBytes + part.length <= MAX_BUFFERED_RESPONSE_BYTES;
+    if (!fits || !this.relay.buffers.take(part.length)) {
+      this.exceed();
+      return;
+    }
+    this.keptBytes += part.length;
+    this.parts.push(part);
+  }
+
+  private exceed(): void {
+    this.exceeded = true;
+    this.streamFault.abort();
+  }
+
   private get isStream(): boolean {
     const ok = this.status >= 200 && this.status < FIRST_NON_SUCCESS_STATUS;
     return ok && this.relay.route.kind === RouteKind.streaming;
