--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -351,6 +351,11 @@
     return this.exceeded;
   }
 
+  /** Items are read as they arrive; their output is bounded. */
+  whenReady(): undefined {
+    return undefined;
+  }
+
   /** Stops the timer; to be called when the call has ended. */
   close(): void {
     this.stallTimer.stop();
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -41,6 +41,8 @@
   /** Writes status and headers, before any data. */
   head(head: ResponseHead): void;
   data(part: Buffer): void;
+  /** Resolves when the caller has received most of the data; undefined while it keeps up. */
+  whenDrained(): Promise<void> | undefined;
   /** Completes the response. */
   end(): void;
   /** Aborts the response so that the caller can tell that it is incomplete. */
@@ -105,6 +107,8 @@
   onLeaving(replicaId: string): void;
   onHead(head: UpstreamHead): void;
   onData(part: Buffer): void;
+  /** Resolves when the receiver can take more data; undefined if it can now. The response is not read until then. */
+  whenReady(): Promise<void> | undefined;
 }
 
 /** How a call to a replica ended. */
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -16,6 +16,7 @@
   const sink: ResponseSink = {
     head: ({ status }) => written.push(`head ${String(status)}`),
     data: (part) => written.push(part.toString()),
+    whenDrained: () => undefined,
     end: () => written.push('end'),
     cut: () => written.push('cut'),
     refuse: () => written.push('refuse'),
@@ -89,6 +90,34 @@
       return attempt.signal.aborted;
     }
 
+    it('does not take a caller that does not keep up for a stalled replica', async () => {
+      let drain: () => void = () => undefined;
+      const drained = new Promise<void>((resolve) => (drain = resolve));
+      const sink = {
+        head: () => undefined,
+        data: () => undefined,
+        whenDrained: () => drained,
+      } as unknown as ResponseSink;
+      const route = { ...ROUTE, resumable: true };
+      const budget = new BufferBudget(1_000);
+      const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock(), budget);
+      const attempt = relay.startAttempt(new AbortController().signal, {
+        onLoad: () => undefined,
+        onRequestLimit: () => undefined,
+        onLeaving: () => undefined,
+        onFirstEvent: () => undefined,
+        onSoundPrompt: () => undefined,
+      });
+      attempt.onHead(HEAD);
+      attempt.onData(Buffer.from('id: 1\ndata: a\n\n'));
+      expect(attempt.whenReady()).toBe(drained);
+      await vi.advanceTimersByTimeAsync(5_000);
+      expect(attempt.signal.aborted).toBe(false);
+      drain();
+      await vi.advanceTimersByTimeAsync(2_500);
+      expect(attempt.signal.aborted).toBe(true);
+    });
+
     it('leaves a stream that completes no event', async () => {
       expect(await isStopped('streaming', 300)).toBe(true);
     });
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -72,6 +72,11 @@
     this.writePart(head, event.bytes);
   }
 
+  /** Resolves when the caller has received most of the response so far; undefined while it keeps up. */
+  whenDrained(): Promise<void> | undefined {
+    return this.done ? undefined : this.sink.whenDrained();
+  }
+
   /** Passes on the remaining bytes of a complete response and ends it. */
   end(head: UpstreamHead, rest: Buffer): void {
     this.writePart(head, rest);
@@ -175,6 +180,14 @@
     if (this.splitter.unfinishedBytes > MAX_EVENT_BYTES) this.exceed();
   }
 
+  /** A stream is not read while its caller does not keep up, which is no stall of the replica. */
+  whenReady(): Promise<void> | undefined {
+    if (!this.isStream) return undefined;
+    const drained = this.relay.whenDrained();
+    if (drained) this.stallTimer?.suspend(drained);
+    return drained;
+  }
+
   /** Whether the response was left because it does not end. */
   get isEndless(): boolean {
     return this.exceeded;
