Judge a batch item by itself only once it has been broken off

Ids of items, one for each run that completes, displaced the parts of prompts from what an owner remembers as sound. An item is sent again only after it was broken off, so that its id is needed only then. The refusal of a blocked prompt is defined in one place.

--- a/packages/decisions/src/blocked-prompts.ts
+++ b/packages/decisions/src/blocked-prompts.ts
@@ -1,4 +1,5 @@
 /** Prompts that are sent to no replica for a while, because requests with them have crashed replicas. */
+import { notRun } from '@fighub/core';
 
 /** A set of prompt parts. Requests whose prompts contain all of them are refused. */
 export interface BlockedPrompt {
@@ -9,6 +10,12 @@
   readonly blockCount: number;
 }
 
+/** The refusal of a request with a blocked prompt. */
+export const PROMPT_BLOCKED = notRun(
+  'prompt_crashes_upstream',
+  'requests with a part of this prompt have crashed replicas',
+);
+
 /** Bounds the memory and the size of the messages that carry the table. */
 const MAX_BLOCKED_PROMPTS = 256;
 /** After a block has ended, its parts are remembered for this long, so that one more crash blocks them again. */
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -3,7 +3,7 @@
 import { notRun } from '@fighub/core';
 
 import { BatchQueue } from './batch-queue.js';
-import { BlockedPrompts } from './blocked-prompts.js';
+import { BlockedPrompts, PROMPT_BLOCKED } from './blocked-prompts.js';
 import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
 import { FairQueue } from './fair-queue.js';
@@ -125,7 +125,7 @@
       return;
     }
     if (this.promptCrashes.isBlocked(request.sharedPartIds, nowMs)) {
-      this.output.refused(request, promptBlocked());
+      this.output.refused(request, PROMPT_BLOCKED);
       return;
     }
     if (request.alone) this.quarantine.push(request);
@@ -435,7 +435,7 @@
     ];
     affected.forEach((request) => {
       if (this.promptCrashes.isBlocked(request.sharedPartIds, nowMs))
-        this.output.refused(request, promptBlocked());
+        this.output.refused(request, PROMPT_BLOCKED);
       else this.suspects.push(request);
     });
   }
@@ -615,10 +615,6 @@
   }
 }
 
-function promptBlocked(): Problem {
-  return notRun('prompt_crashes_upstream', 'requests with a part of this prompt have crashed replicas');
-}
-
 function repeatWhile(step: () => boolean): void {
   while (step());
 }
--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -23,7 +23,11 @@
 }
 
 /** Demands of one run of an item with five events, which gets no slot. Waits are cut short for `waits` demands. */
-async function demandsOf(otherVersionsServe: boolean, waits: number): Promise<SlotDemand[]> {
+async function demandsOf(
+  otherVersionsServe: boolean,
+  waits: number,
+  changes: Partial<ItemRunRequest> = {},
+): Promise<SlotDemand[]> {
   const clock = new SystemClock();
   const metrics = new Metrics();
   const demands: SlotDemand[] = [];
@@ -48,7 +52,8 @@
     random: () => 0,
   } as unknown as ItemRunDependencies;
   const output = { events: ['a'], lastEventId: 5, origin: ORIGIN, bytes: 0, spentMs: 20 };
-  await runItem(requestWith(output, clock), dependencies, new AbortController().signal);
+  const request = { ...requestWith(output, clock), ...changes };
+  await runItem(request, dependencies, new AbortController().signal);
   return demands;
 }
 
@@ -61,6 +66,14 @@
     ]);
   });
 
+  it('is judged by the parts of its prompt, and by itself once it has been broken off', async () => {
+    const item = { ...ITEM, sharedPartIds: ['p'] };
+    const [first] = await demandsOf(false, 0, { item });
+    expect(first?.sharedPartIds).toEqual(['p']);
+    const [again] = await demandsOf(false, 0, { item, excludedReplicaIds: ['r'] });
+    expect(again?.sharedPartIds).toEqual(['p', 'item/i']);
+  });
+
   it('asks for any slot, as for a new item, after waiting for its version beside another one', async () => {
     const demands = await demandsOf(true, 1);
     expect(demands.map((demand) => [demand.softwareVersion, demand.receivedTokens])).toEqual([
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -119,13 +119,16 @@
   return send(request, slot.value, dependencies, stop);
 }
 
-/** An item is sent again after each crash, so that it is also judged by itself, as a part that only it has. */
-function judgedPartIds({ itemId, sharedPartIds = [] }: StoredItem): string[] {
-  return [...sharedPartIds, `item/${itemId}`];
+/**
+ * The parts by which a run is judged if its replica crashes. An item that was broken off before is sent again, so that it
+ * is then judged by itself too, as a part that only it has.
+ */
+function judgedPartIds({ itemId, sharedPartIds = [] }: StoredItem, wasBrokenOff: boolean): readonly string[] {
+  return wasBrokenOff ? [...sharedPartIds, `item/${itemId}`] : sharedPartIds;
 }
 
 function isPromptBlocked(item: StoredItem, { view, clock }: ItemRunDependencies): boolean {
-  return view.blockedPrompts.find(judgedPartIds(item), clock.monotonicMs()) !== undefined;
+  return view.blockedPrompts.find(judgedPartIds(item, true), clock.monotonicMs()) !== undefined;
 }
 
 /**
@@ -166,7 +169,7 @@
     costTokens: request.item.tokens,
     deadlineUnixMs: request.dueAtUnixMs,
     prefixDigest: '',
-    sharedPartIds: judgedPartIds(request.item),
+    sharedPartIds: judgedPartIds(request.item, request.excludedReplicaIds.length > 0),
     excludedReplicaIds: request.excludedReplicaIds,
     softwareVersion,
     resumable: true,
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -6,7 +6,14 @@
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
 import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
-import { AttemptEnd, SendEvidence, canContinue, mayRetry, returnDelayMs } from '@fighub/decisions';
+import {
+  AttemptEnd,
+  PROMPT_BLOCKED,
+  SendEvidence,
+  canContinue,
+  mayRetry,
+  returnDelayMs,
+} from '@fighub/decisions';
 
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
@@ -30,11 +37,6 @@
 /** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
 const ORIGIN_MARGIN_MS = 2_000;
 
-const PROMPT_BLOCKED = notRun(
-  'prompt_crashes_upstream',
-  'requests with a part of this prompt have crashed replicas',
-);
-
 /** Components that the forwarding of requests uses. */
 export interface ForwardDependencies {
   readonly view: FleetView;
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -5,11 +5,20 @@
 import { BufferBudget } from './buffer-budget.js';
 import type { ResponseSink } from './forwarding.js';
 import { BodyFraming } from './forwarding.js';
+import type { AttemptObserver } from './response-relay.js';
 import { ResponseRelay } from './response-relay.js';
 
 const ROUTE = { name: 'once', kind: 'streaming', resumable: false } as Route;
 const HEAD = { status: 200, headers: [], notRun: false, framing: BodyFraming.connection };
 
+const OBSERVER: AttemptObserver = {
+  onLoad: () => undefined,
+  onRequestLimit: () => undefined,
+  onLeaving: () => undefined,
+  onFirstEvent: () => undefined,
+  onSoundPrompt: () => undefined,
+};
+
 /** Passes on a stream that ends after these parts. Returns what the caller received, and whether it was delivered. */
 function relayStream(parts: readonly string[]): { written: string[]; delivered: boolean } {
   const written: string[] = [];
@@ -22,13 +31,7 @@
     refuse: () => written.push('refuse'),
   };
   const relay = new ResponseRelay(ROUTE, 'q1', undefined, sink, new SystemClock(), new BufferBudget(1_000));
-  const attempt = relay.startAttempt(new AbortController().signal, {
-    onLoad: () => undefined,
-    onRequestLimit: () => undefined,
-    onLeaving: () => undefined,
-    onFirstEvent: () => undefined,
-    onSoundPrompt: () => undefined,
-  });
+  const attempt = relay.startAttempt(new AbortController().signal, OBSERVER);
   attempt.onHead(HEAD);
   parts.forEach((part) => attempt.onData(Buffer.from(part)));
   attempt.close();
@@ -74,13 +77,7 @@
         new SystemClock(),
         new BufferBudget(1_000),
       );
-      const attempt = relay.startAttempt(new AbortController().signal, {
-        onLoad: () => undefined,
-        onRequestLimit: () => undefined,
-        onLeaving: () => undefined,
-        onFirstEvent: () => undefined,
-        onSoundPrompt: () => undefined,
-      });
+      const attempt = relay.startAttempt(new AbortController().signal, OBSERVER);
       attempt.onHead(HEAD);
       for (let passedMs = 0; passedMs < 5_000 && !attempt.signal.aborted; passedMs += periodMs) {
         await vi.advanceTimersByTimeAsync(periodMs);
@@ -101,13 +98,7 @@
       const route = { ...ROUTE, resumable: true };
       const budget = new BufferBudget(1_000);
       const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock(), budget);
-      const attempt = relay.startAttempt(new AbortController().signal, {
-        onLoad: () => undefined,
-        onRequestLimit: () => undefined,
-        onLeaving: () => undefined,
-        onFirstEvent: () => undefined,
-        onSoundPrompt: () => undefined,
-      });
+      const attempt = relay.startAttempt(new AbortController().signal, OBSERVER);
       attempt.onHead(HEAD);
       attempt.onData(Buffer.from('id: 1\ndata: a\n\n'));
       expect(attempt.whenReady()).toBe(drained);
@@ -136,13 +127,7 @@
       const sink = { head: () => undefined, data: () => undefined } as unknown as ResponseSink;
       const route = { ...ROUTE, kind };
       const relay = new ResponseRelay(route, 'q1', undefined, sink, new SystemClock(), budget);
-      const attempt = relay.startAttempt(new AbortController().signal, {
-        onLoad: () => undefined,
-        onRequestLimit: () => undefined,
-        onLeaving: () => undefined,
-        onFirstEvent: () => undefined,
-        onSoundPrompt: () => undefined,
-      });
+      const attempt = relay.startAttempt(new AbortController().signal, OBSERVER);
       attempt.onHead(HEAD);
       let sentBytes = 0;
       while (!attempt.signal.aborted && sentBytes < 100 * MIB) {
