Do not take what another replica at the address states for the limit of the intended one

Found in reading: a response with 421 comes from another replica, so that its limit was recorded for the wrong one, and a 421 without the header ended a limit. The test fails on the code before for status 421.

--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -119,6 +119,23 @@
     });
   });
 
+  it.each([
+    [200, [2]],
+    [503, [2]],
+    [421, []],
+  ])('takes the limit in a response with status %s for that of the replica: %j', (status, expected) => {
+    const limits: (number | undefined)[] = [];
+    const sink = {} as unknown as ResponseSink;
+    const budget = new BufferBudget(1_000);
+    const relay = new ResponseRelay(ROUTE, 'q1', undefined, sink, new SystemClock(), budget);
+    const attempt = relay.startAttempt(new AbortController().signal, {
+      ...OBSERVER,
+      onRequestLimit: (limit) => limits.push(limit),
+    });
+    attempt.onHead({ ...HEAD, status, requestsPerSecond: 2 });
+    expect(limits).toEqual(expected);
+  });
+
   describe('with a response that does not end', () => {
     const MIB = 1_048_576;
 
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -169,7 +169,8 @@
     this.status = head.status;
     this.reportedNotRun = head.notRun || head.status === MISDIRECTED_STATUS;
     if (head.load) this.observer.onLoad(head.load);
-    this.observer.onRequestLimit(head.requestsPerSecond);
+    // Another replica than the intended one has responded.
+    if (head.status !== MISDIRECTED_STATUS) this.observer.onRequestLimit(head.requestsPerSecond);
     this.stallTimer?.onBytes();
   }
 
