--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -129,7 +129,7 @@
       return;
     }
     if (request.alone) this.quarantine.push(request);
-    else if (this.mayStart(request, nowMs)) this.enqueueUnsuspected(request, nowMs);
+    else if (this.tryStart(request, nowMs)) this.enqueueUnsuspected(request, nowMs);
     else this.suspects.push(request);
   }
 
@@ -406,20 +406,20 @@
   }
 
   /**
-   * Whether a request may be queued: no other request with a part of its prompt that is suspected waits or runs. An online
-   * request takes the place of a batch item that still waits for a slot.
+   * Whether the request may be queued; if a part of its prompt is suspected, it is then the only one that waits or runs. An
+   * online request takes the place of a batch item that still waits for a slot.
    */
-  private mayStart(request: SlotRequest, nowMs: number): boolean {
+  private tryStart(request: SlotRequest, nowMs: number): boolean {
     const isPending = (requestId: string): boolean =>
       this.online.has(requestId) || this.batch.has(requestId) || this.permitOf(requestId) !== undefined;
-    if (this.promptCrashes.mayStart(request, isPending, nowMs)) return true;
+    if (this.promptCrashes.tryStart(request, isPending, nowMs)) return true;
     if (request.workClass === WorkClass.batch) return false;
     this.promptCrashes
       .probeIdsOf(request.sharedPartIds, nowMs)
       .map((requestId) => this.batch.remove(requestId))
       .filter((item) => item !== undefined)
       .forEach((item) => this.suspects.push(item));
-    return this.promptCrashes.mayStart(request, isPending, nowMs);
+    return this.promptCrashes.tryStart(request, isPending, nowMs);
   }
 
   /** After a crash, refuses the waiting requests that are blocked now, and holds those that are suspected. */
@@ -427,7 +427,7 @@
     if (this.promptCrashes.version === this.checkedPromptsVersion) return;
     this.checkedPromptsVersion = this.promptCrashes.version;
     const isAffected = (request: SlotRequest): boolean =>
-      this.promptCrashes.isBlocked(request.sharedPartIds, nowMs) || !this.mayStart(request, nowMs);
+      this.promptCrashes.isBlocked(request.sharedPartIds, nowMs) || !this.tryStart(request, nowMs);
     const affected = [
       ...this.suspects.takeWhere(() => true),
       ...this.online.removeWhere(isAffected),
@@ -454,7 +454,7 @@
         ),
       );
     repeatWhile(() => {
-      const next = this.suspects.takeFirst((request) => this.mayStart(request, nowMs));
+      const next = this.suspects.takeFirst((request) => this.tryStart(request, nowMs));
       if (next) this.enqueueUnsuspected(next, nowMs);
       return next !== undefined;
     });
--- a/packages/decisions/src/prompt-crashes.test.ts
+++ b/packages/decisions/src/prompt-crashes.test.ts
@@ -18,7 +18,7 @@
   const crash = (sharedPartIds: readonly string[], nowMs: number): boolean => {
     const request = { requestId: `q${String((requests += 1))}`, sharedPartIds };
     if (crashes.isBlocked(sharedPartIds, nowMs)) return false;
-    if (!crashes.mayStart(request, (id) => pending.has(id), nowMs)) return false;
+    if (!crashes.tryStart(request, (id) => pending.has(id), nowMs)) return false;
     crashes.onCrash(request, `r${String((replicas += 1))}`, nowMs);
     return true;
   };
@@ -39,13 +39,13 @@
   it('lets one request with a suspected part through at a time', () => {
     const { crashes, pending, crash } = setup();
     crash(['bad'], 0);
-    const mayStart = (requestId: string): boolean =>
-      crashes.mayStart({ requestId, sharedPartIds: ['bad'] }, (id) => pending.has(id), 10);
-    expect(mayStart('a')).toBe(true);
+    const tryStart = (requestId: string): boolean =>
+      crashes.tryStart({ requestId, sharedPartIds: ['bad'] }, (id) => pending.has(id), 10);
+    expect(tryStart('a')).toBe(true);
     pending.add('a');
-    expect(mayStart('b')).toBe(false);
+    expect(tryStart('b')).toBe(false);
     pending.delete('a');
-    expect(mayStart('b')).toBe(true);
+    expect(tryStart('b')).toBe(true);
   });
 
   it('does not block on crashes that came at the same moment, as when a failure domain is lost', () => {
--- a/packages/decisions/src/prompt-crashes.ts
+++ b/packages/decisions/src/prompt-crashes.ts
@@ -60,7 +60,7 @@
 interface Suspicion {
   partIds: readonly string[];
   readonly replicaIds: Set<string>;
-  /** Replicas among them that crashed under the one request that was let through. */
+  /** Number of those replicas that crashed under a request that was let through as the only one. */
   probeCrashes: number;
   lastCrashAtMs: number;
   /** The request that is let through, until it has ended. */
@@ -95,10 +95,10 @@
   }
 
   /**
-   * Whether the request may run now: it has no suspected part, or is the only one with its suspected parts.
-   * `isPending` tells whether an earlier request still waits for a slot or runs.
+   * Lets the request through if it has no suspected part, or if no other request with one of them is pending; it is then the
+   * only one until it has ended. `isPending` tells whether an earlier request still waits for a slot or runs.
    */
-  mayStart(
+  tryStart(
     { requestId, sharedPartIds }: PromptedRequest,
     isPending: (requestId: string) => boolean,
     nowMs: number,
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -18,7 +18,9 @@
 /** The newest configuration and directory that this instance has seen. */
 export class FleetView {
   readonly originHistory = new OriginHistory();
+  /** Prompts that are refused because they crash replicas. */
   readonly blockedPrompts = new BlockedPrompts();
+  /** Limits of requests a second that replicas state. */
   readonly requestLimits = new RequestLimits();
   private table: RouteTable | undefined;
   private directory: DirectorySnapshot = { revision: 0, replicas: [] };
