Do not scan all batch streams for each arrival while limits of replicas hold

With 9,600 batch streams at limited replicas, each arrival looked at all of them to tell whether one could be preempted. Whether a slot can be had is now told by sums; it only decides about a request that finds nobody waiting. Judged at the users' size, not measured.

--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -430,12 +430,14 @@
     return rate !== undefined && rate.usedFraction(nowMs) <= MAX_USED_FRACTION_TO_PREEMPT;
   }
 
-  /** Whether an online request could get a slot now, a free one or that of a batch stream. */
+  /**
+   * Whether an online request could get a slot now: a free one, or probably that of a batch stream at a replica without a
+   * limit of requests a second.
+   */
   hasSlot(nowMs: number): boolean {
-    if (!this.mayHaveSlot(nowMs)) return false;
+    this.refresh(nowMs);
     if (!this.reportingOrder.isEmpty || !this.silentOrder.isEmpty) return true;
-    const victim = this.preemptible.first(({ replicaId }) => this.allowsPreemption(replicaId, nowMs), nowMs);
-    return victim !== undefined;
+    return !this.preemptible.isEmpty && this.totals.limitedSlots < this.totals.slots;
   }
 
   /** The streams at a replica that may be preempted, in the order of preemption. */
