Leave the requests of limited replicas to online requests where all replicas state limits

Callers saw: with three replicas that each state 1 request a second and 60 waiting batch items, 11 of the 36 online requests that the limits allow were served in 12 s; the rest was refused.

Cause: a batch item without a limited replica to use fell back to the general order of free replicas. That order holds limited replicas as soon as one request is allowed, without the request and the slots that are kept for online requests. So each time the limits allowed the next requests, one went to the online request that had arrived and the others to batch items in the same round.

Change: batch items get limited replicas only from the set that respects what is kept for online requests; the general order is searched for replicas without a limit.

--- a/packages/decisions/src/pool-request-limits.test.ts
+++ b/packages/decisions/src/pool-request-limits.test.ts
@@ -123,7 +123,7 @@
     expect(grantsAt('r0')).toBe(8);
   });
 
-  it.fails('serves online requests before batch items where all replicas state limits', () => {
+  it('serves online requests before batch items where all replicas state limits', () => {
     const { enqueue, pass, permits } = pool([1, 1, 1]);
     Array.from({ length: 60 }, () => enqueue(0, { workClass: 'batch' }));
     pass(0, 12_000, (nowMs) => {
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -338,7 +338,7 @@
   /**
    * The available replica with a free slot and the lowest score, or undefined when there is none. Replicas at which the
    * request has failed are used only when no other is available. With `onlyLimited`, only replicas that state a limit of
-   * requests a second are considered.
+   * requests a second are considered. Batch items get a limited replica only as far as `setDemand` leaves it to them.
    */
   pickFreeReplica(
     request: SlotRequest,
@@ -369,8 +369,14 @@
       replicaId !== exceptReplicaId &&
       this.isOfVersion(replicaId, softwareVersion) &&
       !(skipsExcluded && excluded.has(replicaId));
-    const limited = this.pickLimitedForBatch(request, admits, nowMs);
-    return limited ?? (onlyLimited ? undefined : order.pick(request, prefixes, admits));
+    if (request.workClass === WorkClass.online) return order.pick(request, prefixes, admits);
+    const limited = this.pickLimitedForBatch(admits, nowMs);
+    if (limited || onlyLimited) return limited;
+    return order.pick(request, prefixes, (replicaId) => admits(replicaId) && !this.isLimited(replicaId));
+  }
+
+  private isLimited(replicaId: string): boolean {
+    return this.replicas.get(replicaId)?.rate.requestsPerSecond !== undefined;
   }
 
   /**
@@ -378,11 +384,10 @@
    * items use their slots for the longest time, and the slots of the other replicas are left to online requests.
    */
   private pickLimitedForBatch(
-    { workClass }: SlotRequest,
     admits: (replicaId: string) => boolean,
     nowMs: number,
   ): PoolReplica | undefined {
-    if (workClass !== WorkClass.batch || this.freeLimited.size === 0) return undefined;
+    if (this.freeLimited.size === 0) return undefined;
     return [...this.freeLimited]
       .filter(admits)
       .flatMap((replicaId) => this.replicas.get(replicaId) ?? [])
