Refuse held requests at once when no replica runs their software version any more

Callers saw: a request that resumes a stream and whose prompt has a suspected part was held until it would have started too late, although no replica of its software version was left. It was then refused with the wrong reason.

Cause: the search for requests that are bound to a version without a usable replica read the two queues of the pool, and not the requests that are held because a part of their prompts is suspected.

The new test failed before ([] instead of a refusal with no_upstream).

--- a/packages/decisions/src/pool-prompts.test.ts
+++ b/packages/decisions/src/pool-prompts.test.ts
@@ -161,4 +161,23 @@
     scheduler.run(20);
     expect(refused()).toEqual(['a prompt_crashes_upstream']);
   });
+
+  it('refuses at once a held request whose software version no replica runs any more', () => {
+    const { scheduler, enqueue, release, refused } = pool();
+    const replica = { address: 'a', failureDomain: 'd', maxConcurrency: 2, leaving: false };
+    const versioned = (versions: readonly string[]): void =>
+      scheduler.setReplicas(
+        versions.map((softwareVersion) => ({ ...replica, replicaId: softwareVersion, softwareVersion })),
+      );
+    versioned(['v1', 'v2', 'v3']);
+    enqueue('a', 0, { softwareVersion: 'v3' });
+    release('a', 'broken', 10);
+    versioned(['v1', 'v2']);
+    enqueue('b', 20, { softwareVersion: 'v1' });
+    enqueue('c', 20, { softwareVersion: 'v2' });
+    expect(refused()).toEqual([]);
+    versioned(['v1']);
+    scheduler.run(30);
+    expect(refused()).toEqual(['c no_upstream']);
+  });
 });
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -383,11 +383,17 @@
 
   /** Refuses the waiting requests that are bound to a software version without a usable replica. */
   private refuseVersionsWithoutReplica(nowMs: number): void {
-    [this.online, this.batch].forEach((queue) =>
+    const hasReplica = (version: string): boolean => this.places.hasUsableReplica(nowMs, version);
+    const queued = [this.online, this.batch].flatMap((queue) =>
       queue.boundVersions
-        .filter((version) => !this.places.hasUsableReplica(nowMs, version))
-        .flatMap((version) => queue.removeWhere((request) => request.softwareVersion === version))
-        .forEach((request) => this.output.refused(request, this.noUpstream(request.softwareVersion))),
+        .filter((version) => !hasReplica(version))
+        .flatMap((version) => queue.removeWhere((request) => request.softwareVersion === version)),
+    );
+    const held = this.suspects.takeWhere(
+      ({ softwareVersion }) => softwareVersion !== undefined && !hasReplica(softwareVersion),
+    );
+    [...queued, ...held].forEach((request) =>
+      this.output.refused(request, this.noUpstream(request.softwareVersion)),
     );
   }
 
--- a/packages/decisions/src/suspect-queue.ts
+++ b/packages/decisions/src/suspect-queue.ts
@@ -35,6 +35,7 @@
 
   /** Removes and returns the requests that `matches` selects. */
   takeWhere(matches: (request: SlotRequest) => boolean): SlotRequest[] {
+    if (this.waiting.length === 0) return [];
     const taken = this.waiting.filter(matches);
     this.waiting = this.waiting.filter((request) => !taken.includes(request));
     return taken;
