Test what holders tell owners about crashes and limits without a permit, and what owners make of it

No change of behaviour. Covers PermitClient.release and recordRequestLimit, and PoolHost.release with limits.

--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -1,5 +1,6 @@
 import { ManualClock, Metrics, fail } from '@fighub/core';
-import type { MembershipRunner, PeerNode } from '@fighub/peers';
+import { RequestLimits } from '@fighub/decisions';
+import type { MembershipRunner, PeerNode, PermitReleaseBody } from '@fighub/peers';
 import { PeerFailure } from '@fighub/peers';
 import { describe, expect, it } from 'vitest';
 
@@ -7,6 +8,7 @@
 import { PermitClient } from './permit-client.js';
 import type { PoolDescription } from './pool-catalogue.js';
 import type { PoolHost } from './pool-host.js';
+import type { Slot } from './slot.js';
 
 const TICK_MS = 10;
 const DEMAND = {
@@ -21,6 +23,14 @@
   resumable: true,
   alone: false,
 } as const;
+const DIRECT_SLOT: Slot = {
+  permitId: 'self/direct/1',
+  poolId: 'direct',
+  replicaId: 'r',
+  address: 'r:1',
+  fencingChecked: false,
+  revoked: new AbortController().signal,
+};
 const OWNER = { instanceId: 'owner', peerAddress: 'owner:1' };
 
 function pool(failureDomain: string): PoolDescription {
@@ -29,12 +39,13 @@
 }
 
 /** A client of `pools`, the names of the requests that it sends, and a function that lets time pass. */
-function setup(pools: readonly PoolDescription[]) {
+function setup(pools: readonly PoolDescription[], direct: Partial<DirectDispatch> = {}) {
   const sent: string[] = [];
+  const notices: [name: string, body: unknown][] = [];
   const node = {
     onNotice: () => undefined,
     onOutboundClosed: () => undefined,
-    notify: () => undefined,
+    notify: (_address: string, name: string, body: unknown) => notices.push([name, body]),
     request: (_address: string, name: string) => {
       sent.push(name);
       return Promise.resolve(fail(PeerFailure.timeout));
@@ -47,13 +58,14 @@
     describePools: () => pools,
     poolsOpenTo: () => pools,
     loads: () => [],
+    requestLimits: new RequestLimits(),
   } as unknown as PoolHost;
   const clock = new ManualClock();
   const client = new PermitClient(
     'self',
     'd',
     host,
-    {} as DirectDispatch,
+    direct as DirectDispatch,
     () => ({ membership: { get: () => OWNER } }) as unknown as MembershipRunner,
     node,
     60,
@@ -69,7 +81,7 @@
       client.run(clock.monotonicMs());
     }
   };
-  return { client, sent, pass };
+  return { client, sent, notices, clock, pass };
 }
 
 /** Names of the requests that an instance sends in 5 s in which it asks once for a slot in one of `pools`. */
@@ -101,4 +113,36 @@
     pass(TICK_MS);
     expect(client.busy).toBe(false);
   });
+
+  it('tells the owner of a pool which replica crashed under a request without a permit', () => {
+    const demand = { ...DEMAND, sharedPartIds: ['part'] };
+    const { client, notices, pass } = setup([pool('')], { release: () => demand });
+    client.release(DIRECT_SLOT, { end: 'broken', tokens: 0 });
+    client.release({ ...DIRECT_SLOT, replicaId: 'r2' }, { end: 'completed', tokens: 3 });
+    pass(TICK_MS);
+    const crashes = [{ requestId: 'q', replicaId: 'r', sharedPartIds: ['part'] }];
+    expect(notices).toEqual([['permit.release', { poolId: 'm@', reports: [], loads: [], crashes }]]);
+  });
+
+  it('tells the owner of a pool once about a limit that a replica states, and when it states none any more', () => {
+    const { client, notices, clock, pass } = setup([pool('')], { demandOf: () => undefined });
+    const slot = { ...DIRECT_SLOT, poolId: 'm@', permitId: 'p' };
+    client.recordRequestLimit(slot, undefined, 0);
+    client.recordRequestLimit(slot, 2, 0);
+    pass(TICK_MS);
+    client.recordRequestLimit(slot, undefined, clock.monotonicMs());
+    pass(TICK_MS);
+    const limits = notices.map(([, body]) => (body as PermitReleaseBody).limits);
+    expect(limits).toEqual([
+      [{ replicaId: 'r', permitId: 'p', requestsPerSecond: 2 }],
+      [{ replicaId: 'r', permitId: 'p', requestsPerSecond: undefined }],
+    ]);
+  });
+
+  it('tells the owner of a pool of the model about a limit that a request without a permit showed', () => {
+    const { client, notices, pass } = setup([pool('')], { demandOf: () => DEMAND });
+    client.recordRequestLimit(DIRECT_SLOT, 2, 0);
+    pass(TICK_MS);
+    expect(notices.map(([, body]) => (body as PermitReleaseBody).poolId)).toEqual(['m@']);
+  });
 });
--- a/packages/admission/src/pool-host.test.ts
+++ b/packages/admission/src/pool-host.test.ts
@@ -81,7 +81,9 @@
     },
     () => undefined,
   );
-  return { clock, host, grants, reached, holderState };
+  const observed = { count: 0 };
+  host.onObserved(() => (observed.count += 1));
+  return { clock, host, grants, observed, reached, holderState };
 }
 
 describe('PoolHost', () => {
@@ -137,4 +139,33 @@
     expect(onlineStreamsAfter(MemberState.leaving)).toBe(1);
     expect(onlineStreamsAfter(MemberState.dead)).toBe(0);
   });
+
+  it('spaces the requests to a replica with a limit, until a request that was granted later shows none', () => {
+    const { clock, host, grants, observed } = setup();
+    const limitOf = (): number | undefined => CATALOGUE.requestLimits.of('r');
+    const report = (requestId: string, requestsPerSecond: number | undefined): void => {
+      const permitId = grants.find((grant) => grant.requestId === requestId)?.permitId ?? '';
+      const limits = [{ replicaId: 'r', permitId, requestsPerSecond }];
+      host.release({ poolId: 'm@', reports: [], loads: [], limits });
+    };
+    const granted = (ids: readonly string[]): string[] => {
+      ids.forEach((requestId) => host.acquire(acquireBody(requestId)));
+      host.run(clock.monotonicMs());
+      return grants.map(({ requestId }) => requestId);
+    };
+    host.run(clock.monotonicMs());
+    granted(['q1', 'q2']);
+    clock.advance(100);
+    report('q1', 1);
+    expect(observed.count).toBe(1);
+    expect(granted(['q3'])).toEqual(['q1', 'q2']);
+    report('q2', undefined);
+    expect(limitOf()).toBe(1);
+    clock.advance(1_000);
+    expect(granted([])).toEqual(['q1', 'q2', 'q3']);
+    clock.advance(100);
+    report('q3', undefined);
+    expect(limitOf()).toBeUndefined();
+    expect(granted(['q4', 'q5'])).toEqual(['q1', 'q2', 'q3', 'q4', 'q5']);
+  });
 });
--- a/packages/decisions/src/request-limits.ts
+++ b/packages/decisions/src/request-limits.ts
@@ -1,5 +1,5 @@
 /**
- * Limits that replicas in need state in their responses: requests a second from all instances together, for as long as
+ * Limits that overloaded replicas state in their responses: requests a second from all instances together, for as long as
  * they state it.
  */
 
