Ask the owner of a pool once more before an online request without a slot is refused

Callers saw: "no replica has a free slot" from an idle pool, after any pause of the coordinator of more than 60 ms.

Cause: an owner that does not accept a request in 60 ms is taken as missing. The request then gets a slot only from this instance's equal share of the slots, and was refused when that share was used up, although the owner would have accepted it a moment later. It is the class "a single time-out is taken as a failure": the detector of failed owners already waits for two of them, as a pause may be the cause.

Change: such a request is offered to the owners once more, for at most 120 ms and only while it can still start in time. If the owner is found to have failed meanwhile, the next one gets it.

--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -1,8 +1,8 @@
-import { ManualClock, Metrics, fail } from '@fighub/core';
+import { ManualClock, Metrics, fail, notRun, ok } from '@fighub/core';
 import { RequestLimits } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, PermitReleaseBody } from '@fighub/peers';
 import { PeerFailure } from '@fighub/peers';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import type { DirectDispatch } from './direct-dispatch.js';
 import { PermitClient } from './permit-client.js';
@@ -31,6 +31,7 @@
   fencingChecked: false,
   revoked: new AbortController().signal,
 };
+const OVERLOADED = notRun('overloaded', 'no free slot', 1_000);
 const OWNER = { instanceId: 'owner', peerAddress: 'owner:1' };
 
 function pool(failureDomain: string): PoolDescription {
@@ -41,6 +42,8 @@
 /** A client of `pools`, the names of the requests that it sends, and a function that lets time pass. */
 function setup(pools: readonly PoolDescription[], direct: Partial<DirectDispatch> = {}) {
   const sent: string[] = [];
+  /** Whether the next requests are accepted; later ones time out. */
+  const accepts: boolean[] = [];
   const notices: [name: string, body: unknown][] = [];
   const node = {
     onNotice: () => undefined,
@@ -48,7 +51,7 @@
     notify: (_address: string, name: string, body: unknown) => notices.push([name, body]),
     request: (_address: string, name: string) => {
       sent.push(name);
-      return Promise.resolve(fail(PeerFailure.timeout));
+      return Promise.resolve(accepts.shift() ? ok({ accepted: true }) : fail(PeerFailure.timeout));
     },
   } as unknown as PeerNode;
   const host = {
@@ -81,7 +84,7 @@
       client.run(clock.monotonicMs());
     }
   };
-  return { client, sent, notices, clock, pass };
+  return { client, sent, accepts, notices, clock, pass };
 }
 
 /** Names of the requests that an instance sends in 5 s in which it asks once for a slot in one of `pools`. */
@@ -145,4 +148,26 @@
     pass(TICK_MS);
     expect(notices.map(([, body]) => (body as PermitReleaseBody).poolId)).toEqual(['m@']);
   });
+
+  it('asks an owner that was paused once more when its share of the slots is used up', async () => {
+    const acquire = vi.fn(() => Promise.resolve(fail(OVERLOADED)));
+    const { client, sent, accepts } = setup([pool('')], { acquire });
+    accepts.push(false, true);
+    const acquired = client.acquire({ ...DEMAND, workClass: 'online' }, new AbortController().signal);
+    await vi.waitUntil(() => sent.length === 2);
+    const at = { poolId: 'm@', replicaId: 'r', address: 'r:1', fencingChecked: false };
+    client.granted({ ...at, requestId: 'self/q/1', permitId: 'p' });
+    expect((await acquired).ok).toBe(true);
+    expect(acquire).toHaveBeenCalledTimes(1);
+  });
+
+  it.each([
+    ['does not accept it the second time either', DEMAND.deadlineUnixMs, 2],
+    ['would accept it too late', 0, 1],
+  ])('refuses a request without a slot when the owner %s', async (_when, startByUnixMs, asked) => {
+    const { client, sent } = setup([pool('')], { acquire: () => Promise.resolve(fail(OVERLOADED)) });
+    const demand = { ...DEMAND, workClass: 'online', startByUnixMs } as const;
+    expect(await client.acquire(demand, new AbortController().signal)).toEqual(fail(OVERLOADED));
+    expect(sent).toHaveLength(asked);
+  });
 });
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -40,6 +40,8 @@
  * lost on a silent connection.
  */
 const ACQUIRE_RETRY_MS = { online: 120, batch: 1_000 } as const;
+/** An owner that did not accept a request at first has this long to accept it when it is asked once more. */
+const SECOND_ACQUIRE_TIMEOUT_MS = ACQUIRE_RETRY_MS.online;
 /** Maximum number of requests that one tick sends again. */
 const MAX_ACQUIRE_RETRIES_PER_RUN = 64;
 
@@ -106,17 +108,44 @@
         notRun('no_upstream', `no upstream serves ${demand.model} to ${demand.organisation}`, 1_000),
       );
     if (demand.workClass === 'online' && this.isCutOff()) return this.direct.acquire(demand);
+    const outcome = await this.acquireFromPools(pools, demand, this.acquireTimeoutMs, signal);
+    if (outcome.ok || signal.aborted || outcome.error !== NO_OWNER_ACCEPTED) return outcome;
+    return demand.workClass === 'online' ? this.acquireWithoutOwner(pools, demand, signal) : outcome;
+  }
+
+  private async acquireFromPools(
+    pools: readonly string[],
+    demand: SlotDemand,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<Outcome<Slot, Problem>> {
     let last: Problem = NO_OWNER_ACCEPTED;
     for (const poolId of pools) {
-      const outcome = await this.acquireWithFailover(poolId, demand, signal);
+      const outcome = await this.acquireWithFailover(poolId, demand, timeoutMs, signal);
       if (outcome.ok || signal.aborted) return outcome;
       last = outcome.error;
       if (this.clock.nowUnixMs() >= demand.deadlineUnixMs) break;
     }
-    if (demand.workClass === 'online' && last === NO_OWNER_ACCEPTED) return this.direct.acquire(demand);
     return fail(last);
   }
 
+  /**
+   * Acquires a slot from `DirectDispatch`. If this instance has used up its share of the slots, the owners are asked once
+   * more, as long as the request can still start in time: one that was paused may accept it now, or another has taken over.
+   */
+  private async acquireWithoutOwner(
+    pools: readonly string[],
+    demand: SlotDemand,
+    signal: AbortSignal,
+  ): Promise<Outcome<Slot, Problem>> {
+    const direct = await this.direct.acquire(demand);
+    const leftMs = (demand.startByUnixMs ?? demand.deadlineUnixMs) - this.clock.nowUnixMs();
+    if (direct.ok || signal.aborted || leftMs <= 0) return direct;
+    const timeoutMs = Math.min(leftMs, SECOND_ACQUIRE_TIMEOUT_MS);
+    const outcome = await this.acquireFromPools(pools, demand, timeoutMs, signal);
+    return outcome.ok || outcome.error !== NO_OWNER_ACCEPTED ? outcome : direct;
+  }
+
   /** Releases a slot and reports to the owner of its pool how the stream ended. */
   release(slot: Slot, report: Omit<ReleaseReport, 'permitId'>): void {
     this.places.take(slot.permitId);
@@ -255,18 +284,20 @@
   private async acquireWithFailover(
     poolId: string,
     demand: SlotDemand,
+    timeoutMs: number,
     signal: AbortSignal,
   ): Promise<Outcome<Slot, Problem>> {
     const ownerId = this.host.ownerOfPool(poolId);
-    const outcome = await this.acquireFromOwner(poolId, demand, signal);
+    const outcome = await this.acquireFromOwner(poolId, demand, timeoutMs, signal);
     if (outcome.ok || signal.aborted || outcome.error !== NO_OWNER_ACCEPTED) return outcome;
     if (this.host.ownerOfPool(poolId) === ownerId) return outcome;
-    return this.acquireFromOwner(poolId, demand, signal);
+    return this.acquireFromOwner(poolId, demand, timeoutMs, signal);
   }
 
   private async acquireFromOwner(
     poolId: string,
     demand: SlotDemand,
+    timeoutMs: number,
     signal: AbortSignal,
   ): Promise<Outcome<Slot, Problem>> {
     const ownerId = this.host.ownerOfPool(poolId);
@@ -290,13 +321,13 @@
         answer,
         retryAtMs: this.clock.monotonicMs() + ACQUIRE_RETRY_MS[body.workClass],
       });
-      void this.requestSlot(ownerId, body);
+      void this.requestSlot(ownerId, body, timeoutMs);
     });
   }
 
   /** Sends a waiting request to an owner and fails it when the owner does not accept it. */
-  private async requestSlot(ownerId: string, body: AcquireBody): Promise<void> {
-    const accepted = await this.sendAcquire(ownerId, body);
+  private async requestSlot(ownerId: string, body: AcquireBody, timeoutMs: number): Promise<void> {
+    const accepted = await this.sendAcquire(ownerId, body, timeoutMs);
     if (accepted) return;
     const demand = this.waiting.get(body.requestId);
     if (demand?.body !== body) return;
@@ -306,11 +337,11 @@
     demand.answer(fail(NO_OWNER_ACCEPTED));
   }
 
-  private async sendAcquire(ownerId: string, body: AcquireBody): Promise<boolean> {
+  private async sendAcquire(ownerId: string, body: AcquireBody, timeoutMs: number): Promise<boolean> {
     if (ownerId === this.selfId) return this.host.acquire(body);
     const member = this.members().membership.get(ownerId);
     if (!member) return false;
-    const answer = await this.node.request(member.peerAddress, 'permit.acquire', body, this.acquireTimeoutMs);
+    const answer = await this.node.request(member.peerAddress, 'permit.acquire', body, timeoutMs);
     this.host.recordOwnerResponse(ownerId, answer.ok);
     return answer.ok && answer.value.accepted;
   }
@@ -348,7 +379,7 @@
       .slice(0, MAX_ACQUIRE_RETRIES_PER_RUN)
       .forEach((demand) => {
         demand.retryAtMs = nowMs + ACQUIRE_RETRY_MS[demand.body.workClass];
-        void this.requestSlot(demand.ownerId, demand.body);
+        void this.requestSlot(demand.ownerId, demand.body, this.acquireTimeoutMs);
       });
   }
 
