Share the limit of a replica between few instances while there is no owner

Without an owner each instance kept an equal share of a replica's limit, and at least one request of its own. So after a pause of the owner-less dispatch every instance had one request in store, and the replica got as many at once as there are instances: in the new test, in 4 s, 20 requests from 10 instances and 330 from 330, where its limit of 2 a second allows 17.

Cause: the burst was divided by the number of instances but never below one request each.

Change: as many instances as the burst has whole requests share the limit, chosen by rendezvous hashing on the replica; each one's burst is its part of the whole. The others leave the replica out while they have no owner. The list is ranked once for each change of the membership or the limit. The test failed before with 20 and 330 and passes now. No request is treated differently where no replica states a limit.

--- a/packages/admission/src/direct-dispatch.test.ts
+++ b/packages/admission/src/direct-dispatch.test.ts
@@ -45,11 +45,16 @@
   catalogue: PoolCatalogue = CATALOGUE,
   clock = new ManualClock(),
   instances = 1,
+  self = 0,
 ): DirectDispatch {
-  const owners = Array.from({ length: instances }, () => ({ failureDomain: 'd' }));
-  const members = { owners: () => owners } as unknown as MembershipRunner;
+  const owners = Array.from({ length: instances }, (_, index) => ({
+    instanceId: `i${String(index)}`,
+    failureDomain: 'd',
+  }));
+  const members = { owners: () => owners, membership: { version: 1 } } as unknown as MembershipRunner;
   const loads = { load: () => Promise.resolve(undefined) };
-  return new DirectDispatch('self', 'd', catalogue, () => members, loads, true, clock, new Metrics());
+  const selfId = `i${String(self)}`;
+  return new DirectDispatch(selfId, 'd', catalogue, () => members, loads, true, clock, new Metrics());
 }
 
 describe('DirectDispatch', () => {
@@ -77,6 +82,34 @@
     expect(sent).toBeGreaterThanOrEqual(6);
   });
 
+  it.each([10, 330])('keeps to the limit of a replica at %s instances after a pause', async (instances) => {
+    const requestsPerSecond = 2;
+    const requestLimits = new RequestLimits();
+    requestLimits.observe('r', requestsPerSecond, 0, 0);
+    const clock = new ManualClock();
+    const catalogue = { ...CATALOGUE, limitsOf: () => ({}), requestLimits };
+    const all = Array.from({ length: instances }, (_, self) =>
+      newDirectDispatch(catalogue, clock, instances, self),
+    );
+    const sendAll = async (): Promise<number> => {
+      const slots = await Promise.all(all.map((direct) => direct.acquire(DEMAND)));
+      slots.forEach((slot, index) => {
+        if (slot.ok) all[index]?.release(slot.value, { end: 'completed', tokens: 0 });
+      });
+      return slots.filter(({ ok }) => ok).length;
+    };
+    expect(await sendAll()).toBe(0);
+    clock.advance(600_000);
+    let sent = 0;
+    for (let passedMs = 0; passedMs < 4_000; passedMs += 200) {
+      sent += await sendAll();
+      clock.advance(200);
+    }
+    // What the platform allows in 4 s, and the limit itself.
+    expect(sent).toBeLessThanOrEqual(1.5 * 4 * requestsPerSecond + 5);
+    expect(sent).toBeGreaterThanOrEqual(4 * requestsPerSecond);
+  });
+
   it('tells the demand of its slots, so that the owner of the pool can be told what they showed', async () => {
     const direct = newDirectDispatch();
     const slot = await direct.acquire(DEMAND);
--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -2,7 +2,7 @@
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { fail, notRun, ok } from '@fighub/core';
 import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { ReplicaHealth, RequestRate } from '@fighub/decisions';
+import { ReplicaHealth, RequestRate, instancesSharing } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { EngineLoad, LoadReader } from '@fighub/outside';
 
@@ -14,8 +14,10 @@
   /** Streams of this instance at the replica. */
   inFlight: number;
   readonly health: ReplicaHealth;
-  /** Share of this instance in the limit that the replica states. */
+  /** Spaces the requests of this instance while the replica states a limit. */
   readonly rate: RequestRate;
+  /** The part of this instance in that limit, and what it was derived from. */
+  share?: { readonly membershipVersion: number; readonly requestsPerSecond: number; readonly share: number };
   /** Result of the baseline's last read of the replica's load report; undefined when the read failed. */
   report?: EngineLoad;
   /** Streams of other instances at the replica, by the load report in its last response. Used until `untilMs`. */
@@ -161,7 +163,7 @@
     const free = candidates
       .map((upstream) => ({ upstream, load: this.loadOf(upstream) }))
       .filter(({ upstream }) => this.viewOf(upstream.upstreamId).inFlight < this.limitOf(upstream))
-      .filter(({ upstream }) => this.rateOf(upstream).available(this.clock.monotonicMs()) > 0)
+      .filter(({ upstream }) => this.allowsRequest(upstream))
       .sort((a, b) => a.load - b.load)
       .map(({ upstream }) => upstream);
     const sameDomain = free.find(
@@ -201,13 +203,35 @@
     return Math.max(1, Math.floor(upstream.maxConcurrency / Math.max(1, instancesInDomain)));
   }
 
-  /** The rate of this instance at an upstream. All instances share the limit of a replica equally. */
-  private rateOf({ upstreamId }: CataloguedUpstream): RequestRate {
+  /** Whether the limit that an upstream states allows this instance a request now. */
+  private allowsRequest({ upstreamId }: CataloguedUpstream): boolean {
     const { rate } = this.viewOf(upstreamId);
-    const limit = this.catalogue.requestLimits.of(upstreamId);
-    const instances = Math.max(1, this.members().owners().length);
-    rate.setLimit(limit, this.clock.monotonicMs(), 1 / instances);
-    return rate;
+    const nowMs = this.clock.monotonicMs();
+    const requestsPerSecond = this.catalogue.requestLimits.of(upstreamId);
+    if (requestsPerSecond === undefined) {
+      rate.setLimit(undefined, nowMs);
+      return true;
+    }
+    const share = this.shareOf(upstreamId, requestsPerSecond);
+    if (share === 0) return false;
+    rate.setLimit(requestsPerSecond, nowMs, share);
+    return rate.available(nowMs) > 0;
+  }
+
+  /** The part of this instance in the limit of an upstream, from 0 to 1. */
+  private shareOf(upstreamId: string, requestsPerSecond: number): number {
+    const view = this.viewOf(upstreamId);
+    const membershipVersion = this.members().membership.version;
+    const known = view.share;
+    if (known?.membershipVersion === membershipVersion && known.requestsPerSecond === requestsPerSecond)
+      return known.share;
+    const instanceIds = this.members()
+      .owners()
+      .map(({ instanceId }) => instanceId);
+    const sharing = instancesSharing(upstreamId, requestsPerSecond, instanceIds);
+    const share = sharing.includes(this.selfId) ? 1 / sharing.length : 0;
+    view.share = { membershipVersion, requestsPerSecond, share };
+    return share;
   }
 
   /** Reads the load report of an upstream for the baseline, unless it was read recently. */
--- a/packages/decisions/src/request-rate.ts
+++ b/packages/decisions/src/request-rate.ts
@@ -2,15 +2,35 @@
  * Spaces the requests to a replica that states a limit. Load that it answers: arrivals that one replica takes more slowly than
  * its slots become free, and batch items that begin again after each preemption.
  */
+import { rankMembers } from './rendezvous.js';
 import { TokenBucket } from './token-bucket.js';
 
-/** Requests beyond the steady rate that may follow one another: these, and those of `BURST_MS`. */
+/** Requests beyond the steady rate that may follow one another: these, and those of `BURST_MS`, from all instances. */
 const BURST_REQUESTS = 3;
 const BURST_MS = 2_000;
 /** A replica gets a request now and then even if its limit is 0, since only a response tells that the limit has ended. */
 const MIN_REQUESTS_PER_SECOND = 0.25;
 const MS_PER_S = 1_000;
 
+/** Number of requests that may follow one another at a replica with this limit, from all instances together. */
+function burstOf(requestsPerSecond: number): number {
+  return BURST_REQUESTS + (Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * BURST_MS) / MS_PER_S;
+}
+
+/**
+ * Ids of the instances that share the limit of a replica equally while they do not ask an owner: so few that each one's part
+ * of the burst is a whole request. They are chosen by rendezvous hashing on the replica.
+ */
+export function instancesSharing(
+  replicaId: string,
+  requestsPerSecond: number,
+  instanceIds: readonly string[],
+): readonly string[] {
+  const count = Math.floor(burstOf(requestsPerSecond));
+  if (instanceIds.length <= count) return instanceIds;
+  return rankMembers(`rate/${replicaId}`, instanceIds).slice(0, count);
+}
+
 /** The rate at which requests may be sent to one replica; unlimited at first. */
 export class RequestRate {
   private bucket: TokenBucket | undefined;
@@ -36,7 +56,7 @@
       return true;
     }
     const rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * share;
-    this.burst = Math.max(1, BURST_REQUESTS * share) + (rate * BURST_MS) / MS_PER_S;
+    this.burst = burstOf(requestsPerSecond) * share;
     if (this.bucket) this.bucket.configure(rate, this.burst);
     else {
       this.bucket = new TokenBucket(rate, this.burst);
