Let the instances that share a limit send a request also where rounding leaves them a little less

Found in reading. An instance's part of the burst, such as 49 times 1/49, may come out a little below one request, and the bucket then never allowed any: with limits of 23, 50, 52, 79, 92 and 97 requests a second no instance without an owner used the replica. The part is now at least one request, which the number of instances that share it allows. The new test failed before with these limits.

--- a/packages/decisions/src/request-rate.test.ts
+++ b/packages/decisions/src/request-rate.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { RequestRate } from './request-rate.js';
+import { RequestRate, instancesSharing } from './request-rate.js';
 
 /** The requests that a replica with a limit gets if one is sent as soon as it is allowed. */
 function sentWithin(rate: RequestRate, fromMs: number, untilMs: number): number {
@@ -64,4 +64,14 @@
     rate.setLimit(10, 0, 1 / 10);
     expect(sentWithin(rate, 0, 8_000)).toBeLessThanOrEqual(8);
   });
+
+  it('allows each of the instances that share a limit a whole request', () => {
+    const instanceIds = Array.from({ length: 330 }, (_, index) => `i${String(index)}`);
+    const starved = Array.from({ length: 100 }, (_, limit) => limit).filter((limit) => {
+      const rate = new RequestRate();
+      rate.setLimit(limit, 0, 1 / instancesSharing('r', limit, instanceIds).length);
+      return rate.available(3_600_000) < 1;
+    });
+    expect(starved).toEqual([]);
+  });
 });
--- a/packages/decisions/src/request-rate.ts
+++ b/packages/decisions/src/request-rate.ts
@@ -56,7 +56,8 @@
       return true;
     }
     const rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond) * share;
-    this.burst = burstOf(requestsPerSecond) * share;
+    // The product may be a little less than one request by rounding.
+    this.burst = Math.max(1, burstOf(requestsPerSecond) * share);
     if (this.bucket) this.bucket.configure(rate, this.burst);
     else {
       this.bucket = new TokenBucket(rate, this.burst);
