Look at a limited replica again only when it may be allowed another request

Found in reading at the users' size. While replicas stated limits, each arrival looked at every limited replica again, as its requests come back with time. So the cost of an arrival grew with the number of limited replicas: at 1,200 of them and 4,100 requests a second, the owner of the pool took 12 s of processor time for one second of arrivals (0.77 s at 300 replicas, 0.04 s without limits), and callers would have got no response.

Change: it is known when a replica is allowed the next request; the limited replicas are compared with the time at most every 10 ms, and only those that are due, or that changed, are looked at again. All are, when it changes whether all state limits. The new test replays 4,100 arrivals at 1,200 limited replicas; it took 13.5 s of processor time before (bound 1 s: what one second of arrivals may take).

--- a/packages/decisions/src/pool-request-limits.test.ts
+++ b/packages/decisions/src/pool-request-limits.test.ts
@@ -123,6 +123,18 @@
     expect(grantsAt('r0')).toBe(8);
   });
 
+  it('keeps up with 4,100 requests a second at 1,200 replicas that all state limits', () => {
+    const { enqueue, permits } = pool(Array.from({ length: 1_200 }, () => 3));
+    const startedAt = process.cpuUsage();
+    for (let index = 0; index < 4_100; index += 1) {
+      const nowMs = 1_000 + (index * 1_000) / 4_100;
+      enqueue(nowMs, { startByMs: nowMs + 225, deadlineMs: nowMs + 1_500 });
+    }
+    const { user, system } = process.cpuUsage(startedAt);
+    expect(permits.length).toBeGreaterThan(3_600);
+    expect((user + system) / 1_000).toBeLessThan(1_000);
+  });
+
   it('serves online requests before batch items where all replicas state limits', () => {
     const { enqueue, pass, permits } = pool([1, 1, 1]);
     Array.from({ length: 60 }, () => enqueue(0, { workClass: 'batch' }));
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -32,6 +32,9 @@
 /** Part of the burst of a limited replica that may be used up when a batch stream there is preempted. */
 const MAX_USED_FRACTION_TO_PREEMPT = 0.5;
 
+/** Replicas with a limit are checked for newly allowed requests at most this often. */
+const LIMIT_CHECK_PERIOD_MS = 10;
+
 /** The permits for slots of one replica. */
 interface ReplicaPermits {
   readonly permits: Map<string, Permit>;
@@ -62,6 +65,11 @@
   private readonly changed = new Set<string>();
   /** Replicas whose state changes with time, without a call: paused ones, and those with drift or preempted streams. */
   private readonly timeDependent = new Set<string>();
+  /** The replicas that state a limit of requests a second, and when each will be allowed one more request. */
+  private readonly nextRequestAtMs = new Map<string, number>();
+  private nextLimitCheckMs = Number.NEGATIVE_INFINITY;
+  /** The value of `allAreLimited` by which the replicas were last looked at. */
+  private wereAllLimited = false;
   /** Replicas with a free slot that state a limit of requests a second, where it allows a batch item now. */
   private readonly freeLimited = new Set<string>();
   private batchWaits = false;
@@ -267,7 +275,7 @@
     this.meanOnlineStreamMs = meanOnlineStreamMs;
     if (batchWaits === this.batchWaits) return;
     this.batchWaits = batchWaits;
-    this.timeDependent.forEach((replicaId) => this.changed.add(replicaId));
+    this.markLimitedChanged();
   }
 
   /** Whether a batch item could start at a replica that states a limit of requests a second. */
@@ -498,6 +506,7 @@
     this.timeDependent.delete(replicaId);
     this.drifting.delete(replicaId);
     this.freeLimited.delete(replicaId);
+    this.nextRequestAtMs.delete(replicaId);
     this.dropCounts(replicaId);
     this.replicas.take(replicaId);
   }
@@ -507,12 +516,33 @@
     if (nowMs !== this.refreshedAtMs) {
       this.refreshedAtMs = nowMs;
       this.timeDependent.forEach((replicaId) => this.changed.add(replicaId));
+      this.markNewlyAllowed(nowMs);
     }
-    if (this.changed.size === 0) return;
+    this.refreshChanged(nowMs);
+    if (this.allAreLimited === this.wereAllLimited) return;
+    this.wereAllLimited = this.allAreLimited;
+    this.markLimitedChanged();
+    this.refreshChanged(nowMs);
+  }
+
+  private refreshChanged(nowMs: number): void {
     this.changed.forEach((replicaId) => this.refreshReplica(replicaId, nowMs));
     this.changed.clear();
   }
 
+  private markLimitedChanged(): void {
+    this.nextRequestAtMs.forEach((_, replicaId) => this.changed.add(replicaId));
+  }
+
+  /** Marks the limited replicas that are allowed one more request than when they were last looked at. */
+  private markNewlyAllowed(nowMs: number): void {
+    if (nowMs < this.nextLimitCheckMs) return;
+    this.nextLimitCheckMs = nowMs + LIMIT_CHECK_PERIOD_MS;
+    this.nextRequestAtMs.forEach((atMs, replicaId) => {
+      if (atMs <= nowMs) this.changed.add(replicaId);
+    });
+  }
+
   private refreshReplica(replicaId: string, nowMs: number): void {
     const replica = this.replicas.get(replicaId);
     if (!replica) return;
@@ -550,8 +580,9 @@
     else this.freeLimited.delete(replicaId);
     if (drift === 0) this.drifting.delete(replicaId);
     else this.drifting.add(replicaId);
-    if (drift !== 0 || !isOpen || isLimited || this.hasRevokeGrace(replicaId, nowMs))
-      this.timeDependent.add(replicaId);
+    if (isLimited) this.nextRequestAtMs.set(replicaId, replica.rate.nextRequestAtMs(nowMs));
+    else this.nextRequestAtMs.delete(replicaId);
+    if (drift !== 0 || !isOpen || this.hasRevokeGrace(replicaId, nowMs)) this.timeDependent.add(replicaId);
     else this.timeDependent.delete(replicaId);
   }
 
--- a/packages/decisions/src/request-rate.ts
+++ b/packages/decisions/src/request-rate.ts
@@ -71,6 +71,13 @@
     return this.bucket ? Math.floor(this.bucket.available(nowMs)) : Number.POSITIVE_INFINITY;
   }
 
+  /** When one more request than now will be allowed; infinite if none will be before a request is sent. */
+  nextRequestAtMs(nowMs: number): number {
+    if (!this.bucket) return Number.POSITIVE_INFINITY;
+    const next = Math.max(0, this.available(nowMs)) + 1;
+    return next > this.burst ? Number.POSITIVE_INFINITY : nowMs + this.bucket.waitMs(next, nowMs);
+  }
+
   /** The part of the burst that has been used up, from 0 to 1; 0 without a limit. */
   usedFraction(nowMs: number): number {
     return this.bucket ? 1 - Math.max(0, this.bucket.available(nowMs)) / this.burst : 0;
