--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -16,7 +16,7 @@
   UpstreamListener,
   UpstreamTransport,
 } from '../online/forwarding.js';
-import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream } from '../online/forwarding.js';
+import { ENDLESS_RESPONSE, MISDIRECTED_STATUS, UpstreamEndKind, endOfStream } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 
@@ -92,8 +92,6 @@
 /** A run is interrupted when its stream exceeds these limits. */
 const STALL_LIMITS = { silenceMs: 2_000, eventGapMs: 4_000 };
 const HTTP_OK = 200;
-/** Another replica than the intended one has responded. */
-const HTTP_MISDIRECTED_REQUEST = 421;
 const HTTP_UNPROCESSABLE_CONTENT = 422;
 const HTTP_INTERNAL_SERVER_ERROR = 500;
 const INTERRUPTED: ItemRunResult = { end: ItemRunOutcome.interrupted, givenWay: false };
@@ -196,7 +194,7 @@
     AbortSignal.any([stop, slot.revoked]),
     (head) => {
       if (head.load) dependencies.permits.recordLoad(slot, head.load);
-      if (head.status !== HTTP_MISDIRECTED_REQUEST)
+      if (head.status !== MISDIRECTED_STATUS)
         dependencies.permits.recordRequestLimit(slot, head.requestsPerSecond, startedMs);
     },
     (replicaId) => dependencies.leavingAnnouncements.onResponse(replicaId),
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -22,7 +22,7 @@
 import { ResponseRelay } from './response-relay.js';
 import { pickBackend } from './backend-choice.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
-import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream } from './forwarding.js';
+import { ENDLESS_RESPONSE, MISDIRECTED_STATUS, UpstreamEndKind, endOfStream } from './forwarding.js';
 import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
 /**
@@ -393,6 +393,4 @@
   return status >= FIRST_SERVER_ERROR_STATUS ? AttemptEnd.cancelled : AttemptEnd.completed;
 }
 
-/** HTTP 421: the process at this address is not the intended replica. */
-const MISDIRECTED_STATUS = 421;
 const FIRST_SERVER_ERROR_STATUS = 500;
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -139,6 +139,9 @@
   return { kind: UpstreamEndKind.broken, detail: 'the stream ended inside an event' };
 }
 
+/** HTTP 421: the process at this address is not the intended replica, so it did not run the request. */
+export const MISDIRECTED_STATUS = 421;
+
 /** The end of a call that was aborted because the response exceeds what a replica's response may hold. */
 export const ENDLESS_RESPONSE: UpstreamEnd = {
   kind: UpstreamEndKind.broken,
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -6,6 +6,7 @@
 import type { BufferBudget } from './buffer-budget.js';
 import type { RawEvent } from './event-splitter.js';
 import { EventSplitter, MAX_EVENT_BYTES } from './event-splitter.js';
+import { MISDIRECTED_STATUS } from './forwarding.js';
 import { StallTimer } from './stall-timer.js';
 import type {
   BodyFraming,
@@ -19,8 +20,6 @@
 const STALL_LIMITS = { silenceMs: 900, eventGapMs: 1_800 };
 /** Longest response that is kept until it is complete, in bytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1_048_576;
-/** HTTP 421: the process at this address is not the intended replica, so it did not run the request. */
-const MISDIRECTED_STATUS = 421;
 const FIRST_NON_SUCCESS_STATUS = 300;
 /** Statuses that tell the caller that its request has not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 429, 503]);
