Decide apart from input and output whether an owner is asked once more

It is now a pure function with a test that replays 40 arrivals during pauses of the owner of 70 to 175 ms: all are accepted, and none is when the function never asks again. No change of behaviour.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -2,7 +2,7 @@
 import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
 import { EntityTable, fail, notRun, ok } from '@fighub/core';
 import type { PoolLoad, ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, orderPools } from '@fighub/decisions';
+import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, orderPools, secondAskTimeoutMs } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch } from './direct-dispatch.js';
@@ -40,8 +40,6 @@
  * lost on a silent connection.
  */
 const ACQUIRE_RETRY_MS = { online: 120, batch: 1_000 } as const;
-/** An owner that did not accept a request at first has this long to accept it when it is asked once more. */
-const SECOND_ACQUIRE_TIMEOUT_MS = ACQUIRE_RETRY_MS.online;
 /** Maximum number of requests that one tick sends again. */
 const MAX_ACQUIRE_RETRIES_PER_RUN = 64;
 
@@ -139,9 +137,9 @@
     signal: AbortSignal,
   ): Promise<Outcome<Slot, Problem>> {
     const direct = await this.direct.acquire(demand);
-    const leftMs = (demand.startByUnixMs ?? demand.deadlineUnixMs) - this.clock.nowUnixMs();
-    if (direct.ok || signal.aborted || leftMs <= 0) return direct;
-    const timeoutMs = Math.min(leftMs, SECOND_ACQUIRE_TIMEOUT_MS);
+    const startByUnixMs = demand.startByUnixMs ?? demand.deadlineUnixMs;
+    const timeoutMs = secondAskTimeoutMs(startByUnixMs, this.clock.nowUnixMs());
+    if (direct.ok || signal.aborted || timeoutMs === undefined) return direct;
     const outcome = await this.acquireFromPools(pools, demand, timeoutMs, signal);
     return outcome.ok || outcome.error !== NO_OWNER_ACCEPTED ? outcome : direct;
   }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -26,6 +26,7 @@
 export * from './ordered-map.js';
 export * from './organisation-limits.js';
 export * from './origin-history.js';
+export * from './owner-retry.js';
 export * from './owner-suspicions.js';
 export * from './pool-choice.js';
 export * from './pool-slots.js';
