--- a/packages/decisions/src/suspect-queue.ts
+++ b/packages/decisions/src/suspect-queue.ts
@@ -20,24 +20,25 @@
   }
 
   push(request: SlotRequest): void {
-    const at = this.waiting.findIndex(
-      (other) => request.workClass === WorkClass.online && other.workClass !== WorkClass.online,
-    );
+    if (request.workClass !== WorkClass.online) {
+      this.waiting.push(request);
+      return;
+    }
+    const at = this.waiting.findIndex((other) => other.workClass !== WorkClass.online);
     this.waiting.splice(at < 0 ? this.waiting.length : at, 0, request);
   }
 
   /** Removes and returns the first request that `matches` selects; undefined if there is none. */
   takeFirst(matches: (request: SlotRequest) => boolean): SlotRequest | undefined {
-    const first = this.waiting.find(matches);
-    this.waiting = this.waiting.filter((request) => request !== first);
-    return first;
+    const index = this.waiting.findIndex(matches);
+    return index < 0 ? undefined : this.waiting.splice(index, 1)[0];
   }
 
   /** Removes and returns the requests that `matches` selects. */
   takeWhere(matches: (request: SlotRequest) => boolean): SlotRequest[] {
     if (this.waiting.length === 0) return [];
-    const taken = this.waiting.filter(matches);
-    this.waiting = this.waiting.filter((request) => !taken.includes(request));
-    return taken;
+    const taken = new Set(this.waiting.filter(matches));
+    if (taken.size > 0) this.waiting = this.waiting.filter((request) => !taken.has(request));
+    return [...taken];
   }
 }
