Look up the limits of the replicas of each pool, not all limits for each pool

Found in reading: five times a second an owner went through the limits of all replicas for each of its pools, so that the cost grew with their product. No change of behaviour; the tests of PoolHost cover it.

--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -325,11 +325,10 @@
       })),
     );
     const nowMs = this.clock.monotonicMs();
-    this.catalogue.requestLimits
-      .all()
-      .forEach(({ replicaId, requestsPerSecond }) =>
-        pool.setRequestLimit(replicaId, requestsPerSecond, nowMs),
-      );
+    const { requestLimits } = this.catalogue;
+    description.upstreams.forEach(({ upstreamId }) =>
+      pool.setRequestLimit(upstreamId, requestLimits.of(upstreamId), nowMs),
+    );
   }
 
   /** Pools of a model in which an organisation may have streams. */
