Log with each send what repeats of a request have in common

Lines of sends named the attempt and the shared parts of the prompt. A request that comes again has another attempt id, and sound requests share its parts, so that it could not be seen that one request crashed replica after replica.

--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -23,6 +23,7 @@
 import { pickBackend } from './backend-choice.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
 import { ENDLESS_RESPONSE, MISDIRECTED_STATUS, UpstreamEndKind, endOfStream } from './forwarding.js';
+import { requestDigest } from './request-digest.js';
 import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
 /**
@@ -92,6 +93,7 @@
   private readonly deadlineMs: number;
   private readonly deadlinePassed = new AbortController();
   private readonly relay: ResponseRelay;
+  private readonly requestDigest: string;
   /** Attempts so far, including those for which nothing was sent because the replica was leaving. */
   private sends = 0;
   /** Attempts that a replica may have run. */
@@ -105,6 +107,7 @@
     buffers: BufferBudget,
     private readonly dependencies: ForwardDependencies,
   ) {
+    this.requestDigest = requestDigest(request);
     this.service = pickBackend(route.backends, dependencies.random());
     this.deadlineMs = Math.min(request.deadlineMs, request.arrivedAtMs + route.timeoutMs);
     this.relay = new ResponseRelay(
@@ -376,6 +379,7 @@
         framing: attempt.framing,
         unfinishedBytes: attempt.unfinishedBytes,
         sharedPartIds: this.request.sharedPartIds,
+        requestDigest: this.requestDigest,
         requestsPerSecond: attempt.requestsPerSecond,
         ranMs: Math.round(this.dependencies.clock.monotonicMs() - sent.sentAtMs),
         directoryRevision: this.dependencies.view.replicas.revision,
