Show that one request crashes replica after replica

Emulated replicas crash under requests with one body, before their first event or after 20 events, while sound requests with the same parts of prompts run. 21 to 35 repeats reach replicas later than 3 s after the third crash (3 are allowed), on routes of each kind, and the caller is told to come back (503).

--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -24,6 +24,10 @@
   leaving: boolean;
   /** Id of a part of a prompt. The replica crashes when it has begun to respond to a request with it; empty for none. */
   crashPartId: string;
+  /** Body of requests under which the replica crashes; empty for none. */
+  crashBody: string;
+  /** Number of events of such a response before the crash. */
+  crashAfterEvents: number;
   /** Requests a second that all responses state as the replica's limit, as the header value; empty for no limit. */
   requestLimit: string;
 }
@@ -49,7 +53,7 @@
 
 /** Time between two bytes of a response that stalls. */
 const STALL_BYTE_PERIOD_MS = 200;
-/** Time from the head of a response to the crash of the replica, if its request has the part that crashes replicas. */
+/** Time from the head of a response to the crash of the replica, if its request crashes replicas. */
 const CRASH_DELAY_MS = 40;
 
 /** The software version of a replica unless a test states another one. */
@@ -79,6 +83,8 @@
     status: 0,
     leaving: false,
     crashPartId: '',
+    crashBody: '',
+    crashAfterEvents: 0,
     requestLimit: '',
   };
   /** When the replica crashed, in the time of `performance.now()`; undefined while it serves. */
@@ -161,6 +167,11 @@
     await this.answer(run, res);
   }
 
+  private crashesUnder({ promptPartIds, body }: ReplicaRun): boolean {
+    const { crashPartId, crashBody } = this.faults;
+    return promptPartIds.includes(crashPartId) || (crashBody !== '' && body === crashBody);
+  }
+
   private async answer(run: ReplicaRun, res: ServerResponse): Promise<void> {
     const echoedAttemptId = consumeFault(this.faults, 'crossed') ? 'another-request' : run.requestId;
     const headers = { 'Attempt-Id': echoedAttemptId, 'Response-Seal': `seal-${run.requestId}` };
@@ -173,7 +184,8 @@
     const stalls = consumeFault(this.faults, 'stall');
     if (consumeFault(this.faults, 'unframed')) res.removeHeader('Transfer-Encoding');
     res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
-    if (run.promptPartIds.includes(this.faults.crashPartId)) {
+    const crashes = this.crashesUnder(run);
+    if (crashes && this.faults.crashAfterEvents === 0) {
       res.flushHeaders();
       await new Promise((resolve) => setTimeout(resolve, CRASH_DELAY_MS));
       this.crash();
@@ -187,6 +199,10 @@
       if (stalls && index === run.resumeAfter + 4) return this.stall(run, res);
       res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index, this.softwareVersion)}\n\n`);
       run.writtenEvents += 1;
+      if (crashes && run.writtenEvents === this.faults.crashAfterEvents) {
+        this.crash();
+        return;
+      }
       await new Promise((resolve) => setTimeout(resolve, this.eventMs));
     }
     res.end();
