Stop sending a request that crashes the replicas that run it

Callers: one request that comes again ended replica after replica, with all streams that these ran, and in the end all requests with a part of its prompt were refused, sound ones too.

Cause: crashes were related to the parts of prompts only. Sound requests share the parts of a request that crashes replicas by itself, so that each of them cleared the suspicion. Batch items were judged by themselves as well and refused, although they are still owed.

Change: the owner of a pool counts the replicas that crash under repeats of a request, one after the other. Two let its repeats run one at a time, three block it, for ten minutes at first. Only a completed repeat clears it, as it may crash its replica at any event. Parts are blocked only after crashes under two different requests. Only a connection that broke counts as a crash, and no longer once the replica completes another request later; responses that do not end or are not for the request are told apart. Items are judged by the parts of their prompts only. Without an owner, each instance counts its own.

The test that judged an item by itself is replaced by one that it is judged by its parts only.

--- a/packages/admission/src/direct-dispatch.test.ts
+++ b/packages/admission/src/direct-dispatch.test.ts
@@ -1,30 +1,30 @@
 import { ManualClock, Metrics } from '@fighub/core';
 import type { MembershipRunner } from '@fighub/peers';
-import { RequestLimits } from '@fighub/decisions';
+import { BlockedPrompts, RequestLimits } from '@fighub/decisions';
 import { describe, expect, it } from 'vitest';
 
 import { DirectDispatch } from './direct-dispatch.js';
 import type { PoolCatalogue } from './pool-catalogue.js';
 
+const UPSTREAM = {
+  upstreamId: 'r',
+  address: 'r:1',
+  failureDomain: 'd',
+  softwareVersion: 'v1',
+  maxConcurrency: 8,
+  fencingChecked: false,
+};
 const CATALOGUE = {
   pools: () => [
     {
       poolId: 'm@',
       model: 'm',
       failureDomain: '',
-      upstreams: [
-        {
-          upstreamId: 'r',
-          address: 'r:1',
-          failureDomain: 'd',
-          softwareVersion: 'v1',
-          maxConcurrency: 8,
-          fencingChecked: false,
-        },
-      ],
+      upstreams: [UPSTREAM],
     },
   ],
   limitsOf: () => ({ maxInFlight: 1 }),
+  blockedPrompts: new BlockedPrompts(),
   requestLimits: new RequestLimits(),
   isLeaving: () => false,
 } as unknown as PoolCatalogue;
@@ -115,10 +115,35 @@
     const slot = await direct.acquire(DEMAND);
     if (!slot.ok) throw new Error('no slot');
     expect(direct.demandOf(slot.value)).toEqual(DEMAND);
-    expect(direct.release(slot.value, { end: 'broken', tokens: 0 })).toEqual(DEMAND);
+    expect(direct.release(slot.value, { end: 'broken', tokens: 0 })?.demand).toEqual(DEMAND);
     expect(direct.demandOf(slot.value)).toBeUndefined();
   });
 
+  it('blocks a request under which three replicas have crashed, one after the other, and clears it when it completes', async () => {
+    const clock = new ManualClock();
+    let round = 0;
+    const upstreams = () => [{ ...UPSTREAM, upstreamId: `r${String(round)}` }];
+    const catalogue = {
+      ...CATALOGUE,
+      pools: () => [{ poolId: 'm@', model: 'm', failureDomain: 'd', upstreams: upstreams() }],
+      limitsOf: () => ({}),
+      blockedPrompts: new BlockedPrompts(),
+    };
+    const direct = newDirectDispatch(catalogue, clock);
+    const request = { sharedPartIds: [], requestDigest: 'q' };
+    const refused: boolean[] = [];
+    for (const end of ['broken', 'completed', 'broken', 'broken', 'broken'] as const) {
+      clock.advance(10_000);
+      round += 1;
+      const slot = await direct.acquire({ ...DEMAND, ...request });
+      if (!slot.ok) throw new Error('no slot');
+      clock.advance(10);
+      direct.release(slot.value, { end, tokens: 20 });
+      refused.push(catalogue.blockedPrompts.refuses(request, clock.monotonicMs()));
+    }
+    expect(refused).toEqual([false, false, false, false, true]);
+  });
+
   it('grants a resumed stream only a replica of its software version', async () => {
     const other = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v2' });
     const same = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v1' });
--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -2,7 +2,7 @@
 import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { fail, notRun, ok } from '@fighub/core';
 import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { ReplicaHealth, RequestRate, instancesSharing } from '@fighub/decisions';
+import { AttemptEnd, ReplicaHealth, RequestCrashes, RequestRate, instancesSharing } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { EngineLoad, LoadReader } from '@fighub/outside';
 
@@ -26,6 +26,13 @@
   readAtMs: number;
 }
 
+/** What ran in a slot that `DirectDispatch` granted. */
+export interface DirectRun {
+  readonly demand: SlotDemand;
+  /** When the slot was granted, in monotonic time. */
+  readonly startedAtMs: number;
+}
+
 /** A load report is used for this long after it was received or requested. */
 const REPORT_LIFETIME_MS = 1_000;
 /** Pool id of the slots that `DirectDispatch` grants, which belong to no pool. */
@@ -37,7 +44,9 @@
  */
 export class DirectDispatch {
   private readonly replicas = new Map<string, ReplicaView>();
-  private readonly demands = new Map<string, SlotDemand>();
+  private readonly runs = new Map<string, DirectRun>();
+  /** Crashes under requests of this instance, for as long as there is no owner that could relate those of all instances. */
+  private readonly requestCrashes: RequestCrashes;
   private nextPermit = 1;
 
   constructor(
@@ -53,7 +62,11 @@
     private readonly conservative: boolean,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
-  ) {}
+  ) {
+    this.requestCrashes = new RequestCrashes(catalogue.blockedPrompts, (finding) =>
+      metrics.count(`prompts_${finding}`),
+    );
+  }
 
   /**
    * Acquires a slot at the usable replica that appears least loaded, in this failure domain if possible. Does not wait
@@ -80,7 +93,7 @@
     view.rate.take(this.clock.monotonicMs());
     this.nextPermit += 1;
     const permitId = `${this.selfId}/direct/${String(this.nextPermit)}`;
-    this.demands.set(permitId, demand);
+    this.runs.set(permitId, { demand, startedAtMs: this.clock.monotonicMs() });
     return ok({
       permitId,
       poolId: DIRECT_POOL_ID,
@@ -92,20 +105,27 @@
     });
   }
 
-  /** Releases a slot and returns its demand; undefined when the slot was granted by the owner of a pool. */
-  release(slot: Slot, report: Omit<ReleaseReport, 'permitId'>): SlotDemand | undefined {
-    const demand = this.demands.get(slot.permitId);
-    if (!demand) return undefined;
-    this.demands.delete(slot.permitId);
+  /** Releases a slot and returns what ran in it; undefined when the slot was granted by the owner of a pool. */
+  release(slot: Slot, report: Omit<ReleaseReport, 'permitId'>): DirectRun | undefined {
+    const run = this.runs.get(slot.permitId);
+    if (!run) return undefined;
+    this.runs.delete(slot.permitId);
+    const nowMs = this.clock.monotonicMs();
     const view = this.viewOf(slot.replicaId);
     view.inFlight -= 1;
-    view.health.observe(report.end, this.clock.monotonicMs());
-    return demand;
+    view.health.observe(report.end, nowMs);
+    const { requestDigest } = run.demand;
+    if (requestDigest === undefined) return run;
+    const { startedAtMs } = run;
+    if (report.end === AttemptEnd.completed) this.requestCrashes.onCompleted(requestDigest, nowMs);
+    if (report.end === AttemptEnd.broken)
+      this.requestCrashes.onCrash({ requestDigest, replicaId: slot.replicaId, startedAtMs }, nowMs);
+    return run;
   }
 
   /** The demand of a slot; undefined when it was granted by the owner of a pool. */
   demandOf({ permitId }: Slot): SlotDemand | undefined {
-    return this.demands.get(permitId);
+    return this.runs.get(permitId)?.demand;
   }
 
   /** Records a replica's own load report. Returns false when the slot was granted by the owner of a pool. */
@@ -134,9 +154,7 @@
     const limit = this.catalogue.limitsOf(demand.organisation, demand.model).maxInFlight;
     if (limit === undefined || !this.conservative) return true;
     const equalShare = Math.max(1, Math.floor(limit / Math.max(1, this.members().owners().length)));
-    const inFlight = [...this.demands.values()].filter(
-      ({ organisation }) => organisation === demand.organisation,
-    );
+    const inFlight = [...this.runs.values()].filter((run) => run.demand.organisation === demand.organisation);
     return limit > 0 && inFlight.length < equalShare;
   }
 
--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -118,12 +118,15 @@
   });
 
   it('tells the owner of a pool which replica crashed under a request without a permit', () => {
-    const demand = { ...DEMAND, sharedPartIds: ['part'] };
-    const { client, notices, pass } = setup([pool('')], { release: () => demand });
+    const demand = { ...DEMAND, sharedPartIds: ['part'], requestDigest: 'digest' };
+    const { client, notices, clock, pass } = setup([pool('')], {
+      release: () => ({ demand, startedAtMs: clock.monotonicMs() - 40 }),
+    });
     client.release(DIRECT_SLOT, { end: 'broken', tokens: 0 });
     client.release({ ...DIRECT_SLOT, replicaId: 'r2' }, { end: 'completed', tokens: 3 });
     pass(TICK_MS);
-    const crashes = [{ requestId: 'q', replicaId: 'r', sharedPartIds: ['part'] }];
+    const judged = { sharedPartIds: ['part'], requestDigest: 'digest' };
+    const crashes = [{ requestId: 'q', replicaId: 'r', ...judged, events: 0, ranMs: 40 }];
     expect(notices).toEqual([['permit.release', { poolId: 'm@', reports: [], loads: [], crashes }]]);
   });
 
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -2,10 +2,10 @@
 import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
 import { EntityTable, fail, notRun, ok } from '@fighub/core';
 import type { PoolLoad, ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, orderPools, secondAskTimeoutMs } from '@fighub/decisions';
+import { AttemptEnd, orderPools, secondAskTimeoutMs } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, MembershipRunner, PeerNode } from '@fighub/peers';
 
-import type { DirectDispatch } from './direct-dispatch.js';
+import type { DirectDispatch, DirectRun } from './direct-dispatch.js';
 import type { PoolPermit } from './permit-renewals.js';
 import { PermitRenewals } from './permit-renewals.js';
 import type { Slot, SlotDemand } from './slot.js';
@@ -391,11 +391,19 @@
   private reportDirectCrash(
     { replicaId }: Slot,
     { end, tokens }: Omit<ReleaseReport, 'permitId'>,
-    { requestId, organisation, model, sharedPartIds = [] }: SlotDemand,
+    { demand, startedAtMs }: DirectRun,
   ): void {
+    const { requestId, organisation, model, sharedPartIds = [], requestDigest } = demand;
     const [pool] = this.host.poolsOpenTo(organisation, model);
-    if (!pool || end !== AttemptEnd.broken || tokens >= EVENTS_OF_SOUND_PROMPT) return;
-    this.outbox.addCrash(pool.poolId, { requestId, replicaId, sharedPartIds });
+    if (!pool || end !== AttemptEnd.broken) return;
+    this.outbox.addCrash(pool.poolId, {
+      requestId,
+      replicaId,
+      sharedPartIds,
+      requestDigest,
+      events: tokens,
+      ranMs: this.clock.monotonicMs() - startedAtMs,
+    });
     this.scheduleReleases();
   }
 
@@ -486,6 +494,7 @@
       deadlineInMs: demand.deadlineUnixMs - nowUnixMs,
       prefixDigest: demand.prefixDigest,
       ...(demand.sharedPartIds?.length ? { sharedPartIds: demand.sharedPartIds } : {}),
+      requestDigest: demand.requestDigest,
       excludedReplicaIds: demand.excludedReplicaIds,
       softwareVersion: demand.softwareVersion,
       resumable: demand.resumable,
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -471,6 +471,7 @@
       failureDomain: this.members().membership.get(body.holder)?.failureDomain ?? '',
       prefixDigest: body.prefixDigest,
       sharedPartIds: body.sharedPartIds ?? [],
+      requestDigest: body.requestDigest,
       excludedReplicaIds: body.excludedReplicaIds,
       softwareVersion: body.softwareVersion,
       resumable: body.resumable,
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -25,6 +25,8 @@
   readonly prefixDigest: string;
   /** Ids of the parts of the prompt that other requests may share; undefined when they are not known. */
   readonly sharedPartIds?: readonly string[];
+  /** The same for all repeats of an online request; undefined for batch items and where it is not known. */
+  readonly requestDigest?: string;
   /** Replicas that must not be chosen, because earlier attempts there failed. */
   readonly excludedReplicaIds: readonly string[];
   /** The only software version at whose replicas the stream may run, because it began there; undefined for any. */
--- a/packages/decisions/src/blocked-prompts.ts
+++ b/packages/decisions/src/blocked-prompts.ts
@@ -1,7 +1,17 @@
 /** Prompts that are sent to no replica for a while, because requests with them have crashed replicas. */
 import { notRun } from '@fighub/core';
 
-/** A set of prompt parts. Requests whose prompts contain all of them are refused. */
+/** What a request is judged by: ids of the parts of its prompt that others may share, and what its repeats share. */
+export interface JudgedRequest {
+  readonly sharedPartIds: readonly string[];
+  /** The same for all repeats of a request; undefined for work that is only judged by the parts of its prompt. */
+  readonly requestDigest?: string;
+}
+
+/**
+ * A set of prompt parts. Requests whose prompts contain all of them are refused. A whole request is blocked as a part that
+ * only its repeats have.
+ */
 export interface BlockedPrompt {
   readonly partIds: readonly string[];
   /** End of the block, in monotonic time. */
@@ -13,14 +23,27 @@
 /** The refusal of a request with a blocked prompt. */
 export const PROMPT_BLOCKED = notRun(
   'prompt_crashes_upstream',
-  'requests with a part of this prompt have crashed replicas',
+  'this request, or others with a part of its prompt, have crashed replicas',
 );
 
 /** Bounds the memory and the size of the messages that carry the table. */
 const MAX_BLOCKED_PROMPTS = 256;
+/** Time of the first block of a prompt. It doubles with each further one. */
+const FIRST_BLOCK_MS = 600_000;
+const MAX_BLOCK_MS = 21_600_000;
 /** After a block has ended, its parts are remembered for this long, so that one more crash blocks them again. */
 const PROBATION_MS = 86_400_000;
 
+/** Id by which a whole request is blocked. */
+export function partIdOfRequest(requestDigest: string): string {
+  return `request/${requestDigest}`;
+}
+
+/** All ids by which a request may be blocked. */
+export function judgedPartIds({ sharedPartIds, requestDigest }: JudgedRequest): readonly string[] {
+  return requestDigest === undefined ? sharedPartIds : [...sharedPartIds, partIdOfRequest(requestDigest)];
+}
+
 /** The blocked prompts that one instance knows. */
 export class BlockedPrompts {
   /** The blocks that contain a part, by its id. */
@@ -49,6 +72,22 @@
     return true;
   }
 
+  /**
+   * Blocks these parts, for twice as long as the last time if they were blocked before. Returns the block; undefined if
+   * they are blocked already.
+   */
+  block(partIds: readonly string[], nowMs: number): BlockedPrompt | undefined {
+    const blockCount = (this.findEnded(partIds, nowMs)?.blockCount ?? 0) + 1;
+    const durationMs = Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (blockCount - 1));
+    const block = { partIds, untilMs: nowMs + durationMs, blockCount };
+    return this.add(block, nowMs) ? block : undefined;
+  }
+
+  /** Whether a request is refused now. */
+  refuses(request: JudgedRequest, nowMs: number): boolean {
+    return this.blocks.size > 0 && this.find(judgedPartIds(request), nowMs) !== undefined;
+  }
+
   /** The block that refuses a prompt with these parts now; undefined if there is none. */
   find(partIds: readonly string[], nowMs: number): BlockedPrompt | undefined {
     return this.sharing(partIds, nowMs).find(
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -6,6 +6,7 @@
 import { BlockedPrompts, PROMPT_BLOCKED } from './blocked-prompts.js';
 import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
+import { CrashSuspicions } from './crash-suspicions.js';
 import { FairQueue } from './fair-queue.js';
 import { OrganisationLimits } from './organisation-limits.js';
 import { PERMIT_LIFETIME_MS, PoolSlots } from './pool-slots.js';
@@ -24,7 +25,6 @@
 } from './pool-types.js';
 import { WorkClass } from './pool-types.js';
 import { PrefixIndex } from './prefix-index.js';
-import { EVENTS_OF_SOUND_PROMPT, PromptCrashes } from './prompt-crashes.js';
 import { Quarantine } from './quarantine.js';
 import { AttemptEnd } from './replica-health.js';
 import { SuspectQueue } from './suspect-queue.js';
@@ -68,9 +68,9 @@
   /** Replicas of the pool, and the permits for their slots. */
   private readonly places = new PoolSlots(this.limits);
   private readonly quarantine = new Quarantine();
-  private readonly promptCrashes: PromptCrashes;
+  private readonly crashes: CrashSuspicions;
   private readonly suspects = new SuspectQueue();
-  /** Version of `promptCrashes` by which the waiting requests were last checked. */
+  /** Version of `crashes` by which the waiting requests were last checked. */
   private checkedPromptsVersion = 0;
   private meanStreamMs = INITIAL_MEAN_STREAM_MS;
   private nextPermit = 1;
@@ -84,7 +84,7 @@
     /** The blocked prompts of this instance, which the pools that it owns share. */
     blockedPrompts: BlockedPrompts = new BlockedPrompts(),
   ) {
-    this.promptCrashes = new PromptCrashes(blockedPrompts, (finding, prompt) =>
+    this.crashes = new CrashSuspicions(blockedPrompts, (finding, prompt) =>
       this.output.promptFound(finding, prompt),
     );
   }
@@ -124,7 +124,7 @@
       this.output.refused(request, this.noUpstream(request.softwareVersion));
       return;
     }
-    if (this.promptCrashes.isBlocked(request.sharedPartIds, nowMs)) {
+    if (this.crashes.isBlocked(request, nowMs)) {
       this.output.refused(request, PROMPT_BLOCKED);
       return;
     }
@@ -188,7 +188,16 @@
     const queue = permit.request.workClass === WorkClass.online ? this.online : this.batch;
     queue.correctCharge(permit.request.organisation, report.tokens - permit.request.costTokens);
     if (permit.request.workClass === WorkClass.batch) this.observeBatchRun(permit, report, nowMs);
-    this.observePrompt(permit, report, nowMs);
+    this.crashes.onEnd(
+      {
+        request: permit.request,
+        replicaId: permit.replicaId,
+        startedAtMs: permit.grantedAtMs,
+        end: report.end,
+        events: report.tokens,
+      },
+      nowMs,
+    );
     this.places.observeEnd(permit.replicaId, report.end, nowMs);
     if (report.end === 'completed') this.recordMeasurements(permit, report, nowMs);
   }
@@ -196,12 +205,13 @@
   /** Records that the stream of a permit has shown that its prompt does not crash replicas. */
   observeProgress(permitId: string, nowMs: number): void {
     const permit = this.permits.get(permitId);
-    if (permit) this.promptCrashes.onSound(permit.request.sharedPartIds, nowMs);
+    if (permit) this.crashes.onProgress(permit.request, nowMs);
   }
 
   /** Records the crash of a replica under a request without a permit. */
-  observeCrash({ replicaId, ...request }: ReplicaCrashReport, nowMs: number): void {
-    this.promptCrashes.onCrash(request, replicaId, nowMs);
+  observeCrash({ replicaId, events, ranMs, ...request }: ReplicaCrashReport, nowMs: number): void {
+    const startedAtMs = nowMs - ranMs;
+    this.crashes.onEnd({ request, replicaId, startedAtMs, end: AttemptEnd.broken, events }, nowMs);
   }
 
   /** Applies a renewal by a holder, which lists all permits that it holds. See `PoolSlots.renew`. */
@@ -338,7 +348,7 @@
       ...this.describe(nowMs),
       onlineByOrganisation: this.online.depths(),
       quarantine: this.quarantine.dump(),
-      prompts: { ...this.promptCrashes.dump(nowMs), waiting: this.suspects.size },
+      prompts: { ...this.crashes.dump(nowMs), waiting: this.suspects.size },
       batchByOrganisation: this.batch.depths(),
       permits: this.permits.all(),
     };
@@ -403,45 +413,36 @@
     return notRun('no_upstream', detail, NO_UPSTREAM_RETRY_MS);
   }
 
-  /** Derives from the end of a stream whether its prompt crashes replicas. */
-  private observePrompt({ request, replicaId }: Permit, report: ReleaseReport, nowMs: number): void {
-    if (request.sharedPartIds.length === 0) return;
-    if (report.end === AttemptEnd.completed || report.tokens >= EVENTS_OF_SOUND_PROMPT)
-      this.promptCrashes.onSound(request.sharedPartIds, nowMs);
-    else if (report.end === AttemptEnd.broken) this.promptCrashes.onCrash(request, replicaId, nowMs);
-  }
-
   /**
-   * Whether the request may be queued; if a part of its prompt is suspected, it is then the only one that waits or runs. An
+   * Whether the request may be queued; if it, or a part of its prompt, is suspected, it is then the only one that waits or runs. An
    * online request takes the place of a batch item that still waits for a slot.
    */
   private tryStart(request: SlotRequest, nowMs: number): boolean {
     const isPending = (requestId: string): boolean =>
       this.online.has(requestId) || this.batch.has(requestId) || this.permitOf(requestId) !== undefined;
-    if (this.promptCrashes.tryStart(request, isPending, nowMs)) return true;
+    if (this.crashes.tryStart(request, isPending, nowMs)) return true;
     if (request.workClass === WorkClass.batch) return false;
-    this.promptCrashes
+    this.crashes
       .probeIdsOf(request.sharedPartIds, nowMs)
       .map((requestId) => this.batch.remove(requestId))
       .filter((item) => item !== undefined)
       .forEach((item) => this.suspects.push(item));
-    return this.promptCrashes.tryStart(request, isPending, nowMs);
+    return this.crashes.tryStart(request, isPending, nowMs);
   }
 
   /** After a crash, refuses the waiting requests that are blocked now, and holds those that are suspected. */
   private checkWaitingPrompts(nowMs: number): void {
-    if (this.promptCrashes.version === this.checkedPromptsVersion) return;
-    this.checkedPromptsVersion = this.promptCrashes.version;
+    if (this.crashes.version === this.checkedPromptsVersion) return;
+    this.checkedPromptsVersion = this.crashes.version;
     const isAffected = (request: SlotRequest): boolean =>
-      this.promptCrashes.isBlocked(request.sharedPartIds, nowMs) || !this.tryStart(request, nowMs);
+      this.crashes.isBlocked(request, nowMs) || !this.tryStart(request, nowMs);
     const affected = [
       ...this.suspects.takeWhere(() => true),
       ...this.online.removeWhere(isAffected),
       ...this.batch.removeWhere(isAffected),
     ];
     affected.forEach((request) => {
-      if (this.promptCrashes.isBlocked(request.sharedPartIds, nowMs))
-        this.output.refused(request, PROMPT_BLOCKED);
+      if (this.crashes.isBlocked(request, nowMs)) this.output.refused(request, PROMPT_BLOCKED);
       else this.suspects.push(request);
     });
   }
@@ -456,7 +457,7 @@
       .forEach((request) =>
         this.output.refused(
           request,
-          notRun('deadline_unreachable', 'requests with a part of this prompt run one at a time'),
+          notRun('deadline_unreachable', 'requests that may crash replicas run one at a time'),
         ),
       );
     repeatWhile(() => {
@@ -610,7 +611,7 @@
       request,
       replicaId: replica.replicaId,
       grantedAtMs: nowMs,
-      reportsProgress: this.promptCrashes.isProbe(request, nowMs),
+      reportsProgress: this.crashes.isProbe(request, nowMs),
       expiresAtMs: nowMs + PERMIT_LIFETIME_MS,
     };
     this.nextPermit += 1;
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -28,6 +28,8 @@
   readonly prefixDigest: string;
   /** Ids of the parts of the prompt that other requests may share; empty when they are not known. */
   readonly sharedPartIds: readonly string[];
+  /** The same for all repeats of an online request; undefined for batch items and where it is not known. */
+  readonly requestDigest?: string;
   /** Replicas at which earlier attempts of the request failed. */
   readonly excludedReplicaIds: readonly string[];
   /** Whether the stream can be stopped and continued later; only such batch streams are preempted. */
@@ -44,6 +46,11 @@
   readonly requestId: string;
   readonly replicaId: string;
   readonly sharedPartIds: readonly string[];
+  readonly requestDigest?: string;
+  /** Events that the attempt brought. */
+  readonly events: number;
+  /** Time from the choice of the replica to the crash, in milliseconds. */
+  readonly ranMs: number;
 }
 
 /** The right of a holder to run one stream at one replica. Times are monotonic milliseconds of the pool's owner. */
--- a/packages/decisions/src/prompt-crashes.ts
+++ b/packages/decisions/src/prompt-crashes.ts
@@ -2,13 +2,11 @@
  * Finds the prompts that crash replicas. Load that it answers: requests that share one part of their prompts arrive
  * through all instances, and each replica that begins to respond to one of them crashes, with all of its streams.
  */
-import type { BlockedPrompt, BlockedPrompts } from './blocked-prompts.js';
+import type { BlockedPrompt, BlockedPrompts, JudgedRequest } from './blocked-prompts.js';
 
-/** A request, as far as it tells about its prompt. */
-export interface PromptedRequest {
+/** A request for a slot, as far as it tells about its prompt. */
+export interface PromptedRequest extends JudgedRequest {
   readonly requestId: string;
-  /** Ids of the parts of the prompt that other requests may share. */
-  readonly sharedPartIds: readonly string[];
 }
 
 /** What became known of a prompt. The values appear in logs. */
@@ -40,11 +38,10 @@
 /** Crashed replicas after which a prompt is blocked, and how many of them ran its only request at that time. */
 const REPLICAS_TO_BLOCK = 3;
 const PROBES_TO_BLOCK = 2;
+/** Different requests among those that crashed the replicas. One that comes again may crash them by itself. */
+const REQUESTS_TO_BLOCK = 2;
 /** A suspicion without another crash ends after this time. */
 const SUSPICION_MS = 60_000;
-/** Time of the first block of a prompt. It doubles with each further one. */
-const FIRST_BLOCK_MS = 600_000;
-const MAX_BLOCK_MS = 21_600_000;
 /** Bounds of the memory, for callers that send ever different parts. */
 const MAX_KNOWN_PARTS = 20_000;
 const MAX_SUSPICIONS = 1_000;
@@ -60,8 +57,10 @@
 interface Suspicion {
   partIds: readonly string[];
   readonly replicaIds: Set<string>;
-  /** Number of those replicas that crashed under a request that was let through as the only one. */
-  probeCrashes: number;
+  /** Those of the replicas that crashed under a request that was let through as the only one. */
+  readonly probeReplicaIds: Set<string>;
+  /** The requests under which they crashed, by what their repeats share. */
+  readonly requests: Set<string>;
   lastCrashAtMs: number;
   /** The request that is let through, until it has ended. */
   probeId: string | undefined;
@@ -133,29 +132,48 @@
   }
 
   /** Records that a replica crashed when it began to respond to the request. */
-  onCrash({ requestId, sharedPartIds }: PromptedRequest, replicaId: string, nowMs: number): void {
+  onCrash(
+    { requestId, requestDigest, sharedPartIds }: PromptedRequest,
+    replicaId: string,
+    nowMs: number,
+  ): void {
     sharedPartIds.forEach((partId) => this.soundParts.get(partId)?.crashedReplicaIds.add(replicaId));
     const candidates = sharedPartIds.filter((partId) => !this.isSound(partId, nowMs));
     if (candidates.length === 0) return;
     const earlier = this.suspicionsOf(candidates, nowMs);
     const suspicion = earlier.length === 0 ? this.suspect(candidates, nowMs) : this.merge(earlier);
     const shared = suspicion.partIds.filter((partId) => candidates.includes(partId));
-    const isNewReplica = !suspicion.replicaIds.has(replicaId);
+    if (!suspicion.replicaIds.has(replicaId) && suspicion.probeId === requestId)
+      suspicion.probeReplicaIds.add(replicaId);
     suspicion.replicaIds.add(replicaId);
+    suspicion.requests.add(requestDigest ?? requestId);
     suspicion.lastCrashAtMs = nowMs;
-    if (isNewReplica && suspicion.probeId === requestId) suspicion.probeCrashes += 1;
     this.narrow(suspicion, shared, nowMs);
     if (earlier.length === 0) this.announce(PromptFinding.suspected, suspicion);
     this.blockIfProven(suspicion, nowMs);
   }
 
+  /** Records that a replica serves on after a connection to it broke, so that it has not crashed. */
+  onReplicaServes(replicaId: string): void {
+    this.soundParts.forEach(({ crashedReplicaIds }) => crashedReplicaIds.delete(replicaId));
+    new Set(this.suspicions.values()).forEach((suspicion) => {
+      suspicion.probeReplicaIds.delete(replicaId);
+      if (!suspicion.replicaIds.delete(replicaId)) return;
+      if (suspicion.replicaIds.size === 0 && !suspicion.isBlocked) this.drop(suspicion);
+    });
+  }
+
   /** State for the dump. */
   dump(nowMs: number): Record<string, unknown> {
     return {
-      suspected: [...new Set(this.suspicions.values())].map(({ replicaIds, ...suspicion }) => ({
-        ...suspicion,
-        replicaIds: [...replicaIds],
-      })),
+      suspected: [...new Set(this.suspicions.values())].map(
+        ({ replicaIds, probeReplicaIds, requests, ...suspicion }) => ({
+          ...suspicion,
+          replicaIds: [...replicaIds],
+          probeReplicaIds: [...probeReplicaIds],
+          requests: [...requests],
+        }),
+      ),
       blocked: this.blocked.active(nowMs),
     };
   }
@@ -211,7 +229,8 @@
     const suspicion: Suspicion = {
       partIds,
       replicaIds: new Set(),
-      probeCrashes: 0,
+      probeReplicaIds: new Set(),
+      requests: new Set(),
       lastCrashAtMs: nowMs,
       probeId: undefined,
       isBlocked: false,
@@ -227,7 +246,8 @@
     const [first, ...others] = suspicions as [Suspicion, ...Suspicion[]];
     others.forEach((other) => {
       first.partIds = [...first.partIds, ...other.partIds];
-      first.probeCrashes = Math.max(first.probeCrashes, other.probeCrashes);
+      other.probeReplicaIds.forEach((replicaId) => first.probeReplicaIds.add(replicaId));
+      other.requests.forEach((request) => first.requests.add(request));
       first.probeId ??= other.probeId;
       other.replicaIds.forEach((replicaId) => first.replicaIds.add(replicaId));
       other.partIds.forEach((partId) => this.suspicions.set(partId, first));
@@ -248,25 +268,24 @@
   private blockIfProven(suspicion: Suspicion, nowMs: number): void {
     if (this.blocked.find(suspicion.partIds, nowMs)) return;
     const isProven =
-      suspicion.replicaIds.size >= REPLICAS_TO_BLOCK && suspicion.probeCrashes >= PROBES_TO_BLOCK;
+      suspicion.replicaIds.size >= REPLICAS_TO_BLOCK &&
+      suspicion.probeReplicaIds.size >= PROBES_TO_BLOCK &&
+      suspicion.requests.size >= REQUESTS_TO_BLOCK;
     if (isProven || this.blocked.findEnded(suspicion.partIds, nowMs)) this.block(suspicion, nowMs);
   }
 
   private block(suspicion: Suspicion, nowMs: number): void {
-    const { partIds } = suspicion;
-    const blockCount = (this.blocked.findEnded(partIds, nowMs)?.blockCount ?? 0) + 1;
-    const durationMs = Math.min(MAX_BLOCK_MS, FIRST_BLOCK_MS * 2 ** (blockCount - 1));
     suspicion.isBlocked = true;
-    if (!this.blocked.add({ partIds, untilMs: nowMs + durationMs, blockCount }, nowMs)) return;
-    this.announce(PromptFinding.blocked, suspicion, { untilMs: nowMs + durationMs, blockCount });
+    const block = this.blocked.block(suspicion.partIds, nowMs);
+    if (block) this.announce(PromptFinding.blocked, suspicion, block);
   }
 
   private announce(
     finding: PromptFinding,
     { partIds, replicaIds }: Suspicion,
-    block: { untilMs?: number; blockCount: number } = { blockCount: 0 },
+    { untilMs, blockCount }: { untilMs?: number; blockCount: number } = { blockCount: 0 },
   ): void {
-    this.report(finding, { partIds, replicaIds: [...replicaIds], ...block });
+    this.report(finding, { partIds, replicaIds: [...replicaIds], untilMs, blockCount });
   }
 
   private drop(suspicion: Suspicion): void {
--- a/packages/decisions/src/replica-health.ts
+++ b/packages/decisions/src/replica-health.ts
@@ -16,8 +16,10 @@
   refused: 'refused',
   /** The replica responded that it is leaving. */
   leaving: 'leaving',
-  /** The connection broke, or the stream stopped sending data. */
+  /** The connection broke before the end of the response, as when the replica crashes. */
   broken: 'broken',
+  /** The response cannot be used, although the replica may be sound otherwise: it does not end, or is not for the request. */
+  unusable: 'unusable',
   /** The replica responded that it cannot process this request. */
   rejected: 'rejected',
 } as const;
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -40,6 +40,8 @@
   readonly prefixDigest: string;
   /** Ids of the parts of the prompt that other requests may share; omitted when there are none. */
   readonly sharedPartIds?: readonly string[];
+  /** The same for all repeats of an online request; omitted for batch items and where it is not known. */
+  readonly requestDigest?: string;
   readonly excludedReplicaIds: readonly string[];
   /** The only software version at whose replicas the stream may run; omitted for any. */
   readonly softwareVersion?: string;
--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -66,12 +66,12 @@
     ]);
   });
 
-  it('is judged by the parts of its prompt, and by itself once it has been broken off', async () => {
+  it('is judged by the parts of its prompt only, also when it has been broken off again and again', async () => {
     const item = { ...ITEM, sharedPartIds: ['p'] };
-    const [first] = await demandsOf(false, 0, { item });
-    expect(first?.sharedPartIds).toEqual(['p']);
-    const [again] = await demandsOf(false, 0, { item, excludedReplicaIds: ['r'] });
-    expect(again?.sharedPartIds).toEqual(['p', 'item/i']);
+    const demands = await demandsOf(false, 0, { item, excludedReplicaIds: ['r1', 'r2', 'r3'] });
+    expect(demands.map(({ sharedPartIds, requestDigest }) => [sharedPartIds, requestDigest])).toEqual([
+      [['p'], undefined],
+    ]);
   });
 
   it('asks for any slot, as for a new item, after waiting for its version beside another one', async () => {
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -32,7 +32,7 @@
   noRoute: 'no_route',
   /** The output is larger than a stored value may be. */
   tooLarge: 'too_large',
-  /** Nothing was sent, since requests with a part of the item's prompt, or the item itself, have crashed replicas. */
+  /** Nothing was sent, since requests with a part of the item's prompt have crashed replicas. */
   blocked: 'blocked',
   /** The run was stopped, refused or cut short. A later run resumes after the last received event. */
   interrupted: 'interrupted',
@@ -119,16 +119,9 @@
   return send(request, slot.value, dependencies, stop);
 }
 
-/**
- * The parts by which a run is judged if its replica crashes. An item that was broken off before is sent again, so that it
- * is then judged by itself too, as a part that only it has.
- */
-function judgedPartIds({ itemId, sharedPartIds = [] }: StoredItem, wasBrokenOff: boolean): readonly string[] {
-  return wasBrokenOff ? [...sharedPartIds, `item/${itemId}`] : sharedPartIds;
-}
-
-function isPromptBlocked(item: StoredItem, { view, clock }: ItemRunDependencies): boolean {
-  return view.blockedPrompts.find(judgedPartIds(item, true), clock.monotonicMs()) !== undefined;
+/** An item is judged by the parts of its prompt only: whatever crashed under it, it is still owed. */
+function isPromptBlocked({ sharedPartIds = [] }: StoredItem, { view, clock }: ItemRunDependencies): boolean {
+  return view.blockedPrompts.refuses({ sharedPartIds }, clock.monotonicMs());
 }
 
 /**
@@ -169,7 +162,7 @@
     costTokens: request.item.tokens,
     deadlineUnixMs: request.dueAtUnixMs,
     prefixDigest: '',
-    sharedPartIds: judgedPartIds(request.item, request.excludedReplicaIds.length > 0),
+    sharedPartIds: request.item.sharedPartIds,
     excludedReplicaIds: request.excludedReplicaIds,
     softwareVersion,
     resumable: true,
@@ -287,7 +280,8 @@
 function attemptEndOf(end: UpstreamEnd, verdict: ItemRunOutcome, brokenByReplica: boolean): AttemptEnd {
   if (verdict === ItemRunOutcome.done) return AttemptEnd.completed;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
-  return brokenByReplica && end.kind === UpstreamEndKind.broken ? AttemptEnd.broken : AttemptEnd.cancelled;
+  if (brokenByReplica && end.kind === UpstreamEndKind.broken) return AttemptEnd.broken;
+  return end.kind === UpstreamEndKind.unusable ? AttemptEnd.unusable : AttemptEnd.cancelled;
 }
 
 /** Appends the events of one run to the output. Interrupts the run when an event id is not the next one. */
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -186,7 +186,10 @@
 
   private isPromptBlocked(): boolean {
     const { view, clock } = this.dependencies;
-    return view.blockedPrompts.find(this.request.sharedPartIds, clock.monotonicMs()) !== undefined;
+    return view.blockedPrompts.refuses(
+      { sharedPartIds: this.request.sharedPartIds, requestDigest: this.requestDigest },
+      clock.monotonicMs(),
+    );
   }
 
   private demand(): SlotDemand {
@@ -205,6 +208,7 @@
       deadlineUnixMs: (this.runs > 0 ? this.deadlineMs : queueDeadlineMs) + offsetMs,
       prefixDigest: request.prefixDigest,
       sharedPartIds: request.sharedPartIds,
+      requestDigest: this.requestDigest,
       excludedReplicaIds: this.excluded,
       softwareVersion: this.origin?.softwareVersion,
       resumable: route.resumable,
@@ -393,6 +397,7 @@
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
   if (end.kind === UpstreamEndKind.cancelled) return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.broken) return AttemptEnd.broken;
+  if (end.kind === UpstreamEndKind.unusable) return AttemptEnd.unusable;
   if (reportedNotRun) return status === MISDIRECTED_STATUS ? AttemptEnd.refused : AttemptEnd.cancelled;
   return status >= FIRST_SERVER_ERROR_STATUS ? AttemptEnd.cancelled : AttemptEnd.completed;
 }
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -117,8 +117,10 @@
   complete: 'complete',
   /** Nothing was sent, because no connection could be established or `mayBegin` returned false then. */
   notConnected: 'not_connected',
-  /** The connection broke, a stream ended inside an event, or the response that arrived was not for this request. */
+  /** The connection broke, or a stream ended inside an event. */
   broken: 'broken',
+  /** The response was not for this request, or does not end. */
+  unusable: 'unusable',
   /** The call was aborted through its signal. */
   cancelled: 'cancelled',
 } as const;
@@ -144,7 +146,7 @@
 
 /** The end of a call that was aborted because the response exceeds what a replica's response may hold. */
 export const ENDLESS_RESPONSE: UpstreamEnd = {
-  kind: UpstreamEndKind.broken,
+  kind: UpstreamEndKind.unusable,
   detail: 'the response does not end',
 };
 
