--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -11,7 +11,14 @@
   RequestLimitReport,
   RequestLimits,
 } from '@fighub/decisions';
-import { DisconnectedHolders, MemberState, PoolScheduler, PromptFinding, ownerOf } from '@fighub/decisions';
+import {
+  AttemptEnd,
+  DisconnectedHolders,
+  MemberState,
+  PoolScheduler,
+  PromptFinding,
+  ownerOf,
+} from '@fighub/decisions';
 import type {
   AcquireBody,
   GrantedBody,
@@ -170,7 +177,9 @@
     // Applied first, since a limit is compared with the time at which its permit was granted.
     if (pool) limits?.forEach((report) => this.observeLimit(pool, report, nowMs));
     reports.forEach((report) => {
+      const permit = pool?.permits.get(report.permitId);
       pool?.release(report, nowMs);
+      if (pool && permit) this.logPause(pool, permit, report.end, nowMs);
       this.sampleSlotFreedTime(report.permitId);
     });
     loads.forEach((report) => pool?.observeLoad(report, nowMs));
@@ -178,6 +187,25 @@
     this.wake();
   }
 
+  /** Logs on whose report a replica gets no work for a while. */
+  private logPause(
+    pool: PoolScheduler,
+    { replicaId, request }: Permit,
+    end: AttemptEnd,
+    nowMs: number,
+  ): void {
+    const pausedForMs = pool.replicas.get(replicaId)?.health.pausedForMs(nowMs) ?? 0;
+    if (pausedForMs === 0 || end === AttemptEnd.cancelled) return;
+    this.metrics.count('replica_pauses', 1, [end]);
+    this.log?.record(LogCategory.failure, 'replica_paused', {
+      poolId: pool.poolId,
+      replicaId,
+      holder: request.holder,
+      end,
+      forMs: Math.round(pausedForMs),
+    });
+  }
+
   private observeLimit(
     pool: PoolScheduler,
     { replicaId, permitId, requestsPerSecond }: RequestLimitReport,
--- a/packages/decisions/src/replica-health.ts
+++ b/packages/decisions/src/replica-health.ts
@@ -44,6 +44,11 @@
     return nowMs >= this.pausedUntilMs;
   }
 
+  /** How much longer the replica is paused, in milliseconds; 0 when it is not. */
+  pausedForMs(nowMs: number): number {
+    return Math.max(0, this.pausedUntilMs - nowMs);
+  }
+
   /** Whether the replica has failed since its last success, so that it may run only one stream, as a probe. */
   get onProbation(): boolean {
     return this.failures > 0;
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -225,6 +225,7 @@
     end: wasBlocked ? AttemptEnd.cancelled : attemptEndOf(end, verdict, brokenByReplica),
     tokens: listener.events,
   });
+  if (end.kind === UpstreamEndKind.notConnected) dependencies.metrics.count('attempts_not_connected');
   if (end.kind === UpstreamEndKind.broken && listener.events === 0)
     dependencies.metrics.count('attempts_broken_before_first_event');
   dependencies.metrics.count(`batch_runs_${preempted ? 'given_way' : verdict}`);
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -361,6 +361,7 @@
     const { status } = attempt;
     const { firstTokenMs } = attempt.timing();
     const failed = end.kind !== UpstreamEndKind.complete || status >= 300;
+    if (end.kind === UpstreamEndKind.notConnected) this.dependencies.metrics.count('attempts_not_connected');
     if (end.kind === UpstreamEndKind.broken && attempt.events === 0)
       this.dependencies.metrics.count('attempts_broken_before_first_event');
     this.dependencies.log.record(
