--- a/packages/lab/src/child-process.ts
+++ b/packages/lab/src/child-process.ts
@@ -24,11 +24,16 @@
 
   /**
    * Starts a Node.js program and waits until it is ready. Rejects with the lines of standard error when the process
-   * exits before that or is not ready within the time-out.
+   * exits before that or is not ready within the time-out. `nodeArgs` are passed to Node.js itself.
    */
-  static start(name: string, program: string, args: readonly string[]): Promise<FleetProcess> {
+  static start(
+    name: string,
+    program: string,
+    args: readonly string[],
+    nodeArgs: readonly string[] = [],
+  ): Promise<FleetProcess> {
     // DEP0111 is a deprecation warning about process.binding(), which a dependency calls.
-    const child = spawn(process.execPath, ['--disable-warning=DEP0111', program, ...args], {
+    const child = spawn(process.execPath, ['--disable-warning=DEP0111', ...nodeArgs, program, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     return new Promise((resolve, reject) => {
