Relay requests through other instances when this one has lost its paths to the replicas

Callers: while a site's instances were cut off from all replicas, next to none of their first tries were served, and far fewer of those at the others too.

Cause: an instance could send to replicas from its own address only, and took each failed connection for a sign of the replica, never of its own path. So it went on to ask for slots that it could not use, and its reports had the owner of the pool pause the replicas for the whole fleet.

Change: failures at two replicas with no connection in between are taken for a loss of the instance's paths (decisions/upstream-paths). From then on requests go through another instance that reaches the replicas (decisions/relay-choice, serving/relay), over the connections between instances, in numbered parts with a window for what the caller has not read; the permit stays with the holder. A request whose failure shows the loss is relayed at once. The instance connects to replicas that others reach now and then, and sends directly again after two connections in a row. A replica that only others reach is relayed to by itself. Ends of attempts say nothing about the replica while the paths are lost.

--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -103,7 +103,7 @@
     nodes = new ProxiedNodes();
     const address = await nodes.start();
     await nodes.dialling.request(address, 'swim.members', {}, TIMEOUT_MS);
-    const closed = new Promise<void>((resolve) => nodes.dialling.onOutboundClosed(resolve));
+    const closed = new Promise<void>((resolve) => nodes.dialling.onOutboundClosed(() => resolve()));
     nodes.isSilent = true;
     nodes.dialling.notify(address, 'job.offered', { jobId: 'j' });
     await closed;
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -9,6 +9,7 @@
 import type {
   MemberUpdate,
   PoolLoad,
+  RelayState,
   ReleaseReport,
   ReplicaCrashReport,
   ReplicaLoadReport,
@@ -195,6 +196,56 @@
   readonly outcome: unknown;
 }
 
+/** A request to a replica that the receiver sends on behalf of the holder of the slot. */
+export interface RelayCallBody {
+  /** Unique among the calls of the holder. */
+  readonly callId: string;
+  /** Instance that receives the response in `relay.part` notices. */
+  readonly holder: string;
+  readonly replicaId: string;
+  readonly address: string;
+  readonly requestId: string;
+  readonly method: string;
+  readonly host: string;
+  readonly target: string;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Uint8Array;
+  /** Time left for the request, in milliseconds; omitted for no limit. */
+  readonly leftMs?: number;
+  /** Id of the last event that was received, to resume a stream after it. */
+  readonly resumeAfter?: number;
+}
+
+/** Status and headers of a replica's response, as `UpstreamHead` of the `serving` package. */
+export interface RelayedHead {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly framing: string;
+  readonly notRun: boolean;
+  readonly load?: { readonly running: number; readonly waiting: number };
+  readonly requestsPerSecond?: number;
+}
+
+/** How a relayed call ended, as `UpstreamEnd` of the `serving` package. */
+export interface RelayedEnd {
+  readonly kind: string;
+  readonly detail: string;
+  /** Whether the relay could not connect to the replica; omitted if not. */
+  readonly unreachable?: boolean;
+}
+
+/** A part of the response to a relayed call. Each notice has one of the optional fields. */
+export interface RelayPartBody {
+  readonly callId: string;
+  /** Number of earlier parts of the response. */
+  readonly index: number;
+  /** Id of the replica that responds and states that it is leaving. */
+  readonly leavingReplicaId?: string;
+  readonly head?: RelayedHead;
+  readonly data?: Uint8Array;
+  readonly end?: RelayedEnd;
+}
+
 /** Body of a ping and of the response to it: the sender, membership updates, and digests of what the sender knows. */
 export interface PingBody {
   readonly from: MemberUpdate;
@@ -217,6 +268,10 @@
   /** Where a stream began that its caller resumes; the origin is omitted when it is not known. */
   'stream.origin': { body: { requestId: string }; answer: { origin?: StreamOrigin } };
   'store.call': { body: StoreCall; answer: StoreCallResponse };
+  /** Whether the responding instance relays requests to replicas. */
+  'relay.state': { body: Record<string, never>; answer: RelayState };
+  /** Relays a request to a replica. It is not sent if the call is not accepted. */
+  'relay.call': { body: RelayCallBody; answer: { accepted: boolean } };
   'job.results': { body: JobResultsBody; answer: JobResultsResponse };
   /** Whether the responding instance still runs the request with this idempotency key. */
   'once.state': { body: { key: string }; answer: { running: boolean } };
@@ -236,6 +291,11 @@
   'permit.progress': { poolId: string; permitId: string };
   /** What the owner of a pool has observed. The coordinators pass it on with their views. */
   'replicas.observed': ObservationsBody;
+  'relay.part': RelayPartBody;
+  /** The holder has passed on this many more bytes of a relayed response. */
+  'relay.read': { callId: string; holder: string; bytes: number };
+  /** The holder no longer wants the response to a relayed call. */
+  'relay.cancel': { callId: string; holder: string };
   'table.push': { bucket: TableBucket };
   'stream.begun': { streams: readonly BegunStream[] };
   'job.cancelled': { jobId: string };
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -64,7 +64,7 @@
   private readonly requestHandlers = new Map<string, (body: unknown) => unknown>();
   private readonly noticeHandlers = new Map<string, (body: unknown) => void>();
   private readonly inboundClosedListeners: ((instanceId: string) => void)[] = [];
-  private readonly outboundClosedListeners: (() => void)[] = [];
+  private readonly outboundClosedListeners: ((address: string) => void)[] = [];
   private server: Server | undefined;
   private nextCallId = 1;
   private closedTraffic: PeerTraffic = { bytesSent: 0, bytesReceived: 0 };
@@ -94,10 +94,10 @@
   }
 
   /**
-   * Registers a listener for closed outbound connections. Messages that were sent over such a connection may not have
-   * arrived.
+   * Registers a listener for closed outbound connections, which receives the peer's address. Messages that were sent over
+   * such a connection may not have arrived.
    */
-  onOutboundClosed(listener: () => void): void {
+  onOutboundClosed(listener: (address: string) => void): void {
     this.outboundClosedListeners.push(listener);
   }
 
@@ -233,7 +233,7 @@
     [...this.pending.values()]
       .filter((call) => call.address === address)
       .forEach((call) => call.finish(fail(reason)));
-    this.outboundClosedListeners.forEach((listener) => listener());
+    this.outboundClosedListeners.forEach((listener) => listener(address));
   }
 
   /**
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -244,6 +244,7 @@
     status: listener.status,
     end: end.kind,
     detail: end.detail,
+    relayedBy: end.relayedBy,
     verdict,
     givenWay: preempted,
     ranMs: Math.round(dependencies.clock.monotonicMs() - startedMs),
@@ -280,6 +281,7 @@
 
 function attemptEndOf(end: UpstreamEnd, verdict: ItemRunOutcome, brokenByReplica: boolean): AttemptEnd {
   if (verdict === ItemRunOutcome.done) return AttemptEnd.completed;
+  if (end.pathsLost) return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
   if (brokenByReplica && end.kind === UpstreamEndKind.broken) return AttemptEnd.broken;
   return end.kind === UpstreamEndKind.unusable ? AttemptEnd.unusable : AttemptEnd.cancelled;
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -376,6 +376,7 @@
         resumedRequestId: this.request.resumedRequestId,
         end: end.kind,
         detail: end.detail,
+        relayedBy: end.relayedBy,
         status,
         evidence,
         heldMs: Math.round(sent.sentAtMs - this.request.arrivedAtMs),
@@ -395,6 +396,7 @@
 }
 
 function attemptEndOf(end: UpstreamEnd, reportedNotRun: boolean, status: number): AttemptEnd {
+  if (end.pathsLost) return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
   if (end.kind === UpstreamEndKind.cancelled) return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.broken) return AttemptEnd.broken;
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -130,6 +130,12 @@
 export interface UpstreamEnd {
   readonly kind: UpstreamEndKind;
   readonly detail: string;
+  /** Whether no connection to the replica could be established; absent if one was, or if none was attempted. */
+  readonly unreachable?: boolean;
+  /** Whether the failure says nothing about the replica, since this instance has lost its paths to all replicas. */
+  readonly pathsLost?: boolean;
+  /** Instance that relayed the call; absent for a direct one. */
+  readonly relayedBy?: string;
 }
 
 /**
@@ -155,3 +161,9 @@
   /** Never rejects. Aborting `signal` closes the connection at once. */
   send(call: UpstreamCall, listener: UpstreamListener, signal: AbortSignal): Promise<UpstreamEnd>;
 }
+
+/** Sends requests to replicas from this instance, and checks whether it reaches them. */
+export interface DirectTransport extends UpstreamTransport {
+  /** Whether a connection to `address` can be established. It is closed at once; no request is sent. */
+  probe(address: string): Promise<boolean>;
+}
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -17,10 +17,13 @@
 import { JobAcceptance } from './batch/job-acceptance.js';
 import { JobReader } from './batch/job-reader.js';
 import { JobRunner } from './batch/job-runner.js';
-import type { UpstreamTransport } from './online/forwarding.js';
+import type { DirectTransport } from './online/forwarding.js';
 import type { ForwardDependencies } from './online/forward-runner.js';
 import { ForwardRunner } from './online/forward-runner.js';
 import type { FleetSource } from './routing/fleet-source.js';
+import { RelayClient } from './relay/relay-client.js';
+import { RelayServer } from './relay/relay-server.js';
+import { RelayedTransport } from './relay/relayed-transport.js';
 import { RelayedStore } from './relayed-store.js';
 import { StreamOriginExchange } from './online/stream-origin-exchange.js';
 import { FleetView } from './routing/fleet-view.js';
@@ -35,7 +38,7 @@
   readonly keyValueService: KeyValueService;
   readonly fleetSource: FleetSource;
   readonly instanceList: InstanceList;
-  readonly transport: UpstreamTransport;
+  readonly transport: DirectTransport;
 }
 
 /**
@@ -68,6 +71,8 @@
   origins: token<StreamOriginExchange>('origins'),
   leavingAnnouncements: token<LeavingAnnouncements>('leavingAnnouncements'),
   observations: token<ObservationExchange>('observations'),
+  transport: token<RelayedTransport>('transport'),
+  relayServer: token<RelayServer>('relayServer'),
   runner: token<ForwardRunner>('runner'),
   inputs: token<InputCache>('inputs'),
   backlog: token<BacklogView>('backlog'),
@@ -249,6 +254,25 @@
         get(Tokens.node),
       ),
   );
+  bindPart(container, Tokens.transport, (get) => relayedTransport(get));
+  bindPart(
+    container,
+    Tokens.relayServer,
+    (get) =>
+      new RelayServer(
+        {
+          direct: get(Tokens.transport).observed,
+          view: get(Tokens.view),
+          leavingAnnouncements: get(Tokens.leavingAnnouncements),
+          members: () => get(Tokens.membership),
+          node: get(Tokens.node),
+          clock: get(Tokens.clock),
+          metrics: get(Tokens.metrics),
+          log: get(Tokens.log),
+        },
+        () => get(Tokens.transport).arePathsLost,
+      ),
+  );
   bindPart(container, Tokens.runner, (get) => new ForwardRunner(runDependencies(get)));
 }
 
@@ -265,11 +289,30 @@
   );
 }
 
+function relayedTransport(get: GetPart): RelayedTransport {
+  const self = get(Tokens.self);
+  const client = new RelayClient({
+    selfId: () => self.instanceId,
+    failureDomain: () => self.failureDomain,
+    members: () => get(Tokens.membership),
+    node: get(Tokens.node),
+    clock: get(Tokens.clock),
+    metrics: get(Tokens.metrics),
+  });
+  return new RelayedTransport({
+    direct: get(Tokens.adapters).transport,
+    client,
+    clock: get(Tokens.clock),
+    metrics: get(Tokens.metrics),
+    log: get(Tokens.log),
+  });
+}
+
 function runDependencies(get: GetPart): ForwardDependencies & ItemRunDependencies {
   return {
     view: get(Tokens.view),
     permits: get(Tokens.permits),
-    transport: get(Tokens.adapters).transport,
+    transport: get(Tokens.transport),
     origins: get(Tokens.origins),
     leavingAnnouncements: get(Tokens.leavingAnnouncements),
     clock: get(Tokens.clock),
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -107,6 +107,7 @@
   private close(): Promise<void> {
     if (!this.stopping) {
       this.stopping = true;
+      this.container.get(Tokens.relayServer).refuseNewCalls();
       const { graceMs } = this.settings.shutdown;
       this.stopByMs = performance.now() + graceMs - STOP_MARGIN_MS;
       this.container.get(Tokens.log).record(LogCategory.state, 'instance_stopping', {
@@ -153,6 +154,7 @@
         jobs,
         container.get(Tokens.origins),
         observations,
+        container.get(Tokens.transport),
         new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
       ],
       TICK_PERIODS,
@@ -169,6 +171,7 @@
         tick.stop();
       },
     });
+    await this.lifeCycle.start(container.get(Tokens.relayServer));
     await this.lifeCycle.start({ name: 'jobs', drain: () => jobs.drain() });
   }
 
@@ -212,6 +215,7 @@
       pools: container.get(Tokens.host).dump(),
       permits: container.get(Tokens.permits).dump(),
       direct: container.get(Tokens.direct).dump(),
+      replicaPaths: container.get(Tokens.transport).dump(),
       streamOrigins: container.get(Tokens.origins).dump(),
       jobs: container.get(Tokens.jobs).dump(),
       store: container.get(Tokens.store).dump(),
