Do not leave a resumable stream whose replica is silent for a second

Callers: their streams began again at another replica, and ran twice, although the first replica went on. A sound replica may fall silent for a second or so; a stream was left after 900 ms without a byte. Now it is left after 1.4 s, which leaves 0.6 s until callers leave. The test, with a pause of 1.2 s, failed before with three runs. Whole streams of dead replicas are resumed 0.5 s later.

--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -16,8 +16,11 @@
   UpstreamListener,
 } from './forwarding.js';
 
-/** A resumable stream that exceeds these limits is resumed at another replica. */
-const STALL_LIMITS = { silenceMs: 900, eventGapMs: 1_800 };
+/**
+ * A resumable stream that exceeds these limits is resumed at another replica. A sound replica may be silent for a second or
+ * so, and callers leave after two seconds without an event.
+ */
+const STALL_LIMITS = { silenceMs: 1_400, eventGapMs: 1_800 };
 /** Longest response that is kept until it is complete, in bytes. */
 const MAX_BUFFERED_RESPONSE_BYTES = 16 * 1_048_576;
 const FIRST_NON_SUCCESS_STATUS = 300;
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -18,6 +18,9 @@
   crossed: number;
   /** Number of following requests whose response sends single bytes now and then after the third event. */
   stall: number;
+  /** Number of following requests whose response pauses after the third event, and for how long. */
+  pause: number;
+  pauseMs: number;
   /** HTTP status with which every request fails after it has started to run; 0 to respond with an event stream. */
   status: number;
   /** Whether all responses state that the replica is leaving. */
@@ -80,6 +83,8 @@
     unframed: 0,
     crossed: 0,
     stall: 0,
+    pause: 0,
+    pauseMs: 0,
     status: 0,
     leaving: false,
     crashPartId: '',
@@ -182,6 +187,7 @@
     }
     const breaksOff = consumeFault(this.faults, 'breakOff');
     const stalls = consumeFault(this.faults, 'stall');
+    const pauses = consumeFault(this.faults, 'pause');
     if (consumeFault(this.faults, 'unframed')) res.removeHeader('Transfer-Encoding');
     res.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' });
     const crashes = this.crashesUnder(run);
@@ -197,6 +203,8 @@
         return;
       }
       if (stalls && index === run.resumeAfter + 4) return this.stall(run, res);
+      if (pauses && index === run.resumeAfter + 4)
+        await new Promise((resolve) => setTimeout(resolve, this.faults.pauseMs));
       res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index, this.softwareVersion)}\n\n`);
       run.writtenEvents += 1;
       if (crashes && run.writtenEvents === this.faults.crashAfterEvents) {
@@ -225,7 +233,7 @@
 
 function consumeFault(
   faults: ReplicaFaults,
-  name: 'refuse' | 'breakOff' | 'unframed' | 'crossed' | 'stall',
+  name: 'refuse' | 'breakOff' | 'unframed' | 'crossed' | 'stall' | 'pause',
 ): boolean {
   if (faults[name] === 0) return false;
   faults[name] -= 1;
