Ask a relay again as soon as its last answer is too old

A relay whose answer was 1.5 to 2 s old was neither used nor asked again, so that requests to a replica that only others reach were sent directly for half a second. The test failed before.

--- a/packages/decisions/src/relay-choice.test.ts
+++ b/packages/decisions/src/relay-choice.test.ts
@@ -88,7 +88,8 @@
     expect(choice.toAsk(2_000).sort()).toEqual(['i1', 'i2']);
     choice.onState('i1', FREE, 2_000);
     expect(choice.choose([], 2_000)).toBe('i1');
-    expect(choice.choose([], 4_000)).toBeUndefined();
+    expect(choice.choose([], 3_600)).toBeUndefined();
+    expect(choice.toAsk(3_600)).toContain('i1');
   });
 
   it('never chooses this instance, or one that is no member any more', () => {
--- a/packages/decisions/src/relay-choice.ts
+++ b/packages/decisions/src/relay-choice.ts
@@ -60,10 +60,12 @@
   toAsk(nowMs: number): string[] {
     const ids = this.ranked?.ids ?? [];
     const available = ids.filter((id) => this.isAvailable(id, nowMs));
-    const due = available.slice(0, WANTED_RELAYS).filter((id) => this.ageOf(id, nowMs) >= REFRESH_PERIOD_MS);
-    if (available.length >= WANTED_RELAYS) return due;
-    const unknown = ids.filter((id) => !available.includes(id) && this.ageOf(id, nowMs) >= ASK_AGAIN_MS);
-    return [...due, ...unknown.slice(0, ASKED_AT_ONCE)];
+    const isDue = (id: string): boolean => this.isDue(id, nowMs);
+    const others = available.length < WANTED_RELAYS ? ids.filter((id) => !available.includes(id)) : [];
+    return [
+      ...available.slice(0, WANTED_RELAYS).filter(isDue),
+      ...others.filter(isDue).slice(0, ASKED_AT_ONCE),
+    ];
   }
 
   /** Whether a relay is known to be available. */
@@ -101,6 +103,11 @@
     );
   }
 
+  private isDue(instanceId: string, nowMs: number): boolean {
+    const periodMs = this.states.get(instanceId)?.available ? REFRESH_PERIOD_MS : ASK_AGAIN_MS;
+    return this.ageOf(instanceId, nowMs) >= periodMs;
+  }
+
   private ageOf(instanceId: string, nowMs: number): number {
     return nowMs - (this.states.get(instanceId)?.atMs ?? Number.NEGATIVE_INFINITY);
   }
