--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -1,3 +1,4 @@
 /** Local fleets of real processes for experiments and tests. */
 export * from './child-process.js';
 export * from './fleet.js';
+export * from './random.js';
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -98,6 +98,8 @@
   onCrash: () => void = () => undefined;
   /** When each request reached the replica, also those that it refused, in the time of `performance.now()`. */
   readonly receivedAtMs: number[] = [];
+  /** Whether the crash was caused by a request. */
+  crashedByRequest = false;
   /** Highest number of requests that ran at the same time. */
   peakConcurrency = 0;
   private readonly openResponses = new Set<ServerResponse>();
@@ -127,7 +129,7 @@
   }
 
   /** Closes all connections and accepts no more, like a process that has ended. */
-  private crash(): void {
+  crash(): void {
     if (this.crashedAtMs !== undefined) return;
     this.crashedAtMs = performance.now();
     this.server?.close();
@@ -172,6 +174,11 @@
     await this.answer(run, res);
   }
 
+  private crashByRequest(): void {
+    this.crashedByRequest ||= this.crashedAtMs === undefined;
+    this.crash();
+  }
+
   private crashesUnder({ promptPartIds, body }: ReplicaRun): boolean {
     const { crashPartId, crashBody } = this.faults;
     return promptPartIds.includes(crashPartId) || (crashBody !== '' && body === crashBody);
@@ -194,7 +201,7 @@
     if (crashes && this.faults.crashAfterEvents === 0) {
       res.flushHeaders();
       await new Promise((resolve) => setTimeout(resolve, CRASH_DELAY_MS));
-      this.crash();
+      this.crashByRequest();
       return;
     }
     for (let index = run.resumeAfter + 1; index <= this.eventCount && !run.closed; index += 1) {
@@ -208,7 +215,7 @@
       res.write(`id: ${String(index)}\ndata: ${eventData(run.requestId, index, this.softwareVersion)}\n\n`);
       run.writtenEvents += 1;
       if (crashes && run.writtenEvents === this.faults.crashAfterEvents) {
-        this.crash();
+        this.crashByRequest();
         return;
       }
       await new Promise((resolve) => setTimeout(resolve, this.eventMs));
