--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -1,6 +1,6 @@
 /** Admission without the owner of a pool, by this instance's own view of the replicas. */
-import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
-import { fail, notRun, ok } from '@fighub/core';
+import type { Clock, DecisionLog, Metrics, Outcome, Problem } from '@fighub/core';
+import { LogCategory, fail, notRun, ok } from '@fighub/core';
 import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
 import { AttemptEnd, ReplicaHealth, RequestCrashes, RequestRate, instancesSharing } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
@@ -62,9 +62,14 @@
     private readonly conservative: boolean,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
+    log?: DecisionLog,
   ) {
-    this.requestCrashes = new RequestCrashes(catalogue.blockedPrompts, (finding) =>
-      metrics.count(`prompts_${finding}`),
+    this.requestCrashes = new RequestCrashes(
+      catalogue.blockedPrompts,
+      (finding, { partIds, replicaIds, blockCount }) => {
+        metrics.count(`prompts_${finding}`);
+        log?.record(LogCategory.state, `prompt_${finding}`, { partIds, replicaIds, blockCount });
+      },
     );
   }
 
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -189,6 +189,7 @@
         true,
         get(Tokens.clock),
         get(Tokens.metrics),
+        get(Tokens.log),
       ),
   );
   bindPart(
