Send nothing through a relay once the caller has left

A call whose caller left while a relay was chosen was cancelled there first and then made, so that the replica ran it for nobody. The test failed before. Names of the relay client and of the paths, and what their state holds, follow the conventions.

--- a/packages/decisions/src/upstream-paths.test.ts
+++ b/packages/decisions/src/upstream-paths.test.ts
@@ -46,7 +46,7 @@
     const times = probeTimes(paths, 3_000, (nowMs) => nowMs >= 2_000);
     expect(times.length).toBeLessThanOrEqual(8);
     expect(paths.areLost).toBe(false);
-    expect(paths.lastLossMs).toBeLessThan(2_800);
+    expect(times.at(-1)).toBeLessThan(2_800);
     expect(paths.wayTo('b', 3_000)).toBe('direct');
     expect(probeTimes(paths, 20_000, () => true)).toEqual([]);
   });
@@ -63,7 +63,7 @@
     const lossesMs: number[] = [];
     for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
       const probe = paths.takeProbe(nowMs);
-      if (!probe || !paths.onProbed(probe, true, nowMs)) continue;
+      if (!probe || paths.onProbed(probe, true, nowMs) === undefined) continue;
       lossesMs.push(nowMs);
       ['a', 'b'].forEach((id) => paths.onFailed(target(id), nowMs + 1));
     }
--- a/packages/decisions/src/upstream-paths.ts
+++ b/packages/decisions/src/upstream-paths.ts
@@ -15,8 +15,8 @@
 } as const;
 export type UpstreamWay = (typeof UpstreamWay)[keyof typeof UpstreamWay];
 
-/** A replica to which a connection is made, to find out whether this instance reaches the replicas again. */
-export interface ProbeTarget {
+/** A replica and where it listens. */
+export interface ReplicaAddress {
   readonly replicaId: string;
   readonly address: string;
 }
@@ -56,24 +56,19 @@
   private readonly failed = new Map<string, FailedPath>();
   private lastConnectedAtMs = Number.NEGATIVE_INFINITY;
   private lostAtMs: number | undefined;
-  private lastLossDurationMs = 0;
   private regainedAtMs = Number.NEGATIVE_INFINITY;
   private nextProbeMs = Number.POSITIVE_INFINITY;
-  private probePeriodMs = PROBE_PERIOD_MS;
+  /** How many times in a row the paths were lost again soon after they had been regained. */
+  private relapses = 0;
   private connectionsInARow = 0;
   /** Replicas that other instances reached lately, the one that was probed longest ago first. */
-  private readonly relayed = new Map<string, ProbeTarget>();
+  private readonly relayed = new Map<string, ReplicaAddress>();
 
   /** Whether this instance is taken to reach no replica. */
   get areLost(): boolean {
     return this.lostAtMs !== undefined;
   }
 
-  /** How long the paths were lost the last time, in milliseconds. */
-  get lastLossMs(): number {
-    return this.lastLossDurationMs;
-  }
-
   /** Ids of the replicas that could not be reached lately. */
   get failedReplicaIds(): string[] {
     return [...this.failed.keys()];
@@ -88,22 +83,25 @@
     return isRelayed ? UpstreamWay.relayed : UpstreamWay.direct;
   }
 
-  /** Records that a connection to a replica was established. Returns whether the paths were regained by this. */
-  onConnected(replicaId: string, nowMs: number): boolean {
+  /**
+   * Records that a connection to a replica was established. If the paths are regained by this, returns when they were lost,
+   * in monotonic time.
+   */
+  onConnected(replicaId: string, nowMs: number): number | undefined {
     this.failed.delete(replicaId);
     this.lastConnectedAtMs = nowMs;
     this.connectionsInARow += 1;
-    if (this.lostAtMs === undefined || this.connectionsInARow < CONNECTIONS_TO_REGAIN) return false;
-    this.lastLossDurationMs = nowMs - this.lostAtMs;
+    const { lostAtMs } = this;
+    if (lostAtMs === undefined || this.connectionsInARow < CONNECTIONS_TO_REGAIN) return undefined;
     this.lostAtMs = undefined;
     this.regainedAtMs = nowMs;
     this.nextProbeMs = Number.POSITIVE_INFINITY;
     this.failed.clear();
-    return true;
+    return lostAtMs;
   }
 
   /** Records that no connection to a replica could be established. Returns whether the paths were lost by this. */
-  onFailed({ replicaId, address }: ProbeTarget, nowMs: number): boolean {
+  onFailed({ replicaId, address }: ReplicaAddress, nowMs: number): boolean {
     this.connectionsInARow = 0;
     const path = this.pathOf(replicaId, nowMs);
     this.failed.set(replicaId, {
@@ -119,7 +117,7 @@
   }
 
   /** Records that another instance has reached a replica for this one. */
-  onRelayed(target: ProbeTarget, nowMs: number): void {
+  onRelayed(target: ReplicaAddress, nowMs: number): void {
     this.relayed.set(target.replicaId, target);
     if (this.relayed.size > MAX_RELAYED_TARGETS) this.dropFirstRelayed();
     const path = this.failed.get(target.replicaId);
@@ -137,22 +135,22 @@
   }
 
   /** The replica to connect to now; undefined while nothing is to be probed. The next probe follows after its result. */
-  takeProbe(nowMs: number): ProbeTarget | undefined {
+  takeProbe(nowMs: number): ReplicaAddress | undefined {
     if (nowMs < this.nextProbeMs) return undefined;
     this.nextProbeMs = Number.POSITIVE_INFINITY;
     return this.areLost ? this.probeTarget() : this.relayedPath(nowMs);
   }
 
-  /** Records the result of a probe. Returns whether the paths were regained by it. */
-  onProbed(target: ProbeTarget, connected: boolean, nowMs: number): boolean {
-    const regained = connected && this.onConnected(target.replicaId, nowMs);
+  /** Records the result of a probe. Returns the same as `onConnected`. */
+  onProbed(target: ReplicaAddress, connected: boolean, nowMs: number): number | undefined {
+    const lostAtMs = connected ? this.onConnected(target.replicaId, nowMs) : undefined;
     if (!connected) {
       this.relayed.delete(target.replicaId);
       this.onFailed(target, nowMs);
     }
     if (this.areLost || this.relayedPath(nowMs))
       this.nextProbeMs = nowMs + (connected ? REPEATED_PROBE_DELAY_MS : this.probePeriodMs);
-    return regained;
+    return lostAtMs;
   }
 
   dump(nowMs: number): Record<string, unknown> {
@@ -163,6 +161,10 @@
     };
   }
 
+  private get probePeriodMs(): number {
+    return Math.min(MAX_PROBE_PERIOD_MS, PROBE_PERIOD_MS * 2 ** this.relapses);
+  }
+
   /** Number of replicas that could not be reached since the last connection was established. */
   private failedSinceSuccess(nowMs: number): number {
     this.forgetOld(nowMs);
@@ -171,14 +173,13 @@
   }
 
   private lose(nowMs: number): void {
-    const isRelapse = nowMs - this.regainedAtMs < RELAPSE_MS;
-    this.probePeriodMs = isRelapse ? Math.min(MAX_PROBE_PERIOD_MS, this.probePeriodMs * 2) : PROBE_PERIOD_MS;
+    this.relapses = nowMs - this.regainedAtMs < RELAPSE_MS ? this.relapses + 1 : 0;
     this.lostAtMs = nowMs;
-    this.nextProbeMs = nowMs + (isRelapse ? this.probePeriodMs : FIRST_PROBE_DELAY_MS);
+    this.nextProbeMs = nowMs + (this.relapses > 0 ? this.probePeriodMs : FIRST_PROBE_DELAY_MS);
   }
 
   /** A replica that is known to be alive tells most; otherwise the one that failed longest ago is tried again. */
-  private probeTarget(): ProbeTarget | undefined {
+  private probeTarget(): ReplicaAddress | undefined {
     const [alive] = this.relayed.values();
     if (alive) {
       this.relayed.delete(alive.replicaId);
@@ -195,7 +196,7 @@
   }
 
   /** A replica that only other instances reach, while this one reaches others. */
-  private relayedPath(nowMs: number): ProbeTarget | undefined {
+  private relayedPath(nowMs: number): ReplicaAddress | undefined {
     this.forgetOld(nowMs);
     const relayed = [...this.failed].find(([, path]) => path.isReachedByRelays);
     return relayed && { replicaId: relayed[0], address: relayed[1].address };
--- a/packages/serving/src/relay/relay-client.ts
+++ b/packages/serving/src/relay/relay-client.ts
@@ -7,7 +7,6 @@
 
 import type { UpstreamCall, UpstreamEnd, UpstreamHead, UpstreamListener } from '../online/forwarding.js';
 import { BodyFraming, UpstreamEndKind } from '../online/forwarding.js';
-import { toUpstreamEnd } from './relay-server.js';
 
 const STATE_TIMEOUT_MS = 250;
 /** A relay that has not accepted a call within this time may still run it, so that the call counts as broken. */
@@ -20,8 +19,8 @@
 
 /** Components that the relay client uses. */
 export interface RelayClientDependencies {
-  readonly selfId: () => string;
-  readonly failureDomain: () => string;
+  readonly selfId: string;
+  readonly failureDomain: string;
   readonly members: () => MembershipRunner;
   readonly node: PeerNode;
   readonly clock: Clock;
@@ -31,14 +30,14 @@
 /** Calls replicas through the instances that `RelayChoice` chooses. */
 export class RelayClient {
   private readonly choice: RelayChoice;
-  private readonly calls = new Map<string, ClientCall>();
+  private readonly calls = new Map<string, PendingCall>();
   private nextCallId = 1;
   /** Questions to members that are not answered yet, by instance id. */
   private readonly asking = new Map<string, Promise<void>>();
 
   constructor(private readonly dependencies: RelayClientDependencies) {
     const { node, selfId, failureDomain } = dependencies;
-    this.choice = new RelayChoice(selfId(), failureDomain());
+    this.choice = new RelayChoice(selfId, failureDomain);
     node.onNotice('relay.part', (part) => this.calls.get(part.callId)?.onPart(part));
     node.onOutboundClosed((address) => this.failCallsVia(address));
   }
@@ -57,7 +56,7 @@
     let unreached: UpstreamEnd | undefined;
     while (triedIds.length <= MAX_UNREACHABLE_RELAYS && !signal.aborted) {
       const relayId = await this.pick(triedIds);
-      if (relayId === undefined) return unreached;
+      if (relayId === undefined || signal.aborted) return unreached;
       triedIds.push(relayId);
       const end = await this.sendVia(relayId, call, listener, signal);
       if (end && !(end.unreachable && isLost)) return end;
@@ -118,14 +117,14 @@
     if (!call.mayBegin())
       return { kind: UpstreamEndKind.notConnected, detail: 'the replica takes no more requests' };
     const callId = String(this.nextCallId++);
-    const clientCall = new ClientCall(callId, relayId, address, listener, signal, this.dependencies);
-    this.calls.set(callId, clientCall);
+    const pending = new PendingCall(callId, relayId, address, listener, signal, this.dependencies);
+    this.calls.set(callId, pending);
     this.choice.onCall(relayId, 1);
     const leftMs = call.deadlineMs === undefined ? undefined : call.deadlineMs - clock.monotonicMs();
     const { replicaId, requestId, method, host, target, headers, body, resumeAfter } = call;
     const relayed = {
       callId,
-      holder: selfId(),
+      holder: selfId,
       replicaId,
       address: call.address,
       requestId,
@@ -135,8 +134,8 @@
     };
     void node
       .request(address, 'relay.call', { ...relayed, headers, body, leftMs, resumeAfter }, ACCEPT_TIMEOUT_MS)
-      .then((answer) => clientCall.onAnswer(answer.ok ? answer.value : answer.error));
-    const end = await clientCall.ended;
+      .then((answer) => pending.onAnswer(answer.ok ? answer.value : answer.error));
+    const end = await pending.ended;
     this.calls.delete(callId);
     this.choice.onCall(relayId, -1);
     if (end === undefined) {
@@ -154,7 +153,7 @@
 }
 
 /** The holder's side of one relayed call. Passes the parts of the response to the listener in their order. */
-class ClientCall {
+class PendingCall {
   /** Resolves once; with undefined if the relay did not accept the call. */
   readonly ended: Promise<UpstreamEnd | undefined>;
   private resolve: (end: UpstreamEnd | undefined) => void = () => undefined;
@@ -218,7 +217,7 @@
     if (this.unreportedBytes < READ_STEP_BYTES && nowMs - this.reportedAtMs < READ_PERIOD_MS) return;
     node.notify(this.address, 'relay.read', {
       callId: this.callId,
-      holder: selfId(),
+      holder: selfId,
       bytes: this.unreportedBytes,
     });
     this.unreportedBytes = 0;
@@ -237,7 +236,7 @@
 
   private cancel(): void {
     const { node, selfId } = this.dependencies;
-    node.notify(this.address, 'relay.cancel', { callId: this.callId, holder: selfId() });
+    node.notify(this.address, 'relay.cancel', { callId: this.callId, holder: selfId });
   }
 
   private finish(end: UpstreamEnd | undefined): void {
@@ -253,3 +252,8 @@
     Object.values(BodyFraming).find((known) => known === head.framing) ?? BodyFraming.connection;
   return { ...head, framing };
 }
+
+function toUpstreamEnd(end: NonNullable<RelayPartBody['end']>, relayedBy: string): UpstreamEnd {
+  const kind = Object.values(UpstreamEndKind).find((known) => known === end.kind) ?? UpstreamEndKind.broken;
+  return { kind, detail: end.detail, relayedBy, ...(end.unreachable ? { unreachable: true } : {}) };
+}
--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -4,7 +4,7 @@
 import type { RelayState } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, RelayCallBody, RelayPartBody } from '@fighub/peers';
 
-import type { UpstreamEnd, UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
+import type { UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
 import { UpstreamEndKind } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
@@ -192,9 +192,3 @@
     this.sentParts += 1;
   }
 }
-
-/** Makes the ends that other instances report into those of this one. */
-export function toUpstreamEnd(end: NonNullable<RelayPartBody['end']>, relayedBy: string): UpstreamEnd {
-  const kind = Object.values(UpstreamEndKind).find((known) => known === end.kind) ?? UpstreamEndKind.broken;
-  return { kind, detail: end.detail, relayedBy, ...(end.unreachable ? { unreachable: true } : {}) };
-}
--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -83,14 +83,14 @@
     });
     nodes.push(node);
     members.push({ instanceId, peerAddress: `${HOST}:${String(await node.listen())}`, failureDomain: 'd' });
-    const self = { selfId: () => instanceId, failureDomain: () => 'd' };
+    const self = { selfId: instanceId, failureDomain: 'd' };
     const client = new RelayClient({ ...self, members: membership, node, clock, metrics });
     const path = new FakePath();
     const transport = new RelayedTransport({ direct: path, client, clock, metrics, log });
     const leaving: string[] = [];
     const server = new RelayServer(
       {
-        direct: transport.observed,
+        direct: transport.directPath,
         view: { isUsable: (id: string) => id !== 'leaving' } as unknown as FleetView,
         leavingAnnouncements: {
           onResponse: (id: string) => leaving.push(id),
@@ -238,6 +238,17 @@
     await eventually(() => relay.path.cancelled.includes('left'));
   });
 
+  it('sends nothing when the caller leaves before a relay is chosen', async () => {
+    const [holder, relay] = (await start(2)) as [Instance, Instance];
+    await cutOff(holder);
+    const caller = new AbortController();
+    const sending = send(holder, 'r', 'left', caller.signal);
+    caller.abort();
+    await sending;
+    await send(holder, 'r', 'later');
+    expect(relay.path.calls.map(({ requestId }) => requestId)).not.toContain('left');
+  });
+
   it('counts a call as possibly run when its relay is lost in the middle of the response', async () => {
     const [holder, relay] = (await start(2)) as [Instance, Instance];
     await cutOff(holder);
--- a/packages/serving/src/relay/relayed-transport.ts
+++ b/packages/serving/src/relay/relayed-transport.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
-import type { ProbeTarget } from '@fighub/decisions';
+import type { ReplicaAddress } from '@fighub/decisions';
 import { UpstreamPaths, UpstreamWay } from '@fighub/decisions';
 
 import type {
@@ -41,7 +41,7 @@
   readonly busy = false;
   private readonly paths = new UpstreamPaths();
   /** Sends directly and records what this shows about the path. Used for calls that are relayed for others. */
-  readonly observed: UpstreamTransport = {
+  readonly directPath: UpstreamTransport = {
     send: (call, listener, signal) => this.sendDirectly(call, listener, signal),
   };
 
@@ -104,7 +104,7 @@
     const observedCall: UpstreamCall = {
       ...call,
       mayBegin: () => {
-        if (this.paths.onConnected(replicaId, clock.monotonicMs())) this.logRegained();
+        this.logIfRegained(this.paths.onConnected(replicaId, clock.monotonicMs()));
         return call.mayBegin();
       },
     };
@@ -114,14 +114,14 @@
     return isFailure && this.paths.areLost ? { ...end, pathsLost: true } : end;
   }
 
-  private async probe(target: ProbeTarget): Promise<void> {
+  private async probe(target: ReplicaAddress): Promise<void> {
     const { direct, clock, metrics } = this.dependencies;
     metrics.count('replica_path_probes');
     const connected = await direct.probe(target.address);
-    if (this.paths.onProbed(target, connected, clock.monotonicMs())) this.logRegained();
+    this.logIfRegained(this.paths.onProbed(target, connected, clock.monotonicMs()));
   }
 
-  private onFailed(target: ProbeTarget, detail: string): void {
+  private onFailed(target: ReplicaAddress, detail: string): void {
     const { clock, log, metrics, client } = this.dependencies;
     if (!this.paths.onFailed(target, clock.monotonicMs())) return;
     client.refresh();
@@ -132,9 +132,11 @@
     });
   }
 
-  private logRegained(): void {
-    this.dependencies.log.record(LogCategory.state, 'replica_paths_regained', {
-      lostForMs: Math.round(this.paths.lastLossMs),
+  private logIfRegained(lostAtMs: number | undefined): void {
+    if (lostAtMs === undefined) return;
+    const { clock, log } = this.dependencies;
+    log.record(LogCategory.state, 'replica_paths_regained', {
+      lostForMs: Math.round(clock.monotonicMs() - lostAtMs),
     });
   }
 }
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -262,7 +262,7 @@
     (get) =>
       new RelayServer(
         {
-          direct: get(Tokens.transport).observed,
+          direct: get(Tokens.transport).directPath,
           view: get(Tokens.view),
           leavingAnnouncements: get(Tokens.leavingAnnouncements),
           members: () => get(Tokens.membership),
@@ -293,8 +293,8 @@
 function relayedTransport(get: GetPart): RelayedTransport {
   const self = get(Tokens.self);
   const client = new RelayClient({
-    selfId: () => self.instanceId,
-    failureDomain: () => self.failureDomain,
+    selfId: self.instanceId,
+    failureDomain: self.failureDomain,
     members: () => get(Tokens.membership),
     node: get(Tokens.node),
     clock: get(Tokens.clock),
