Bound the request bodies that an instance holds for others

200 relayed calls with bodies of 870 KB would take half of an instance's memory limit. From 32 MB on no more calls are accepted; the holder asks another instance. The test failed before (60 calls, bound 40).

--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -11,6 +11,8 @@
 
 /** Calls that one instance relays at the same time. */
 const MAX_OPEN_CALLS = 200;
+/** Bytes of their request bodies in memory, above which no more calls are accepted. */
+const MAX_BODY_BYTES = 32 * 1_048_576;
 /** Bytes of a response that are sent before the holder has confirmed that it has passed them on. */
 const SEND_WINDOW_BYTES = 262_144;
 const DRAIN_CHECK_MS = 20;
@@ -33,6 +35,7 @@
   readonly name = 'relay server';
   /** Open calls, by holder and call id. */
   private readonly calls = new Map<string, RelayedCall>();
+  private bodyBytes = 0;
   private refusing = false;
 
   constructor(
@@ -67,8 +70,8 @@
   }
 
   private state(): RelayState {
-    const available = !this.refusing && !this.arePathsLost() && this.calls.size < MAX_OPEN_CALLS;
-    return { available, openCalls: this.calls.size };
+    const hasRoom = this.calls.size < MAX_OPEN_CALLS && this.bodyBytes < MAX_BODY_BYTES;
+    return { available: !this.refusing && !this.arePathsLost() && hasRoom, openCalls: this.calls.size };
   }
 
   private accept(body: RelayCallBody): boolean {
@@ -82,7 +85,11 @@
     const key = keyOf(body.holder, body.callId);
     const call = new RelayedCall(body, holder.peerAddress, this.dependencies);
     this.calls.set(key, call);
-    void call.run().then(() => this.calls.delete(key));
+    this.bodyBytes += body.body.length;
+    void call.run().then(() => {
+      this.calls.delete(key);
+      this.bodyBytes -= body.body.length;
+    });
     return true;
   }
 
--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -314,6 +314,25 @@
     expect(relay.leaving).toEqual(['r']);
   });
 
+  it('gives a relay no more calls than its memory has room for', async () => {
+    const [holder, relay] = (await start(2)) as [Instance, Instance];
+    await cutOff(holder);
+    relay.path.respond = () => new Promise(() => undefined);
+    const caller = new AbortController();
+    const body = Buffer.alloc(870_000);
+    const isLarge = ({ requestId }: UpstreamCall): boolean => requestId.startsWith('large');
+    const largeCalls = (): number => [...holder.path.calls, ...relay.path.calls].filter(isLarge).length;
+    const sending: Promise<UpstreamEnd>[] = [];
+    for (let sent = 1; sent <= 60; sent += 1) {
+      const call = { ...callTo('r', `large${String(sent)}`), body };
+      sending.push(holder.transport.send(call, new Receiver(), caller.signal));
+      await eventually(() => largeCalls() >= sent);
+    }
+    caller.abort();
+    await Promise.all(sending);
+    expect(relay.path.calls.filter(isLarge).length).toBeLessThanOrEqual(40);
+  });
+
   it('gives a stopping relay no new calls, and waits there for those that are open', async () => {
     const [holder, relay, other] = (await start(3)) as [Instance, Instance, Instance];
     await cutOff(holder);
