--- a/packages/decisions/src/relay-choice.test.ts
+++ b/packages/decisions/src/relay-choice.test.ts
@@ -33,7 +33,7 @@
     const { members, choiceOf, ask } = fleet(330, cutIds);
     const choices = members.filter(({ instanceId }) => cutIds.has(instanceId)).map(choiceOf);
     const asked = choices.map((choice) => ask(choice, 0));
-    expect(choices.every((choice) => choice.hasRelay(0))).toBe(true);
+    expect(choices.every((choice) => choice.choose([], 0) !== undefined)).toBe(true);
     expect(asked.reduce((sum, count) => sum + count, 0) / choices.length).toBeLessThan(20);
     expect(choices.map((choice) => ask(choice, 500)).every((count) => count <= 3)).toBe(true);
   });
--- a/packages/decisions/src/relay-choice.ts
+++ b/packages/decisions/src/relay-choice.ts
@@ -68,11 +68,6 @@
     ];
   }
 
-  /** Whether a relay is known to be available. */
-  hasRelay(nowMs: number): boolean {
-    return (this.ranked?.ids ?? []).some((id) => this.isAvailable(id, nowMs));
-  }
-
   /** The available relay with the fewest calls, none of `triedIds`; undefined if there is none. */
   choose(triedIds: readonly string[], nowMs: number): string | undefined {
     const available = (this.ranked?.ids ?? []).filter(
--- a/packages/serving/src/relay/relayed-transport.ts
+++ b/packages/serving/src/relay/relayed-transport.ts
@@ -118,12 +118,17 @@
     const { direct, clock, metrics } = this.dependencies;
     metrics.count('replica_path_probes');
     const connected = await direct.probe(target.address);
+    const wereLost = this.paths.areLost;
     this.logIfRegained(this.paths.onProbed(target, connected, clock.monotonicMs()));
+    if (!wereLost && this.paths.areLost) this.onLost('a probe could not connect');
   }
 
   private onFailed(target: ReplicaAddress, detail: string): void {
-    const { clock, log, metrics, client } = this.dependencies;
-    if (!this.paths.onFailed(target, clock.monotonicMs())) return;
+    if (this.paths.onFailed(target, this.dependencies.clock.monotonicMs())) this.onLost(detail);
+  }
+
+  private onLost(detail: string): void {
+    const { log, metrics, client } = this.dependencies;
     client.refresh();
     metrics.count('replica_paths_lost');
     log.record(LogCategory.state, 'replica_paths_lost', {
