Do not take the loss of a relaying instance for a crash of the replica

When a relaying instance was killed in the middle of a response, the holder reported a broken attempt, so that the owner of the pool paused a sound replica for all and suspected the request of having crashed it: refusals that callers did not deserve. Cause: the failure of the path was reported as that of the replica. It now carries that it says nothing about the replica, and still counts as possibly run. The test failed before (no pathsLost) and passes.

--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -132,7 +132,7 @@
   readonly detail: string;
   /** Whether no connection to the replica could be established; absent if one was, or if none was attempted. */
   readonly unreachable?: boolean;
-  /** Whether the failure says nothing about the replica, since this instance has lost its paths to all replicas. */
+  /** Whether the failure says nothing about the replica: this instance has lost its paths, or the relaying instance. */
   readonly pathsLost?: boolean;
   /** Instance that relayed the call; absent for a direct one. */
   readonly relayedBy?: string;
--- a/packages/serving/src/relay/relay-client.ts
+++ b/packages/serving/src/relay/relay-client.ts
@@ -196,11 +196,11 @@
     if (end) this.finish(toUpstreamEnd(end, this.relayId));
   }
 
-  /** Ends the call, which may have run, and stops it at the relay. */
+  /** Ends the call, which may have run, and stops it at the relay. The path has failed, not the replica. */
   fail(detail: string): void {
     if (!this.isOpen) return;
     this.cancel();
-    this.finish({ kind: UpstreamEndKind.broken, detail, relayedBy: this.relayId });
+    this.finish({ kind: UpstreamEndKind.broken, detail, relayedBy: this.relayId, pathsLost: true });
   }
 
   private onData(part: Buffer): void {
--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -259,7 +259,8 @@
     const sending = send(holder);
     await eventually(() => relay.path.calls.length > 1);
     relay.node.close();
-    expect((await sending).end.kind).toBe('broken');
+    // The replica, and the request that it ran, are not to blame.
+    expect((await sending).end).toMatchObject({ kind: 'broken', pathsLost: true });
   });
 
   it('stops what it relays when the holder is lost', async () => {
