Check the keys of organisations at the instance that callers reach

Callers' keys were passed on to replicas, and any key was served, also unknown and withdrawn ones: the configuration's organisations were not read. Instances now keep digests of the keys, refuse unknown and missing ones with 401, and send replicas the name of the organisation that holds the key in place of the key. A key that was withdrawn is refused everywhere within the limit of the settings: each instance keeps a proof that it knows the newest configuration, by its own read of the store or by a coordinator's answer with the age carried on, and refuses requests with keys as not run once the proof is too old. Batch jobs belong to the organisation that submitted them, count against its own limit of waiting tokens, and are shown to nobody else. A configuration that cannot be read is rejected with its faults in the log; the version before stays in force.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -488,6 +488,7 @@
       requestId: `${this.selfId}/${demand.requestId}/${String(this.attempts++)}`,
       holder: this.selfId,
       organisation: demand.organisation,
+      workload: demand.workload,
       workClass: demand.workClass,
       costTokens: demand.costTokens,
       startInMs: demand.startByUnixMs === undefined ? undefined : demand.startByUnixMs - nowUnixMs,
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -492,6 +492,7 @@
       requestId: body.requestId,
       holder: body.holder,
       organisation: body.organisation,
+      workload: body.workload,
       workClass: body.workClass,
       costTokens: body.costTokens,
       startByMs: body.startInMs === undefined ? undefined : nowMs + body.startInMs,
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -7,8 +7,13 @@
 /** The requirements of a stream that needs a slot. */
 export interface SlotDemand {
   readonly requestId: string;
-  /** Organisation whose weight and limits apply. The `serving` package sets it to the name of the route. */
+  /**
+   * Organisation whose weight and limits apply. The `serving` package sets it to the name of the route where callers have
+   * no organisations.
+   */
   readonly organisation: string;
+  /** Kind of work, whose items have similar lengths; undefined if that is the organisation. */
+  readonly workload?: string;
   /** Name of the model or service. */
   readonly model: string;
   readonly workClass: WorkClass;
--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -56,6 +56,8 @@
   /** The `Host` header with which the job was submitted. Its items are routed and sent with the same one. */
   readonly host: string;
   readonly routeName: string;
+  /** Organisation that submitted the job; absent if callers needed no key. */
+  readonly organisation?: string;
   readonly acceptedAtUnixMs: number;
   readonly dueAtUnixMs: number;
   /** Time at which the job gives up all items that have no result. */
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -18,6 +18,14 @@
   return hash.digest('hex');
 }
 
+/**
+ * Digest of a caller's key, by which instances know it. Keys are random and long, so that a digest does not reveal them
+ * and comparing digests takes a time that says nothing about the key.
+ */
+export function keyDigest(key: string): string {
+  return digest('key', key);
+}
+
 /** The first 32 bits of the digest, as an unsigned number. */
 export function digestNumber(...parts: readonly string[]): number {
   return parseInt(digest(...parts).slice(0, 8), 16);
--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -30,6 +30,7 @@
   deadline_unreachable: 503,
   no_upstream: 503,
   store_unavailable: 503,
+  keys_unconfirmed: 503,
   not_accepted: 503,
   outcome_unknown: 503,
   draining: 503,
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -52,6 +52,8 @@
   /** Target for the time between two events of a stream. */
   readonly eventGapTargetMs?: number;
   readonly batch?: BatchRules;
+  /** Whether requests need no key, also where the configuration has organisations. */
+  readonly anonymous?: boolean;
 }
 
 /** A service that is provided by replicas. */
@@ -63,6 +65,19 @@
   readonly slots?: number;
 }
 
+/** A caller's organisation. Its requests carry one of its keys. */
+export interface Organisation {
+  readonly name: string;
+  /** Digests of the keys, as `keyDigest` returns them. The keys themselves are not kept. */
+  readonly keyDigests: readonly string[];
+  /** Priority of the organisation's requests, instead of that of their route; undefined to use the route's. */
+  readonly priority?: number;
+  /** Limit of online requests a second over all instances; undefined for none. */
+  readonly requestsPerSecond?: number;
+  /** Requests beyond that rate that may follow one another. */
+  readonly burstRequests: number;
+}
+
 /** Limits on the requests and connections of callers. */
 export interface RequestLimits {
   readonly maxHeaderBytes: number;
@@ -79,6 +94,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly ServiceDescription[];
   readonly limits: RequestLimits;
+  /** Undefined if callers need no keys. */
+  readonly organisations?: readonly Organisation[];
 }
 
 /** A replica as it registered itself. */
--- a/packages/decisions/src/batch-run-estimates.test.ts
+++ b/packages/decisions/src/batch-run-estimates.test.ts
@@ -13,14 +13,14 @@
   const estimates = new BatchRunEstimates();
   Array.from({ length: 100 }).forEach(() => {
     estimates.observe({
-      organisation: 'a',
+      workload: 'a',
       earlierTokens: 0,
       tokens: 80,
       ranMs: 2_000,
       completed: false,
     });
     estimates.observe({
-      organisation: 'a',
+      workload: 'a',
       earlierTokens: 80,
       tokens: 120,
       ranMs: 3_000,
@@ -31,10 +31,10 @@
 }
 
 describe('BatchRunEstimates', () => {
-  it('counts only overdue items as late before an item of the organisation has finished', () => {
+  it('counts only overdue items as late before an item of its kind of work has finished', () => {
     const estimates = observed();
-    expect(estimates.isLate(item({ organisation: 'b' }), 17_999)).toBe(false);
-    expect(estimates.isLate(item({ organisation: 'b' }), 18_000)).toBe(true);
+    expect(estimates.isLate(item({ workload: 'b' }), 17_999)).toBe(false);
+    expect(estimates.isLate(item({ workload: 'b' }), 18_000)).toBe(true);
   });
 
   it('counts an item as late once even a short one could not be finished in time', () => {
@@ -52,7 +52,7 @@
   it('allows for items that are shorter than the mean when lengths vary', () => {
     const estimates = observed();
     [100, 300, 100, 300, 100, 300].forEach((tokens) =>
-      estimates.observe({ organisation: 'a', earlierTokens: 0, tokens, ranMs: 25 * tokens, completed: true }),
+      estimates.observe({ workload: 'a', earlierTokens: 0, tokens, ranMs: 25 * tokens, completed: true }),
     );
     expect(estimates.isLate(item(), 18_000 - 4_800)).toBe(false);
   });
--- a/packages/decisions/src/batch-run-estimates.ts
+++ b/packages/decisions/src/batch-run-estimates.ts
@@ -6,7 +6,8 @@
 
 /** What the owner observed of one run of a batch item. */
 export interface ObservedRun {
-  readonly organisation: string;
+  /** Kind of work of the item. */
+  readonly workload: string;
   /** Tokens that earlier runs of the item had received. */
   readonly earlierTokens: number;
   /** Tokens that this run received. */
@@ -17,7 +18,7 @@
   readonly completed: boolean;
 }
 
-/** Moving averages of the output length of an organisation's items, in tokens. */
+/** Moving averages of the output length of the items of one kind of work, in tokens. */
 interface OutputLength {
   mean: number;
   meanDeviation: number;
@@ -42,9 +43,9 @@
     }
     if (!run.completed) return;
     const outputTokens = run.earlierTokens + run.tokens;
-    const known = this.lengths.get(run.organisation);
+    const known = this.lengths.get(run.workload);
     if (!known) {
-      this.lengths.set(run.organisation, { mean: outputTokens, meanDeviation: outputTokens / 2 });
+      this.lengths.set(run.workload, { mean: outputTokens, meanDeviation: outputTokens / 2 });
       return;
     }
     const difference = outputTokens - known.mean;
@@ -53,15 +54,15 @@
   }
 
   /**
-   * Whether an item that waits would be late even if it started now and were shorter than most items of its
-   * organisation. Before an item of the organisation has finished, only overdue items count as late.
+   * Whether an item that waits would be late even if it started now and were shorter than most items of its kind
+   * of work. Before one of them has finished, only overdue items count as late.
    */
   isLate(item: SlotRequest, nowMs: number): boolean {
     return nowMs + this.shortestRunMs(item) >= item.deadlineMs;
   }
 
-  private shortestRunMs({ organisation, receivedTokens }: SlotRequest): number {
-    const length = this.lengths.get(organisation);
+  private shortestRunMs({ organisation, workload = organisation, receivedTokens }: SlotRequest): number {
+    const length = this.lengths.get(workload);
     if (!length) return 0;
     const shortTokens = length.mean - length.meanDeviation;
     return Math.max(0, shortTokens - (receivedTokens ?? 0)) * this.msPerToken;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,6 +19,7 @@
 export * from './job-checkpoint.js';
 export * from './job-progress.js';
 export * from './job-quota.js';
+export * from './knowledge-age.js';
 export * from './leaving-replicas.js';
 export * from './limit-parts.js';
 export * from './load-drift.js';
--- a/packages/decisions/src/job-progress.test.ts
+++ b/packages/decisions/src/job-progress.test.ts
@@ -13,7 +13,7 @@
   nextSegmentKey,
   shouldClaim,
   shouldCommit,
-  waitingTokensByRoute,
+  waitingTokensByBacklog,
 } from './job-progress.js';
 
 const PROGRESS: JobProgress = {
@@ -118,10 +118,10 @@
   });
 });
 
-describe('waitingTokensByRoute', () => {
+describe('waitingTokensByBacklog', () => {
   it('sums the open tokens of each route over jobs that are not closed', () => {
     const other = { ...PROGRESS, routeName: 'other' };
     const jobs = [PROGRESS, PROGRESS, other, endJob(PROGRESS)];
-    expect(waitingTokensByRoute(jobs)).toEqual({ r: 600, other: 300 });
+    expect(waitingTokensByBacklog(jobs)).toEqual({ r: 600, other: 300 });
   });
 });
--- a/packages/decisions/src/job-progress.ts
+++ b/packages/decisions/src/job-progress.ts
@@ -146,12 +146,21 @@
   return evidence.isPreferred || waitedMs >= NON_PREFERRED_WAIT_MS;
 }
 
-/** Sums the tokens of items without a result by route, over all jobs that are not closed. */
-export function waitingTokensByRoute(jobs: readonly JobProgress[]): Readonly<Record<string, number>> {
+/**
+ * Name under which the waiting tokens of a route are summed: those of each organisation apart, or of all callers where
+ * they have no organisations.
+ */
+export function backlogName(routeName: string, organisation?: string): string {
+  return organisation === undefined ? routeName : JSON.stringify([routeName, organisation]);
+}
+
+/** Sums the tokens of items without a result by `backlogName`, over all jobs that are not closed. */
+export function waitingTokensByBacklog(jobs: readonly JobProgress[]): Readonly<Record<string, number>> {
   return jobs
     .filter((job) => !isClosed(job))
     .reduce<Record<string, number>>((sums, job) => {
-      sums[job.routeName] = (sums[job.routeName] ?? 0) + job.openTokens;
+      const name = backlogName(job.routeName, job.organisation);
+      sums[name] = (sums[name] ?? 0) + job.openTokens;
       return sums;
     }, {});
 }
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -356,7 +356,7 @@
 
   private observeBatchRun({ request, grantedAtMs }: Permit, report: ReleaseReport, nowMs: number): void {
     this.batchRuns.observe({
-      organisation: request.organisation,
+      workload: request.workload ?? request.organisation,
       earlierTokens: request.receivedTokens ?? 0,
       tokens: report.tokens,
       ranMs: nowMs - grantedAtMs,
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -24,6 +24,8 @@
    */
   readonly startByMs?: number;
   readonly workClass: WorkClass;
+  /** Kind of work, whose items have similar lengths; undefined if that is the organisation. */
+  readonly workload?: string;
   /** Digest of the prompt prefix, to find replicas that cache it. */
   readonly prefixDigest: string;
   /** Ids of the parts of the prompt that other requests may share; empty when they are not known. */
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -28,6 +28,8 @@
   /** Instance that requests the slot and will hold the permit. */
   readonly holder: string;
   readonly organisation: string;
+  /** Kind of work, whose items have similar lengths; omitted if that is the organisation. */
+  readonly workload?: string;
   readonly workClass: WorkClass;
   /** Estimated tokens of the stream, charged to the organisation until the actual number is reported. */
   readonly costTokens: number;
@@ -148,8 +150,16 @@
   readonly leavingReplicaIds?: readonly string[];
 }
 
-/** Tokens of the unfinished batch items by route, from the latest listing that the sender knows. */
+/** Which configuration an instance knows, and when it was the newest one. */
+export interface ConfigurationProof {
+  readonly version: number;
+  /** Time since there was certainly no newer version, in milliseconds; omitted if that was never known. */
+  readonly ageMs?: number;
+}
+
+/** Tokens of the unfinished batch items, from the latest listing that the sender knows. */
 export interface JobBacklog {
+  /** By route and organisation, as `backlogName` names them. */
   readonly tokensByRoute: Readonly<Record<string, number>>;
   /** Time since the listing, in milliseconds. */
   readonly ageMs: number;
@@ -172,6 +182,8 @@
    * longer the holder.
    */
   readonly committedCount: number;
+  /** Organisation of the job; omitted if it has none. */
+  readonly organisation?: string;
   readonly results: readonly StoredResult[];
 }
 
@@ -264,6 +276,8 @@
   'swim.indirect': { body: { targetAddress: string }; answer: { reached: boolean } };
   'table.fetch': { body: { buckets: readonly number[] }; answer: { buckets: readonly TableBucket[] } };
   'pool.load': { body: { poolIds: readonly string[] }; answer: { loads: readonly PoolLoad[] } };
+  /** Which configuration the responding instance knows to be the newest. */
+  'configuration.prove': { body: Record<string, never>; answer: ConfigurationProof };
   'view.fetch': { body: Record<string, never>; answer: FleetViewBody };
   /** Where a stream began that its caller resumes; the origin is omitted when it is not known. */
   'stream.origin': { body: { requestId: string }; answer: { origin?: StreamOrigin } };
--- a/packages/serving/src/batch/backlog-view.ts
+++ b/packages/serving/src/batch/backlog-view.ts
@@ -1,17 +1,17 @@
 import type { Clock, JobProgress } from '@fighub/core';
 import type { BacklogEstimate } from '@fighub/decisions';
-import { waitingTokensByRoute } from '@fighub/decisions';
+import { waitingTokensByBacklog } from '@fighub/decisions';
 import type { JobBacklog } from '@fighub/peers';
 
 /** A job that this instance accepted after the newest listing. `acceptedAtMs` is in monotonic time. */
 interface LocallyAcceptedJob {
-  readonly routeName: string;
+  readonly backlog: string;
   readonly tokens: number;
   readonly acceptedAtMs: number;
 }
 
 /**
- * Estimate of the tokens of unfinished batch items on each route: the sum over the newest listing of jobs, made by
+ * Estimate of the tokens of unfinished batch items on each route, for each organisation apart: the sum over the newest listing of jobs, made by
  * this instance or by a coordinator, plus the jobs that this instance has accepted since.
  */
 export class BacklogView {
@@ -23,7 +23,7 @@
 
   /** Applies a listing of all jobs that was requested at `requestedAtMs`, in monotonic time. */
   onListed(jobs: readonly JobProgress[], requestedAtMs: number): void {
-    this.applyListing(waitingTokensByRoute(jobs), requestedAtMs);
+    this.applyListing(waitingTokensByBacklog(jobs), requestedAtMs);
   }
 
   /** Applies the backlog that a coordinator pushed, unless the known listing is at least as new. */
@@ -32,21 +32,21 @@
   }
 
   /** Counts a job that this instance accepted, until a listing is new enough to contain it. */
-  onAccepted(routeName: string, tokens: number): void {
+  onAccepted(backlog: string, tokens: number): void {
     this.locallyAcceptedJobs = [
       ...this.locallyAcceptedJobs,
-      { routeName, tokens, acceptedAtMs: this.clock.monotonicMs() },
+      { backlog, tokens, acceptedAtMs: this.clock.monotonicMs() },
     ];
   }
 
-  /** The backlog of a route, or undefined until a listing is known. */
-  forRoute(routeName: string): BacklogEstimate | undefined {
+  /** The waiting tokens under a name of `backlogName`, or undefined until a listing is known. */
+  estimate(backlog: string): BacklogEstimate | undefined {
     if (!Number.isFinite(this.listedAtMs)) return undefined;
     const acceptedTokens = this.locallyAcceptedJobs
-      .filter((job) => job.routeName === routeName)
+      .filter((job) => job.backlog === backlog)
       .reduce((sum, job) => sum + job.tokens, 0);
     return {
-      waitingTokens: (this.tokensByRoute[routeName] ?? 0) + acceptedTokens,
+      waitingTokens: (this.tokensByRoute[backlog] ?? 0) + acceptedTokens,
       ageMs: this.clock.monotonicMs() - this.listedAtMs,
     };
   }
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -55,6 +55,8 @@
 export interface ItemRunRequest {
   readonly jobId: string;
   readonly host: string;
+  /** Organisation of the job; undefined if it has none. */
+  readonly organisation?: string;
   readonly item: StoredItem;
   readonly output: ItemOutput;
   readonly dueAtUnixMs: number;
@@ -156,7 +158,8 @@
 ): SlotDemand {
   return {
     requestId: `${request.jobId}/${request.item.itemId}`,
-    organisation: routeName,
+    organisation: request.organisation ?? routeName,
+    workload: routeName,
     model: service,
     workClass: 'batch',
     costTokens: request.item.tokens,
@@ -232,6 +235,7 @@
   dependencies.log.record(brokenByReplica ? LogCategory.failure : LogCategory.routine, 'item_run', {
     jobId: request.jobId,
     itemId: item.itemId,
+    organisation: request.organisation,
     replicaId: slot.replicaId,
     softwareVersion: expectedOrigin?.softwareVersion,
     permitId: slot.permitId,
--- a/packages/serving/src/batch/job-acceptance.ts
+++ b/packages/serving/src/batch/job-acceptance.ts
@@ -13,7 +13,7 @@
   StoredItem,
 } from '@fighub/core';
 import { LogCategory, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
-import { coordinatorFor, isCertainlyWithinLimit } from '@fighub/decisions';
+import { backlogName, coordinatorFor, isCertainlyWithinLimit } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { RecordChange, RecordStore } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
@@ -25,6 +25,8 @@
 export interface JobSubmission {
   readonly jobId: string;
   readonly host: string;
+  /** Organisation of the caller; undefined where callers need no key. */
+  readonly organisation?: string;
   readonly items: readonly StoredItem[];
 }
 
@@ -99,7 +101,8 @@
   private async acceptOnce(submission: JobSubmission, route: Route): Promise<Outcome<Acceptance, Problem>> {
     const tokens = submission.items.reduce((sum, item) => sum + item.tokens, 0);
     const limit = route.batch?.maxWaitingTokens ?? 0;
-    if (isCertainlyWithinLimit(this.backlog.forRoute(route.name), tokens, limit))
+    const backlog = backlogName(route.name, submission.organisation);
+    if (isCertainlyWithinLimit(this.backlog.estimate(backlog), tokens, limit))
       return this.writeJob(submission, route, tokens);
     const requestedAtMs = this.clock.monotonicMs();
     const listed = await this.store.listAll<JobProgress>(batchJobKeys.progressPrefix, PROGRESS_PAGE_RECORDS);
@@ -107,7 +110,7 @@
     const jobs = listed.value.map((record) => record.value);
     this.backlog.onListed(jobs, requestedAtMs);
     if (jobs.some((job) => job.jobId === submission.jobId)) return ok({ how: 'resent' });
-    const waiting = this.backlog.forRoute(route.name)?.waitingTokens ?? 0;
+    const waiting = this.backlog.estimate(backlog)?.waitingTokens ?? 0;
     if (limit > 0 && waiting + tokens > limit) {
       const detail = `${String(waiting)} tokens wait on ${route.name}, the limit is ${String(limit)}`;
       return fail(notRun('limit_reached', detail, LIMIT_REACHED_RETRY_MS));
@@ -131,7 +134,7 @@
     const written = await this.store.transact(changes);
     if (written.ok) {
       this.inputs.put(jobId, submission.items);
-      this.backlog.onAccepted(route.name, openTokens);
+      this.backlog.onAccepted(backlogName(route.name, submission.organisation), openTokens);
       this.offer(progress);
       return ok({ how: 'accepted', holder: progress.holder, items: progress.itemCount });
     }
@@ -153,6 +156,7 @@
       jobId: submission.jobId,
       host: submission.host,
       routeName: route.name,
+      organisation: submission.organisation,
       acceptedAtUnixMs: nowUnixMs,
       dueAtUnixMs: nowUnixMs + (rules?.dueAfterMs ?? 0),
       abandonAtUnixMs: nowUnixMs + (rules?.abandonAfterMs ?? 0) + ABANDON_MARGIN_MS,
--- a/packages/serving/src/batch/job-reader.test.ts
+++ b/packages/serving/src/batch/job-reader.test.ts
@@ -61,7 +61,7 @@
   it('asks the probable holder of a job that it does not know before it reads the store', async () => {
     const answer = { held: true, itemCount: 3, committedCount: 1, results: [resultOf('a')] };
     const { reader, asked } = setup(answer);
-    expect(await reader.results('j', 0)).toMatchObject({ ok: true, value: { nextPosition: 1 } });
+    expect(await reader.results({ jobId: 'j' }, 0)).toMatchObject({ ok: true, value: { nextPosition: 1 } });
     expect(asked).toEqual(['a:1']);
   });
 
@@ -71,12 +71,23 @@
     await store.write(batchJobKeys.segment('j', 1, 2), undefined, {
       results: [resultOf('a'), resultOf('b')],
     });
-    const page = await reader.results('j', 1);
+    const page = await reader.results({ jobId: 'j' }, 1);
     expect(page).toMatchObject({ ok: true, value: { nextPosition: 2, results: [{ itemId: 'b' }] } });
   });
 
+  it('shows a job to callers of its organisation only, whoever holds it', async () => {
+    const held = { held: true, itemCount: 3, committedCount: 1, organisation: 'fox', results: [resultOf('a')] };
+    const { store, reader } = setup(held);
+    const access = { jobId: 'j', organisation: 'hen' };
+    expect(await reader.results(access, 0)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
+    await store.write(batchJobKeys.progress('j'), undefined, { ...PROGRESS, organisation: 'fox' });
+    expect(await reader.itemBody(access, 'a')).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
+    expect(await reader.end(access)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
+    expect(await reader.results({ ...access, organisation: 'fox' }, 0)).toMatchObject({ ok: true });
+  });
+
   it('reports that a job does not exist only after it has read the store', async () => {
     const { reader } = setup(NOT_HELD);
-    expect(await reader.results('j', 0)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
+    expect(await reader.results({ jobId: 'j' }, 0)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
   });
 });
--- a/packages/serving/src/batch/job-reader.ts
+++ b/packages/serving/src/batch/job-reader.ts
@@ -25,9 +25,17 @@
   readonly results: readonly StoredResult[];
 }
 
-/** Last known holder of a job, and its final progress once all items are finished. */
+/** Which job a caller asks for, and the caller's organisation. */
+export interface JobAccess {
+  readonly jobId: string;
+  /** Undefined where callers need no key. */
+  readonly organisation?: string;
+}
+
+/** Last known holder of a job, its organisation, and its final progress once all items are finished. */
 interface KnownJob {
   readonly holder: string;
+  readonly organisation?: string;
   readonly closed?: JobProgress;
 }
 
@@ -65,33 +73,42 @@
 
   /**
    * Committed results after the first `afterPosition` ones, as many as fit into one page. Fails with `unknown_job` when
-   * there is no such job, and with `store_unavailable` when the store cannot be read.
+   * there is no such job of the caller's organisation, and with `store_unavailable` when the store cannot be read.
    */
-  async results(jobId: string, afterPosition: number): Promise<Outcome<ResultPage, Problem>> {
+  async results(access: JobAccess, afterPosition: number): Promise<Outcome<ResultPage, Problem>> {
+    const { jobId } = access;
     const fromHolder = await this.requestFromHolder(jobId, afterPosition);
     if (fromHolder?.held && fromHolder.committedCount >= afterPosition)
-      return ok(toPage(fromHolder.itemCount, afterPosition, fromHolder.results));
+      return fromHolder.organisation === access.organisation
+        ? ok(toPage(fromHolder.itemCount, afterPosition, fromHolder.results))
+        : this.refuseAccess(access);
     const progress = await this.readProgress(jobId);
     if (!progress.ok) return progress;
+    if (progress.value.organisation !== access.organisation) return this.refuseAccess(access);
     return this.readSegments(progress.value, afterPosition);
   }
 
   /**
    * The decoded request body of an item. Fails as `results` does, and with `not_found` when the job has no such item.
    */
-  async itemBody(jobId: string, itemId: string): Promise<Outcome<Buffer, Problem>> {
-    const items = await this.items(jobId);
+  async itemBody(access: JobAccess, itemId: string): Promise<Outcome<Buffer, Problem>> {
+    const { jobId } = access;
+    const items = await this.items(access);
     if (!items.ok) return items;
     const item = items.value.find((candidate) => candidate.itemId === itemId);
     if (!item) return fail(notRun('not_found', `job ${jobId} has no item ${itemId}`));
     return ok(Buffer.from(item.bodyBase64, 'base64'));
   }
 
-  private async items(jobId: string): Promise<Outcome<readonly StoredItem[], Problem>> {
+  private async items(access: JobAccess): Promise<Outcome<readonly StoredItem[], Problem>> {
+    const { jobId } = access;
+    const known = this.knownJobs.get(jobId);
+    if (known && known.organisation !== access.organisation) return this.refuseAccess(access);
     const cached = this.inputs.cached(jobId);
-    if (cached) return ok(cached);
+    if (cached && (known ?? access.organisation === undefined)) return ok(cached);
     const progress = await this.readProgress(jobId);
     if (!progress.ok) return progress;
+    if (progress.value.organisation !== access.organisation) return this.refuseAccess(access);
     const items = await this.inputs.read(jobId, progress.value.inputPartCount);
     return items.ok ? items : fail(notRun('store_unavailable', items.error.detail, STORE_RETRY_MS));
   }
@@ -100,18 +117,27 @@
    * Ends a job and notifies its holder. Ending it twice has no further effect. Fails as `results` does, and with
    * `outcome_unknown` when the job may have been ended.
    */
-  async end(jobId: string, triesLeft = MAX_END_TRIES): Promise<Outcome<void, Problem>> {
+  async end(access: JobAccess, triesLeft = MAX_END_TRIES): Promise<Outcome<void, Problem>> {
+    const { jobId } = access;
     const record = await this.store.read<JobProgress>(batchJobKeys.progress(jobId));
     if (!record.ok) return fail(notRun('store_unavailable', record.error.detail, STORE_RETRY_MS));
     if (!record.value) return fail(notRun('unknown_job', `there is no job ${jobId}`));
+    if (record.value.value.organisation !== access.organisation) return this.refuseAccess(access);
     if (isClosed(record.value.value)) return this.ended(record.value.value);
     const written = await this.store.write(record.value.key, record.value, endJob(record.value.value));
     if (written.ok) return this.ended(written.value.value);
     if (written.error.kind === StoreErrorKind.conflict && triesLeft > 1)
-      return this.end(jobId, triesLeft - 1);
+      return this.end(access, triesLeft - 1);
     return fail(mayHaveRun('outcome_unknown', 'the job may have been ended; end it again'));
   }
 
+  /** A job of another organisation does not exist for the caller. */
+  private refuseAccess({ jobId, organisation }: JobAccess): Outcome<never, Problem> {
+    this.metrics.count('job_accesses_refused');
+    this.log.record(LogCategory.failure, 'job_access_refused', { jobId, organisation });
+    return fail(notRun('unknown_job', `there is no job ${jobId}`));
+  }
+
   private ended(progress: JobProgress): Outcome<void, Problem> {
     const { jobId, holder } = progress;
     this.log.record(LogCategory.routine, 'job_ended', { jobId, holder, sequence: progress.sequence });
@@ -155,7 +181,8 @@
   recordProgress(progress: JobProgress): void {
     if (this.knownJobs.size >= MAX_KNOWN_JOBS) this.knownJobs.clear();
     const closed = isClosed(progress) && !progress.ended ? progress : undefined;
-    this.knownJobs.set(progress.jobId, { holder: progress.holder, closed });
+    const { jobId, holder, organisation } = progress;
+    this.knownJobs.set(jobId, { holder, organisation, closed });
   }
 
   private async readSegments(
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -126,6 +126,7 @@
       held: true,
       itemCount: this.record.value.itemCount,
       committedCount: this.committed.length,
+      organisation: this.record.value.organisation,
       results: this.committed.slice(afterPosition),
     };
   }
@@ -238,6 +239,7 @@
       {
         jobId: value.jobId,
         host: value.host,
+        organisation: value.organisation,
         item: entry.item,
         output: entry.output,
         dueAtUnixMs: value.dueAtUnixMs,
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -200,7 +200,7 @@
     const offsetMs = clock.nowUnixMs() - clock.monotonicMs();
     return {
       requestId: `${request.requestId}/${String(this.sends)}`,
-      organisation: route.name,
+      organisation: request.organisation ?? route.name,
       model: this.service,
       workClass: 'online',
       costTokens: request.costTokens,
@@ -332,6 +332,7 @@
     this.dependencies.log.record(LogCategory.failure, 'request_failed', {
       requestId: this.request.requestId,
       route: this.route.name,
+      organisation: this.request.organisation,
       reason,
       code: reported.code,
       run: reported.run,
@@ -369,6 +370,7 @@
       failed ? 'send_failed' : 'sent',
       {
         requestId: this.request.requestId,
+        organisation: this.request.organisation,
         replicaId: slot.replicaId,
         softwareVersion: sent.expectedOrigin?.softwareVersion,
         permitId: slot.permitId,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -13,6 +13,8 @@
   readonly target: string;
   /** End-to-end headers, without the ones that the transport sets itself. */
   readonly headers: HeaderList;
+  /** Organisation that holds the caller's key; undefined where callers need none. */
+  readonly organisation?: string;
   readonly body: Buffer;
   /** When the request arrived, in monotonic time. */
   readonly arrivedAtMs: number;
--- a/packages/serving/src/routing/fleet-source.ts
+++ b/packages/serving/src/routing/fleet-source.ts
@@ -6,6 +6,8 @@
 export interface ConfigurationReading {
   /** Undefined when the configuration has not changed, or when there is none yet. */
   readonly configuration?: RoutingConfiguration;
+  /** Why the stored configuration was not taken; undefined if it was. The version before stays in force. */
+  readonly rejection?: string;
   /** Store revision to pass to the next read. */
   readonly revision: number;
 }
@@ -14,6 +16,8 @@
 export interface FleetSource {
   /** Waits up to `waitMs` for a configuration newer than `revision`; 0 returns the current one at once. */
   nextConfiguration(revision: number, waitMs: number): Promise<Outcome<ConfigurationReading, StoreError>>;
+  /** Reads the configuration that is in force now. What was acknowledged before the call is contained in it. */
+  currentConfiguration(): Promise<Outcome<ConfigurationReading, StoreError>>;
   /** Reads all registered replicas. */
   readDirectory(): Promise<Outcome<DirectorySnapshot, StoreError>>;
 }
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -22,6 +22,7 @@
   const store = { isUp: false };
   const source: FleetSource = {
     nextConfiguration: () => new Promise(() => undefined),
+    currentConfiguration: () => new Promise(() => undefined),
     readDirectory: () =>
       Promise.resolve(
         store.isUp
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -168,6 +168,7 @@
     if (reading.ok) {
       this.configurationRevision = reading.value.revision;
       if (reading.value.configuration) this.applyConfigurationFrom(reading.value.configuration, 'store');
+      if (reading.value.rejection !== undefined) this.logRejection(reading.value.rejection);
     }
     if (!reading.ok || (waitMs === 0 && !reading.value.configuration)) await sleep(FAILED_READ_PAUSE_MS);
     this.readingConfiguration = false;
@@ -195,12 +196,24 @@
     this.log.record(LogCategory.state, reachable ? 'store_regained' : 'store_lost', { detail });
   }
 
-  private applyConfigurationFrom(configuration: FleetViewBody['configuration'], from: string): void {
+  private logRejection(detail: string): void {
+    this.metrics.count('configurations_rejected');
+    const { configurationVersion } = this.view;
+    this.log.record(LogCategory.failure, 'configuration_rejected', { detail, inForce: configurationVersion });
+  }
+
+  /** Applies a configuration if it is newer than the one in force. `from` names its source in the log. */
+  applyConfigurationFrom(configuration: FleetViewBody['configuration'], from: string): void {
     if (!configuration || !this.view.applyConfiguration(configuration)) return;
     this.view.originHistory.observeRoutes(configuration.routes, this.clock.monotonicMs());
     this.nextPushMs = 0;
-    const { version, routes } = configuration;
-    this.log.record(LogCategory.state, 'configuration_applied', { version, routes: routes.length, from });
+    const { version, routes, organisations } = configuration;
+    this.log.record(LogCategory.state, 'configuration_applied', {
+      version,
+      routes: routes.length,
+      organisations: organisations?.length,
+      from,
+    });
   }
 
   private applyReceivedDirectory({ directory, ageMs }: FleetViewBody, from: string): void {
@@ -291,7 +304,8 @@
     );
   }
 
-  private async fetchFrom(address: string): Promise<void> {
+  /** Fetches the view of a peer. */
+  async fetchFrom(address: string): Promise<void> {
     if (this.fetchingFrom !== undefined) return;
     this.fetchingFrom = address;
     const answer = await this.node.request(address, 'view.fetch', {}, FETCH_TIMEOUT_MS);
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -10,6 +10,7 @@
   canContinue,
 } from '@fighub/decisions';
 
+import { OrganisationKeys } from '../access/organisation-keys.js';
 import { RouteTable } from './route-table.js';
 
 /** Called after each change of the view. */
@@ -23,6 +24,7 @@
   /** Limits of requests a second that replicas state. */
   readonly requestLimits = new RequestLimits();
   private table: RouteTable | undefined;
+  private keys: OrganisationKeys | undefined;
   private directory: DirectorySnapshot = { revision: 0, replicas: [] };
   private replicasById = new Map<string, ReplicaRecord>();
   private readonly announcedLeaving = new LeavingReplicas();
@@ -43,6 +45,11 @@
     return this.table?.configuration;
   }
 
+  /** The organisations of the configuration; undefined if callers need no keys. */
+  get organisationKeys(): OrganisationKeys | undefined {
+    return this.keys;
+  }
+
   /** 0 until a configuration is known. */
   get configurationVersion(): number {
     return this.table?.configuration.version ?? 0;
@@ -126,6 +133,7 @@
     const before = this.configurationVersion;
     if (configuration.version <= before) return false;
     this.table = new RouteTable(configuration);
+    this.keys = configuration.organisations && new OrganisationKeys(configuration.organisations);
     checkInvariant(InvariantName.revisionNeverFalls, this.configurationVersion > before, () => ({ before }));
     this.notifyChange();
     return true;
--- a/packages/serving/src/routing/route-table.ts
+++ b/packages/serving/src/routing/route-table.ts
@@ -20,6 +20,12 @@
   match(host: string, path: string): Route | undefined {
     return this.byHost.get(hostName(host))?.find((route) => path.startsWith(route.pathPrefix));
   }
+
+  /** Whether callers without a key may have jobs on a host. */
+  hasAnonymousJobs(host: string): boolean {
+    const routes = this.byHost.get(hostName(host)) ?? [];
+    return routes.some(({ kind, anonymous }) => kind === 'batch' && anonymous === true);
+  }
 }
 
 function hostName(host: string): string {
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -11,6 +11,8 @@
 import { Container } from 'inversify';
 import type { Logger } from 'pino';
 
+import { AccessControl } from './access/access-control.js';
+import { KeyConfirmation } from './access/key-confirmation.js';
 import { BacklogView } from './batch/backlog-view.js';
 import { InputCache } from './batch/input-cache.js';
 import type { ItemRunDependencies } from './batch/item-run.js';
@@ -64,6 +66,8 @@
   membership: token<MembershipRunner>('membership'),
   view: token<FleetView>('view'),
   fleetViewUpdater: token<FleetViewUpdater>('fleetViewUpdater'),
+  keyConfirmation: token<KeyConfirmation>('keyConfirmation'),
+  access: token<AccessControl>('access'),
   catalogue: token<ServicePoolCatalogue>('catalogue'),
   host: token<PoolHost>('host'),
   direct: token<DirectDispatch>('direct'),
@@ -111,6 +115,7 @@
     schedules: settings.coordinates,
   });
   bindFleet(container);
+  bindAccess(container);
   bindAdmission(container);
   bindBatch(container);
   return container;
@@ -158,6 +163,35 @@
   );
 }
 
+function bindAccess(container: Container): void {
+  bindPart(
+    container,
+    Tokens.keyConfirmation,
+    (get) =>
+      new KeyConfirmation({
+        view: get(Tokens.view),
+        source: get(Tokens.adapters).fleetSource,
+        selfId: get(Tokens.self).instanceId,
+        isCoordinator: get(Tokens.settings).coordinates,
+        withdrawalLimitMs: get(Tokens.settings).organisations.keyWithdrawalLimitMs,
+        members: () => get(Tokens.membership),
+        node: get(Tokens.node),
+        apply: (configuration) => get(Tokens.fleetViewUpdater).applyConfigurationFrom(configuration, 'store'),
+        fetchFrom: (address) => get(Tokens.fleetViewUpdater).fetchFrom(address),
+        clock: get(Tokens.clock),
+        metrics: get(Tokens.metrics),
+        log: get(Tokens.log),
+        random: Math.random,
+      }),
+  );
+  bindPart(
+    container,
+    Tokens.access,
+    (get) =>
+      new AccessControl(get(Tokens.view), get(Tokens.keyConfirmation), get(Tokens.metrics), get(Tokens.log)),
+  );
+}
+
 function bindAdmission(container: Container): void {
   bindPart(container, Tokens.catalogue, (get) => new ServicePoolCatalogue(get(Tokens.view)));
   bindPart(
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -5,6 +5,7 @@
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
 
+import type { AccessControl } from './access/access-control.js';
 import type { JobAcceptance } from './batch/job-acceptance.js';
 import type { JobReader } from './batch/job-reader.js';
 import type { JobRunner } from './batch/job-runner.js';
@@ -20,6 +21,7 @@
 export interface ServingComponents {
   readonly settings: ServingSettings;
   readonly view: FleetView;
+  readonly access: AccessControl;
   readonly runner: ForwardRunner;
   readonly acceptance: JobAcceptance;
   readonly reader: JobReader;
@@ -154,6 +156,7 @@
         jobs,
         container.get(Tokens.origins),
         observations,
+        container.get(Tokens.keyConfirmation),
         container.get(Tokens.transport),
         new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
       ],
@@ -179,9 +182,11 @@
     const { container } = this;
     const view = container.get(Tokens.view);
     const fleetViewUpdater = container.get(Tokens.fleetViewUpdater);
+    const keyConfirmation = container.get(Tokens.keyConfirmation);
     return {
       settings: this.settings,
       view,
+      access: container.get(Tokens.access),
       runner: container.get(Tokens.runner),
       acceptance: container.get(Tokens.acceptance),
       reader: container.get(Tokens.reader),
@@ -194,6 +199,7 @@
         !this.stopping &&
         view.routes !== undefined &&
         view.replicas.revision > 0 &&
+        keyConfirmation.isConfirmed &&
         !fleetViewUpdater.isCutOff,
       isStopping: () => this.stopping,
       stopByMs: () => this.stopByMs,
@@ -212,6 +218,7 @@
       openRequests: container.get(Tokens.runner).openRequests,
       members: container.get(Tokens.membership).membership.all(),
       view: container.get(Tokens.fleetViewUpdater).dump(),
+      keys: container.get(Tokens.keyConfirmation).dump(),
       pools: container.get(Tokens.host).dump(),
       permits: container.get(Tokens.permits).dump(),
       direct: container.get(Tokens.direct).dump(),
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -45,6 +45,18 @@
     /** Shortest lease that the store grants. */
     minLeaseMs: durationMs.default(1_000),
   }),
+  /** Omitted if withdrawn keys and quotas need no time limits. */
+  organisations: z
+    .strictObject({
+      /** Time after which a withdrawn key is refused at the latest, also by an instance that is cut off. */
+      keyWithdrawalLimitMs: durationMs.optional(),
+      /** Length of the sliding window over which the requests of a quota are counted. */
+      quotaWindowS: z.number().positive().default(1),
+      /** Requests that may exceed the quota in a window over all instances, as a fraction of it and as a number. */
+      quotaOverageFraction: z.number().nonnegative().default(0),
+      quotaSlackRequests: z.number().nonnegative().default(0),
+    })
+    .prefault({}),
   peers: z
     .strictObject({
       /** Mean time between probes of other members. */
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -42,6 +42,7 @@
   /** Index of the last event that the caller already has; 0 for none. */
   readonly resumeAfter: number;
   readonly body: string;
+  readonly headers: IncomingMessage['headers'];
   /** Ids of the parts of the prompt, in order. */
   readonly promptPartIds: readonly string[];
   /** When the replica began to run the request, in the time of `performance.now()`. */
@@ -158,6 +159,7 @@
       requestId,
       resumeAfter: Number(req.headers['last-event-id'] ?? 0),
       body: Buffer.concat(parts).toString('utf8'),
+      headers: req.headers,
       promptPartIds: promptPartIdsOf(req),
       startedAtMs: performance.now(),
       deadlineMs: req.headers['deadline-ms'] === undefined ? undefined : Number(req.headers['deadline-ms']),
