Split the pool's slots and scheduler by concern

Permits, capacity of the replicas, replicas with a limit, waiting requests, suspects, expected waits and granting are modules of their own now; behaviour is unchanged. The tests of both are the same, among them the comparison of pool-slots with a model that scans.

--- a/packages/decisions/src/pool-scheduler.test.ts
+++ b/packages/decisions/src/pool-scheduler.test.ts
@@ -1,7 +1,7 @@
 import type { Problem } from '@fighub/core';
 import { describe, expect, it } from 'vitest';
 
-import { PERMIT_LIFETIME_MS } from './pool-slots.js';
+import { PERMIT_LIFETIME_MS } from './permit-table.js';
 import { PoolScheduler } from './pool-scheduler.js';
 import type { Permit, SlotRequest, PoolOutput, PoolPolicy } from './pool-types.js';
 import { slotRequest } from './testing/slot-request.js';
--- a/packages/decisions/src/pool-slots.test.ts
+++ b/packages/decisions/src/pool-slots.test.ts
@@ -166,16 +166,16 @@
             slots.add({ permitId, request, replicaId: picked.replicaId, grantedAtMs: nowMs, expiresAtMs });
             prefixes.add(prefix, picked.replicaId, nowMs);
           }
-          if (kind === 'take' && permit) slots.take(permit.permitId);
-          if (kind === 'revoke' && victim) slots.revoke(victim, nowMs + REVOKE_GRACE_MS);
+          if (kind === 'take' && permit) slots.permitTable.take(permit.permitId);
+          if (kind === 'revoke' && victim) slots.permitTable.revoke(victim, nowMs + REVOKE_GRACE_MS);
           if (kind === 'load') slots.observeLoad({ replicaId, running: number, waiting: 0 }, nowMs);
           if (kind === 'end')
             slots.observeEnd(replicaId, number % 2 === 0 ? AttemptEnd.broken : AttemptEnd.completed, nowMs);
           if (kind === 'leave') slots.markLeaving(replicaId);
           if (kind === 'return') slots.setReplicas(infos);
           if (kind === 'reading') slots.recordLoadReading(replicaId, number % 2 === 0 ? undefined : number);
-          if (kind === 'renew') slots.renew(request.holder, permit ? [permit] : [], nowMs);
-          if (kind === 'expire') slots.dropExpired(nowMs);
+          if (kind === 'renew') slots.permitTable.renew(request.holder, permit ? [permit] : [], nowMs);
+          if (kind === 'expire') slots.permitTable.dropExpired(nowMs);
           if (kind === 'limit')
             slots.change(replicaId, ({ limit }) => {
               const measured = { firstTokenMs: number, betweenTokensMs: 0 };
