Hold the quotas of organisations over all instances

Nothing limited the requests a second of an organisation over all instances. The owner of a pool grants them from a token bucket for each organisation; what exceeds it is refused at once with the time until the next request may come. Instances without an owner share another part of that excess. Online requests are queued fairly by organisation, with weights by its priority.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -2,7 +2,14 @@
 import type { Clock, DecisionLog, Metrics, Outcome, Problem } from '@fighub/core';
 import { LogCategory, fail, notRun, ok } from '@fighub/core';
 import type { ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { AttemptEnd, ReplicaHealth, RequestCrashes, RequestRate, instancesSharing } from '@fighub/decisions';
+import {
+  AttemptEnd,
+  QuotaShares,
+  ReplicaHealth,
+  RequestCrashes,
+  RequestRate,
+  instancesSharing,
+} from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { EngineLoad, LoadReader } from '@fighub/outside';
 
@@ -35,6 +42,8 @@
 
 /** A load report is used for this long after it was received or requested. */
 const REPORT_LIFETIME_MS = 1_000;
+/** An owner, which may grant more of a quota, is found again within about this time. */
+const QUOTA_RETRY_MS = 500;
 /** Pool id of the slots that `DirectDispatch` grants, which belong to no pool. */
 const DIRECT_POOL_ID = 'direct';
 
@@ -47,6 +56,7 @@
   private readonly runs = new Map<string, DirectRun>();
   /** Crashes under requests of this instance, for as long as there is no owner that could relate those of all instances. */
   private readonly requestCrashes: RequestCrashes;
+  private readonly quotaShares: QuotaShares;
   private nextPermit = 1;
 
   constructor(
@@ -64,6 +74,7 @@
     private readonly metrics: Metrics,
     log?: DecisionLog,
   ) {
+    this.quotaShares = new QuotaShares(selfId);
     this.requestCrashes = new RequestCrashes(
       catalogue.blockedPrompts,
       (finding, { partIds, replicaIds, blockCount }) => {
@@ -93,6 +104,10 @@
     }
     const chosen = this.choose(candidates);
     if (!chosen) return fail(notRun('overloaded', `no replica of ${demand.model} has a free slot`, 1_000));
+    if (!this.tryTakeQuota(demand.organisation)) {
+      const detail = `organisation ${demand.organisation} has used up the share of its quota at this instance`;
+      return fail(notRun('limit_reached', detail, QUOTA_RETRY_MS));
+    }
     const view = this.viewOf(chosen.upstreamId);
     view.inFlight += 1;
     view.rate.take(this.clock.monotonicMs());
@@ -163,6 +178,19 @@
     return limit > 0 && inFlight.length < equalShare;
   }
 
+  /** Counts an online request that this instance sends without an owner, unless the quota leaves it none. */
+  private tryTakeQuota(organisation: string): boolean {
+    const quota = this.catalogue.quotaOf?.(organisation);
+    if (!quota) return true;
+    const fleet = {
+      instanceIds: this.members()
+        .owners()
+        .map(({ instanceId }) => instanceId),
+      membershipVersion: this.members().membership.version,
+    };
+    return this.quotaShares.tryTake(organisation, quota, fleet, this.clock.monotonicMs());
+  }
+
   private candidates(demand: SlotDemand): CataloguedUpstream[] {
     const nowMs = this.clock.monotonicMs();
     return this.catalogue
--- a/packages/admission/src/pool-catalogue.ts
+++ b/packages/admission/src/pool-catalogue.ts
@@ -1,5 +1,11 @@
 /** Pools, replicas and policies as admission needs them, independent of where they are configured. */
-import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy, RequestLimits } from '@fighub/decisions';
+import type {
+  BlockedPrompts,
+  OrganisationLimitSettings,
+  OrganisationQuota,
+  PoolPolicy,
+  RequestLimits,
+} from '@fighub/decisions';
 
 /** An upstream replica as it is configured or registered. */
 export interface CataloguedUpstream {
@@ -34,6 +40,8 @@
   poolsOpenTo(organisation: string, model: string): readonly PoolDescription[];
   /** Limits of an organisation that apply to all pools of a model together. */
   limitsOf(organisation: string, model: string): OrganisationLimitSettings;
+  /** Quota of the online requests of an organisation in each pool; undefined for none. */
+  quotaOf?(organisation: string): OrganisationQuota | undefined;
   /** The prompts that this instance knows to be blocked, in all pools. */
   readonly blockedPrompts: BlockedPrompts;
   /** The limits that replicas state, as far as this instance knows. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -29,6 +29,7 @@
 export * from './membership.js';
 export * from './ordered-map.js';
 export * from './organisation-limits.js';
+export * from './organisation-quotas.js';
 export * from './origin-history.js';
 export * from './owner-retry.js';
 export * from './owner-suspicions.js';
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -8,6 +8,7 @@
 import { CrashSuspicions } from './crash-suspicions.js';
 import { ExpectedWaits } from './expected-waits.js';
 import { OrganisationLimits } from './organisation-limits.js';
+import { OrganisationQuotas } from './organisation-quotas.js';
 import { PoolSlots } from './pool-slots.js';
 import type {
   Permit,
@@ -47,6 +48,7 @@
   private nextLateItemsMs = 0;
   private readonly reserve = new BurstReserve();
   private readonly limits = new OrganisationLimits();
+  private readonly quotas = new OrganisationQuotas();
   /** Replicas of the pool, and the permits for their slots. */
   private readonly places = new PoolSlots(this.limits);
   private readonly waits: ExpectedWaits;
@@ -79,6 +81,7 @@
       slots: this.places,
       waiting: this.waiting,
       limits: this.limits,
+      quotas: this.quotas,
       reserve: this.reserve,
       prefixes: this.prefixes,
       crashes: this.crashes,
@@ -137,6 +140,12 @@
       this.waiting.batch.push(request, this.policy.weightOf(request.organisation));
       return;
     }
+    const quotaWaitMs = this.quotaWaitMs(request.organisation, nowMs);
+    if (quotaWaitMs > 0) {
+      const detail = `organisation ${request.organisation} has used up its quota of requests`;
+      this.output.refused(request, notRun('limit_reached', detail, quotaWaitMs));
+      return;
+    }
     this.reserve.onArrival(nowMs);
     const waitMs = this.waits.ofRequest(request, nowMs);
     if (
@@ -150,6 +159,11 @@
     this.waiting.online.push(request, this.policy.weightOf(request.organisation));
   }
 
+  private quotaWaitMs(organisation: string, nowMs: number): number {
+    const quota = this.policy.quotaOf?.(organisation);
+    return this.quotas.waitMs(organisation, quota, this.waiting.online.waitingOf(organisation), nowMs);
+  }
+
   /** Whether the pool has a waiting request or a permit. */
   get busy(): boolean {
     return this.permits.size + this.waiting.size > 0;
@@ -241,6 +255,7 @@
    * Runs one scheduling round: removes expired permits, refuses requests that cannot be served, preempts and grants.
    */
   run(nowMs: number): void {
+    this.quotas.start(nowMs);
     this.places.permitTable.dropExpired(nowMs);
     this.refuseOverdue(nowMs);
     this.gate.checkWaiting(nowMs);
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -4,6 +4,7 @@
 import type { ConcurrencyLimit, LatencyTargets } from './concurrency.js';
 import type { QueuedRequest } from './fair-queue.js';
 import type { LoadDrift } from './load-drift.js';
+import type { OrganisationQuota } from './organisation-quotas.js';
 import type { PromptReporter } from './prompt-crashes.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
 import type { RequestRate } from './request-rate.js';
@@ -149,6 +150,8 @@
   /** Weight of an organisation in the fair queues. */
   weightOf(organisation: string): number;
   limitsOf(organisation: string): OrganisationLimitSettings;
+  /** Quota of the online requests of an organisation in this pool; undefined for none. */
+  quotaOf?(organisation: string): OrganisationQuota | undefined;
 }
 
 /** Limits of one organisation in one pool; an undefined limit does not apply. */
--- a/packages/decisions/src/slot-granter.ts
+++ b/packages/decisions/src/slot-granter.ts
@@ -2,9 +2,11 @@
 import type { BurstReserve } from './burst-reserve.js';
 import type { CrashSuspicions } from './crash-suspicions.js';
 import type { OrganisationLimits } from './organisation-limits.js';
+import type { OrganisationQuotas } from './organisation-quotas.js';
 import { PERMIT_LIFETIME_MS } from './permit-table.js';
 import type { PoolSlots } from './pool-slots.js';
 import type { Permit, PoolOutput, PoolPolicy, PoolReplica, SlotRequest } from './pool-types.js';
+import { WorkClass } from './pool-types.js';
 import type { PrefixIndex } from './prefix-index.js';
 import type { WaitingRequests } from './waiting-requests.js';
 
@@ -25,6 +27,7 @@
   readonly slots: PoolSlots;
   readonly waiting: WaitingRequests;
   readonly limits: OrganisationLimits;
+  readonly quotas: OrganisationQuotas;
   readonly reserve: BurstReserve;
   readonly prefixes: PrefixIndex;
   readonly crashes: CrashSuspicions;
@@ -193,6 +196,12 @@
     this.nextPermit += 1;
     this.parts.slots.add(permit);
     this.parts.prefixes.add(request.prefixDigest, replica.replicaId, nowMs);
+    if (request.workClass === WorkClass.online)
+      this.parts.quotas.take(
+        request.organisation,
+        this.parts.policy().quotaOf?.(request.organisation),
+        nowMs,
+      );
     this.parts.limits.onStart(request, this.parts.policy().limitsOf(request.organisation), nowMs);
     this.parts.output.granted(permit, replica);
   }
--- a/packages/serving/src/batch/job-reader.test.ts
+++ b/packages/serving/src/batch/job-reader.test.ts
@@ -76,7 +76,13 @@
   });
 
   it('shows a job to callers of its organisation only, whoever holds it', async () => {
-    const held = { held: true, itemCount: 3, committedCount: 1, organisation: 'fox', results: [resultOf('a')] };
+    const held = {
+      held: true,
+      itemCount: 3,
+      committedCount: 1,
+      organisation: 'fox',
+      results: [resultOf('a')],
+    };
     const { store, reader } = setup(held);
     const access = { jobId: 'j', organisation: 'hen' };
     expect(await reader.results(access, 0)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
@@ -88,6 +94,9 @@
 
   it('reports that a job does not exist only after it has read the store', async () => {
     const { reader } = setup(NOT_HELD);
-    expect(await reader.results({ jobId: 'j' }, 0)).toMatchObject({ ok: false, error: { code: 'unknown_job' } });
+    expect(await reader.results({ jobId: 'j' }, 0)).toMatchObject({
+      ok: false,
+      error: { code: 'unknown_job' },
+    });
   });
 });
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -1,6 +1,14 @@
 /** Derives pools from the replica directory: one pool for each service. */
 import type { PoolCatalogue, PoolDescription } from '@fighub/admission';
-import type { BlockedPrompts, OrganisationLimitSettings, PoolPolicy, RequestLimits } from '@fighub/decisions';
+import type {
+  BlockedPrompts,
+  OrganisationLimitSettings,
+  OrganisationQuota,
+  PoolPolicy,
+  QuotaTolerance,
+  RequestLimits,
+} from '@fighub/decisions';
+import { RouteKind } from '@fighub/core';
 import { poolIdOf } from '@fighub/decisions';
 
 import type { FleetView } from './fleet-view.js';
@@ -8,15 +16,20 @@
 /** Pools span all failure domains, so that their owners may be anywhere in the fleet. */
 const WHOLE_FLEET = '';
 const NO_LIMITS: OrganisationLimitSettings = {};
-/** The routing configuration has no weights or limits of organisations. */
-const EQUAL_WEIGHT_POLICY: PoolPolicy = {
+const BASE_POLICY: Omit<PoolPolicy, 'weightOf' | 'quotaOf'> = {
   // Keeping a few slots free costs less than preempting a batch stream for each single online arrival.
   reserveMaxFraction: 0.08,
   // No target can be missed, so the limit of a replica stays at the number of slots that it registered.
   targets: { firstTokenTargetMs: Number.POSITIVE_INFINITY, betweenTokensTargetMs: Number.POSITIVE_INFINITY },
-  weightOf: () => 1,
   limitsOf: () => NO_LIMITS,
 };
+/**
+ * An organisation of one priority gets twice the share of one of the next priority while both wait. The share of a low
+ * priority stays above nothing.
+ */
+const WEIGHT_PER_PRIORITY = 0.5;
+/** Lower priorities weigh as much as this one. */
+const LOWEST_PRIORITY = 4;
 
 /** Id of the pool of a service. */
 export function poolIdOfService(service: string): string {
@@ -25,10 +38,15 @@
 
 /** Provides the pools of the current fleet view. */
 export class ServicePoolCatalogue implements PoolCatalogue {
+  /** Services to which routes of online requests lead. */
+  private onlineServices: ReadonlySet<string> = new Set();
   private describedVersion = -1;
   private described: readonly PoolDescription[] = [];
 
-  constructor(private readonly view: FleetView) {}
+  constructor(
+    private readonly view: FleetView,
+    private readonly tolerance: QuotaTolerance,
+  ) {}
 
   get version(): unknown {
     return this.view.version;
@@ -42,6 +60,7 @@
     if (this.view.version !== this.describedVersion) {
       this.describedVersion = this.view.version;
       this.described = this.describe();
+      this.onlineServices = this.findOnlineServices();
     }
     return this.described;
   }
@@ -51,7 +70,19 @@
   }
 
   policyOf(): PoolPolicy {
-    return EQUAL_WEIGHT_POLICY;
+    return this.policy;
+  }
+
+  /** The quota of an organisation. Pools that may serve online requests have equal parts of it. */
+  quotaOf(organisation: string): OrganisationQuota | undefined {
+    const { requestsPerSecond, burstRequests = 0 } = this.view.organisationKeys?.named(organisation) ?? {};
+    if (requestsPerSecond === undefined) return undefined;
+    const poolCount = Math.max(1, this.onlineServices.size);
+    return {
+      requestsPerSecond: requestsPerSecond / poolCount,
+      burstRequests: burstRequests / poolCount,
+      tolerance: { ...this.tolerance, slackRequests: this.tolerance.slackRequests / poolCount },
+    };
   }
 
   poolsOpenTo(_organisation: string, service: string): readonly PoolDescription[] {
@@ -66,6 +97,23 @@
     return !this.view.isUsable(upstreamId);
   }
 
+  private readonly policy: PoolPolicy = {
+    ...BASE_POLICY,
+    weightOf: (organisation) => this.weightOf(organisation),
+    quotaOf: (organisation) => this.quotaOf(organisation),
+  };
+
+  private findOnlineServices(): ReadonlySet<string> {
+    const routes = this.view.configuration?.routes ?? [];
+    const backends = routes.filter(({ kind }) => kind !== RouteKind.batch).flatMap((route) => route.backends);
+    return new Set(backends.filter(({ weight }) => weight > 0).map(({ service }) => service));
+  }
+
+  private weightOf(organisation: string): number {
+    const priority = this.view.organisationKeys?.named(organisation)?.priority ?? 0;
+    return WEIGHT_PER_PRIORITY ** Math.min(priority, LOWEST_PRIORITY);
+  }
+
   private describe(): PoolDescription[] {
     const { replicas } = this.view.replicas;
     const services = [...new Set(replicas.map((replica) => replica.service))];
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -49,6 +49,8 @@
  */
 const NO_LOAD_READER: LoadReader = { load: () => Promise.resolve(undefined) };
 
+const MS_PER_S = 1_000;
+
 function token<T>(name: string): ServiceIdentifier<T> {
   return Symbol.for(`fighub/serving/${name}`) as ServiceIdentifier<T>;
 }
@@ -193,7 +195,7 @@
 }
 
 function bindAdmission(container: Container): void {
-  bindPart(container, Tokens.catalogue, (get) => new ServicePoolCatalogue(get(Tokens.view)));
+  bindPart(container, Tokens.catalogue, (get) => poolCatalogue(get));
   bindPart(
     container,
     Tokens.host,
@@ -311,6 +313,15 @@
   bindPart(container, Tokens.runner, (get) => new ForwardRunner(runDependencies(get)));
 }
 
+function poolCatalogue(get: GetPart): ServicePoolCatalogue {
+  const { quotaWindowS, quotaOverageFraction, quotaSlackRequests } = get(Tokens.settings).organisations;
+  return new ServicePoolCatalogue(get(Tokens.view), {
+    windowMs: quotaWindowS * MS_PER_S,
+    overageFraction: quotaOverageFraction,
+    slackRequests: quotaSlackRequests,
+  });
+}
+
 function relayedStore(get: GetPart): RelayedStore {
   return new RelayedStore(
     get(Tokens.adapters).keyValueService,
