Serve finished jobs and bodies of items from the memory of the job's holder

The instance that ran a job keeps its results in bounded memory and answers for them and for bodies of items; only one coordinator reads the configuration, and the others ask it.

--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -187,6 +187,22 @@
   readonly results: readonly StoredResult[];
 }
 
+/** Requests the body of an item from the holder of its job. */
+export interface JobItemBody {
+  readonly jobId: string;
+  readonly itemId: string;
+}
+
+/** Response to a request for the body of an item. */
+export interface JobItemResponse {
+  /** False when the responding instance has not got the items of the job in memory. */
+  readonly held: boolean;
+  /** Organisation of the job; omitted if it has none. */
+  readonly organisation?: string;
+  /** Omitted if the job has no such item. */
+  readonly bodyBase64?: string;
+}
+
 /** A call to the key-value service that the receiver makes on behalf of the sender. */
 export type StoreCall =
   | { readonly kind: 'get'; readonly key: string }
@@ -286,6 +302,7 @@
   'relay.state': { body: Record<string, never>; answer: RelayState };
   /** Relays a request to a replica. It is not sent if the call is not accepted. */
   'relay.call': { body: RelayCallBody; answer: { accepted: boolean } };
+  'job.item': { body: JobItemBody; answer: JobItemResponse };
   'job.results': { body: JobResultsBody; answer: JobResultsResponse };
   /** Whether the responding instance still runs the request with this idempotency key. */
   'once.state': { body: { key: string }; answer: { running: boolean } };
--- a/packages/serving/src/access/key-confirmation.test.ts
+++ b/packages/serving/src/access/key-confirmation.test.ts
@@ -57,7 +57,6 @@
     view,
     source,
     selfId: 'self',
-    isCoordinator,
     withdrawalLimitMs: LIMIT_MS,
     members: () => ({ owners: () => members }) as unknown as MembershipRunner,
     node,
@@ -126,6 +125,14 @@
     expect(access.authenticate(KEY, 'q')).toMatchObject({ ok: false, error: { code: 'unauthenticated' } });
   });
 
+  it('reads the store itself when what its peer has proven is old', async () => {
+    const { confirmation, outside, renew } = setup();
+    outside.peer = { version: 1, ageMs: 4_000 };
+    outside.store = configuration(1, [KEY]);
+    await renew();
+    expect(confirmation.ageMs).toBe(0);
+  });
+
   it('lets a coordinator that the store turns away ask another one', async () => {
     const { confirmation, outside, renew } = setup(true);
     outside.peer = { version: 1, ageMs: 100 };
--- a/packages/serving/src/access/key-confirmation.ts
+++ b/packages/serving/src/access/key-confirmation.ts
@@ -1,13 +1,14 @@
 /**
- * Keeps proving that this instance knows the newest configuration, and so which keys have been withdrawn. Coordinators read it
- * from the store; other instances ask a coordinator, and read the store when none responds. An answer states the age of
+ * Keeps proving that this instance knows the newest configuration, and so which keys have been withdrawn. One coordinator
+ * reads it from the store, the other coordinators ask that one, and all other instances a coordinator. Whoever gets no
+ * proof that is recent enough reads the store itself. An answer states the age of
  * what its sender has proven, which the receiver carries on. Pushed views are no proof: they may have been held up on the
  * way for any time.
  */
 import type { Clock, DecisionLog, Metrics, RoutingConfiguration, System } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
 import type { ClockReading } from '@fighub/decisions';
-import { KnowledgeAge, coordinatorsOf } from '@fighub/decisions';
+import { KnowledgeAge, coordinatorFor, coordinatorsOf, isCoordinator } from '@fighub/decisions';
 import type { ConfigurationProof, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { FleetSource } from '../routing/fleet-source.js';
@@ -18,14 +19,17 @@
 const RENEWALS_PER_LIMIT = 5;
 /** Part of the limit that is left for differences between the clocks of machines. */
 const CLOCK_MARGIN_FRACTION = 0.05;
+/** An instance with an older proof from a peer reads the store itself, as a fraction of the limit. */
+const MAX_RELAYED_AGE_FRACTION = 0.6;
 const ASK_TIMEOUT_MS = 300;
+/** Key by which the coordinator that reads the configuration is chosen. */
+const READER_ROLE_KEY = 'configuration reader';
 
 /** Components that `KeyConfirmation` uses. */
 export interface KeyConfirmationDependencies {
   readonly view: FleetView;
   readonly source: FleetSource;
   readonly selfId: string;
-  readonly isCoordinator: boolean;
   /** Longest time for which a withdrawn key may be accepted, in milliseconds; undefined for any. */
   readonly withdrawalLimitMs: number | undefined;
   readonly members: () => MembershipRunner;
@@ -84,12 +88,22 @@
   }
 
   private async renew(): Promise<void> {
-    const { isCoordinator } = this.dependencies;
-    const proven = isCoordinator
+    const proven = this.isReader
       ? (await this.readStore()) || (await this.askPeer())
-      : (await this.askPeer()) || (await this.readStore());
-    if (proven) return;
-    this.dependencies.metrics.count('key_confirmations_failed');
+      : ((await this.askPeer()) && this.isRecent) || (await this.readStore());
+    if (!proven) this.dependencies.metrics.count('key_confirmations_failed');
+  }
+
+  /** Whether this instance is the one that reads the store for the fleet. */
+  private get isReader(): boolean {
+    const { members, selfId } = this.dependencies;
+    return coordinatorFor(READER_ROLE_KEY, members().owners()) === selfId;
+  }
+
+  /** Whether the proof is so recent that the instance that reads the store for the fleet reaches it. */
+  private get isRecent(): boolean {
+    const { withdrawalLimitMs = Number.POSITIVE_INFINITY } = this.dependencies;
+    return this.ageMs <= withdrawalLimitMs * MAX_RELAYED_AGE_FRACTION;
   }
 
   /** Reads the configuration from the store. Whatever was acknowledged before the read began is known after it. */
@@ -117,12 +131,16 @@
     return true;
   }
 
-  /** A coordinator of this failure domain or, if that has not responded, any coordinator. */
+  /** For coordinators the reader; for others a coordinator of their failure domain. If that has not responded, any. */
   private peerToAsk(): string | undefined {
     const { members, selfId, random } = this.dependencies;
     const owners = members().owners();
-    const failureDomain = owners.find(({ instanceId }) => instanceId === selfId)?.failureDomain;
+    const self = owners.find(({ instanceId }) => instanceId === selfId);
+    const failureDomain = self?.failureDomain;
     const others = coordinatorsOf(owners).filter(({ instanceId }) => instanceId !== selfId);
+    const readerId = coordinatorFor(READER_ROLE_KEY, owners);
+    const reader = others.find(({ instanceId }) => instanceId === readerId);
+    if (self && isCoordinator(self) && reader && !this.peerFailed) return reader.peerAddress;
     const near = others.filter((member) => member.failureDomain === failureDomain);
     const candidates = near.length > 0 && !this.peerFailed ? near : others;
     return candidates[Math.floor(random() * candidates.length)]?.peerAddress;
--- a/packages/serving/src/batch/input-cache.ts
+++ b/packages/serving/src/batch/input-cache.ts
@@ -5,7 +5,7 @@
 import { StoreErrorKind } from '@fighub/outside';
 
 /** Number of jobs whose items are kept in memory; a job takes about 200 KB. */
-const MAX_CACHED_JOBS = 40;
+const MAX_CACHED_JOBS = 80;
 
 /** Reads the items of jobs from the store and caches those of the most recently added jobs. */
 export class InputCache {
--- a/packages/serving/src/batch/job-reader.ts
+++ b/packages/serving/src/batch/job-reader.ts
@@ -11,7 +11,7 @@
 } from '@fighub/core';
 import { LogCategory, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
 import { committedResults, coordinatorFor, endJob, isClosed } from '@fighub/decisions';
-import type { JobResultsResponse, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { JobResultsResponse, MembershipRunner, PeerNode, PeerRequests } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
 
@@ -93,19 +93,21 @@
    */
   async itemBody(access: JobAccess, itemId: string): Promise<Outcome<Buffer, Problem>> {
     const { jobId } = access;
-    const items = await this.items(access);
-    if (!items.ok) return items;
-    const item = items.value.find((candidate) => candidate.itemId === itemId);
-    if (!item) return fail(notRun('not_found', `job ${jobId} has no item ${itemId}`));
-    return ok(Buffer.from(item.bodyBase64, 'base64'));
+    const known = this.knownJobs.get(jobId);
+    if (known && known.organisation !== access.organisation) return this.refuseAccess(access);
+    const cached = known || access.organisation === undefined ? this.inputs.cached(jobId) : undefined;
+    if (cached) return toBody(jobId, itemId, bodyOf(cached, itemId));
+    const fromHolder = await this.askHolder(jobId, 'job.item', { jobId, itemId });
+    if (fromHolder?.held) {
+      if (fromHolder.organisation !== access.organisation) return this.refuseAccess(access);
+      return toBody(jobId, itemId, fromHolder.bodyBase64);
+    }
+    const items = await this.readItems(access);
+    return items.ok ? toBody(jobId, itemId, bodyOf(items.value, itemId)) : items;
   }
 
-  private async items(access: JobAccess): Promise<Outcome<readonly StoredItem[], Problem>> {
+  private async readItems(access: JobAccess): Promise<Outcome<readonly StoredItem[], Problem>> {
     const { jobId } = access;
-    const known = this.knownJobs.get(jobId);
-    if (known && known.organisation !== access.organisation) return this.refuseAccess(access);
-    const cached = this.inputs.cached(jobId);
-    if (cached && (known ?? access.organisation === undefined)) return ok(cached);
     const progress = await this.readProgress(jobId);
     if (!progress.ok) return progress;
     if (progress.value.organisation !== access.organisation) return this.refuseAccess(access);
@@ -154,6 +156,15 @@
   ): Promise<JobResultsResponse | undefined> {
     const localAnswer = this.localResults(jobId, afterPosition);
     if (localAnswer.held) return localAnswer;
+    return this.askHolder(jobId, 'job.results', { jobId, afterPosition });
+  }
+
+  /** Asks the instance that probably holds a job; undefined if there is none, or if it does not respond. */
+  private async askHolder<K extends 'job.results' | 'job.item'>(
+    jobId: string,
+    name: K,
+    body: PeerRequests[K]['body'],
+  ): Promise<PeerRequests[K]['answer'] | undefined> {
     const known = this.knownJobs.get(jobId);
     // Unless the membership has changed, acceptance assigned the job to this coordinator. Asking it first saves
     // a store call.
@@ -161,8 +172,7 @@
     if (known?.closed || holder === undefined || holder === this.selfId()) return undefined;
     const member = this.members().membership.get(holder);
     if (!member || !this.members().membership.isLive(holder)) return undefined;
-    const body = { jobId, afterPosition };
-    const answer = await this.node.request(member.peerAddress, 'job.results', body, HOLDER_TIMEOUT_MS);
+    const answer = await this.node.request(member.peerAddress, name, body, HOLDER_TIMEOUT_MS);
     if (!answer.ok) this.metrics.count('job_holders_not_answering');
     return answer.ok ? answer.value : undefined;
   }
@@ -220,6 +230,16 @@
   }
 }
 
+/** The encoded body of an item; undefined if there is no such item. */
+function bodyOf(items: readonly StoredItem[], itemId: string): string | undefined {
+  return items.find((item) => item.itemId === itemId)?.bodyBase64;
+}
+
+function toBody(jobId: string, itemId: string, bodyBase64: string | undefined): Outcome<Buffer, Problem> {
+  if (bodyBase64 === undefined) return fail(notRun('not_found', `job ${jobId} has no item ${itemId}`));
+  return ok(Buffer.from(bodyBase64, 'base64'));
+}
+
 /**
  * Makes a page of the results that fit. It contains at least one result if there is any, so that readers make
  * progress.
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -10,10 +10,17 @@
 } from '@fighub/core';
 import { EntityTable, LogCategory, batchJobKeys } from '@fighub/core';
 import { claimJob, coordinatorFor, isClosed, shouldClaim } from '@fighub/decisions';
-import type { JobResultsResponse, MembershipRunner, PeerNode } from '@fighub/peers';
+import type {
+  JobItemBody,
+  JobItemResponse,
+  JobResultsResponse,
+  MembershipRunner,
+  PeerNode,
+} from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
 
 import type { BacklogView } from './backlog-view.js';
+import { FinishedJobs } from './finished-jobs.js';
 import type { InputCache } from './input-cache.js';
 import type { ItemRunDependencies } from './item-run.js';
 import { JobCheckpoint } from './job-checkpoint.js';
@@ -41,8 +48,8 @@
 const LISTING_MAX_AGE_MS = 2_400;
 /** How long items are still sent during a store outage, in which nobody can end a job. */
 const OUTAGE_DISPATCH_MS = 12_000;
-/** How long finished jobs stay in memory to serve readers. */
-const FINISHED_RETENTION_MS = 20_000;
+/** How long finished jobs may make their last writes. Their results are kept for longer by `FinishedJobs`. */
+const FINISHED_RETENTION_MS = 5_000;
 
 /** Epoch of a job that has had one holder only. */
 const FIRST_EPOCH = 1;
@@ -56,6 +63,7 @@
   private readonly jobs = new EntityTable<RunningJob>();
   private readonly loadingJobIds = new Set<string>();
   private readonly finishedAtMs = new Map<string, number>();
+  private readonly finishedJobs = new FinishedJobs();
   private readonly observations = new Map<string, ProgressObservation>();
   private readonly endedJobIds = new Set<string>();
   private listedAtMs = Number.NEGATIVE_INFINITY;
@@ -82,6 +90,7 @@
     node.onNotice('job.offered', (body) => this.onOffered(body.jobId));
     node.onNotice('job.cancelled', (body) => this.onEnded(body.jobId));
     node.onRequest('job.results', (body) => this.results(body.jobId, body.afterPosition));
+    node.onRequest('job.item', (body) => this.itemBody(body));
   }
 
   get busy(): boolean {
@@ -97,9 +106,22 @@
     this.notifyHolder(progress.holder, progress.jobId);
   }
 
-  /** Committed results of a job that this instance holds, or `held: false`. */
+  /** Committed results of a job that this instance holds or has finished, or `held: false`. */
   results(jobId: string, afterPosition: number): JobResultsResponse {
-    return this.jobs.get(jobId)?.results(afterPosition) ?? NOT_HELD;
+    return (
+      this.jobs.get(jobId)?.results(afterPosition) ??
+      this.finishedJobs.results(jobId, afterPosition) ??
+      NOT_HELD
+    );
+  }
+
+  /** The body of an item of a job whose items are in memory here; `held: false` otherwise. */
+  private itemBody({ jobId, itemId }: JobItemBody): JobItemResponse {
+    const items = this.inputs.cached(jobId);
+    const { held, organisation } = this.results(jobId, Number.MAX_SAFE_INTEGER);
+    if (!items || !held) return { held: false };
+    const bodyBase64 = items.find((item) => item.itemId === itemId)?.bodyBase64;
+    return { held: true, organisation, bodyBase64 };
   }
 
   /** Stops a job that its caller has ended, and ensures that it is not started again. */
@@ -288,6 +310,7 @@
         if (!isStopped && nowMs - finishedAtMs < FINISHED_RETENTION_MS) return;
         this.jobs.take(job.jobId);
         this.finishedAtMs.delete(job.jobId);
+        if (!isStopped) this.finishedJobs.add(job.jobId, job.results(0));
       });
   }
 }
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -174,7 +174,6 @@
         view: get(Tokens.view),
         source: get(Tokens.adapters).fleetSource,
         selfId: get(Tokens.self).instanceId,
-        isCoordinator: get(Tokens.settings).coordinates,
         withdrawalLimitMs: get(Tokens.settings).organisations.keyWithdrawalLimitMs,
         members: () => get(Tokens.membership),
         node: get(Tokens.node),
