Forget what a replica has stated when another process starts under its id

Ids of replicas were taken to be unique to one process. A process that starts under the id of one that was leaving would have got no request from any instance that had seen the statement, for as long as that instance ran, and would have kept the limit that the earlier one had stated. The start time in the directory tells them apart.

--- a/packages/decisions/src/leaving-replicas.ts
+++ b/packages/decisions/src/leaving-replicas.ts
@@ -22,6 +22,11 @@
     return this.seenAtMs.has(replicaId);
   }
 
+  /** Forgets a replica, since another process has started under its id. */
+  delete(replicaId: string): void {
+    this.seenAtMs.delete(replicaId);
+  }
+
   /** Ids of all replicas that are known to be leaving. */
   ids(): string[] {
     return [...this.seenAtMs.keys()];
--- a/packages/decisions/src/request-limits.ts
+++ b/packages/decisions/src/request-limits.ts
@@ -56,6 +56,11 @@
     return true;
   }
 
+  /** Forgets what a replica has stated, since another process has started under its id. */
+  delete(replicaId: string): void {
+    if (this.limits.delete(replicaId)) this.changes += 1;
+  }
+
   /** All statements, including those that a limit has ended. */
   all(): RequestLimit[] {
     return [...this.limits.values()];
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -145,11 +145,25 @@
     const same = JSON.stringify(directory.replicas) === JSON.stringify(this.directory.replicas);
     this.directory = directory;
     if (same) return false;
+    this.forgetRestarted(directory.replicas);
     this.replicasById = new Map(directory.replicas.map((replica) => [replica.replicaId, replica]));
     this.notifyChange();
     return true;
   }
 
+  /** A process that has started under the id of an earlier one holds and knows nothing of that one. */
+  private forgetRestarted(replicas: readonly ReplicaRecord[]): void {
+    replicas
+      .filter(({ replicaId, startedAtUnixMs }) => {
+        const before = this.replicasById.get(replicaId)?.startedAtUnixMs;
+        return before !== undefined && startedAtUnixMs !== undefined && startedAtUnixMs > before;
+      })
+      .forEach(({ replicaId }) => {
+        this.announcedLeaving.delete(replicaId);
+        this.requestLimits.delete(replicaId);
+      });
+  }
+
   private takesRequests(replica: ReplicaRecord): boolean {
     return !replica.leaving && !this.announcedLeaving.has(replica.replicaId);
   }
