Place streams by the memory and the speed of replicas

Replicas were chosen by their number of streams only. The requests that a replica holds may now not exceed its memory, as the configuration states it, by prompt and longest output of each, with preempted streams counted until they are released; a request that fits nowhere waits, and shorter ones of other organisations start meanwhile. The time between events of the streams gives each replica a speed beside the mean of the pool: a slow one counts as fuller, a fast one as emptier, and one without recent samples as average, so that it is tried again. A process that has started again under the same id begins with nothing of this.

--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -501,6 +501,7 @@
       resumable: demand.resumable,
       alone: demand.alone,
       receivedTokens: demand.receivedTokens,
+      memoryTokens: demand.memoryTokens,
     };
   }
 
--- a/packages/admission/src/pool-catalogue.ts
+++ b/packages/admission/src/pool-catalogue.ts
@@ -16,6 +16,10 @@
   readonly softwareVersion?: string;
   /** Maximum number of concurrent streams of the replica. */
   readonly maxConcurrency: number;
+  /** Tokens that fit into its memory; undefined when not known. */
+  readonly memoryTokens?: number;
+  /** Start of its incarnation, in Unix milliseconds; undefined when not known. */
+  readonly startedAtUnixMs?: number;
   /** Whether the replica refuses requests with an outdated fencing number. */
   readonly fencingChecked: boolean;
 }
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -349,6 +349,8 @@
         maxConcurrency: upstream.maxConcurrency,
         failureDomain: upstream.failureDomain,
         softwareVersion: upstream.softwareVersion,
+        memoryTokens: upstream.memoryTokens,
+        startedAtUnixMs: upstream.startedAtUnixMs,
         leaving: this.catalogue.isLeaving(upstream.upstreamId),
       })),
     );
@@ -507,6 +509,7 @@
       alone: body.alone,
       enqueuedAtMs: nowMs,
       receivedTokens: body.receivedTokens,
+      memoryTokens: body.memoryTokens,
     };
   }
 }
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -42,6 +42,8 @@
   readonly alone: boolean;
   /** Tokens of a batch item's output that earlier runs have received; undefined when there are none. */
   readonly receivedTokens?: number;
+  /** Tokens of the prompt and of the longest output, which the replica keeps in memory; undefined when not known. */
+  readonly memoryTokens?: number;
 }
 
 /** A granted slot at a replica. */
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -63,6 +63,8 @@
   readonly maxConnections?: number;
   /** Number of slots of one replica, each of which runs one stream at a time. */
   readonly slots?: number;
+  /** Tokens that fit into the memory of one replica, over all requests that it holds. */
+  readonly memoryTokens?: number;
 }
 
 /** A caller's organisation. Its requests carry one of its keys. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -47,6 +47,7 @@
 export * from './replica-choice.js';
 export * from './replica-directory.js';
 export * from './replica-health.js';
+export * from './replica-speed.js';
 export * from './request-crashes.js';
 export * from './request-limits.js';
 export * from './request-rate.js';
--- a/packages/decisions/src/permit-table.ts
+++ b/packages/decisions/src/permit-table.ts
@@ -19,6 +19,8 @@
   readonly permits: Map<string, Permit>;
   /** Preempted permits, whose slots count as free during the grace period. */
   readonly revoked: Set<Permit>;
+  /** Tokens in the memory of the replica that the requests of these permits may need. */
+  memoryTokens: number;
 }
 
 /** Keeps permits and counts of them, which change with each permit instead of being computed by scans. */
@@ -57,6 +59,7 @@
     const atReplica = this.atReplica(replicaId);
     atReplica.permits.delete(permitId);
     atReplica.revoked.delete(permit);
+    atReplica.memoryTokens -= request.memoryTokens ?? 0;
     if (atReplica.permits.size === 0) this.byReplica.delete(replicaId);
     const ofHolder = this.byHolder.get(request.holder);
     ofHolder?.delete(permitId);
@@ -122,6 +125,11 @@
     return [...(this.byReplica.get(replicaId)?.permits.values() ?? [])];
   }
 
+  /** Tokens in the memory of a replica that the requests there may need, including preempted ones. */
+  memoryTokensAt(replicaId: string): number {
+    return this.byReplica.get(replicaId)?.memoryTokens ?? 0;
+  }
+
   /** Number of permits of a work class. */
   streamsOf(workClass: WorkClass): number {
     return workClass === WorkClass.online ? this.onlineStreams : this.all.size - this.onlineStreams;
@@ -154,7 +162,9 @@
     this.preemptible.add(permit);
     this.count(permit, 1);
     this.byRequestId.set(request.requestId, permit);
-    this.atReplica(replicaId).permits.set(permitId, permit);
+    const atReplica = this.atReplica(replicaId);
+    atReplica.permits.set(permitId, permit);
+    atReplica.memoryTokens += request.memoryTokens ?? 0;
     const ofHolder = this.byHolder.get(request.holder) ?? new Map<string, Permit>();
     this.byHolder.set(request.holder, ofHolder.set(permitId, permit));
     this.expiryBoundMs = Math.min(this.expiryBoundMs, permit.expiresAtMs);
@@ -169,7 +179,7 @@
   private atReplica(replicaId: string): ReplicaPermits {
     const known = this.byReplica.get(replicaId);
     if (known) return known;
-    const created = { permits: new Map<string, Permit>(), revoked: new Set<Permit>() };
+    const created = { permits: new Map<string, Permit>(), revoked: new Set<Permit>(), memoryTokens: 0 };
     this.byReplica.set(replicaId, created);
     return created;
   }
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -29,6 +29,8 @@
 import { SuspectGate } from './suspect-gate.js';
 import { WaitingRequests } from './waiting-requests.js';
 
+/** Streams with fewer events say little about the speed of their replica. */
+const MIN_SPEED_SAMPLE_EVENTS = 8;
 /** Represents any organisation that has no requests in the pool; its expected wait is reported as `newcomerWaitMs`. */
 const IDLE_ORGANISATION = '';
 const MAX_ONLINE_QUEUE_REQUESTS = 2_000;
@@ -202,6 +204,8 @@
       nowMs,
     );
     this.places.observeEnd(permit.replicaId, report.end, nowMs);
+    if (report.betweenTokensMs !== undefined && report.tokens >= MIN_SPEED_SAMPLE_EVENTS)
+      this.places.observeSpeed(permit.replicaId, report.betweenTokensMs, nowMs);
     if (report.end === 'completed') this.recordMeasurements(permit, report, nowMs);
   }
 
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -11,6 +11,7 @@
 import type { PrefixIndex } from './prefix-index.js';
 import { ReplicaCapacity } from './replica-capacity.js';
 import type { AttemptEnd } from './replica-health.js';
+import { PoolSpeed, ReplicaSpeed } from './replica-speed.js';
 import { ReplicaHealth } from './replica-health.js';
 import { RequestRate } from './request-rate.js';
 import type { SlotCounts } from './slot-totals.js';
@@ -24,11 +25,12 @@
   readonly replicas = new EntityTable<PoolReplica>();
   readonly permitTable: PermitTable;
   private readonly capacity: ReplicaCapacity;
+  private readonly speed = new PoolSpeed();
   private nextPosition = 0;
 
   constructor(limits: OrganisationLimits) {
     this.permitTable = new PermitTable(limits, (replicaId) => this.capacity.markChanged(replicaId));
-    this.capacity = new ReplicaCapacity(this.replicas, this.permitTable);
+    this.capacity = new ReplicaCapacity(this.replicas, this.permitTable, this.speed);
   }
 
   get permits(): EntityTable<Permit> {
@@ -36,8 +38,8 @@
   }
 
   /**
-   * Adds, updates and removes replicas so that they match `infos`. A replica whose address changed is replaced,
-   * and starts with a new concurrency limit, health and drift.
+   * Adds, updates and removes replicas so that they match `infos`. A replica that has started again, maybe under the same id, is
+   * replaced, and starts with a new concurrency limit, health, drift and speed.
    */
   setReplicas(infos: readonly ReplicaInfo[]): void {
     const wanted = new Set(infos.map((info) => info.replicaId));
@@ -64,6 +66,15 @@
     this.change(replicaId, (replica) => replica.health.observe(end, nowMs));
   }
 
+  /** Records the mean time between two events of a stream at a replica. */
+  observeSpeed(replicaId: string, betweenEventsMs: number, nowMs: number): void {
+    this.change(replicaId, ({ speed }) => {
+      const before = speed.betweenEventsMs;
+      speed.observe(betweenEventsMs, nowMs);
+      this.speed.replace(before, speed.betweenEventsMs);
+    });
+  }
+
   /**
    * Records the result of reading a replica's load: its maximum number of streams, or undefined when it could not be
    * read.
@@ -228,6 +239,7 @@
     const order = anyReporting ? this.capacity.reportingOrder : this.capacity.silentOrder;
     const admits = (replicaId: string): boolean =>
       replicaId !== exceptReplicaId &&
+      this.fitsMemory(request, replicaId) &&
       this.isOfVersion(replicaId, softwareVersion) &&
       !(skipsExcluded && excluded.has(replicaId));
     if (request.workClass === WorkClass.online) return order.pick(request, prefixes, admits);
@@ -254,6 +266,7 @@
     this.capacity.refresh(nowMs);
     const admits = (replicaId: string): boolean =>
       replicaId !== exceptReplicaId &&
+      this.fitsMemory(request, replicaId) &&
       this.allowsPreemption(replicaId, nowMs) &&
       this.isOfVersion(replicaId, request.softwareVersion) &&
       !request.excludedReplicaIds.includes(replicaId);
@@ -267,6 +280,16 @@
     );
   }
 
+  /**
+   * Whether a request fits into the memory of a replica beside those that run there. A preempted stream keeps its memory until
+   * it is released. A request that is larger than the memory is left to the replica to refuse.
+   */
+  private fitsMemory({ memoryTokens = 0 }: SlotRequest, replicaId: string): boolean {
+    const available = this.replicas.get(replicaId)?.memoryTokens;
+    const used = this.permitTable.memoryTokensAt(replicaId);
+    return available === undefined || used === 0 || used + memoryTokens <= available;
+  }
+
   /**
    * Whether batch streams at a replica may be preempted. At a limited one, the online request and the item that begins
    * again are both counted, so that it is done only where the limit leaves many requests.
@@ -307,12 +330,14 @@
       missedReports: replica.missedReports,
       open: replica.health.isAvailable(nowMs),
       onProbation: replica.health.onProbation,
+      memoryTokens: this.permitTable.memoryTokensAt(replica.replicaId),
+      extraStreams: replica.speed.extraStreams(this.speed, replica.limit.places, nowMs),
     }));
   }
 
   private setReplica(info: ReplicaInfo): void {
     const known = this.replicas.get(info.replicaId);
-    if (known?.address === info.address && known.softwareVersion === info.softwareVersion) {
+    if (known && isSameProcess(known, info)) {
       const hasNewMaximum = known.limit.setMaximum(info.maxConcurrency);
       if (hasNewMaximum || known.leaving !== info.leaving) this.capacity.markChanged(info.replicaId);
       known.leaving = info.leaving;
@@ -329,6 +354,9 @@
       rate: new RequestRate(),
       health: new ReplicaHealth(),
       drift: new LoadDrift(),
+      speed: new ReplicaSpeed(),
+      memoryTokens: info.memoryTokens,
+      startedAtUnixMs: info.startedAtUnixMs,
       leaving: info.leaving,
       missedReports: 0,
     });
@@ -338,6 +366,7 @@
 
   private removeReplica(replicaId: string): void {
     this.capacity.remove(replicaId);
+    this.speed.replace(this.replicas.get(replicaId)?.speed.betweenEventsMs, undefined);
     this.replicas.take(replicaId);
   }
 
@@ -347,3 +376,13 @@
     return softwareVersion === undefined || this.replicas.get(replicaId)?.softwareVersion === softwareVersion;
   }
 }
+
+/** Whether an entry names the process that is known, and not one that has started under the same id since. */
+function isSameProcess(known: PoolReplica, info: ReplicaInfo): boolean {
+  return (
+    known.address === info.address &&
+    known.softwareVersion === info.softwareVersion &&
+    known.startedAtUnixMs === info.startedAtUnixMs &&
+    known.memoryTokens === info.memoryTokens
+  );
+}
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -7,6 +7,7 @@
 import type { OrganisationQuota } from './organisation-quotas.js';
 import type { PromptReporter } from './prompt-crashes.js';
 import type { AttemptEnd, ReplicaHealth } from './replica-health.js';
+import type { ReplicaSpeed } from './replica-speed.js';
 import type { RequestRate } from './request-rate.js';
 
 /** Class of work of a request. Online requests are served before batch items. */
@@ -42,6 +43,8 @@
   readonly enqueuedAtMs: number;
   /** Tokens of a batch item's output that earlier runs have received; undefined when there are none. */
   readonly receivedTokens?: number;
+  /** Tokens of the prompt and of the longest output, which a replica keeps in memory; undefined when not known. */
+  readonly memoryTokens?: number;
 }
 
 /** A crash of a replica under a request that ran there without a permit of the pool's owner. */
@@ -82,6 +85,11 @@
   readonly rate: RequestRate;
   readonly health: ReplicaHealth;
   readonly drift: LoadDrift;
+  readonly speed: ReplicaSpeed;
+  /** Tokens that fit into the memory of the replica; undefined when not known. */
+  readonly memoryTokens?: number;
+  /** Start of the replica's incarnation, in Unix milliseconds; undefined when not known. */
+  readonly startedAtUnixMs?: number;
   /** True when the replica gets no new work because it is about to shut down. */
   leaving: boolean;
   /** Number of consecutive times that the owner could not read the replica's load. */
@@ -97,6 +105,10 @@
   readonly softwareVersion?: string;
   /** Maximum number of concurrent streams. */
   readonly maxConcurrency: number;
+  /** Tokens that fit into its memory; undefined when not known. */
+  readonly memoryTokens?: number;
+  /** Start of its incarnation, in Unix milliseconds; undefined when not known. */
+  readonly startedAtUnixMs?: number;
   readonly leaving: boolean;
 }
 
--- a/packages/decisions/src/replica-capacity.ts
+++ b/packages/decisions/src/replica-capacity.ts
@@ -9,9 +9,13 @@
 import type { PoolReplica } from './pool-types.js';
 import { isReporting, usableSlots } from './replica-choice.js';
 import { ReplicaOrder } from './replica-order.js';
+import type { PoolSpeed } from './replica-speed.js';
 import type { SlotCounts } from './slot-totals.js';
 import { SlotTotals } from './slot-totals.js';
 
+/** Replicas are checked for samples of their speed that are too old at most this often. */
+const SPEED_CHECK_PERIOD_MS = 500;
+
 /** Follows the replicas and permits of one pool. `refresh` comes before the totals and orders are read. */
 export class ReplicaCapacity {
   /** Replicas with a free slot, apart by whether their load could be read. */
@@ -27,11 +31,15 @@
   private readonly timeDependent = new Set<string>();
   /** Replicas whose reports differ from their permits. */
   private readonly drifting = new Set<string>();
+  /** Replicas that count as slower or faster than the others, until their samples are too old. */
+  private readonly ofOtherSpeed = new Set<string>();
+  private nextSpeedCheckMs = Number.NEGATIVE_INFINITY;
   private refreshedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(
     private readonly replicas: EntityTable<PoolReplica>,
     private readonly permits: PermitTable,
+    private readonly speed: PoolSpeed,
   ) {}
 
   /** Looks at a replica again at the next decision. */
@@ -45,6 +53,7 @@
     this.silentOrder.delete(replicaId);
     this.timeDependent.delete(replicaId);
     this.drifting.delete(replicaId);
+    this.ofOtherSpeed.delete(replicaId);
     this.limited.delete(replicaId);
     this.dropCounts(replicaId);
   }
@@ -60,6 +69,7 @@
       this.refreshedAtMs = nowMs;
       this.timeDependent.forEach((replicaId) => this.changed.add(replicaId));
       this.limited.newlyAllowedIds(nowMs).forEach((replicaId) => this.changed.add(replicaId));
+      this.markOldSpeeds(nowMs);
     }
     this.refreshChanged(nowMs);
     if (!this.limited.setAllLimited(this.totals.limitedSlots >= this.totals.slots)) return;
@@ -99,6 +109,12 @@
     this.changed.clear();
   }
 
+  private markOldSpeeds(nowMs: number): void {
+    if (nowMs < this.nextSpeedCheckMs) return;
+    this.nextSpeedCheckMs = nowMs + SPEED_CHECK_PERIOD_MS;
+    this.ofOtherSpeed.forEach((replicaId) => this.changed.add(replicaId));
+  }
+
   private markLimitedChanged(): void {
     this.limited.ids().forEach((replicaId) => this.changed.add(replicaId));
   }
@@ -131,10 +147,13 @@
       : [this.silentOrder, this.reportingOrder];
     other.delete(replicaId);
     // A limited replica is left to peaks that the others cannot take, unless its requests would be lost.
-    if (isFree) order.set(replica, streams + replica.limit.places * replica.rate.usedFraction(nowMs));
+    const limitPenalty = replica.limit.places * replica.rate.usedFraction(nowMs);
+    const extraStreams = replica.speed.extraStreams(this.speed, replica.limit.places, nowMs);
+    if (isFree) order.set(replica, streams + limitPenalty + extraStreams);
     else order.delete(replicaId);
     this.limited.update(replica, { isLimited, isOpen, streams }, nowMs);
     setMembership(this.drifting, replicaId, drift !== 0);
+    setMembership(this.ofOtherSpeed, replicaId, extraStreams !== 0);
     setMembership(
       this.timeDependent,
       replicaId,
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -53,6 +53,8 @@
   readonly alone: boolean;
   /** Tokens of a batch item's output that earlier runs have received; omitted when there are none. */
   readonly receivedTokens?: number;
+  /** Tokens of the prompt and of the longest output; omitted when not known. */
+  readonly memoryTokens?: number;
 }
 
 /** Notifies a holder that it was granted a permit for a slot. */
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -163,6 +163,7 @@
     model: service,
     workClass: 'batch',
     costTokens: request.item.tokens,
+    memoryTokens: request.item.tokens,
     deadlineUnixMs: request.dueAtUnixMs,
     prefixDigest: '',
     sharedPartIds: request.item.sharedPartIds,
@@ -227,6 +228,7 @@
   dependencies.permits.release(slot, {
     end: wasBlocked ? AttemptEnd.cancelled : attemptEndOf(end, verdict, brokenByReplica),
     tokens: listener.events,
+    betweenTokensMs: listener.betweenEventsMs,
   });
   if (end.kind === UpstreamEndKind.notConnected) dependencies.metrics.count('attempts_not_connected');
   if (end.kind === UpstreamEndKind.broken && listener.events === 0)
@@ -295,6 +297,8 @@
 class ItemListener implements UpstreamListener {
   status = 0;
   events = 0;
+  private firstEventMs = 0;
+  private lastEventMs = 0;
   /** What marks the end of the response; undefined before its head arrives. */
   framing: BodyFraming | undefined;
   /** Requests a second that the replica takes, as the response states. */
@@ -317,7 +321,7 @@
     private readonly confirmsOrigin: () => boolean,
     /** Called after each event with the number of events of this run. */
     private readonly onEvent: (events: number) => void,
-    clock: Clock,
+    private readonly clock: Clock,
   ) {
     this.stop = AbortSignal.any([stop, this.streamFault.signal]);
     this.stallTimer = new StallTimer(STALL_LIMITS, clock, () => this.streamFault.abort());
@@ -351,6 +355,11 @@
     if (this.splitter.unfinishedBytes > MAX_EVENT_BYTES) this.exceed();
   }
 
+  /** Mean time between two events of this run; undefined for fewer than two. */
+  get betweenEventsMs(): number | undefined {
+    return this.events > 1 ? (this.lastEventMs - this.firstEventMs) / (this.events - 1) : undefined;
+  }
+
   /** Whether the response was left because it does not end. */
   get isEndless(): boolean {
     return this.exceeded;
@@ -398,6 +407,8 @@
     this.output.events.push(data);
     this.output.bytes += jsonBytes(data);
     this.events += 1;
+    this.lastEventMs = this.clock.monotonicMs();
+    if (this.events === 1) this.firstEventMs = this.lastEventMs;
     if (this.output.bytes > MAX_OUTPUT_BYTES) this.streamFault.abort();
     this.onEvent(this.events);
   }
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -204,6 +204,7 @@
       model: this.service,
       workClass: 'online',
       costTokens: request.costTokens,
+      memoryTokens: request.memoryTokens,
       startByUnixMs: this.runs > 0 ? undefined : startByMs + offsetMs,
       deadlineUnixMs: (this.runs > 0 ? this.deadlineMs : queueDeadlineMs) + offsetMs,
       prefixDigest: request.prefixDigest,
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -22,6 +22,8 @@
   readonly deadlineMs: number;
   /** Maximum number of output tokens, as an estimate of what the request costs. */
   readonly costTokens: number;
+  /** Tokens of the prompt and of the longest output together; undefined when not known. */
+  readonly memoryTokens?: number;
   /** Digest of the start of the prompt, which replicas may have cached. */
   readonly prefixDigest: string;
   /** Ids of the parts of the prompt that other requests may share, in order. */
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -116,6 +116,8 @@
 
   private describe(): PoolDescription[] {
     const { replicas } = this.view.replicas;
+    const descriptions = this.view.configuration?.services ?? [];
+    const memoryTokensOf = new Map(descriptions.map(({ name, memoryTokens }) => [name, memoryTokens]));
     const services = [...new Set(replicas.map((replica) => replica.service))];
     return services.map((service) => ({
       poolId: poolIdOfService(service),
@@ -129,6 +131,8 @@
           failureDomain: replica.failureDomain,
           softwareVersion: replica.softwareVersion,
           maxConcurrency: replica.slots,
+          memoryTokens: memoryTokensOf.get(service),
+          startedAtUnixMs: replica.startedAtUnixMs,
           fencingChecked: false,
         })),
     }));
