Send copies of slow requests within a limit that operators set

A request that may be repeated is sent to a second replica when its first event takes longer than that of 95 in 100 requests of its service; the first response wins and the other attempt is ended at once. The owner of the pool grants copies, for all instances, as a fraction of the requests that it has granted, and only where a slot beyond the burst reserve is free, nobody waits, and quota, memory and limits of the replica allow it. A copy that has not won after 300 ms is ended. Off by default.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -45,7 +45,7 @@
 /** An owner, which may grant more of a quota, is found again within about this time. */
 const QUOTA_RETRY_MS = 500;
 /** Pool id of the slots that `DirectDispatch` grants, which belong to no pool. */
-const DIRECT_POOL_ID = 'direct';
+export const DIRECT_POOL_ID = 'direct';
 
 /**
  * Chooses replicas by load reports, which lag behind the load. It serves online requests as the fallback when no owner
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -105,9 +105,12 @@
       return fail(
         notRun('no_upstream', `no upstream serves ${demand.model} to ${demand.organisation}`, 1_000),
       );
+    if (demand.isCopy && this.isCutOff()) return fail(NO_OWNER_ACCEPTED);
     if (demand.workClass === 'online' && this.isCutOff()) return this.direct.acquire(demand);
     const outcome = await this.acquireFromPools(pools, demand, this.acquireTimeoutMs, signal);
-    if (outcome.ok || signal.aborted || outcome.error !== NO_OWNER_ACCEPTED) return outcome;
+    // Only the owner of the pool counts copies.
+    const isFinal = outcome.ok || signal.aborted || demand.isCopy;
+    if (isFinal || outcome.error !== NO_OWNER_ACCEPTED) return outcome;
     return demand.workClass === 'online' ? this.acquireWithoutOwner(pools, demand, signal) : outcome;
   }
 
@@ -502,6 +505,7 @@
       alone: demand.alone,
       receivedTokens: demand.receivedTokens,
       memoryTokens: demand.memoryTokens,
+      ...(demand.isCopy ? { isCopy: true } : {}),
     };
   }
 
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -510,6 +510,7 @@
       enqueuedAtMs: nowMs,
       receivedTokens: body.receivedTokens,
       memoryTokens: body.memoryTokens,
+      isCopy: body.isCopy,
     };
   }
 }
--- a/packages/admission/src/slot.ts
+++ b/packages/admission/src/slot.ts
@@ -44,6 +44,11 @@
   readonly receivedTokens?: number;
   /** Tokens of the prompt and of the longest output, which the replica keeps in memory; undefined when not known. */
   readonly memoryTokens?: number;
+  /**
+   * Whether this is a copy of a request that runs elsewhere. It gets a slot at once, if one is to spare and the limit on copies
+   * allows it, or none.
+   */
+  readonly isCopy?: boolean;
 }
 
 /** A granted slot at a replica. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -16,6 +16,7 @@
 export * from './discovery-schedule.js';
 export * from './expected-waits.js';
 export * from './fair-queue.js';
+export * from './hedging.js';
 export * from './item-continuation.js';
 export * from './job-checkpoint.js';
 export * from './job-progress.js';
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -31,6 +31,7 @@
 
 /** Streams with fewer events say little about the speed of their replica. */
 const MIN_SPEED_SAMPLE_EVENTS = 8;
+const NO_SPARE_SLOT = notRun('overloaded', 'no slot is to spare for a copy of the request');
 /** Represents any organisation that has no requests in the pool; its expected wait is reported as `newcomerWaitMs`. */
 const IDLE_ORGANISATION = '';
 const MAX_ONLINE_QUEUE_REQUESTS = 2_000;
@@ -132,6 +133,11 @@
       this.output.refused(request, PROMPT_BLOCKED);
       return;
     }
+    if (request.isCopy) {
+      if (!this.gate.tryStart(request, nowMs) || !this.granter.tryGrantCopy(request, nowMs))
+        this.output.refused(request, NO_SPARE_SLOT);
+      return;
+    }
     if (request.alone) this.waiting.quarantine.push(request);
     else if (this.gate.tryStart(request, nowMs)) this.enqueueUnsuspected(request, nowMs);
     else this.waiting.suspects.push(request);
--- a/packages/decisions/src/pool-types.ts
+++ b/packages/decisions/src/pool-types.ts
@@ -45,6 +45,8 @@
   readonly receivedTokens?: number;
   /** Tokens of the prompt and of the longest output, which a replica keeps in memory; undefined when not known. */
   readonly memoryTokens?: number;
+  /** Whether this is a copy of a request that runs elsewhere, which gets a slot at once or none. */
+  readonly isCopy?: boolean;
 }
 
 /** A crash of a replica under a request that ran there without a permit of the pool's owner. */
@@ -162,6 +164,8 @@
   /** Weight of an organisation in the fair queues. */
   weightOf(organisation: string): number;
   limitsOf(organisation: string): OrganisationLimitSettings;
+  /** Copies of slow requests that may be sent, as a fraction of the requests; undefined or 0 for none. */
+  readonly maxCopyFraction?: number;
   /** Quota of the online requests of an organisation in this pool; undefined for none. */
   quotaOf?(organisation: string): OrganisationQuota | undefined;
 }
--- a/packages/decisions/src/slot-granter.ts
+++ b/packages/decisions/src/slot-granter.ts
@@ -1,6 +1,7 @@
 /** Grants permits for free slots, and preempts batch streams for online requests. */
 import type { BurstReserve } from './burst-reserve.js';
 import type { CrashSuspicions } from './crash-suspicions.js';
+import { HedgeBudget } from './hedging.js';
 import type { OrganisationLimits } from './organisation-limits.js';
 import type { OrganisationQuotas } from './organisation-quotas.js';
 import { PERMIT_LIFETIME_MS } from './permit-table.js';
@@ -41,6 +42,7 @@
 /** Decides which waiting request gets which slot. */
 export class SlotGranter {
   private nextPermit = 1;
+  private readonly copies = new HedgeBudget();
 
   constructor(private readonly parts: GrantingParts) {}
 
@@ -179,6 +181,26 @@
     );
   }
 
+  /**
+   * Grants a copy of a request that runs elsewhere a slot that nobody waits for, if there is one beyond the burst reserve and
+   * the limit on copies and the quota of the organisation allow it.
+   */
+  tryGrantCopy(request: SlotRequest, nowMs: number): boolean {
+    const { slots, waiting, reserve, quotas } = this.parts;
+    const policy = this.parts.policy();
+    const spareSlots =
+      slots.freeSlots(waiting.quarantine.replicaId, nowMs) -
+      reserve.places(slots.total(nowMs), policy.reserveMaxFraction, nowMs);
+    if (waiting.online.size > 0 || spareSlots <= 0) return false;
+    const quota = policy.quotaOf?.(request.organisation);
+    if (quotas.waitMs(request.organisation, quota, 0, nowMs) > 0) return false;
+    const replica = this.pickFreeReplica(request, nowMs);
+    if (!replica || request.excludedReplicaIds.includes(replica.replicaId)) return false;
+    if (replica.rate.requestsPerSecond !== undefined || !this.copies.tryTake()) return false;
+    this.grant(request, replica, nowMs);
+    return true;
+  }
+
   private pickFreeReplica(request: SlotRequest, nowMs: number, onlyLimited = false): PoolReplica | undefined {
     const { replicaId } = this.parts.waiting.quarantine;
     return this.parts.slots.pickFreeReplica(request, this.parts.prefixes, replicaId, nowMs, onlyLimited);
@@ -196,6 +218,8 @@
     this.nextPermit += 1;
     this.parts.slots.add(permit);
     this.parts.prefixes.add(request.prefixDigest, replica.replicaId, nowMs);
+    if (request.workClass === WorkClass.online && !request.isCopy)
+      this.copies.onRequest(this.parts.policy().maxCopyFraction ?? 0);
     if (request.workClass === WorkClass.online)
       this.parts.quotas.take(
         request.organisation,
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -55,6 +55,8 @@
   readonly receivedTokens?: number;
   /** Tokens of the prompt and of the longest output; omitted when not known. */
   readonly memoryTokens?: number;
+  /** Whether this is a copy of a request that runs elsewhere; omitted if not. */
+  readonly isCopy?: boolean;
 }
 
 /** Notifies a holder that it was granted a permit for a slot. */
--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -3,11 +3,13 @@
  * have run a request, since that decides what the caller is told.
  */
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
+import { DIRECT_POOL_ID } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
-import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun } from '@fighub/core';
+import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun, sleep } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
 import {
   AttemptEnd,
+  HedgeDelay,
   PROMPT_BLOCKED,
   SendEvidence,
   canContinue,
@@ -17,6 +19,7 @@
 
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
+import { AttemptRace } from './attempt-race.js';
 import type { AttemptListener } from './response-relay.js';
 import { BufferBudget } from './buffer-budget.js';
 import { ResponseRelay } from './response-relay.js';
@@ -35,6 +38,8 @@
 const QUEUE_TIMEOUT_MS = 1_500;
 /** Bytes of incomplete responses that are kept in memory at most, of all requests together. */
 const MAX_BUFFERED_BYTES = 64 * 1_048_576;
+/** A copy of a request that has not responded is ended after this time. */
+const MAX_COPY_OVERLAP_MS = 300;
 /** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
 const ORIGIN_MARGIN_MS = 2_000;
 
@@ -49,12 +54,16 @@
   readonly metrics: Metrics;
   readonly log: DecisionLog;
   readonly random: () => number;
+  /** Whether copies are sent of requests that are slow to respond. */
+  readonly copiesSlowRequests: boolean;
 }
 
 /** Forwards the requests of callers to replicas. */
 export class ForwardRunner {
   private open = 0;
-  private readonly buffers = new BufferBudget(MAX_BUFFERED_BYTES);
+  readonly buffers = new BufferBudget(MAX_BUFFERED_BYTES);
+  /** When copies of slow requests are sent, by service. */
+  private readonly copyDelays = new Map<string, HedgeDelay>();
 
   constructor(private readonly dependencies: ForwardDependencies) {}
 
@@ -67,11 +76,29 @@
   async run(request: ForwardedRequest, route: Route, sink: ResponseSink, signal: AbortSignal): Promise<void> {
     this.open += 1;
     try {
-      await new ForwardRun(request, route, sink, signal, this.buffers, this.dependencies).run();
+      await new ForwardRun(request, route, sink, signal, this, this.dependencies).run();
     } finally {
       this.open -= 1;
     }
   }
+
+  /** When a copy of a slow request to the service is sent. */
+  copyDelayOf(service: string): HedgeDelay {
+    const known = this.copyDelays.get(service);
+    if (known) return known;
+    const created = new HedgeDelay();
+    this.copyDelays.set(service, created);
+    return created;
+  }
+}
+
+/** How one attempt ended. */
+interface AttemptResult {
+  readonly replicaId: string;
+  /** Whether the response was passed on to the caller as a whole. */
+  readonly delivered: boolean;
+  readonly evidence: SendEvidence;
+  readonly detail: string;
 }
 
 /** What was sent to a replica, for the log. */
@@ -80,6 +107,8 @@
   readonly resumeAfter?: number;
   /** Origin of the replica's streams as the directory told when the request was sent. */
   readonly expectedOrigin?: StreamOrigin;
+  /** Whether another attempt of the request ran when this one was sent. */
+  readonly isCopy: boolean;
 }
 
 /** The state of one forwarded request. */
@@ -104,7 +133,7 @@
     private readonly route: Route,
     sink: ResponseSink,
     private readonly callerDisconnected: AbortSignal,
-    buffers: BufferBudget,
+    private readonly runner: ForwardRunner,
     private readonly dependencies: ForwardDependencies,
   ) {
     this.requestDigest = requestDigest(request);
@@ -116,7 +145,7 @@
       request.resumeAfter,
       sink,
       dependencies.clock,
-      buffers,
+      runner.buffers,
     );
   }
 
@@ -217,22 +246,89 @@
     };
   }
 
+  /** Makes an attempt, and a second one elsewhere if the first is slow to respond. Returns whether another is to be made. */
   private async sendToReplica(slot: Slot, stop: AbortSignal): Promise<boolean> {
+    const race = new AttemptRace();
+    const mayCopy = this.mayCopy(slot);
+    const attempts = [this.attempt(slot, race, stop), mayCopy ? this.sendCopy(slot, race, stop) : undefined];
+    const results = (await Promise.all(attempts)).filter((result) => result !== undefined);
+    if (results.some(({ delivered }) => delivered)) return this.recordCompletion();
+    if (this.callerDisconnected.aborted || this.deadlinePassed.signal.aborted) return this.finishStopped();
+    this.excluded.push(...results.map(({ replicaId }) => replicaId));
+    const hasRun = results.some(({ evidence }) => evidence === SendEvidence.mayHaveRun);
+    const detail = results.map((result) => result.detail).join('; ');
+    return this.afterAttempt(hasRun ? SendEvidence.mayHaveRun : SendEvidence.notRun, detail);
+  }
+
+  /** Whether a copy may be sent while this attempt runs: only of a request that may run twice, and only for its first one. */
+  private mayCopy({ poolId }: Slot): boolean {
+    const { kind, resumable, maxAttempts } = this.route;
+    const isRepeatable = kind === RouteKind.safe || (kind === RouteKind.streaming && resumable);
+    const isFirst = this.sends === 0 && this.request.resumeAfter === undefined && !this.origin;
+    const isGrantedByOwner = poolId !== DIRECT_POOL_ID;
+    return (
+      this.dependencies.copiesSlowRequests && isRepeatable && maxAttempts > 1 && isFirst && isGrantedByOwner
+    );
+  }
+
+  /** Sends a copy of the request to another replica if the first one does not respond in time and a slot is to spare. */
+  private async sendCopy(
+    first: Slot,
+    race: AttemptRace,
+    stop: AbortSignal,
+  ): Promise<AttemptResult | undefined> {
+    const { clock, metrics, permits } = this.dependencies;
+    const delayMs = this.runner.copyDelayOf(this.service).delayMs(clock.monotonicMs());
+    if (delayMs === undefined) return undefined;
+    const unneeded = AbortSignal.any([race.decided, stop]);
+    await sleep(delayMs, unneeded);
+    if (unneeded.aborted) return undefined;
+    const demand = this.demand();
+    const slot = await permits.acquire(
+      {
+        ...demand,
+        requestId: `${demand.requestId}/copy`,
+        excludedReplicaIds: [...this.excluded, first.replicaId],
+        isCopy: true,
+      },
+      unneeded,
+    );
+    if (!slot.ok) {
+      metrics.count('copies_refused', 1, [slot.error.code]);
+      return undefined;
+    }
+    if (unneeded.aborted || !this.isUsable(slot.value.replicaId)) {
+      permits.release(slot.value, { end: AttemptEnd.cancelled, tokens: 0 });
+      return undefined;
+    }
+    metrics.count('copies_sent');
+    return this.attempt(slot.value, race, stop, true);
+  }
+
+  private async attempt(
+    slot: Slot,
+    race: AttemptRace,
+    stop: AbortSignal,
+    isCopy = false,
+  ): Promise<AttemptResult> {
     const { request } = this;
     this.sends += 1;
     const sentAtMs = this.dependencies.clock.monotonicMs();
     const resumeAfter = this.relay.lastEventId;
     const expectedOrigin = this.dependencies.view.originOf(slot.replicaId);
-    const attempt = this.relay.startAttempt(stop, {
+    const attempt: AttemptListener = this.relay.startAttempt(stop, {
       onLoad: (load) => this.dependencies.permits.recordLoad(slot, load),
       onRequestLimit: (requestsPerSecond) =>
         this.dependencies.permits.recordRequestLimit(slot, requestsPerSecond, sentAtMs),
       onLeaving: (replicaId) => this.dependencies.leavingAnnouncements.onResponse(replicaId),
+      mayPassOn: () => race.tryWin(attempt),
       onFirstEvent: () => this.onFirstEvent(slot.replicaId, expectedOrigin),
       onSoundPrompt: () => {
         if (slot.reportsProgress) this.dependencies.permits.reportProgress(slot);
       },
     });
+    race.add(attempt);
+    const overlap = isCopy ? this.endCopyIfSlow(attempt, race) : undefined;
     const sent = await this.dependencies.transport.send(
       {
         replicaId: slot.replicaId,
@@ -250,6 +346,8 @@
       attempt,
       attempt.signal,
     );
+    clearTimeout(overlap);
+    race.onEnded();
     const end = attempt.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, attempt.isInsideEvent);
     const evidence =
       attempt.reportedNotRun || end.kind === UpstreamEndKind.notConnected ? 'not_run' : 'may_have_run';
@@ -261,13 +359,29 @@
       tokens: attempt.events,
       ...attempt.timing(),
     });
-    this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, expectedOrigin });
+    this.observeFirstEvent(attempt, isCopy);
+    this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, expectedOrigin, isCopy });
     const delivered = end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun && attempt.deliver();
     attempt.close();
-    if (delivered) return this.recordCompletion();
-    if (this.callerDisconnected.aborted || this.deadlinePassed.signal.aborted) return this.finishStopped();
-    this.excluded.push(slot.replicaId);
-    return this.afterAttempt(evidence, end.detail || `status ${String(attempt.status)}`);
+    const detail = end.detail || `status ${String(attempt.status)}`;
+    return { replicaId: slot.replicaId, delivered, evidence, detail };
+  }
+
+  /** Ends a copy that has not won soon, since a request may run at two replicas for a short time only. */
+  private endCopyIfSlow(copy: AttemptListener, race: AttemptRace): NodeJS.Timeout {
+    return setTimeout(() => {
+      if (!race.isOpen) return;
+      this.dependencies.metrics.count('copies_ended_late');
+      copy.abandon();
+    }, MAX_COPY_OVERLAP_MS);
+  }
+
+  private observeFirstEvent(attempt: AttemptListener, isCopy: boolean): void {
+    const { firstTokenMs } = attempt.timing();
+    if (firstTokenMs === undefined) return;
+    if (isCopy) this.dependencies.metrics.count('copies_won');
+    const nowMs = this.dependencies.clock.monotonicMs();
+    this.runner.copyDelayOf(this.service).observe(firstTokenMs, nowMs);
   }
 
   /**
@@ -380,6 +494,7 @@
         end: end.kind,
         detail: end.detail,
         relayedBy: end.relayedBy,
+        isCopy: sent.isCopy ? true : undefined,
         status,
         evidence,
         heldMs: Math.round(sent.sentAtMs - this.request.arrivedAtMs),
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -15,6 +15,7 @@
   onLoad: () => undefined,
   onRequestLimit: () => undefined,
   onLeaving: () => undefined,
+  mayPassOn: () => true,
   onFirstEvent: () => undefined,
   onSoundPrompt: () => undefined,
 };
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -34,6 +34,11 @@
   onRequestLimit(requestsPerSecond: number | undefined): void;
   /** The replica that responds states that it is leaving. */
   onLeaving(replicaId: string): void;
+  /**
+   * Called before the first part of the response is passed on: the first event of a stream, or a complete response. Returns
+   * false if another attempt has won, so that nothing of this one may be passed on.
+   */
+  mayPassOn(): boolean;
   /** Called before the first event of the attempt is passed on. */
   onFirstEvent(): void;
   /** Called when the attempt has brought enough events to show that its prompt does not crash the replica. */
@@ -157,6 +162,11 @@
     if (resumable) this.stallTimer = new StallTimer(limits, relay.clock, () => this.streamFault.abort());
   }
 
+  /** Stops the attempt since another one has won. Nothing more is passed on. */
+  abandon(): void {
+    this.streamFault.abort();
+  }
+
   /** Aborted when the attempt must stop: the caller disconnected, the deadline passed, or the stream is faulty. */
   get signal(): AbortSignal {
     return this.stop;
@@ -229,12 +239,14 @@
     const { head } = this;
     if (!head || this.streamFault.signal.aborted || this.isInsideEvent) return false;
     if (this.isStream) {
+      if (this.events === 0 && !this.observer.mayPassOn()) return false;
       this.relay.end(head, this.splitter.rest);
       return true;
     }
     // Once events have been passed on, only the rest of the stream may follow. A refusal status is not passed on:
     // it would tell the caller that nothing ran, for which there is no evidence.
     if (this.relay.hasStarted || REFUSAL_STATUSES.has(head.status)) return false;
+    if (!this.observer.mayPassOn()) return false;
     this.relay.end(head, Buffer.concat(this.parts));
     return true;
   }
@@ -275,6 +287,10 @@
       this.streamFault.abort();
       return;
     }
+    if (this.events === 0 && !this.observer.mayPassOn()) {
+      this.streamFault.abort();
+      return;
+    }
     this.isFirstOfResumed = false;
     this.stallTimer?.onEvent();
     this.lastEventMs = this.relay.clock.monotonicMs();
--- a/packages/serving/src/routing/service-pool-catalogue.ts
+++ b/packages/serving/src/routing/service-pool-catalogue.ts
@@ -38,6 +38,7 @@
 
 /** Provides the pools of the current fleet view. */
 export class ServicePoolCatalogue implements PoolCatalogue {
+  private readonly policy: PoolPolicy;
   /** Services to which routes of online requests lead. */
   private onlineServices: ReadonlySet<string> = new Set();
   private describedVersion = -1;
@@ -46,7 +47,16 @@
   constructor(
     private readonly view: FleetView,
     private readonly tolerance: QuotaTolerance,
-  ) {}
+    /** Copies of slow requests that may be sent, as a fraction of the requests. */
+    maxCopyFraction: number,
+  ) {
+    this.policy = {
+      ...BASE_POLICY,
+      maxCopyFraction,
+      weightOf: (organisation) => this.weightOf(organisation),
+      quotaOf: (organisation) => this.quotaOf(organisation),
+    };
+  }
 
   get version(): unknown {
     return this.view.version;
@@ -97,12 +107,6 @@
     return !this.view.isUsable(upstreamId);
   }
 
-  private readonly policy: PoolPolicy = {
-    ...BASE_POLICY,
-    weightOf: (organisation) => this.weightOf(organisation),
-    quotaOf: (organisation) => this.quotaOf(organisation),
-  };
-
   private findOnlineServices(): ReadonlySet<string> {
     const routes = this.view.configuration?.routes ?? [];
     const backends = routes.filter(({ kind }) => kind !== RouteKind.batch).flatMap((route) => route.backends);
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -309,16 +309,26 @@
         () => get(Tokens.transport).arePathsLost,
       ),
   );
-  bindPart(container, Tokens.runner, (get) => new ForwardRunner(runDependencies(get)));
+  bindPart(
+    container,
+    Tokens.runner,
+    (get) =>
+      new ForwardRunner({
+        ...runDependencies(get),
+        copiesSlowRequests: get(Tokens.settings).hedging.maxExtraFraction > 0,
+      }),
+  );
 }
 
 function poolCatalogue(get: GetPart): ServicePoolCatalogue {
   const { quotaWindowS, quotaOverageFraction, quotaSlackRequests } = get(Tokens.settings).organisations;
-  return new ServicePoolCatalogue(get(Tokens.view), {
+  const tolerance = {
     windowMs: quotaWindowS * MS_PER_S,
     overageFraction: quotaOverageFraction,
     slackRequests: quotaSlackRequests,
-  });
+  };
+  const { maxExtraFraction } = get(Tokens.settings).hedging;
+  return new ServicePoolCatalogue(get(Tokens.view), tolerance, maxExtraFraction);
 }
 
 function relayedStore(get: GetPart): RelayedStore {
@@ -353,7 +363,9 @@
   });
 }
 
-function runDependencies(get: GetPart): ForwardDependencies & ItemRunDependencies {
+function runDependencies(
+  get: GetPart,
+): Omit<ForwardDependencies, 'copiesSlowRequests'> & ItemRunDependencies {
   return {
     view: get(Tokens.view),
     permits: get(Tokens.permits),
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -57,6 +57,15 @@
       quotaSlackRequests: z.number().nonnegative().default(0),
     })
     .prefault({}),
+  hedging: z
+    .strictObject({
+      /**
+       * Copies of requests that are slow to respond, as a fraction of a service's online requests over all instances; 0 sends
+       * none. Only requests that may be repeated are copied.
+       */
+      maxExtraFraction: z.number().min(0).max(0.5).default(0),
+    })
+    .prefault({}),
   peers: z
     .strictObject({
       /** Mean time between probes of other members. */
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -21,6 +21,8 @@
   /** Number of following requests whose response pauses after the third event, and for how long. */
   pause: number;
   pauseMs: number;
+  /** Time from the start of each run to its first event, in milliseconds. */
+  firstEventDelayMs: number;
   /** HTTP status with which every request fails after it has started to run; 0 to respond with an event stream. */
   status: number;
   /** Whether all responses state that the replica is leaving. */
@@ -86,6 +88,7 @@
     stall: 0,
     pause: 0,
     pauseMs: 0,
+    firstEventDelayMs: 0,
     status: 0,
     leaving: false,
     crashPartId: '',
@@ -206,6 +209,8 @@
       this.crashByRequest();
       return;
     }
+    if (this.faults.firstEventDelayMs > 0)
+      await new Promise((resolve) => setTimeout(resolve, this.faults.firstEventDelayMs));
     for (let index = run.resumeAfter + 1; index <= this.eventCount && !run.closed; index += 1) {
       if (breaksOff && index === run.resumeAfter + 3) {
         res.write(`id: ${String(index)}\ndata: brok`, () => res.destroy());
