--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -11,24 +11,46 @@
   readonly file: string;
   /** Line number, counted from 1. */
   readonly line: number;
+  /** Column number, counted from 1. */
+  readonly column: number;
   /** Path of the field, with dots between its names; empty for a syntax error. */
   readonly field: string;
   readonly message: string;
 }
 
+/** A place in a text, counted from 1. */
+export interface TextPosition {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** Where the value at `path` stands in a JSON text, or the nearest value that contains it. */
+export function positionOfValue(text: string, path: readonly (string | number)[]): TextPosition {
+  const tree = parseTree(text, [], { allowTrailingComma: true });
+  return positionAt(text, (tree && nearestNode(tree, path))?.offset ?? 0);
+}
+
+/** How JSON is read. */
+export interface JsonDialect {
+  /** Whether comments and trailing commas are allowed. */
+  readonly allowsComments: boolean;
+}
+
 /** Parses `text` and validates it against `schema`. `file` is used only to describe faults. */
 export function parseSettings<S extends z.ZodType>(
   text: string,
   schema: S,
   file: string,
+  { allowsComments }: JsonDialect = { allowsComments: true },
 ): Outcome<z.output<S>, SettingsFault[]> {
   const errors: ParseError[] = [];
-  const tree = parseTree(text, errors, { allowTrailingComma: true });
+  const options = { allowTrailingComma: allowsComments, disallowComments: !allowsComments };
+  const tree = parseTree(text, errors, options);
   if (errors.length > 0 || !tree) {
     return fail(
       errors.map((error) => ({
         file,
-        line: lineAt(text, error.offset),
+        ...positionAt(text, error.offset),
         field: '',
         message: printParseErrorCode(error.error),
       })),
@@ -44,7 +66,8 @@
         ...unknownKey,
       ];
       const node = nearestNode(tree, path);
-      return { file, line: lineAt(text, node?.offset ?? 0), field: path.join('.'), message: issue.message };
+      const position = positionAt(text, node?.offset ?? 0);
+      return { file, ...position, field: path.join('.'), message: issue.message };
     }),
   );
 }
@@ -76,6 +99,7 @@
   );
 }
 
-function lineAt(text: string, offset: number): number {
-  return text.slice(0, offset).split('\n').length;
+function positionAt(text: string, offset: number): TextPosition {
+  const before = text.slice(0, offset).split('\n');
+  return { line: before.length, column: (before[before.length - 1]?.length ?? 0) + 1 };
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,8 @@
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
 export * from './concurrency.js';
+export * from './configuration-changes.js';
+export * from './configuration-findings.js';
 export * from './connect-timeout.js';
 export * from './coordinators.js';
 export * from './crash-suspicions.js';
