--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -17,6 +17,8 @@
   returnDelayMs,
 } from '@fighub/decisions';
 
+import type { OrganisationUsage } from '../access/organisation-usage.js';
+import { RequestOutcome } from '../access/organisation-usage.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 import { AttemptRace } from './attempt-race.js';
@@ -54,6 +56,7 @@
   readonly metrics: Metrics;
   readonly log: DecisionLog;
   readonly random: () => number;
+  readonly organisationUsage: OrganisationUsage;
   /** Whether copies are sent of requests that are slow to respond. */
   readonly copiesSlowRequests: boolean;
 }
@@ -406,11 +409,17 @@
 
   private recordCompletion(): false {
     const { clock, metrics } = this.dependencies;
+    this.countOutcome(RequestOutcome.completed);
     metrics.count('requests_completed');
     metrics.sample('answer_ms', clock.monotonicMs() - this.request.arrivedAtMs);
     return false;
   }
 
+  private countOutcome(outcome: RequestOutcome): void {
+    const { organisation } = this.request;
+    if (organisation !== undefined) this.dependencies.organisationUsage.count(organisation, outcome);
+  }
+
   private afterAttempt(last: SendEvidence, detail: string): boolean {
     const { kind, resumable, maxAttempts } = this.route;
     const history = { sends: this.sends, runs: this.runs, last };
@@ -444,6 +453,7 @@
         ? mayHaveRun(problem.code, problem.detail)
         : { ...problem, retryAfterMs: isFinal(problem.code) ? undefined : this.returnDelayMs(problem) };
     this.dependencies.metrics.count('requests_failed', 1, [reported.code]);
+    this.countOutcome(reported.code === 'limit_reached' ? RequestOutcome.overQuota : RequestOutcome.failed);
     this.dependencies.log.record(LogCategory.failure, 'request_failed', {
       requestId: this.request.requestId,
       route: this.route.name,
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -13,6 +13,7 @@
 
 import { AccessControl } from './access/access-control.js';
 import { KeyConfirmation } from './access/key-confirmation.js';
+import { OrganisationUsage } from './access/organisation-usage.js';
 import { BacklogView } from './batch/backlog-view.js';
 import { InputCache } from './batch/input-cache.js';
 import type { ItemRunDependencies } from './batch/item-run.js';
@@ -70,6 +71,7 @@
   fleetViewUpdater: token<FleetViewUpdater>('fleetViewUpdater'),
   keyConfirmation: token<KeyConfirmation>('keyConfirmation'),
   access: token<AccessControl>('access'),
+  organisationUsage: token<OrganisationUsage>('organisationUsage'),
   catalogue: token<ServicePoolCatalogue>('catalogue'),
   host: token<PoolHost>('host'),
   direct: token<DirectDispatch>('direct'),
@@ -108,6 +110,7 @@
   container.bind(Tokens.log).toConstantValue(log);
   container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onError));
   container.bind(Tokens.view).toConstantValue(new FleetView());
+  container.bind(Tokens.organisationUsage).toConstantValue(new OrganisationUsage());
   container.bind(Tokens.self).toConstantValue({
     instanceId,
     failureDomain: settings.failureDomain,
@@ -315,6 +318,7 @@
     (get) =>
       new ForwardRunner({
         ...runDependencies(get),
+        organisationUsage: get(Tokens.organisationUsage),
         copiesSlowRequests: get(Tokens.settings).hedging.maxExtraFraction > 0,
       }),
   );
@@ -365,7 +369,7 @@
 
 function runDependencies(
   get: GetPart,
-): Omit<ForwardDependencies, 'copiesSlowRequests'> & ItemRunDependencies {
+): Omit<ForwardDependencies, 'copiesSlowRequests' | 'organisationUsage'> & ItemRunDependencies {
   return {
     view: get(Tokens.view),
     permits: get(Tokens.permits),
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -6,6 +6,7 @@
 import type { Logger } from 'pino';
 
 import type { AccessControl } from './access/access-control.js';
+import type { OrganisationUsage } from './access/organisation-usage.js';
 import type { JobAcceptance } from './batch/job-acceptance.js';
 import type { JobReader } from './batch/job-reader.js';
 import type { JobRunner } from './batch/job-runner.js';
@@ -29,6 +30,7 @@
   readonly store: RecordStore;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  readonly organisationUsage: OrganisationUsage;
   readonly log: DecisionLog;
   /** Whether the load balancer should route callers to this instance. */
   isReady(): boolean;
@@ -194,6 +196,7 @@
       store: container.get(Tokens.store),
       clock: container.get(Tokens.clock),
       metrics: container.get(Tokens.metrics),
+      organisationUsage: container.get(Tokens.organisationUsage),
       log: container.get(Tokens.log),
       isReady: () =>
         !this.stopping &&
@@ -219,6 +222,7 @@
       members: container.get(Tokens.membership).membership.all(),
       view: container.get(Tokens.fleetViewUpdater).dump(),
       keys: container.get(Tokens.keyConfirmation).dump(),
+      organisations: container.get(Tokens.organisationUsage).dump(),
       pools: container.get(Tokens.host).dump(),
       permits: container.get(Tokens.permits).dump(),
       direct: container.get(Tokens.direct).dump(),
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -20,6 +20,8 @@
   callerAddress: hostAndPort.optional(),
   /** Address of the readiness, metrics and state dump endpoints; omitted to disable them. */
   statusAddress: hostAndPort.optional(),
+  /** Another address of the metrics, the configuration in force and the state dump; omitted to disable it. */
+  metricsAddress: hostAndPort.optional(),
   /** Peer addresses of some other instances, for discovery. Unreachable ones are tolerated. */
   seedAddresses: z.array(hostAndPort).default([]),
   /** Secret shared by the fleet, with which instances authenticate to each other. */
