Bound the request bodies of all callers by the memory of the instance

Bodies of requests were bounded one by one only; responses by 64 MB whatever the instance. Each may now take a fifth of the memory that the settings state.

--- a/packages/serving/src/online/forward-runner.ts
+++ b/packages/serving/src/online/forward-runner.ts
@@ -23,7 +23,7 @@
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 import { AttemptRace } from './attempt-race.js';
 import type { AttemptListener } from './response-relay.js';
-import { BufferBudget } from './buffer-budget.js';
+import type { BufferBudget } from './buffer-budget.js';
 import { ResponseRelay } from './response-relay.js';
 import { pickBackend } from './backend-choice.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
@@ -38,8 +38,6 @@
 const MAX_WAIT_FRACTION_OF_TARGET = 0.75;
 /** A request that has not started within this time is refused, since callers disconnect soon after. */
 const QUEUE_TIMEOUT_MS = 1_500;
-/** Bytes of incomplete responses that are kept in memory at most, of all requests together. */
-const MAX_BUFFERED_BYTES = 64 * 1_048_576;
 /** A copy of a request that has not responded is ended after this time. */
 const MAX_COPY_OVERLAP_MS = 300;
 /** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
@@ -57,6 +55,8 @@
   readonly log: DecisionLog;
   readonly random: () => number;
   readonly organisationUsage: OrganisationUsage;
+  /** Memory for responses that are incomplete. */
+  readonly responseBuffers: BufferBudget;
   /** Whether copies are sent of requests that are slow to respond. */
   readonly copiesSlowRequests: boolean;
 }
@@ -64,12 +64,16 @@
 /** Forwards the requests of callers to replicas. */
 export class ForwardRunner {
   private open = 0;
-  readonly buffers = new BufferBudget(MAX_BUFFERED_BYTES);
   /** When copies of slow requests are sent, by service. */
   private readonly copyDelays = new Map<string, HedgeDelay>();
 
   constructor(private readonly dependencies: ForwardDependencies) {}
 
+  /** Bounds the incomplete responses of all requests together. */
+  get buffers(): BufferBudget {
+    return this.dependencies.responseBuffers;
+  }
+
   /** Number of requests whose response has not ended. */
   get openRequests(): number {
     return this.open;
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -20,6 +20,7 @@
 import { JobAcceptance } from './batch/job-acceptance.js';
 import { JobReader } from './batch/job-reader.js';
 import { JobRunner } from './batch/job-runner.js';
+import { BufferBudget } from './online/buffer-budget.js';
 import type { DirectTransport } from './online/forwarding.js';
 import type { ForwardDependencies } from './online/forward-runner.js';
 import { ForwardRunner } from './online/forward-runner.js';
@@ -51,6 +52,15 @@
 const NO_LOAD_READER: LoadReader = { load: () => Promise.resolve(undefined) };
 
 const MS_PER_S = 1_000;
+const BYTES_PER_MB = 1_048_576;
+/** Part of the memory of a process that request bodies, and as much again that incomplete responses, may take. */
+const BUFFER_FRACTION = 0.2;
+const MAX_BUFFER_BYTES = 64 * BYTES_PER_MB;
+
+/** Memory for one kind of buffers of a process with `memoryMb` of memory. */
+function bufferBytes(memoryMb: number): number {
+  return Math.min(MAX_BUFFER_BYTES, memoryMb * BUFFER_FRACTION * BYTES_PER_MB);
+}
 
 function token<T>(name: string): ServiceIdentifier<T> {
   return Symbol.for(`fighub/serving/${name}`) as ServiceIdentifier<T>;
@@ -71,6 +81,7 @@
   fleetViewUpdater: token<FleetViewUpdater>('fleetViewUpdater'),
   keyConfirmation: token<KeyConfirmation>('keyConfirmation'),
   access: token<AccessControl>('access'),
+  requestBodies: token<BufferBudget>('requestBodies'),
   organisationUsage: token<OrganisationUsage>('organisationUsage'),
   catalogue: token<ServicePoolCatalogue>('catalogue'),
   host: token<PoolHost>('host'),
@@ -110,6 +121,7 @@
   container.bind(Tokens.log).toConstantValue(log);
   container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onError));
   container.bind(Tokens.view).toConstantValue(new FleetView());
+  container.bind(Tokens.requestBodies).toConstantValue(new BufferBudget(bufferBytes(settings.memoryMb)));
   container.bind(Tokens.organisationUsage).toConstantValue(new OrganisationUsage());
   container.bind(Tokens.self).toConstantValue({
     instanceId,
@@ -319,6 +331,7 @@
       new ForwardRunner({
         ...runDependencies(get),
         organisationUsage: get(Tokens.organisationUsage),
+        responseBuffers: new BufferBudget(bufferBytes(get(Tokens.settings).memoryMb)),
         copiesSlowRequests: get(Tokens.settings).hedging.maxExtraFraction > 0,
       }),
   );
@@ -369,7 +382,8 @@
 
 function runDependencies(
   get: GetPart,
-): Omit<ForwardDependencies, 'copiesSlowRequests' | 'organisationUsage'> & ItemRunDependencies {
+): Omit<ForwardDependencies, 'copiesSlowRequests' | 'organisationUsage' | 'responseBuffers'> &
+  ItemRunDependencies {
   return {
     view: get(Tokens.view),
     permits: get(Tokens.permits),
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -12,6 +12,7 @@
 import type { JobRunner } from './batch/job-runner.js';
 import { MembershipLog } from './membership-log.js';
 import { MemberDiscovery } from './member-discovery.js';
+import type { BufferBudget } from './online/buffer-budget.js';
 import type { ForwardRunner } from './online/forward-runner.js';
 import type { FleetView } from './routing/fleet-view.js';
 import type { ServingAdapters } from './serving-container.js';
@@ -23,6 +24,8 @@
   readonly settings: ServingSettings;
   readonly view: FleetView;
   readonly access: AccessControl;
+  /** Memory for the bodies of requests whose responses have not ended. */
+  readonly requestBodies: BufferBudget;
   readonly runner: ForwardRunner;
   readonly acceptance: JobAcceptance;
   readonly reader: JobReader;
@@ -189,6 +192,7 @@
       settings: this.settings,
       view,
       access: container.get(Tokens.access),
+      requestBodies: container.get(Tokens.requestBodies),
       runner: container.get(Tokens.runner),
       acceptance: container.get(Tokens.acceptance),
       reader: container.get(Tokens.reader),
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -22,6 +22,8 @@
   statusAddress: hostAndPort.optional(),
   /** Another address of the metrics, the configuration in force and the state dump; omitted to disable it. */
   metricsAddress: hostAndPort.optional(),
+  /** Memory that the process may use, in megabytes. What it holds for callers and replicas that read slowly is bounded by it. */
+  memoryMb: z.number().positive().default(400),
   /** Peer addresses of some other instances, for discovery. Unreachable ones are tolerated. */
   seedAddresses: z.array(hostAndPort).default([]),
   /** Secret shared by the fleet, with which instances authenticate to each other. */
