--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -49,7 +49,7 @@
 /** How long items are still sent during a store outage, in which nobody can end a job. */
 const OUTAGE_DISPATCH_MS = 12_000;
 /** How long finished jobs may make their last writes. Their results are kept for longer by `FinishedJobs`. */
-const FINISHED_RETENTION_MS = 5_000;
+const FINISHED_RETENTION_MS = 20_000;
 
 /** Epoch of a job that has had one holder only. */
 const FIRST_EPOCH = 1;
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -22,7 +22,8 @@
 import { JobRunner } from './batch/job-runner.js';
 import { BufferBudget } from './online/buffer-budget.js';
 import type { DirectTransport } from './online/forwarding.js';
-import type { ForwardDependencies } from './online/forward-runner.js';
+import { CopyDelays } from './online/copy-delays.js';
+import type { ForwardDependencies } from './online/forward-run.js';
 import { ForwardRunner } from './online/forward-runner.js';
 import type { FleetSource } from './routing/fleet-source.js';
 import { RelayClient } from './relay/relay-client.js';
@@ -332,7 +333,7 @@
         ...runDependencies(get),
         organisationUsage: get(Tokens.organisationUsage),
         responseBuffers: new BufferBudget(bufferBytes(get(Tokens.settings).memoryMb)),
-        copiesSlowRequests: get(Tokens.settings).hedging.maxExtraFraction > 0,
+        copyDelays: get(Tokens.settings).hedging.maxExtraFraction > 0 ? new CopyDelays() : undefined,
       }),
   );
 }
@@ -382,8 +383,7 @@
 
 function runDependencies(
   get: GetPart,
-): Omit<ForwardDependencies, 'copiesSlowRequests' | 'organisationUsage' | 'responseBuffers'> &
-  ItemRunDependencies {
+): Omit<ForwardDependencies, 'copyDelays' | 'organisationUsage' | 'responseBuffers'> & ItemRunDependencies {
   return {
     view: get(Tokens.view),
     permits: get(Tokens.permits),
