Refuse job ids of other organisations, and share memory where no owner is reached

Job ids are chosen by callers: one that another organisation uses was acknowledged without being kept. It is refused as a conflict now. Requests without an owner did not look at the memory of replicas; they use the part that belongs to their instance, as with slots.

--- a/packages/admission/src/direct-dispatch.test.ts
+++ b/packages/admission/src/direct-dispatch.test.ts
@@ -110,6 +110,18 @@
     expect(sent).toBeGreaterThanOrEqual(4 * requestsPerSecond);
   });
 
+  it('gives a replica no more tokens than belong to this instance in its memory', async () => {
+    const pools = CATALOGUE.pools().map((pool) => ({
+      ...pool,
+      upstreams: pool.upstreams.map((upstream) => ({ ...upstream, maxConcurrency: 8, memoryTokens: 72_000 })),
+    }));
+    const catalogue = { ...CATALOGUE, pools: () => pools, limitsOf: () => ({}) };
+    const direct = newDirectDispatch(catalogue, new ManualClock(), 2);
+    const acquire = (memoryTokens: number) => direct.acquire({ ...DEMAND, memoryTokens });
+    const outcomes = [await acquire(30_000), await acquire(10_000), await acquire(5_000)];
+    expect(outcomes.map(({ ok }) => ok)).toEqual([true, false, true]);
+  });
+
   it('tells the demand of its slots, so that the owner of the pool can be told what they showed', async () => {
     const direct = newDirectDispatch();
     const slot = await direct.acquire(DEMAND);
--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -20,6 +20,8 @@
 interface ReplicaView {
   /** Streams of this instance at the replica. */
   inFlight: number;
+  /** Tokens that the requests of this instance there may need. */
+  memoryTokens: number;
   readonly health: ReplicaHealth;
   /** Spaces the requests of this instance while the replica states a limit. */
   readonly rate: RequestRate;
@@ -102,7 +104,7 @@
         ),
       );
     }
-    const chosen = this.choose(candidates);
+    const chosen = this.choose(candidates, demand);
     if (!chosen) return fail(notRun('overloaded', `no replica of ${demand.model} has a free slot`, 1_000));
     if (!this.tryTakeQuota(demand.organisation)) {
       const detail = `organisation ${demand.organisation} has used up the share of its quota at this instance`;
@@ -110,6 +112,7 @@
     }
     const view = this.viewOf(chosen.upstreamId);
     view.inFlight += 1;
+    view.memoryTokens += demand.memoryTokens ?? 0;
     view.rate.take(this.clock.monotonicMs());
     this.nextPermit += 1;
     const permitId = `${this.selfId}/direct/${String(this.nextPermit)}`;
@@ -133,6 +136,7 @@
     const nowMs = this.clock.monotonicMs();
     const view = this.viewOf(slot.replicaId);
     view.inFlight -= 1;
+    view.memoryTokens -= run.demand.memoryTokens ?? 0;
     view.health.observe(report.end, nowMs);
     const { requestDigest } = run.demand;
     if (requestDigest === undefined) return run;
@@ -208,12 +212,16 @@
 
   /**
    * The least loaded replica of this failure domain that is not known to be full; otherwise the least loaded one of all
-   * domains. Replicas at which this instance has used up its share of the slots are left out.
+   * domains. Replicas at which this instance has used up its share of the slots or of the memory are left out.
    */
-  private choose(candidates: readonly CataloguedUpstream[]): CataloguedUpstream | undefined {
+  private choose(
+    candidates: readonly CataloguedUpstream[],
+    demand: SlotDemand,
+  ): CataloguedUpstream | undefined {
     const free = candidates
       .map((upstream) => ({ upstream, load: this.loadOf(upstream) }))
       .filter(({ upstream }) => this.viewOf(upstream.upstreamId).inFlight < this.limitOf(upstream))
+      .filter(({ upstream }) => this.hasMemory(upstream, demand))
       .filter(({ upstream }) => this.allowsRequest(upstream))
       .sort((a, b) => a.load - b.load)
       .map(({ upstream }) => upstream);
@@ -248,10 +256,19 @@
    */
   private limitOf(upstream: CataloguedUpstream): number {
     if (!this.conservative) return Number.POSITIVE_INFINITY;
-    const instancesInDomain = this.members()
-      .owners()
-      .filter((m) => m.failureDomain === this.failureDomain).length;
-    return Math.max(1, Math.floor(upstream.maxConcurrency / Math.max(1, instancesInDomain)));
+    return Math.max(1, Math.floor(upstream.maxConcurrency / this.instancesInDomain));
+  }
+
+  /** Whether a request fits into the part of an upstream's memory that belongs to this instance, or is the only one there. */
+  private hasMemory({ upstreamId, memoryTokens }: CataloguedUpstream, demand: SlotDemand): boolean {
+    const used = this.viewOf(upstreamId).memoryTokens;
+    if (memoryTokens === undefined || used === 0) return true;
+    return used + (demand.memoryTokens ?? 0) <= memoryTokens / this.instancesInDomain;
+  }
+
+  private get instancesInDomain(): number {
+    const members = this.members().owners();
+    return Math.max(1, members.filter((member) => member.failureDomain === this.failureDomain).length);
   }
 
   /** Whether the limit that an upstream states allows this instance a request now. */
@@ -299,6 +316,7 @@
     if (known) return known;
     const created = {
       inFlight: 0,
+      memoryTokens: 0,
       health: new ReplicaHealth(),
       rate: new RequestRate(),
       readAtMs: Number.NEGATIVE_INFINITY,
--- a/packages/serving/src/batch/job-acceptance.test.ts
+++ b/packages/serving/src/batch/job-acceptance.test.ts
@@ -50,7 +50,8 @@
     metrics,
     new DecisionLog(DISCARDING_WRITER, clock, metrics),
   );
-  const submit = (jobId: string) => acceptance.accept({ jobId, host: 'h', items: [ITEM] }, ROUTE);
+  const submit = (jobId: string, organisation?: string) =>
+    acceptance.accept({ jobId, host: 'h', items: [ITEM], organisation }, ROUTE);
   return { service, store, backlog, offered, faults, submit };
 }
 
@@ -87,6 +88,25 @@
     expect(service.listings).toBe(0);
   });
 
+  it('counts the waiting tokens of each organisation against a limit of its own', async () => {
+    const { backlog, submit } = setup();
+    backlog.onPushed({ tokensByRoute: {}, ageMs: 500 });
+    for (const jobId of ['a', 'b', 'c']) expect(await submit(jobId, 'fox')).toMatchObject({ ok: true });
+    expect(await submit('d', 'fox')).toMatchObject({ ok: false, error: { code: 'limit_reached' } });
+    expect(await submit('e', 'hen')).toMatchObject({ ok: true });
+  });
+
+  it('does not acknowledge a job whose id another organisation uses', async () => {
+    const { offered, submit } = setup();
+    await submit('a', 'fox');
+    expect(await submit('a', 'fox')).toMatchObject({ ok: true });
+    expect(await submit('a', 'hen')).toMatchObject({
+      ok: false,
+      error: { code: 'conflict', run: 'not_run' },
+    });
+    expect(offered).toHaveLength(1);
+  });
+
   it('acknowledges a job that another instance has accepted, and does not offer it again', async () => {
     const { store, backlog, offered, submit } = setup();
     await store.write(batchJobKeys.progress('a'), undefined, { jobId: 'a' });
--- a/packages/serving/src/batch/job-acceptance.ts
+++ b/packages/serving/src/batch/job-acceptance.ts
@@ -87,14 +87,14 @@
    */
   async accept(submission: JobSubmission, route: Route): Promise<Outcome<void, Problem>> {
     const { jobId } = submission;
-    if (this.accepted.has(jobId)) return ok(undefined);
+    if (this.accepted.has(acceptedName(submission))) return ok(undefined);
     if (this.isCutOff()) return this.refuse(jobId, CUT_OFF_PROBLEM, 0);
     const startedMs = this.clock.monotonicMs();
     const outcome = await this.acceptOnce(submission, route);
     const tookMs = Math.round(this.clock.monotonicMs() - startedMs);
     this.metrics.sample('job_acceptance_ms', tookMs);
     return outcome.ok
-      ? this.acknowledge(jobId, outcome.value, tookMs)
+      ? this.acknowledge(submission, outcome.value, tookMs)
       : this.refuse(jobId, outcome.error, tookMs);
   }
 
@@ -109,7 +109,8 @@
     if (!listed.ok) return fail(notRun('store_unavailable', listed.error.detail, STORE_RETRY_MS));
     const jobs = listed.value.map((record) => record.value);
     this.backlog.onListed(jobs, requestedAtMs);
-    if (jobs.some((job) => job.jobId === submission.jobId)) return ok({ how: 'resent' });
+    const known = jobs.find((job) => job.jobId === submission.jobId);
+    if (known) return resent(known, submission);
     const waiting = this.backlog.estimate(backlog)?.waitingTokens ?? 0;
     if (limit > 0 && waiting + tokens > limit) {
       const detail = `${String(waiting)} tokens wait on ${route.name}, the limit is ${String(limit)}`;
@@ -138,8 +139,9 @@
       this.offer(progress);
       return ok({ how: 'accepted', holder: progress.holder, items: progress.itemCount });
     }
-    const { kind, detail } = written.error;
-    if (kind === StoreErrorKind.conflict) return ok({ how: 'resent' });
+    const { kind, detail, present } = written.error;
+    const stored = present.find(({ key }) => key === batchJobKeys.progress(jobId))?.value;
+    if (kind === StoreErrorKind.conflict) return resent(stored as JobProgress | undefined, submission);
     if (kind !== StoreErrorKind.unknown) return fail(notRun('not_accepted', detail, STORE_RETRY_MS));
     return fail(mayHaveRun('outcome_unknown', 'the job may have been accepted; send it again'));
   }
@@ -175,9 +177,14 @@
     };
   }
 
-  private acknowledge(jobId: string, acceptance: Acceptance, tookMs: number): Outcome<void, Problem> {
+  private acknowledge(
+    submission: JobSubmission,
+    acceptance: Acceptance,
+    tookMs: number,
+  ): Outcome<void, Problem> {
+    const { jobId } = submission;
     if (this.accepted.size >= MAX_KNOWN_JOBS) this.accepted.clear();
-    this.accepted.add(jobId);
+    this.accepted.add(acceptedName(submission));
     this.metrics.count(`batch_jobs_${acceptance.how}`);
     this.log.record(LogCategory.routine, 'job_accepted', { jobId, ...acceptance, tookMs });
     return ok(undefined);
@@ -190,6 +197,20 @@
   }
 }
 
+/** Name of a job among those that were accepted: ids are chosen by callers, so that two organisations may use the same. */
+function acceptedName({ jobId, organisation = '' }: JobSubmission): string {
+  return JSON.stringify([jobId, organisation]);
+}
+
+/** The outcome for a job whose id is stored already: it was accepted before, unless it is of another organisation. */
+function resent(
+  stored: JobProgress | undefined,
+  { jobId, organisation }: JobSubmission,
+): Outcome<Acceptance, Problem> {
+  if (!stored || stored.organisation === organisation) return ok({ how: 'resent' });
+  return fail(notRun('conflict', `the job id ${jobId} is in use`));
+}
+
 function splitText(text: string, maxCharacters: number): string[] {
   return Array.from({ length: Math.max(1, Math.ceil(text.length / maxCharacters)) }, (_, index) =>
     text.slice(index * maxCharacters, (index + 1) * maxCharacters),
