--- a/packages/serving/src/batch/job-reader.test.ts
+++ b/packages/serving/src/batch/job-reader.test.ts
@@ -1,7 +1,7 @@
 import type { JobProgress, LineWriter } from '@fighub/core';
 import { DecisionLog, Metrics, SystemClock, batchJobKeys, ok } from '@fighub/core';
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
-import type { JobResultsResponse, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { JobItemResponse, JobResultsResponse, MembershipRunner, PeerNode } from '@fighub/peers';
 import { describe, expect, it } from 'vitest';
 
 import { InputCache } from './input-cache.js';
@@ -24,7 +24,7 @@
   return { itemId, succeeded: true, output: itemId };
 }
 
-function setup(answer: JobResultsResponse) {
+function setup(answer: JobResultsResponse | JobItemResponse) {
   const store = new RecordStore(
     new MemoryKeyValueService(),
     { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 },
@@ -92,6 +92,22 @@
     expect(await reader.results({ ...access, organisation: 'fox' }, 0)).toMatchObject({ ok: true });
   });
 
+  it('reads the body of an item from the holder, and from the store when the holder has not got it', async () => {
+    const bodyBase64 = Buffer.from('a prompt').toString('base64');
+    const access = { jobId: 'j', organisation: 'fox' };
+    const held = setup({ held: true, organisation: 'fox', bodyBase64 });
+    expect(await held.reader.itemBody(access, 'a')).toEqual({ ok: true, value: Buffer.from('a prompt') });
+    const missing = setup({ held: true, organisation: 'fox' });
+    expect(await missing.reader.itemBody(access, 'b')).toMatchObject({ error: { code: 'not_found' } });
+    const { store, reader } = setup({ held: false });
+    const progress = { ...PROGRESS, organisation: 'fox', inputPartCount: 1 };
+    await store.write(batchJobKeys.progress('j'), undefined, progress);
+    await store.write(batchJobKeys.input('j', 0), undefined, {
+      text: JSON.stringify([{ itemId: 'a', bodyBase64 }]),
+    });
+    expect(await reader.itemBody(access, 'a')).toEqual({ ok: true, value: Buffer.from('a prompt') });
+  });
+
   it('reports that a job does not exist only after it has read the store', async () => {
     const { reader } = setup(NOT_HELD);
     expect(await reader.results({ jobId: 'j' }, 0)).toMatchObject({
