Serve requests with keys while the store holds a configuration that cannot be read

A configuration that is rejected leaves the version before in force, but the proof that this one is the newest could not be renewed any more: after 95% of the withdrawal limit all instances would have refused all requests with keys. The new test failed before.

--- a/packages/serving/src/access/key-confirmation.test.ts
+++ b/packages/serving/src/access/key-confirmation.test.ts
@@ -30,15 +30,18 @@
   const log = new DecisionLog({ info: () => undefined, warn: () => undefined }, clock, metrics);
   const view = new FleetView();
   view.applyConfiguration(configuration(1, [KEY]));
-  const outside: { store?: RoutingConfiguration; peer?: ConfigurationProof; answerTakesMs: number } = {
-    answerTakesMs: 0,
-  };
+  const outside: {
+    store?: RoutingConfiguration;
+    rejection?: string;
+    peer?: ConfigurationProof;
+    answerTakesMs: number;
+  } = { answerTakesMs: 0 };
   let prove: () => ConfigurationProof = () => ({ version: 0 });
   const source = {
     currentConfiguration: () =>
       Promise.resolve(
-        outside.store
-          ? ok({ configuration: outside.store, revision: 1 })
+        outside.store || outside.rejection !== undefined
+          ? ok({ configuration: outside.store, rejection: outside.rejection, revision: 1 })
           : fail({ kind: StoreErrorKind.unavailable, detail: 'down' }),
       ),
   } as unknown as FleetSource;
@@ -133,6 +136,13 @@
     expect(confirmation.ageMs).toBe(0);
   });
 
+  it('keeps the version before in force while the store holds one that cannot be read', async () => {
+    const { access, outside, renew } = setup();
+    outside.rejection = 'routes: expected array';
+    await renew();
+    expect(access.authenticate(KEY, 'q')).toMatchObject({ ok: true, value: { name: 'fox' } });
+  });
+
   it('lets a coordinator that the store turns away ask another one', async () => {
     const { confirmation, outside, renew } = setup(true);
     outside.peer = { version: 1, ageMs: 100 };
--- a/packages/serving/src/access/key-confirmation.ts
+++ b/packages/serving/src/access/key-confirmation.ts
@@ -1,9 +1,8 @@
 /**
  * Keeps proving that this instance knows the newest configuration, and so which keys have been withdrawn. One coordinator
  * reads it from the store, the other coordinators ask that one, and all other instances a coordinator. Whoever gets no
- * proof that is recent enough reads the store itself. An answer states the age of
- * what its sender has proven, which the receiver carries on. Pushed views are no proof: they may have been held up on the
- * way for any time.
+ * proof that is recent enough reads the store itself. An answer states the age of what its sender has proven, which the
+ * receiver carries on. Pushed views are no proof: they may have been held up on the way for any time.
  */
 import type { Clock, DecisionLog, Metrics, RoutingConfiguration, System } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
@@ -106,12 +105,17 @@
     return this.ageMs <= withdrawalLimitMs * MAX_RELAYED_AGE_FRACTION;
   }
 
-  /** Reads the configuration from the store. Whatever was acknowledged before the read began is known after it. */
+  /**
+   * Reads the configuration from the store. Whatever was acknowledged before the read began is known after it. One that cannot
+   * be read leaves the version before in force, which is then the newest that there is.
+   */
   private async readStore(): Promise<boolean> {
     const askedAt = this.now();
     const reading = await this.dependencies.source.currentConfiguration();
-    if (!reading.ok || !reading.value.configuration) return false;
-    this.dependencies.apply(reading.value.configuration);
+    if (!reading.ok) return false;
+    const { configuration, rejection } = reading.value;
+    if (!configuration && rejection === undefined) return false;
+    if (configuration) this.dependencies.apply(configuration);
     this.age.prove(askedAt, 0);
     return true;
   }
--- a/packages/serving/src/access/organisation-keys.ts
+++ b/packages/serving/src/access/organisation-keys.ts
@@ -7,7 +7,7 @@
   private readonly byDigest: ReadonlyMap<string, Organisation>;
   private readonly byName: ReadonlyMap<string, Organisation>;
 
-  constructor(readonly organisations: readonly Organisation[]) {
+  constructor(organisations: readonly Organisation[]) {
     this.byDigest = new Map(
       organisations.flatMap((organisation) =>
         organisation.keyDigests.map((digest) => [digest, organisation] as const),
