--- a/packages/serving/src/batch/finished-jobs.test.ts
+++ b/packages/serving/src/batch/finished-jobs.test.ts
@@ -33,4 +33,17 @@
     expect(jobs.results('j0', 0)).toBeUndefined();
     expect(jobs.results('j39', 0)).toBeDefined();
   });
+
+  it('keeps within its memory when a large job follows many small ones', () => {
+    const jobs = new FinishedJobs();
+    Array.from({ length: 20 }).forEach((_, index) =>
+      jobs.add(`j${String(index)}`, resultsOf('x'.repeat(1_000_000))),
+    );
+    jobs.add('large', resultsOf('x'.repeat(20_000_000)));
+    const kept = ['large', ...Array.from({ length: 20 }, (_, index) => `j${String(index)}`)]
+      .flatMap((jobId) => jobs.results(jobId, 0)?.results ?? [])
+      .reduce((sum, { output }) => sum + output.length, 0);
+    expect(kept).toBeLessThanOrEqual(24_000_000);
+    expect(jobs.results('large', 0)).toBeDefined();
+  });
 });
--- a/packages/serving/src/batch/finished-jobs.ts
+++ b/packages/serving/src/batch/finished-jobs.ts
@@ -23,8 +23,9 @@
     const characters = results.results.reduce((sum, { output }) => sum + output.length, 0);
     this.jobs.set(jobId, { results, characters });
     this.characters += characters;
-    const [oldestId] = this.jobs.keys();
-    if (this.characters > MAX_KEPT_CHARACTERS && oldestId !== undefined) this.remove(oldestId);
+    [...this.jobs.keys()].forEach((oldestId) => {
+      if (this.characters > MAX_KEPT_CHARACTERS) this.remove(oldestId);
+    });
   }
 
   /** The results after the first `afterPosition` ones; undefined if the job is not kept. */
