Push a bounded number of backlogs with each view

Backlogs were pushed by route, and since organisations exist by route and organisation: at 1,500 organisations with jobs a view that is pushed twice a second to every instance would have grown with their number, past the 16 KB a second that an instance may use for control.

--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -163,8 +163,10 @@
 
 /** Tokens of the unfinished batch items, from the latest listing that the sender knows. */
 export interface JobBacklog {
-  /** By route and organisation, as `backlogName` names them. */
+  /** The largest backlogs, by route and organisation, as `backlogName` names them. */
   readonly tokensByRoute: Readonly<Record<string, number>>;
+  /** No other backlog is larger; omitted if there is none. */
+  readonly othersAtMostTokens?: number;
   /** Time since the listing, in milliseconds. */
   readonly ageMs: number;
 }
