--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,6 +3,5 @@
  * the table is stored.
  */
 export * from './life-cycle/entry-instance.js';
-export { keyHash } from './ingress/http-helpers.js';
 export * from './settings.js';
 export { BUCKET_COUNT, bucketKey, bucketOf } from './table/table-store.js';
--- a/packages/entry/src/ingress/http-helpers.ts
+++ b/packages/entry/src/ingress/http-helpers.ts
@@ -1,6 +1,6 @@
 /** Helpers shared by all HTTP routes: request bodies and headers, responses, and authentication of callers. */
 import type { Outcome, Problem, Role } from '@fighub/core';
-import { ProblemStatus, digest, fail, notRun, ok, problemDocument } from '@fighub/core';
+import { ProblemStatus, fail, keyDigest, notRun, ok, problemDocument } from '@fighub/core';
 import type { Request, Response } from 'restify';
 
 import type { NamedOrganisation } from '../table/table-view.js';
@@ -12,11 +12,6 @@
   readonly role: Role;
 }
 
-/** The digest under which the table stores a bearer key; the key itself is never stored. */
-export function keyHash(key: string): string {
-  return digest('key', key);
-}
-
 /** Sends a problem document, or only ends the response if its headers have already been sent. */
 export function sendProblem(res: Response, problem: Problem): void {
   if (res.headersSent) {
@@ -85,7 +80,7 @@
     private readonly table: TableStore,
     bootstrapAdminKey: string | undefined,
   ) {
-    this.bootstrapHash = bootstrapAdminKey === undefined ? undefined : keyHash(bootstrapAdminKey);
+    this.bootstrapHash = bootstrapAdminKey === undefined ? undefined : keyDigest(bootstrapAdminKey);
   }
 
   /**
@@ -97,7 +92,7 @@
     const key = /^Bearer (\S{1,256})$/.exec(header)?.[1];
     if (key === undefined)
       return fail(notRun('unauthenticated', 'send the header Authorization: Bearer <key>'));
-    const caller = this.callerOf(keyHash(key));
+    const caller = this.callerOf(keyDigest(key));
     if (!caller) return fail(notRun('unauthenticated', 'unknown key'));
     if (!roles.includes(caller.role))
       return fail(notRun('forbidden', `the role ${caller.role} does not permit this request`));
--- a/packages/entry/src/operators/organisation-api.ts
+++ b/packages/entry/src/operators/organisation-api.ts
@@ -2,11 +2,11 @@
 import { randomBytes } from 'node:crypto';
 
 import type { OrganisationRow, Outcome, Problem, StoredRow } from '@fighub/core';
-import { Role, fail, notRun, ok, organisationSchema } from '@fighub/core';
+import { Role, fail, keyDigest, notRun, ok, organisationSchema } from '@fighub/core';
 import { z } from 'zod';
 
 import type { Caller, Request, Response } from '../ingress/http-helpers.js';
-import { keyHash, readJson, sendJson, sendProblem } from '../ingress/http-helpers.js';
+import { readJson, sendJson, sendProblem } from '../ingress/http-helpers.js';
 import type { TableStore } from '../table/table-store.js';
 import { liveRevision } from '../table/table-store.js';
 
@@ -31,10 +31,10 @@
         notRun('bad_request', 'the body may only have the field role, with a known role'),
       );
     const key = newKey();
-    const value = { keyHashes: [keyHash(key)], role: parsed.data.role };
+    const value = { keyHashes: [keyDigest(key)], role: parsed.data.role };
     const edit = { key: rowKey(name), value, expectedRevision: 0, changedBy: caller.organisation };
     const edited = await this.table.edit(edit);
-    if (edited.ok) sendJson(res, 201, { organisation: name, key, keyHash: keyHash(key) });
+    if (edited.ok) sendJson(res, 201, { organisation: name, key, keyHash: keyDigest(key) });
     else sendProblem(res, edited.error);
   }
 
@@ -43,9 +43,9 @@
     const key = newKey();
     const added = await this.change(name, caller, (row) => ({
       ...row,
-      keyHashes: [...row.keyHashes, keyHash(key)],
+      keyHashes: [...row.keyHashes, keyDigest(key)],
     }));
-    if (added.ok) sendJson(res, 201, { organisation: name, key, keyHash: keyHash(key) });
+    if (added.ok) sendJson(res, 201, { organisation: name, key, keyHash: keyDigest(key) });
     else sendProblem(res, added.error);
   }
 
--- a/packages/lab/src/fleet.ts
+++ b/packages/lab/src/fleet.ts
@@ -8,7 +8,7 @@
 
 import { ApiClient } from '@fighub/client';
 import type { ItemResult } from '@fighub/core';
-import { keyHash } from '@fighub/entry';
+import { keyDigest } from '@fighub/core';
 import type {
   EngineStandinOptions,
   JournalEntry,
@@ -435,7 +435,7 @@
     const organisations = plan.organisations.flatMap((organisation) => [
       {
         key: `organisation/${organisation.name}`,
-        value: { keyHashes: [keyHash(`key-${organisation.name}`)] },
+        value: { keyHashes: [keyDigest(`key-${organisation.name}`)] },
       },
       { key: `share/${organisation.name}/*`, value: { weight: organisation.weight } },
     ]);
