Limit copies of slow requests by the budget that limits retries

The limit on copies was written anew beside RetryBudget, which does the same. An owner whose operators have set no limit grants no copy, whatever its holders ask; two tests of the pool hold that and the number that can be saved up, in place of one of the removed class.

--- a/packages/decisions/src/hedging.test.ts
+++ b/packages/decisions/src/hedging.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { HedgeBudget, HedgeDelay } from './hedging.js';
+import { HedgeDelay } from './hedging.js';
 import { PoolScheduler } from './pool-scheduler.js';
 import type { Permit, PoolOutput, PoolPolicy, SlotRequest } from './pool-types.js';
 import { AttemptEnd } from './replica-health.js';
@@ -10,7 +10,7 @@
 /** Copies that the budget may have saved up, beyond the fraction. */
 const SAVED_COPIES = 5;
 
-function pool(slots: number, replicas: number) {
+function pool(slots: number, replicas: number, maxCopyFraction: number | undefined = MAX_COPY_FRACTION) {
   const permits: Permit[] = [];
   const refused: SlotRequest[] = [];
   const output: PoolOutput = {
@@ -24,7 +24,7 @@
     targets: { firstTokenTargetMs: Infinity, betweenTokensTargetMs: Infinity },
     weightOf: () => 1,
     limitsOf: () => ({}),
-    maxCopyFraction: MAX_COPY_FRACTION,
+    maxCopyFraction,
   };
   const scheduler = new PoolScheduler('s@', 'owner', policy, output);
   scheduler.setReplicas(
@@ -63,15 +63,6 @@
   });
 });
 
-describe('HedgeBudget', () => {
-  it('allows a fraction of the requests, also after a long time without copies', () => {
-    const budget = new HedgeBudget();
-    Array.from({ length: 10_000 }, () => budget.onRequest(MAX_COPY_FRACTION));
-    const taken = Array.from({ length: 100 }, () => budget.tryTake()).filter(Boolean).length;
-    expect(taken).toBe(SAVED_COPIES);
-  });
-});
-
 describe('copies of slow requests', () => {
   it('stay within the limit when all replicas are slow at once and every request asks for one', () => {
     const { scheduler, permits } = pool(8, 20);
@@ -92,6 +83,26 @@
     expect(copies(permits).length).toBeGreaterThan(0);
   });
 
+  it('save up a few at most, after however many requests without one', () => {
+    const { scheduler, permits } = pool(8, 20);
+    Array.from({ length: 10_000 }, (_, index) => {
+      scheduler.enqueue(slotRequest(`q${String(index)}`), index);
+      scheduler.run(index);
+      const { permitId } = permits[permits.length - 1] ?? { permitId: '' };
+      scheduler.release({ permitId, end: AttemptEnd.completed, tokens: 10 }, index);
+    });
+    Array.from({ length: 100 }, (_, index) =>
+      scheduler.enqueue(slotRequest(`c${String(index)}`, { isCopy: true }), 20_000),
+    );
+    expect(copies(permits)).toHaveLength(SAVED_COPIES);
+  });
+
+  it('are never granted by an owner whose operators have set no limit', () => {
+    const { scheduler, permits } = pool(8, 20, 0);
+    scheduler.enqueue(slotRequest('c', { isCopy: true }), 0);
+    expect(copies(permits)).toEqual([]);
+  });
+
   it('are refused at once while requests wait, without a spare slot, and at the replica of the request', () => {
     const { scheduler, permits, refused } = pool(2, 2);
     Array.from({ length: 200 }, (_, index) => {
--- a/packages/decisions/src/hedging.ts
+++ b/packages/decisions/src/hedging.ts
@@ -5,6 +5,8 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 
+import { RetryBudget } from './retry-budget.js';
+
 /** Part of the first events that arrive earlier than a copy is sent. */
 const DELAY_PERCENTILE = 95;
 /** A delay is known once this many first events were seen within a window. */
@@ -13,7 +15,7 @@
 /** Copies are not sent earlier, so that differences of a few milliseconds cause none. */
 const MIN_DELAY_MS = 20;
 /** Copies that may follow one another when the limit has not been used for a while. */
-const MAX_BURST_COPIES = 5;
+const MAX_SAVED_COPIES = 5;
 
 /** The delay after which a copy is sent, from the first events of a service that this instance has seen. */
 export class HedgeDelay {
@@ -49,20 +51,8 @@
  * The limit on copies, which the owner of a pool applies for all instances: a fraction of the requests that it has granted,
  * whatever the reason why many are slow.
  */
-export class HedgeBudget {
-  private copies = 0;
-
-  /** Counts a request that was granted. `maxExtraFraction` is the limit that operators have set. */
-  onRequest(maxExtraFraction: number): void {
-    this.copies = Math.min(MAX_BURST_COPIES, this.copies + maxExtraFraction);
-  }
-
-  /** Takes one copy from the limit; returns false if none is left. */
-  tryTake(): boolean {
-    if (this.copies < 1) return false;
-    this.copies -= 1;
-    return true;
-  }
+export function copyBudget(maxCopyFraction: number): RetryBudget {
+  return new RetryBudget(maxCopyFraction, 0, MAX_SAVED_COPIES);
 }
 
 function newHistogram(): Histogram {
--- a/packages/decisions/src/slot-granter.ts
+++ b/packages/decisions/src/slot-granter.ts
@@ -1,7 +1,7 @@
 /** Grants permits for free slots, and preempts batch streams for online requests. */
 import type { BurstReserve } from './burst-reserve.js';
 import type { CrashSuspicions } from './crash-suspicions.js';
-import { HedgeBudget } from './hedging.js';
+import { copyBudget } from './hedging.js';
 import type { OrganisationLimits } from './organisation-limits.js';
 import type { OrganisationQuotas } from './organisation-quotas.js';
 import { PERMIT_LIFETIME_MS } from './permit-table.js';
@@ -9,6 +9,7 @@
 import type { Permit, PoolOutput, PoolPolicy, PoolReplica, SlotRequest } from './pool-types.js';
 import { WorkClass } from './pool-types.js';
 import type { PrefixIndex } from './prefix-index.js';
+import type { RetryBudget } from './retry-budget.js';
 import type { WaitingRequests } from './waiting-requests.js';
 
 /** The slot of a preempted stream counts as free for this long, and as occupied again if the permit is still held. */
@@ -42,9 +43,11 @@
 /** Decides which waiting request gets which slot. */
 export class SlotGranter {
   private nextPermit = 1;
-  private readonly copies = new HedgeBudget();
+  private readonly copies: RetryBudget;
 
-  constructor(private readonly parts: GrantingParts) {}
+  constructor(private readonly parts: GrantingParts) {
+    this.copies = copyBudget(parts.policy().maxCopyFraction ?? 0);
+  }
 
   /** Advances the quarantine: stops the batch streams at the isolated replica, or starts the suspect there. */
   runQuarantine(nowMs: number): void {
@@ -191,12 +194,13 @@
     const spareSlots =
       slots.freeSlots(waiting.quarantine.replicaId, nowMs) -
       reserve.places(slots.total(nowMs), policy.reserveMaxFraction, nowMs);
-    if (waiting.online.size > 0 || spareSlots <= 0) return false;
+    const areAllowed = (policy.maxCopyFraction ?? 0) > 0;
+    if (!areAllowed || waiting.online.size > 0 || spareSlots <= 0) return false;
     const quota = policy.quotaOf?.(request.organisation);
     if (quotas.waitMs(request.organisation, quota, 0, nowMs) > 0) return false;
     const replica = this.pickFreeReplica(request, nowMs);
     if (!replica || request.excludedReplicaIds.includes(replica.replicaId)) return false;
-    if (replica.rate.requestsPerSecond !== undefined || !this.copies.tryTake()) return false;
+    if (replica.rate.requestsPerSecond !== undefined || !this.copies.tryRetry(nowMs)) return false;
     this.grant(request, replica, nowMs);
     return true;
   }
@@ -218,8 +222,7 @@
     this.nextPermit += 1;
     this.parts.slots.add(permit);
     this.parts.prefixes.add(request.prefixDigest, replica.replicaId, nowMs);
-    if (request.workClass === WorkClass.online && !request.isCopy)
-      this.copies.onRequest(this.parts.policy().maxCopyFraction ?? 0);
+    if (request.workClass === WorkClass.online && !request.isCopy) this.copies.onRequest();
     if (request.workClass === WorkClass.online)
       this.parts.quotas.take(
         request.organisation,
