Count the instances of a failure domain once for each set of members

Without an owner, each request counted them again for each replica, and the share of the memory doubled that: 330 members for 1,200 replicas at the users' size.

--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -59,6 +59,7 @@
   /** Crashes under requests of this instance, for as long as there is no owner that could relate those of all instances. */
   private readonly requestCrashes: RequestCrashes;
   private readonly quotaShares: QuotaShares;
+  private domainSize?: { readonly membershipVersion: number; readonly instances: number };
   private nextPermit = 1;
 
   constructor(
@@ -266,9 +267,15 @@
     return used + (demand.memoryTokens ?? 0) <= memoryTokens / this.instancesInDomain;
   }
 
+  /** Number of instances in this failure domain, counted once for each set of members. */
   private get instancesInDomain(): number {
-    const members = this.members().owners();
-    return Math.max(1, members.filter((member) => member.failureDomain === this.failureDomain).length);
+    const { version } = this.members().membership;
+    if (this.domainSize?.membershipVersion !== version) {
+      const members = this.members().owners();
+      const instances = members.filter((member) => member.failureDomain === this.failureDomain).length;
+      this.domainSize = { membershipVersion: version, instances: Math.max(1, instances) };
+    }
+    return this.domainSize.instances;
   }
 
   /** Whether the limit that an upstream states allows this instance a request now. */
