Log the attempt that loses to a copy as sent, not as failed

What was seen: each copied request left a `send_failed` line at the level of failures for the replica that was slower, which operators read as a failure of that replica.

Cause: the line was written for each attempt that did not end with a whole response, also for those that this instance had stopped because another attempt won, or that were stopped as late copies.

Change: an attempt remembers that it was stopped for another one. Its line is `sent`, with `wasAbandoned`.

All tests of packages/serving pass.

--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -451,7 +451,7 @@
   ): void {
     const { status } = attempt;
     const { firstTokenMs } = attempt.timing();
-    const failed = end.kind !== UpstreamEndKind.complete || status >= 300;
+    const failed = !attempt.wasAbandoned && (end.kind !== UpstreamEndKind.complete || status >= 300);
     if (end.kind === UpstreamEndKind.notConnected) this.dependencies.metrics.count('attempts_not_connected');
     if (end.kind === UpstreamEndKind.broken && attempt.events === 0)
       this.dependencies.metrics.count('attempts_broken_before_first_event');
@@ -470,6 +470,7 @@
         detail: end.detail,
         relayedBy: end.relayedBy,
         isCopy: sent.isCopy ? true : undefined,
+        wasAbandoned: attempt.wasAbandoned ? true : undefined,
         status,
         evidence,
         heldMs: Math.round(sent.sentAtMs - this.request.arrivedAtMs),
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -131,6 +131,8 @@
   status = 0;
   /** Whether the response proves that the replica did not run the request. */
   reportedNotRun = false;
+  /** Whether the attempt was stopped for another one, which says nothing about its replica. */
+  wasAbandoned = false;
   private head: UpstreamHead | undefined;
   private readonly splitter = new EventSplitter();
   private readonly parts: Buffer[] = [];
@@ -162,8 +164,9 @@
     if (resumable) this.stallTimer = new StallTimer(limits, relay.clock, () => this.streamFault.abort());
   }
 
-  /** Stops the attempt since another one has won. Nothing more is passed on. */
+  /** Stops the attempt since another one has won or is about to. Nothing more is passed on. */
   abandon(): void {
+    this.wasAbandoned = true;
     this.streamFault.abort();
   }
 
