Cut a watch of the store stand-in off when its caller is refused

The instance did hear of it: a watch that it had begun before the fault was still answered (401 from the first request on), or the other entry read the store and told it (401 from 1.46 s on).

--- a/packages/standins/src/platform-store-standin.ts
+++ b/packages/standins/src/platform-store-standin.ts
@@ -101,14 +101,14 @@
     if (this.faults.silent) return;
     const url = new URL(req.url ?? '', 'http://store');
     const body = req.method === 'POST' ? await readJsonBody<Change & { ttlMs?: number }>(req) : {};
-    if (this.faults.down || req.socket.remoteAddress === this.faults.refusedAddress) {
+    if (this.refuses(req)) {
       sendJsonBody(res, 503, {});
       return;
     }
     const call = url.pathname.replace('/api/', '');
     if (call === 'kv-key') this.sendItem(res, url.searchParams.get('key') ?? '');
     else if (call === 'kv-range') this.sendRange(res, url);
-    else if (call === 'kv-watch') await this.sendEvents(res, url);
+    else if (call === 'kv-watch') await this.sendEvents(req, res, url);
     else if (call === 'kv-txn') this.commitChange(res, body);
     else if (call === 'kv-lease') sendJsonBody(res, 200, this.grantLease(body.ttlMs ?? 1_000));
     else if (call.startsWith('kv-keep/')) this.renewLease(res, Number(call.split('/')[1]));
@@ -131,7 +131,11 @@
     sendJsonBody(res, 200, { items, hasMore: keys.length > MAX_PAGE_ITEMS, at: this.revision });
   }
 
-  private async sendEvents(res: ServerResponse, url: URL): Promise<void> {
+  private refuses(req: IncomingMessage): boolean {
+    return this.faults.down || req.socket.remoteAddress === this.faults.refusedAddress;
+  }
+
+  private async sendEvents(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
     const prefix = url.searchParams.get('prefix') ?? '';
     const after = Number(url.searchParams.get('after'));
     if (after < this.discardedUpToRevision) {
@@ -142,6 +146,11 @@
     const found = (): HistoryEntry[] =>
       this.history.filter((entry) => entry.revision > after && entry.key.startsWith(prefix));
     if (found().length === 0) await this.waitForChange(Number(url.searchParams.get('waitMs')), prefix, after);
+    // A watch that began before the fault is cut off by it.
+    if (this.refuses(req)) {
+      sendJsonBody(res, 503, {});
+      return;
+    }
     const events = found().map(({ key, revision, item }) =>
       item ? { key, createdAt: 1, ...item } : { key, revision, deleted: true },
     );
