Blame no request for breaks of replicas that had failed before

Cause: each connection that broke under a request was counted as a crash of the replica under it, also at a replica that had broken the connections of others before. Such breaks now say nothing about the request. A replica is sound again when an attempt that began after its first break is completed; a new process under the same id starts without a history, also in the fallback of instances without an owner.

--- a/packages/admission/src/direct-dispatch.test.ts
+++ b/packages/admission/src/direct-dispatch.test.ts
@@ -156,6 +156,41 @@
     expect(refused).toEqual([false, false, false, false, true]);
   });
 
+  it.each([
+    { replicas: 'are the same processes', startedAtUnixMs: 1, isRefused: false },
+    { replicas: 'are new processes under the same ids', startedAtUnixMs: 2, isRefused: true },
+  ])(
+    'counts crashes at replicas that broke the connections of others only when they $replicas',
+    async ({ startedAtUnixMs, isRefused }) => {
+      const clock = new ManualClock();
+      let upstream = { ...UPSTREAM, startedAtUnixMs: 1 };
+      const catalogue = {
+        ...CATALOGUE,
+        pools: () => [{ poolId: 'm@', model: 'm', failureDomain: 'd', upstreams: [upstream] }],
+        limitsOf: () => ({}),
+        blockedPrompts: new BlockedPrompts(),
+      };
+      const direct = newDirectDispatch(catalogue, clock);
+      const request = { sharedPartIds: [], requestDigest: 'again' };
+      const runAtEach = async (
+        startedAt: number,
+        digestOf: (upstreamId: string) => string,
+      ): Promise<void> => {
+        for (const upstreamId of ['r0', 'r1', 'r2']) {
+          upstream = { ...UPSTREAM, upstreamId, startedAtUnixMs: startedAt };
+          clock.advance(10_000);
+          const slot = await direct.acquire({ ...DEMAND, ...request, requestDigest: digestOf(upstreamId) });
+          if (!slot.ok) throw new Error('no slot');
+          clock.advance(5);
+          direct.release(slot.value, { end: 'broken', tokens: 0 });
+        }
+      };
+      await runAtEach(1, (upstreamId) => `at ${upstreamId}`);
+      await runAtEach(startedAtUnixMs, () => 'again');
+      expect(catalogue.blockedPrompts.refuses(request, clock.monotonicMs())).toBe(isRefused);
+    },
+  );
+
   it('grants a resumed stream only a replica of its software version', async () => {
     const other = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v2' });
     const same = await newDirectDispatch().acquire({ ...DEMAND, softwareVersion: 'v1' });
--- a/packages/admission/src/direct-dispatch.ts
+++ b/packages/admission/src/direct-dispatch.ts
@@ -22,7 +22,9 @@
   inFlight: number;
   /** Tokens that the requests of this instance there may need. */
   memoryTokens: number;
-  readonly health: ReplicaHealth;
+  /** When the process that `health` is about started, by its platform. */
+  startedAtUnixMs?: number;
+  health: ReplicaHealth;
   /** Spaces the requests of this instance while the replica states a limit. */
   readonly rate: RequestRate;
   /** The part of this instance in that limit, and what it was derived from. */
@@ -138,12 +140,13 @@
     const view = this.viewOf(slot.replicaId);
     view.inFlight -= 1;
     view.memoryTokens -= run.demand.memoryTokens ?? 0;
-    view.health.observe(report.end, nowMs);
+    const { startedAtMs } = run;
+    const wasReplicaBroken = view.health.wasBrokenBefore(startedAtMs);
+    view.health.observe(report.end, startedAtMs, nowMs);
     const { requestDigest } = run.demand;
     if (requestDigest === undefined) return run;
-    const { startedAtMs } = run;
     if (report.end === AttemptEnd.completed) this.requestCrashes.onCompleted(requestDigest, nowMs);
-    if (report.end === AttemptEnd.broken)
+    if (report.end === AttemptEnd.broken && !wasReplicaBroken)
       this.requestCrashes.onCrash({ requestDigest, replicaId: slot.replicaId, startedAtMs }, nowMs);
     return run;
   }
@@ -208,7 +211,17 @@
         ({ softwareVersion }) =>
           demand.softwareVersion === undefined || softwareVersion === demand.softwareVersion,
       )
-      .filter((upstream) => this.viewOf(upstream.upstreamId).health.isAvailable(nowMs));
+      .filter((upstream) => this.healthOf(upstream).isAvailable(nowMs));
+  }
+
+  /** Health of the process that an entry names, which may have started under the id of an earlier one. */
+  private healthOf({ upstreamId, startedAtUnixMs }: CataloguedUpstream): ReplicaHealth {
+    const view = this.viewOf(upstreamId);
+    if (view.startedAtUnixMs !== startedAtUnixMs) {
+      view.health = new ReplicaHealth();
+      view.startedAtUnixMs = startedAtUnixMs;
+    }
+    return view.health;
   }
 
   /**
--- a/packages/decisions/src/crash-suspicions.ts
+++ b/packages/decisions/src/crash-suspicions.ts
@@ -17,6 +17,8 @@
   readonly end: AttemptEnd;
   /** Events that the attempt brought. */
   readonly events: number;
+  /** Whether the replica had broken a connection before the attempt, and completed nothing that it started later. */
+  readonly wasReplicaBroken: boolean;
 }
 
 /**
@@ -79,21 +81,25 @@
     this.prompts.onSound(sharedPartIds, nowMs);
   }
 
-  /** Records how an attempt ended. Only a connection that broke is a sign of a crash. */
+  /**
+   * Records how an attempt ended. Only a connection that broke is a sign that the request crashed the replica, and only at a
+   * replica that did not break the connections of others before.
+   */
   onEnd(attempt: EndedAttempt, nowMs: number): void {
     const { request, replicaId, end, events } = attempt;
     const { sharedPartIds, requestDigest } = request;
     const isCompleted = end === AttemptEnd.completed;
     const isBroken = end === AttemptEnd.broken;
+    const isCrash = isBroken && !attempt.wasReplicaBroken;
     if (isCompleted) this.onReplicaServes(replicaId, nowMs);
     if (isBroken) this.watch(replicaId, nowMs);
     if (sharedPartIds.length > 0) {
       if (isCompleted || events >= EVENTS_OF_SOUND_PROMPT) this.prompts.onSound(sharedPartIds, nowMs);
-      else if (isBroken) this.prompts.onCrash(request, replicaId, nowMs);
+      else if (isCrash) this.prompts.onCrash(request, replicaId, nowMs);
     }
     if (requestDigest === undefined) return;
     if (isCompleted) this.requests.onCompleted(requestDigest, nowMs);
-    else if (isBroken) this.requests.onCrash({ ...attempt, requestDigest }, nowMs);
+    else if (isCrash) this.requests.onCrash({ ...attempt, requestDigest }, nowMs);
   }
 
   /** State for the dump. */
--- a/packages/decisions/src/pool-scheduler.ts
+++ b/packages/decisions/src/pool-scheduler.ts
@@ -5,6 +5,7 @@
 import { BlockedPrompts, PROMPT_BLOCKED } from './blocked-prompts.js';
 import { BatchRunEstimates } from './batch-run-estimates.js';
 import { BurstReserve } from './burst-reserve.js';
+import type { EndedAttempt } from './crash-suspicions.js';
 import { CrashSuspicions } from './crash-suspicions.js';
 import { ExpectedWaits } from './expected-waits.js';
 import { OrganisationLimits } from './organisation-limits.js';
@@ -199,17 +200,12 @@
     this.waiting.quarantine.onRelease(permit.request.requestId);
     this.waiting.correctCharge(permit.request, report.tokens);
     if (permit.request.workClass === WorkClass.batch) this.observeBatchRun(permit, report, nowMs);
-    this.crashes.onEnd(
-      {
-        request: permit.request,
-        replicaId: permit.replicaId,
-        startedAtMs: permit.grantedAtMs,
-        end: report.end,
-        events: report.tokens,
-      },
+    const { request, replicaId, grantedAtMs } = permit;
+    this.judgeEnd(
+      { request, replicaId, startedAtMs: grantedAtMs, end: report.end, events: report.tokens },
       nowMs,
     );
-    this.places.observeEnd(permit.replicaId, report.end, nowMs);
+    this.places.observeEnd(replicaId, report.end, grantedAtMs, nowMs);
     if (report.betweenTokensMs !== undefined && report.tokens >= MIN_SPEED_SAMPLE_EVENTS)
       this.places.observeSpeed(permit.replicaId, report.betweenTokensMs, nowMs);
     if (report.end === 'completed') this.recordMeasurements(permit, report, nowMs);
@@ -224,7 +220,7 @@
   /** Records the crash of a replica under a request without a permit. */
   observeCrash({ replicaId, events, ranMs, ...request }: ReplicaCrashReport, nowMs: number): void {
     const startedAtMs = nowMs - ranMs;
-    this.crashes.onEnd({ request, replicaId, startedAtMs, end: AttemptEnd.broken, events }, nowMs);
+    this.judgeEnd({ request, replicaId, startedAtMs, end: AttemptEnd.broken, events }, nowMs);
   }
 
   /** Applies a renewal by a holder, which lists all permits that it holds. See `PermitTable.renew`. */
@@ -321,6 +317,12 @@
     };
   }
 
+  private judgeEnd(attempt: Omit<EndedAttempt, 'wasReplicaBroken'>, nowMs: number): void {
+    const health = this.replicas.get(attempt.replicaId)?.health;
+    const wasReplicaBroken = health?.wasBrokenBefore(attempt.startedAtMs) ?? false;
+    this.crashes.onEnd({ ...attempt, wasReplicaBroken }, nowMs);
+  }
+
   private observeBatchRun({ request, grantedAtMs }: Permit, report: ReleaseReport, nowMs: number): void {
     this.batchRuns.observe({
       workload: request.workload ?? request.organisation,
--- a/packages/decisions/src/pool-slots.test.ts
+++ b/packages/decisions/src/pool-slots.test.ts
@@ -170,7 +170,12 @@
           if (kind === 'revoke' && victim) slots.permitTable.revoke(victim, nowMs + REVOKE_GRACE_MS);
           if (kind === 'load') slots.observeLoad({ replicaId, running: number, waiting: 0 }, nowMs);
           if (kind === 'end')
-            slots.observeEnd(replicaId, number % 2 === 0 ? AttemptEnd.broken : AttemptEnd.completed, nowMs);
+            slots.observeEnd(
+              replicaId,
+              number % 2 === 0 ? AttemptEnd.broken : AttemptEnd.completed,
+              nowMs,
+              nowMs,
+            );
           if (kind === 'leave') slots.markLeaving(replicaId);
           if (kind === 'return') slots.setReplicas(infos);
           if (kind === 'reading') slots.recordLoadReading(replicaId, number % 2 === 0 ? undefined : number);
--- a/packages/decisions/src/pool-slots.ts
+++ b/packages/decisions/src/pool-slots.ts
@@ -62,8 +62,8 @@
   }
 
   /** Records how an attempt at a replica ended. */
-  observeEnd(replicaId: string, end: AttemptEnd, nowMs: number): void {
-    this.change(replicaId, (replica) => replica.health.observe(end, nowMs));
+  observeEnd(replicaId: string, end: AttemptEnd, startedAtMs: number, nowMs: number): void {
+    this.change(replicaId, (replica) => replica.health.observe(end, startedAtMs, nowMs));
   }
 
   /** Records the mean time between two events of a stream at a replica. */
--- a/packages/decisions/src/replica-health.ts
+++ b/packages/decisions/src/replica-health.ts
@@ -38,6 +38,8 @@
 export class ReplicaHealth {
   private failures = 0;
   private pausedUntilMs = 0;
+  /** When a connection to the replica first broke; undefined when no attempt broke, or one that started later succeeded. */
+  private brokenSinceMs: number | undefined;
 
   /** Whether the replica is not paused, and so may get work. */
   isAvailable(nowMs: number): boolean {
@@ -54,14 +56,22 @@
     return this.failures > 0;
   }
 
-  /** Records how one attempt ended. */
-  observe(end: AttemptEnd, nowMs: number): void {
+  /** Whether a connection to the replica broke before `timeMs`, and no attempt that started later has succeeded. */
+  wasBrokenBefore(timeMs: number): boolean {
+    return this.brokenSinceMs !== undefined && this.brokenSinceMs < timeMs;
+  }
+
+  /** Records how one attempt ended that started at `startedAtMs`. */
+  observe(end: AttemptEnd, startedAtMs: number, nowMs: number): void {
     if (end === AttemptEnd.completed || end === AttemptEnd.rejected) {
       this.failures = 0;
       this.pausedUntilMs = 0;
+      // A replica may serve on its old connections and break all new ones.
+      if (this.wasBrokenBefore(startedAtMs)) this.brokenSinceMs = undefined;
       return;
     }
     if (end === AttemptEnd.cancelled) return;
+    if (end === AttemptEnd.broken) this.brokenSinceMs ??= nowMs;
     this.failures += 1;
     const doubled = FIRST_PAUSE_MS * 2 ** Math.min(this.failures - 1, 8);
     const pauseMs = end === AttemptEnd.leaving ? LEAVING_PAUSE_MS : Math.min(MAX_PAUSE_MS, doubled);
--- a/packages/decisions/src/request-crashes.test.ts
+++ b/packages/decisions/src/request-crashes.test.ts
@@ -32,7 +32,8 @@
     replicaId = `r${request.requestId}`,
     startedAtMs = nowMs - RUN_MS,
     events = 20,
-  ): void => suspicions.onEnd({ request, replicaId, startedAtMs, end, events }, nowMs);
+  ): void =>
+    suspicions.onEnd({ request, replicaId, startedAtMs, end, events, wasReplicaBroken: false }, nowMs);
   /** Runs the request unless it is refused or held, and crashes a new replica under it. Returns whether it ran. */
   const crash = (requestDigest: string, nowMs: number, sharedPartIds = PARTS): boolean => {
     const request = requestOf(requestDigest, sharedPartIds);
