Look at the domains of a pool without building lists for each choice

Cause: the choice of a replica copied, filtered and scored the least loaded replica of each failure domain, and asked for each whether the request may run there, although most cannot win. Domains now keep their first replica, and one that cannot beat the best so far is passed over.

Decisions equal those of a scan as before (property tests of packages/decisions, 272 passed).

--- a/packages/decisions/src/replica-order.ts
+++ b/packages/decisions/src/replica-order.ts
@@ -15,10 +15,27 @@
   return a.streams - b.streams || a.replica.position - b.replica.position;
 }
 
+/** The replicas of one failure domain that have a free slot. */
+interface OpenDomain {
+  readonly entries: OrderedMap<OpenReplica, OpenReplica>;
+  /** The first one of `entries`. */
+  first: OpenReplica | undefined;
+}
+
+interface Candidate {
+  readonly entry: OpenReplica;
+  readonly score: number;
+}
+
+/** Whether a replica comes before `best`: by its score, and among equals the one that was added first. */
+function isBetter({ replica }: OpenReplica, score: number, best: Candidate): boolean {
+  return score < best.score || (score === best.score && replica.position < best.entry.replica.position);
+}
+
 /** The replicas with a free slot, by failure domain and load. */
 export class ReplicaOrder {
   private readonly open = new Map<string, OpenReplica>();
-  private readonly byDomain = new Map<string, OrderedMap<OpenReplica, OpenReplica>>();
+  private readonly byDomain = new Map<string, OpenDomain>();
 
   get isEmpty(): boolean {
     return this.open.size === 0;
@@ -30,7 +47,9 @@
     this.delete(replica.replicaId);
     const entry = { replica, streams };
     this.open.set(replica.replicaId, entry);
-    this.domainOf(replica.failureDomain).set(entry, entry);
+    const domain = this.domainOf(replica.failureDomain);
+    domain.entries.set(entry, entry);
+    if (!domain.first || compareOpenReplicas(entry, domain.first) < 0) domain.first = entry;
   }
 
   /** Removes a replica; does nothing when it has not been added. */
@@ -39,8 +58,9 @@
     if (!entry) return;
     this.open.delete(replicaId);
     const domain = this.domainOf(entry.replica.failureDomain);
-    domain.delete(entry);
-    if (domain.size === 0) this.byDomain.delete(entry.replica.failureDomain);
+    domain.entries.delete(entry);
+    if (domain.first === entry) domain.first = domain.entries.minKey();
+    if (domain.first === undefined) this.byDomain.delete(entry.replica.failureDomain);
   }
 
   /**
@@ -53,41 +73,42 @@
     prefixes: PrefixIndex,
     admits: (replicaId: string) => boolean,
   ): PoolReplica | undefined {
-    const leastLoaded = [...this.byDomain.values()].map((domain) => firstAdmitted(domain, admits));
+    const consider = (best: Candidate | undefined, entry: OpenReplica): Candidate | undefined => {
+      const score = scoreOf(entry.replica, entry.streams, request, prefixes);
+      return best === undefined || isBetter(entry, score, best) ? { entry, score } : best;
+    };
     const caching = prefixes
       .replicasOf(request.prefixDigest)
       .map((replicaId) => this.open.get(replicaId))
       .filter((entry) => entry !== undefined && admits(entry.replica.replicaId));
-    return [...leastLoaded, ...caching]
-      .filter((entry) => entry !== undefined)
-      .map(({ replica, streams }) => ({ replica, score: scoreOf(replica, streams, request, prefixes) }))
-      .reduce<{ replica: PoolReplica; score: number } | undefined>(
-        (best, candidate) =>
-          best === undefined ||
-          candidate.score < best.score ||
-          (candidate.score === best.score && candidate.replica.position < best.replica.position)
-            ? candidate
-            : best,
-        undefined,
-      )?.replica;
+    let best = caching.reduce<Candidate | undefined>(
+      (least, entry) => (entry === undefined ? least : consider(least, entry)),
+      undefined,
+    );
+    this.byDomain.forEach((domain) => {
+      // The score of the domain's least loaded replica is a lower bound for the others, except for a cached prefix.
+      if (best && domain.first && consider(best, domain.first) === best) return;
+      const entry = firstAdmitted(domain, admits);
+      if (entry) best = consider(best, entry);
+    });
+    return best?.entry.replica;
   }
 
-  private domainOf(failureDomain: string): OrderedMap<OpenReplica, OpenReplica> {
+  private domainOf(failureDomain: string): OpenDomain {
     const known = this.byDomain.get(failureDomain);
     if (known) return known;
-    const created = orderedMap<OpenReplica, OpenReplica>(compareOpenReplicas);
+    const created = { entries: orderedMap<OpenReplica, OpenReplica>(compareOpenReplicas), first: undefined };
     this.byDomain.set(failureDomain, created);
     return created;
   }
 }
 
 function firstAdmitted(
-  domain: OrderedMap<OpenReplica, OpenReplica>,
+  { first, entries }: OpenDomain,
   admits: (replicaId: string) => boolean,
 ): OpenReplica | undefined {
-  const least = domain.minKey();
-  if (least === undefined || admits(least.replica.replicaId)) return least;
-  for (const entry of domain.keys()) {
+  if (first === undefined || admits(first.replica.replicaId)) return first;
+  for (const entry of entries.keys()) {
     if (admits(entry.replica.replicaId)) return entry;
   }
   return undefined;
