Claim the jobs of an instance's earlier process as soon as it starts

Cause: the holder of a job is an id with a random part, so that a restarted coordinator took its own earlier process for another instance, and waited until its membership could be relied on. An earlier process of the same instance has certainly ended. Claims are compare-and-swap as before.

The new case of job-progress.test.ts failed before (no such evidence).

--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -8,6 +8,12 @@
   return `${prefix}-${randomBytes(ID_BYTES).toString('hex')}`;
 }
 
+/** Whether two ids that `newId` returned have the same prefix, such as those of two processes of one instance. */
+export function haveSamePrefix(id: string, otherId: string): boolean {
+  const randomLength = 1 + 2 * ID_BYTES;
+  return id.length > randomLength && id.slice(0, -randomLength) === otherId.slice(0, -randomLength);
+}
+
 /**
  * SHA-256 of the parts as hexadecimal text. The length of each part is hashed too, so that the parts `ab`, `c` and the
  * parts `a`, `bc` have different digests.
--- a/packages/decisions/src/job-progress.test.ts
+++ b/packages/decisions/src/job-progress.test.ts
@@ -61,7 +61,13 @@
 });
 
 describe('shouldClaim', () => {
-  const healthy = { holderIsLive: true, unchangedMs: 1_000, memberForMs: 60_000, isPreferred: true };
+  const healthy = {
+    holderIsLive: true,
+    holderIsPredecessor: false,
+    unchangedMs: 1_000,
+    memberForMs: 60_000,
+    isPreferred: true,
+  };
 
   it('does not claim a job from a live, active holder', () => {
     expect(shouldClaim(PROGRESS, healthy)).toBe(false);
@@ -78,6 +84,13 @@
     expect(shouldClaim(PROGRESS, { ...healthy, holderIsLive: false, memberForMs: 500 })).toBe(false);
   });
 
+  it('claims the jobs of the earlier process of this instance at once after a power loss of all', () => {
+    const restarted = { ...healthy, holderIsLive: false, unchangedMs: 0, memberForMs: 0, isPreferred: false };
+    expect(shouldClaim(PROGRESS, { ...restarted, holderIsPredecessor: true })).toBe(true);
+    expect(shouldClaim(PROGRESS, restarted)).toBe(false);
+    expect(shouldClaim(endJob(PROGRESS), { ...restarted, holderIsPredecessor: true })).toBe(false);
+  });
+
   it('claims a released job, and a job whose live holder has stopped writing', () => {
     expect(shouldClaim(releaseJob(PROGRESS), healthy)).toBe(true);
     expect(shouldClaim(PROGRESS, { ...healthy, unchangedMs: 9_000 })).toBe(true);
--- a/packages/decisions/src/job-progress.ts
+++ b/packages/decisions/src/job-progress.ts
@@ -118,6 +118,8 @@
 export interface HolderEvidence {
   /** Whether the membership counts the holder as live. */
   readonly holderIsLive: boolean;
+  /** Whether the holder was an earlier process of this instance, which has ended since this one runs. */
+  readonly holderIsPredecessor: boolean;
   /** How long the job's progress has been unchanged while the store was readable, in milliseconds. */
   readonly unchangedMs: number;
   /** How long this instance has been a member, in milliseconds. */
@@ -138,6 +140,8 @@
 /** Whether this instance should claim the job. */
 export function shouldClaim(progress: JobProgress, evidence: HolderEvidence): boolean {
   if (isClosed(progress)) return false;
+  // After a power loss of all instances, nobody would otherwise hold the jobs until memberships can be relied on.
+  if (evidence.holderIsPredecessor) return true;
   const isReleased = progress.holder === '';
   const hasHolderFailed = !evidence.holderIsLive && evidence.memberForMs >= MIN_MEMBERSHIP_MS;
   const isStale = evidence.unchangedMs >= STALE_HOLDER_MS;
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -8,7 +8,7 @@
   StoredResult,
   System,
 } from '@fighub/core';
-import { EntityTable, LogCategory, batchJobKeys } from '@fighub/core';
+import { EntityTable, LogCategory, batchJobKeys, haveSamePrefix } from '@fighub/core';
 import { claimJob, coordinatorFor, isClosed, shouldClaim } from '@fighub/decisions';
 import type {
   JobItemBody,
@@ -223,6 +223,7 @@
   private shouldTakeOver(progress: JobProgress, unchangedMs: number): boolean {
     return shouldClaim(progress, {
       holderIsLive: this.members().membership.isLive(progress.holder),
+      holderIsPredecessor: haveSamePrefix(progress.holder, this.selfId()),
       unchangedMs,
       memberForMs: this.clock.monotonicMs() - this.startedMs,
       isPreferred: coordinatorFor(progress.jobId, this.members().owners()) === this.selfId(),
