Record on the disks of coordinators where streams began

Cause: where a stream began was kept in the memory of two coordinators only, and these were chosen by ids that change with each start. Keepers now also append it to a log on their disk, whose records have digests and expire, and read it before they answer other instances; they are chosen by address. A missing record costs a refusal, never a joined text.

--- a/packages/decisions/src/stream-origins.test.ts
+++ b/packages/decisions/src/stream-origins.test.ts
@@ -3,7 +3,11 @@
 import { MAX_KEPT_ORIGINS, StreamOrigins, canContinue, keepersOf, membersToAsk } from './stream-origins.js';
 
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
-const MEMBERS = ['a', 'b', 'c', 'd', 'e', 'f'].map((instanceId) => ({ instanceId, schedules: true }));
+const MEMBERS = ['a', 'b', 'c', 'd', 'e', 'f'].map((instanceId) => ({
+  instanceId,
+  peerAddress: `${instanceId}:1`,
+  schedules: true,
+}));
 
 describe('StreamOrigins', () => {
   it('forgets an origin when its caller no longer waits', () => {
@@ -33,14 +37,21 @@
     requestIds.forEach((requestId) => {
       const keepers = keepersOf(requestId, MEMBERS);
       const after = MEMBERS.map((member) =>
-        member.instanceId === keepers[0] ? { ...member, instanceId: 'new' } : member,
+        member.instanceId === keepers[0] ? { ...member, instanceId: 'new', peerAddress: 'new:1' } : member,
       );
       expect(membersToAsk(requestId, after)).toContain(keepers[1]);
     });
   });
 
+  it('are the processes at the same addresses after all members have restarted', () => {
+    const restarted = MEMBERS.map((member) => ({ ...member, instanceId: `${member.instanceId}2` }));
+    requestIds.forEach((requestId) =>
+      expect(keepersOf(requestId, restarted)).toEqual(keepersOf(requestId, MEMBERS).map((id) => `${id}2`)),
+    );
+  });
+
   it('spreads the streams over all coordinators and uses no other members', () => {
-    const entries = [{ instanceId: 'entry', schedules: false }];
+    const entries = [{ instanceId: 'entry', peerAddress: 'entry:1', schedules: false }];
     const keepers = new Set(
       requestIds.flatMap((requestId) => keepersOf(requestId, [...MEMBERS, ...entries])),
     );
--- a/packages/decisions/src/stream-origins.ts
+++ b/packages/decisions/src/stream-origins.ts
@@ -69,6 +69,7 @@
 /** A member of the fleet that may keep origins. */
 interface Candidate {
   readonly instanceId: string;
+  readonly peerAddress: string;
   readonly schedules?: boolean;
 }
 
@@ -82,12 +83,13 @@
   return ranked(requestId, members).slice(0, ASKED_PER_STREAM);
 }
 
-/** Coordinators by their preference for a stream; all members when there is no coordinator. */
+/**
+ * Coordinators by their preference for a stream; all members when there is no coordinator. They are ranked by their addresses,
+ * so that the keepers of a stream are the same after a restart, when they have the records of their earlier processes.
+ */
 function ranked(requestId: string, members: readonly Candidate[]): string[] {
   const coordinators = coordinatorsOf(members);
   const candidates = coordinators.length > 0 ? coordinators : members;
-  return rankMembers(
-    requestId,
-    candidates.map((member) => member.instanceId),
-  );
+  const idByAddress = new Map(candidates.map(({ peerAddress, instanceId }) => [peerAddress, instanceId]));
+  return rankMembers(requestId, [...idByAddress.keys()]).flatMap((address) => idByAddress.get(address) ?? []);
 }
--- a/packages/outside/src/index.ts
+++ b/packages/outside/src/index.ts
@@ -7,6 +7,7 @@
 export * from './engine.js';
 export * from './etcd-key-value.js';
 export * from './etcd-wire.js';
+export * from './expiring-log.js';
 export * from './http-engine.js';
 export * from './instance-list.js';
 export * from './json.js';
--- a/packages/serving/src/online/stream-origin-exchange.ts
+++ b/packages/serving/src/online/stream-origin-exchange.ts
@@ -5,6 +5,8 @@
 import { StreamOrigins, keepersOf, membersToAsk } from '@fighub/decisions';
 import type { BegunStream, MembershipRunner, PeerNode } from '@fighub/peers';
 
+import type { OriginJournal, RestoredOrigin } from './origin-journal.js';
+
 /** A caller gets no answer to its request before the origin is known, so that a silent member must not hold it up. */
 const ASK_TIMEOUT_MS = 100;
 
@@ -26,6 +28,8 @@
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: DecisionLog,
+    /** Undefined where this instance has no disk. */
+    private readonly journal?: OriginJournal,
   ) {
     node.onNotice('stream.begun', ({ streams }) => streams.forEach((stream) => this.keep(stream)));
     node.onRequest('stream.origin', ({ requestId }) => ({ origin: this.known(requestId) }));
@@ -57,16 +61,25 @@
     return origin;
   }
 
+  /** Keeps origins that an earlier process of this instance has recorded. */
+  restore(origins: readonly RestoredOrigin[]): void {
+    const nowMs = this.clock.monotonicMs();
+    origins.forEach(({ requestId, origin, keepForMs }) =>
+      this.origins.add(requestId, origin, nowMs + keepForMs),
+    );
+  }
+
   run(nowMs: number): void {
     this.origins.run(nowMs);
   }
 
   dump(): Record<string, unknown> {
-    return { kept: this.origins.size };
+    return { kept: this.origins.size, journal: this.journal?.dump() };
   }
 
   private keep({ requestId, origin, keepForMs }: BegunStream): void {
     this.origins.add(requestId, origin, this.clock.monotonicMs() + keepForMs);
+    this.journal?.add(requestId, origin, keepForMs);
   }
 
   private known(requestId: string): StreamOrigin | undefined {
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -5,7 +5,7 @@
 import type { GetPart } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
-import { RecordStore } from '@fighub/outside';
+import { ExpiringLog, RecordStore } from '@fighub/outside';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
 import type { ServiceIdentifier } from 'inversify';
 import { Container } from 'inversify';
@@ -30,6 +30,7 @@
 import { RelayServer } from './relay/relay-server.js';
 import { RelayedTransport } from './relay/relayed-transport.js';
 import { RelayedStore } from './relayed-store.js';
+import { OriginJournal } from './online/origin-journal.js';
 import { StreamOriginExchange } from './online/stream-origin-exchange.js';
 import { FleetView } from './routing/fleet-view.js';
 import { ServicePoolCatalogue } from './routing/service-pool-catalogue.js';
@@ -57,6 +58,8 @@
 /** Part of the memory of a process that request bodies, and as much again that incomplete responses, may take. */
 const BUFFER_FRACTION = 0.2;
 const MAX_BUFFER_BYTES = 64 * BYTES_PER_MB;
+/** Name of the files in which coordinators record where streams began. */
+const ORIGIN_LOG_NAME = 'stream-origins';
 
 /** Memory for one kind of buffers of a process with `memoryMb` of memory. */
 function bufferBytes(memoryMb: number): number {
@@ -89,6 +92,7 @@
   direct: token<DirectDispatch>('direct'),
   permits: token<PermitClient>('permits'),
   origins: token<StreamOriginExchange>('origins'),
+  originJournal: token<OriginJournal | undefined>('originJournal'),
   leavingAnnouncements: token<LeavingAnnouncements>('leavingAnnouncements'),
   observations: token<ObservationExchange>('observations'),
   transport: token<RelayedTransport>('transport'),
@@ -273,8 +277,20 @@
         get(Tokens.clock),
         get(Tokens.metrics),
         get(Tokens.log),
+        get(Tokens.originJournal),
       ),
   );
+  bindPart(container, Tokens.originJournal, (get) => {
+    const { dataDirectory } = get(Tokens.settings);
+    if (dataDirectory === undefined) return undefined;
+    return new OriginJournal(
+      (nowUnixMs) => ExpiringLog.open(dataDirectory, ORIGIN_LOG_NAME, nowUnixMs),
+      (origins) => get(Tokens.origins).restore(origins),
+      get(Tokens.clock),
+      get(Tokens.metrics),
+      get(Tokens.log),
+    );
+  });
   bindPart(
     container,
     Tokens.leavingAnnouncements,
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -90,6 +90,9 @@
 
   async start(): Promise<ServingInstance> {
     const { container, instanceId, settings } = this;
+    const originJournal = container.get(Tokens.originJournal);
+    // Before other instances can ask for what is on the disk.
+    if (originJournal) await this.lifeCycle.start(originJournal);
     const node = container.get(Tokens.node);
     await node.listen();
     await this.lifeCycle.start({ name: 'peers', stop: () => node.close() });
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -24,6 +24,11 @@
   metricsAddress: hostAndPort.optional(),
   /** Memory that the process may use, in megabytes. What it holds for callers and replicas that read slowly is bounded by it. */
   memoryMb: z.number().positive().default(400),
+  /**
+   * Folder for files that are of use after a loss of power, such as where streams began; omitted where there is no disk. Nothing
+   * that was acknowledged depends on it.
+   */
+  dataDirectory: z.string().min(1).optional(),
   /** Peer addresses of some other instances, for discovery. Unreachable ones are tolerated. */
   seedAddresses: z.array(hostAndPort).default([]),
   /** Secret shared by the fleet, with which instances authenticate to each other. */
