Start instances from a code cache, and load only the histograms that are used

Cause: of 0.41 s of processor time for a start, 0.08 s went into compiling the bundle and 0.04 s into parts of the histogram package that nothing uses, among them number formats.

--- a/deploy/rolldown.config.js
+++ b/deploy/rolldown.config.js
@@ -15,5 +15,12 @@
   resolve: { mainFields: ['module', 'main'], alias: sources, extensionAlias: { '.js': ['.ts', '.js'] } },
   // Optional native addon of cbor-x, which works without it.
   external: ['cbor-extract'],
-  output: { file: 'target/fighub-node.mjs', format: 'esm', codeSplitting: false },
+  // A CommonJS file, since Node.js 20 can start only those from a code cache.
+  transform: { define: { 'import.meta': 'importMeta' } },
+  output: {
+    file: 'target/fighub-node.cjs',
+    format: 'cjs',
+    codeSplitting: false,
+    postBanner: 'const importMeta = { url: require("node:url").pathToFileURL(__filename).href };',
+  },
 });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,11 @@
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
+  {
+    files: ['**/*.cjs'],
+    languageOptions: { sourceType: 'commonjs', globals: { __dirname: 'readonly', require: 'readonly' } },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
   {
     files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './container.js';
 export * from './decision-log.js';
 export * from './entity-table.js';
+export * from './histogram.js';
 export * from './ids.js';
 export * from './invariant.js';
 export * from './jobs.js';
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and histograms, which the state dump always includes. */
-import type { Histogram } from 'hdr-histogram-js';
-import { build } from 'hdr-histogram-js';
+import type { Histogram } from './histogram.js';
+import { newHistogram } from './histogram.js';
 
 /** Receives every counter change and sample, for example a StatsD client. */
 export interface MetricsSink {
@@ -36,8 +36,7 @@
 
   /** Records one sample of `name`, in the unit given by the name's suffix. The histogram holds negative values as 0. */
   sample(name: string, value: number): void {
-    const histogram =
-      this.samples.get(name) ?? build({ bitBucketSize: 32, numberOfSignificantValueDigits: 2 });
+    const histogram = this.samples.get(name) ?? newHistogram();
     histogram.recordValue(Math.max(0, Math.round(value * HISTOGRAM_STEPS_PER_UNIT)));
     this.samples.set(name, histogram);
     this.sink?.sample(name, value);
--- a/packages/decisions/src/hedging.ts
+++ b/packages/decisions/src/hedging.ts
@@ -2,8 +2,7 @@
  * Decides when a second copy of a request is sent to another replica, because the first one takes unusually long to bring its
  * first event. Answers single slow replicas and paths; it must add no work while all replicas are slow or full.
  */
-import { build } from 'hdr-histogram-js';
-import type { Histogram } from 'hdr-histogram-js';
+import { newHistogram } from '@fighub/core';
 
 import { RetryBudget } from './retry-budget.js';
 
@@ -54,7 +53,3 @@
 export function copyBudget(maxCopyFraction: number): RetryBudget {
   return new RetryBudget(maxCopyFraction, 0, MAX_SAVED_COPIES);
 }
-
-function newHistogram(): Histogram {
-  return build({ bitBucketSize: 16, numberOfSignificantValueDigits: 2 });
-}
