Find where a stream began also for callers that only repeat the request

Without a name, a stream went on only where one software version had been alone for longer than streams live, so during and after each release none did, also when a single entry had failed.

Keepers now remember origins by the digest of the request as well, which is the same when its caller repeats it, and are chosen by it. If streams of one request have begun at different versions within that time, it is not certain which one is meant, and the caller is refused as before.

--- a/packages/decisions/src/stream-origins.test.ts
+++ b/packages/decisions/src/stream-origins.test.ts
@@ -3,6 +3,9 @@
 import { MAX_KEPT_ORIGINS, StreamOrigins, canContinue, keepersOf, membersToAsk } from './stream-origins.js';
 
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
+const STREAM = { requestId: 'q1', requestDigest: 'd1', origin: ORIGIN };
+const NAMED = { requestId: 'q1', requestDigest: 'd1' };
+const UNNAMED = { requestDigest: 'd1' };
 const MEMBERS = ['a', 'b', 'c', 'd', 'e', 'f'].map((instanceId) => ({
   instanceId,
   peerAddress: `${instanceId}:1`,
@@ -12,21 +15,42 @@
 describe('StreamOrigins', () => {
   it('forgets an origin when its caller no longer waits', () => {
     const origins = new StreamOrigins();
-    origins.add('q1', ORIGIN, 5_000);
-    expect(origins.find('q1', 4_999)).toEqual(ORIGIN);
-    expect(origins.find('q1', 5_000)).toBeUndefined();
+    origins.add(STREAM, 5_000, 0);
+    expect(origins.find(NAMED, 4_999)).toEqual(ORIGIN);
+    expect(origins.find(UNNAMED, 4_999)).toEqual(ORIGIN);
+    expect(origins.find(NAMED, 5_000)).toBeUndefined();
+    expect(origins.find(UNNAMED, 5_000)).toBeUndefined();
     origins.run(5_000);
     expect(origins.size).toBe(0);
   });
 
+  it('does not guess which of several streams of one request is resumed while they began at different versions', () => {
+    const origins = new StreamOrigins();
+    const other = { ...STREAM, requestId: 'q2', origin: { ...ORIGIN, softwareVersion: 'v2' } };
+    origins.add(STREAM, 5_000, 0);
+    origins.add(other, 3_000, 0);
+    origins.add({ ...STREAM, requestId: 'q3' }, 4_000, 0);
+    expect(origins.find(UNNAMED, 4_999)).toBeUndefined();
+    expect(origins.find(NAMED, 4_999)).toEqual(ORIGIN);
+    origins.add(other, 9_000, 5_000);
+    expect(origins.find(UNNAMED, 5_000)).toEqual(other.origin);
+  });
+
+  it('finds a stream by its request that began again at the same version', () => {
+    const origins = new StreamOrigins();
+    origins.add(STREAM, 5_000, 0);
+    origins.add({ ...STREAM, requestId: 'q2' }, 6_000, 0);
+    expect(origins.find(UNNAMED, 5_500)).toEqual(ORIGIN);
+  });
+
   it('drops the oldest origins of a load that exceeds its limit', () => {
     const origins = new StreamOrigins();
     Array.from({ length: MAX_KEPT_ORIGINS + 10 }, (_, index) =>
-      origins.add(`q${String(index)}`, ORIGIN, 5_000),
+      origins.add({ ...STREAM, requestId: `q${String(index)}` }, 5_000, 0),
     );
     expect(origins.size).toBe(MAX_KEPT_ORIGINS);
-    expect(origins.find('q9', 0)).toBeUndefined();
-    expect(origins.find('q10', 0)).toEqual(ORIGIN);
+    expect(origins.find({ ...NAMED, requestId: 'q9' }, 0)).toBeUndefined();
+    expect(origins.find({ ...NAMED, requestId: 'q10' }, 0)).toEqual(ORIGIN);
   });
 });
 
--- a/packages/decisions/src/stream-origins.ts
+++ b/packages/decisions/src/stream-origins.ts
@@ -16,8 +16,25 @@
   return began.service === at.service && began.softwareVersion === at.softwareVersion;
 }
 
-interface KeptOrigin {
+/** A stream that a caller takes up. */
+export interface ResumedStream {
+  /** Id of the caller's attempt that brought the first event, if the caller names it. */
+  readonly requestId?: string;
+  /** Identifies what the caller asks for; see `requestDigest` in the serving package. */
+  readonly requestDigest: string;
+}
+
+/** A stream that has begun. */
+export interface BegunStream {
+  readonly requestId: string;
+  /** Absent in messages of older releases. */
+  readonly requestDigest?: string;
   readonly origin: StreamOrigin;
+}
+
+interface KeptOrigin {
+  /** Undefined if streams of the same request have begun at different origins, so that it is not certain which is meant. */
+  readonly origin: StreamOrigin | undefined;
   readonly forgetAtMs: number;
 }
 
@@ -33,39 +50,62 @@
  */
 const ASKED_PER_STREAM = 4;
 
-/** Origins by the id of the caller's attempt that brought the first event. Times are monotonic. */
+/**
+ * Origins by the attempt that brought the first event, and by what was asked for: not all callers name the attempt. Times are
+ * monotonic.
+ */
 export class StreamOrigins {
-  private readonly kept = new Map<string, KeptOrigin>();
+  private readonly byAttempt = new Map<string, KeptOrigin>();
+  private readonly byContent = new Map<string, KeptOrigin>();
   private nextCleanupMs = 0;
 
+  /** Number of streams whose origins are kept. */
   get size(): number {
-    return this.kept.size;
+    return this.byAttempt.size;
   }
 
   /** Keeps an origin until `forgetAtMs`. */
-  add(requestId: string, origin: StreamOrigin, forgetAtMs: number): void {
-    this.kept.delete(requestId);
-    this.kept.set(requestId, { origin, forgetAtMs });
-    const [oldest] = this.kept.keys();
-    if (this.kept.size > MAX_KEPT_ORIGINS && oldest !== undefined) this.kept.delete(oldest);
+  add({ requestId, requestDigest, origin }: BegunStream, forgetAtMs: number, nowMs: number): void {
+    put(this.byAttempt, requestId, { origin, forgetAtMs });
+    if (requestDigest === undefined) return;
+    const other = valid(this.byContent.get(requestDigest), nowMs);
+    const isCertain =
+      other === undefined || (other.origin !== undefined && canContinue(other.origin, origin));
+    put(this.byContent, requestDigest, {
+      origin: isCertain ? origin : undefined,
+      forgetAtMs: Math.max(forgetAtMs, other?.forgetAtMs ?? 0),
+    });
   }
 
-  /** The origin of a stream, or undefined when it is not known, or no longer. */
-  find(requestId: string, nowMs: number): StreamOrigin | undefined {
-    const kept = this.kept.get(requestId);
-    return kept && nowMs < kept.forgetAtMs ? kept.origin : undefined;
+  /** The origin of a stream, or undefined when it is not known, no longer known or not certain. */
+  find({ requestId, requestDigest }: ResumedStream, nowMs: number): StreamOrigin | undefined {
+    const kept = requestId === undefined ? this.byContent.get(requestDigest) : this.byAttempt.get(requestId);
+    return valid(kept, nowMs)?.origin;
   }
 
   /** Removes expired origins, at most once per period. */
   run(nowMs: number): void {
     if (nowMs < this.nextCleanupMs) return;
     this.nextCleanupMs = nowMs + CLEANUP_PERIOD_MS;
-    this.kept.forEach(({ forgetAtMs }, requestId) => {
-      if (forgetAtMs <= nowMs) this.kept.delete(requestId);
-    });
+    [this.byAttempt, this.byContent].forEach((kept) =>
+      kept.forEach(({ forgetAtMs }, key) => {
+        if (forgetAtMs <= nowMs) kept.delete(key);
+      }),
+    );
   }
 }
 
+function put(origins: Map<string, KeptOrigin>, key: string, kept: KeptOrigin): void {
+  origins.delete(key);
+  origins.set(key, kept);
+  const [oldest] = origins.keys();
+  if (origins.size > MAX_KEPT_ORIGINS && oldest !== undefined) origins.delete(oldest);
+}
+
+function valid(kept: KeptOrigin | undefined, nowMs: number): KeptOrigin | undefined {
+  return kept && nowMs < kept.forgetAtMs ? kept : undefined;
+}
+
 /** A member of the fleet that may keep origins. */
 interface Candidate {
   readonly instanceId: string;
@@ -73,23 +113,25 @@
   readonly schedules?: boolean;
 }
 
-/** Ids of the members that keep the origin of a stream. */
-export function keepersOf(requestId: string, members: readonly Candidate[]): string[] {
-  return ranked(requestId, members).slice(0, KEEPERS_PER_STREAM);
+/** Ids of the members that keep the origin of a stream, by the digest of its request. */
+export function keepersOf(requestDigest: string, members: readonly Candidate[]): string[] {
+  return ranked(requestDigest, members).slice(0, KEEPERS_PER_STREAM);
 }
 
-/** Ids of the members to ask for the origin of a stream. */
-export function membersToAsk(requestId: string, members: readonly Candidate[]): string[] {
-  return ranked(requestId, members).slice(0, ASKED_PER_STREAM);
+/** Ids of the members to ask for the origin of a stream, by the digest of its request. */
+export function membersToAsk(requestDigest: string, members: readonly Candidate[]): string[] {
+  return ranked(requestDigest, members).slice(0, ASKED_PER_STREAM);
 }
 
 /**
  * Coordinators by their preference for a stream; all members when there is no coordinator. They are ranked by their addresses,
  * so that the keepers of a stream are the same after a restart, when they have the records of their earlier processes.
  */
-function ranked(requestId: string, members: readonly Candidate[]): string[] {
+function ranked(requestDigest: string, members: readonly Candidate[]): string[] {
   const coordinators = coordinatorsOf(members);
   const candidates = coordinators.length > 0 ? coordinators : members;
   const idByAddress = new Map(candidates.map(({ peerAddress, instanceId }) => [peerAddress, instanceId]));
-  return rankMembers(requestId, [...idByAddress.keys()]).flatMap((address) => idByAddress.get(address) ?? []);
+  return rankMembers(requestDigest, [...idByAddress.keys()]).flatMap(
+    (address) => idByAddress.get(address) ?? [],
+  );
 }
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -7,6 +7,7 @@
   TableBucket,
 } from '@fighub/core';
 import type {
+  BegunStream,
   MemberUpdate,
   PoolLoad,
   RelayState,
@@ -14,6 +15,7 @@
   ReplicaCrashReport,
   ReplicaLoadReport,
   RequestLimitReport,
+  ResumedStream,
   StreamOrigin,
   WorkClass,
 } from '@fighub/decisions';
@@ -109,11 +111,8 @@
   readonly requestLimits?: readonly RequestLimitBody[];
 }
 
-/** Where a stream began, for the members that keep it for the instance that forwards the stream. */
-export interface BegunStream {
-  /** Id of the caller's attempt that brought the first event. */
-  readonly requestId: string;
-  readonly origin: StreamOrigin;
+/** A stream that has begun, for the members that keep its origin for the instance that forwards it. */
+export interface KeptStream extends BegunStream {
   /** Time for which the origin is kept, in milliseconds. */
   readonly keepForMs: number;
 }
@@ -302,7 +301,7 @@
   'configuration.prove': { body: Record<string, never>; answer: ConfigurationProof };
   'view.fetch': { body: Record<string, never>; answer: FleetViewBody };
   /** Where a stream began that its caller resumes; the origin is omitted when it is not known. */
-  'stream.origin': { body: { requestId: string }; answer: { origin?: StreamOrigin } };
+  'stream.origin': { body: ResumedStream; answer: { origin?: StreamOrigin } };
   'store.call': { body: StoreCall; answer: StoreCallResponse };
   /** Whether the responding instance relays requests to replicas. */
   'relay.state': { body: Record<string, never>; answer: RelayState };
@@ -334,7 +333,7 @@
   /** The holder no longer wants the response to a relayed call. */
   'relay.cancel': { callId: string; holder: string };
   'table.push': { bucket: TableBucket };
-  'stream.begun': { streams: readonly BegunStream[] };
+  'stream.begun': { streams: readonly KeptStream[] };
   'job.cancelled': { jobId: string };
   'job.offered': { jobId: string };
   'view.pushed': FleetViewBody;
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -138,7 +138,8 @@
     const { resumeAfter, resumedRequestId } = this.request;
     if (this.route.kind !== RouteKind.streaming || resumeAfter === undefined) return true;
     const { origins, view, clock } = this.dependencies;
-    const known = resumedRequestId === undefined ? undefined : await origins.find(resumedRequestId);
+    const { requestDigest } = this;
+    const known = await origins.find({ requestId: resumedRequestId, requestDigest });
     const origin = known ?? view.originHistory.soleOrigin(this.route, clock.monotonicMs());
     if (!origin) return this.refuseToResume('it is not known where the stream began', 'origin_unknown');
     const isRouted = this.route.backends.some(
@@ -367,6 +368,7 @@
     const leftMs = Math.max(0, this.request.deadlineMs - this.dependencies.clock.monotonicMs());
     this.dependencies.origins.record({
       requestId: this.request.requestId,
+      requestDigest: this.requestDigest,
       origin: this.origin,
       keepForMs: leftMs + ORIGIN_MARGIN_MS,
     });
--- a/packages/serving/src/online/origin-journal.test.ts
+++ b/packages/serving/src/online/origin-journal.test.ts
@@ -1,12 +1,17 @@
 import type { Outcome } from '@fighub/core';
 import { DecisionLog, ManualClock, Metrics, fail, ok } from '@fighub/core';
 import type { ExpiringRecord, RecordLog } from '@fighub/outside';
+import type { KeptStream } from '@fighub/peers';
 import { describe, expect, it, vi } from 'vitest';
 
-import type { RestoredOrigin } from './origin-journal.js';
 import { OriginJournal } from './origin-journal.js';
 
-const ORIGIN = { service: 's', softwareVersion: 'v1' };
+const streamOf = (requestId: string): KeptStream => ({
+  requestId,
+  requestDigest: `digest of ${requestId}`,
+  origin: { service: 's', softwareVersion: 'v1' },
+  keepForMs: 5_000,
+});
 
 /** A disk whose writes end when the test says so. */
 class FakeLog implements RecordLog {
@@ -30,7 +35,7 @@
 async function setup(records: readonly ExpiringRecord[] = []) {
   const lines: string[] = [];
   const disk = new FakeLog();
-  const restored: RestoredOrigin[] = [];
+  const restored: KeptStream[] = [];
   const clock = new ManualClock();
   const metrics = new Metrics();
   const record = (fields: object): unknown => lines.push(JSON.stringify(fields));
@@ -45,21 +50,20 @@
 describe('OriginJournal', () => {
   it('restores for the time that is left what it has recorded, and nothing of another form', async () => {
     const before = await setup();
-    before.journal.add('q1', ORIGIN, 5_000);
+    before.journal.add(streamOf('q1'));
     await vi.waitUntil(() => before.disk.writes.length === 1);
     const written = before.disk.writes.flat();
     const expiresAtUnixMs = written[0]?.expiresAtUnixMs ?? 0;
     const { restored, clock } = await setup([...written, { value: { other: 1 }, expiresAtUnixMs }]);
-    expect(restored).toEqual([
-      { requestId: 'q1', origin: ORIGIN, keepForMs: expiresAtUnixMs - clock.nowUnixMs() },
-    ]);
+    const keepForMs = expiresAtUnixMs - clock.nowUnixMs();
+    expect(restored).toEqual([{ ...streamOf('q1'), keepForMs }]);
   });
 
   it('makes one write at a time, with all that began meanwhile', async () => {
     const { journal, disk } = await setup();
-    journal.add('q1', ORIGIN, 5_000);
+    journal.add(streamOf('q1'));
     await vi.waitUntil(() => disk.writes.length === 1);
-    Array.from({ length: 50 }).forEach((_, index) => journal.add(`later-${String(index)}`, ORIGIN, 5_000));
+    Array.from({ length: 50 }).forEach((_, index) => journal.add(streamOf(`later-${String(index)}`)));
     await new Promise((resolve) => setTimeout(resolve, 60));
     expect(disk.writes.length).toBe(1);
     disk.end(ok(undefined));
@@ -70,7 +74,7 @@
   it('goes on after a failed write, and reports failures in a row once', async () => {
     const { journal, disk, failures } = await setup();
     for (let count = 1; count <= 3; count += 1) {
-      journal.add(`q${String(count)}`, ORIGIN, 5_000);
+      journal.add(streamOf(`q${String(count)}`));
       await vi.waitUntil(() => disk.writes.length === count);
       disk.end(fail('no space left on device'));
     }
@@ -80,9 +84,9 @@
 
   it('keeps a bounded number of origins while the disk does not respond', async () => {
     const { journal, disk } = await setup();
-    journal.add('q1', ORIGIN, 5_000);
+    journal.add(streamOf('q1'));
     await vi.waitUntil(() => disk.writes.length === 1);
-    Array.from({ length: 30_000 }).forEach((_, index) => journal.add(`q${String(index)}`, ORIGIN, 5_000));
+    Array.from({ length: 30_000 }).forEach((_, index) => journal.add(streamOf(`q${String(index)}`)));
     expect(journal.dump()).toMatchObject({ waiting: 20_000 });
   });
 });
--- a/packages/serving/src/online/origin-journal.ts
+++ b/packages/serving/src/online/origin-journal.ts
@@ -5,8 +5,8 @@
  */
 import type { Clock, DecisionLog, ManagedPart, Metrics, Outcome } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
-import type { StreamOrigin } from '@fighub/decisions';
 import type { ExpiringRecord, RecordLog } from '@fighub/outside';
+import type { KeptStream } from '@fighub/peers';
 import { z } from 'zod';
 
 /** Origins are written this often at most, many in one write. Those of the last period may be lost with the power. */
@@ -14,15 +14,12 @@
 /** Origins that may wait for a disk that does not respond; later ones are not recorded. */
 const MAX_WAITING_ORIGINS = 20_000;
 
-const storedOrigin = z.object({ requestId: z.string(), service: z.string(), softwareVersion: z.string() });
-
-/** A stream whose origin was recorded before this process started. */
-export interface RestoredOrigin {
-  readonly requestId: string;
-  readonly origin: StreamOrigin;
-  /** Time for which it is still of use, in milliseconds. */
-  readonly keepForMs: number;
-}
+const storedStream = z.object({
+  requestId: z.string(),
+  requestDigest: z.string().optional(),
+  service: z.string(),
+  softwareVersion: z.string(),
+});
 
 /** Opens the log, and returns it with the records that have not expired. Fails with the error of the disk. */
 export type OpenLog = (
@@ -40,7 +37,7 @@
 
   constructor(
     private readonly openLog: OpenLog,
-    private readonly restore: (origins: readonly RestoredOrigin[]) => void,
+    private readonly restore: (origins: readonly KeptStream[]) => void,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
     private readonly log: DecisionLog,
@@ -62,14 +59,14 @@
   }
 
   /** Records an origin with the next write. */
-  add(requestId: string, { service, softwareVersion }: StreamOrigin, keepForMs: number): void {
+  add({ requestId, requestDigest, origin, keepForMs }: KeptStream): void {
     if (!this.records) return;
     if (this.waiting.length >= MAX_WAITING_ORIGINS) {
       this.metrics.count('stream_origins_not_recorded');
       return;
     }
     const expiresAtUnixMs = this.clock.nowUnixMs() + keepForMs;
-    this.waiting.push({ value: { requestId, service, softwareVersion }, expiresAtUnixMs });
+    this.waiting.push({ value: { requestId, requestDigest, ...origin }, expiresAtUnixMs });
     this.timer ??= setTimeout(() => this.write(), WRITE_PERIOD_MS);
   }
 
@@ -117,9 +114,9 @@
 }
 
 /** None if another release has written the record in a form that is not known here. */
-function toRestored({ value, expiresAtUnixMs }: ExpiringRecord, nowUnixMs: number): RestoredOrigin[] {
-  const stored = storedOrigin.safeParse(value);
+function toRestored({ value, expiresAtUnixMs }: ExpiringRecord, nowUnixMs: number): KeptStream[] {
+  const stored = storedStream.safeParse(value);
   if (!stored.success) return [];
-  const { requestId, ...origin } = stored.data;
-  return [{ requestId, origin, keepForMs: expiresAtUnixMs - nowUnixMs }];
+  const { requestId, requestDigest, ...origin } = stored.data;
+  return [{ requestId, requestDigest, origin, keepForMs: expiresAtUnixMs - nowUnixMs }];
 }
--- a/packages/serving/src/online/stream-origin-exchange.test.ts
+++ b/packages/serving/src/online/stream-origin-exchange.test.ts
@@ -7,6 +7,7 @@
 import { StreamOriginExchange } from './stream-origin-exchange.js';
 
 const DISCARDING_WRITER: LineWriter = { info: () => undefined, warn: () => undefined };
+const STREAM = { requestId: 'q1', requestDigest: 'd1' };
 const ORIGIN = { service: 's', softwareVersion: 'v1' };
 const KEEPER_IDS = ['a', 'b', 'c'];
 const MEMBERS = KEEPER_IDS.map((instanceId) => ({ instanceId, peerAddress: instanceId, schedules: true }));
@@ -56,26 +57,26 @@
 
 describe('StreamOriginExchange', () => {
   it('finds an origin at one of its keepers when the other keepers and the first instance do not respond', async () => {
-    const [firstKeeper] = keepersOf('q1', MEMBERS);
+    const [firstKeeper] = keepersOf(STREAM.requestDigest, MEMBERS);
     const silent = new Set<string>();
     const { exchange } = fleetOf([...KEEPER_IDS, 'entry-1', 'entry-2'], silent);
-    exchange('entry-1').record({ requestId: 'q1', origin: ORIGIN, keepForMs: 5_000 });
+    exchange('entry-1').record({ ...STREAM, origin: ORIGIN, keepForMs: 5_000 });
     await new Promise((resolve) => setImmediate(resolve));
     KEEPER_IDS.filter((id) => id !== firstKeeper).forEach((id) => silent.add(id));
     silent.add('entry-1');
-    expect(await exchange('entry-2').find('q1')).toEqual(ORIGIN);
+    expect(await exchange('entry-2').find(STREAM)).toEqual(ORIGIN);
   });
 
   it('finds no origin when no keeper responds, and none after its caller has stopped waiting', async () => {
     const silent = new Set<string>();
     const { clock, exchange } = fleetOf([...KEEPER_IDS, 'entry-1', 'entry-2'], silent);
-    exchange('entry-1').record({ requestId: 'q1', origin: ORIGIN, keepForMs: 5_000 });
+    exchange('entry-1').record({ ...STREAM, origin: ORIGIN, keepForMs: 5_000 });
     await new Promise((resolve) => setImmediate(resolve));
     KEEPER_IDS.forEach((id) => silent.add(id));
-    expect(await exchange('entry-2').find('q1')).toBeUndefined();
+    expect(await exchange('entry-2').find(STREAM)).toBeUndefined();
     silent.clear();
-    expect(await exchange('entry-2').find('q1')).toEqual(ORIGIN);
+    expect(await exchange('entry-2').find(STREAM)).toEqual(ORIGIN);
     clock.advance(5_000);
-    expect(await exchange('entry-2').find('q1')).toBeUndefined();
+    expect(await exchange('entry-2').find(STREAM)).toBeUndefined();
   });
 });
--- a/packages/serving/src/online/stream-origin-exchange.ts
+++ b/packages/serving/src/online/stream-origin-exchange.ts
@@ -1,11 +1,11 @@
 /** Exchanges with other instances where resumable streams began. */
 import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
-import type { StreamOrigin } from '@fighub/decisions';
+import type { ResumedStream, StreamOrigin } from '@fighub/decisions';
 import { StreamOrigins, keepersOf, membersToAsk } from '@fighub/decisions';
-import type { BegunStream, MembershipRunner, PeerNode } from '@fighub/peers';
+import type { KeptStream, MembershipRunner, PeerNode } from '@fighub/peers';
 
-import type { OriginJournal, RestoredOrigin } from './origin-journal.js';
+import type { OriginJournal } from './origin-journal.js';
 
 /** A caller gets no answer to its request before the origin is known, so that a silent member must not hold it up. */
 const ASK_TIMEOUT_MS = 100;
@@ -18,7 +18,7 @@
   readonly name = 'stream origins';
   private readonly origins = new StreamOrigins();
   /** Streams that have begun since the last notice, by the member that is to keep them. */
-  private readonly outbox = new Map<string, BegunStream[]>();
+  private readonly outbox = new Map<string, KeptStream[]>();
   private flushScheduled = false;
 
   constructor(
@@ -32,7 +32,7 @@
     private readonly journal?: OriginJournal,
   ) {
     node.onNotice('stream.begun', ({ streams }) => streams.forEach((stream) => this.keep(stream)));
-    node.onRequest('stream.origin', ({ requestId }) => ({ origin: this.known(requestId) }));
+    node.onRequest('stream.origin', (stream) => ({ origin: this.known(stream) }));
   }
 
   get busy(): boolean {
@@ -40,33 +40,31 @@
   }
 
   /** Records a stream that began at this instance. The notices to its keepers are sent in the same turn. */
-  record(stream: BegunStream): void {
+  record(stream: KeptStream): void {
     this.keep(stream);
-    keepersOf(stream.requestId, this.members().owners())
+    keepersOf(stream.requestDigest ?? stream.requestId, this.members().owners())
       .filter((instanceId) => instanceId !== this.selfId())
       .forEach((instanceId) => this.outbox.set(instanceId, [...(this.outbox.get(instanceId) ?? []), stream]));
     this.scheduleFlush();
   }
 
   /** Finds where a stream began, at this instance or at its keepers; undefined when that is unknown. */
-  async find(requestId: string): Promise<StreamOrigin | undefined> {
-    const own = this.known(requestId);
+  async find(stream: ResumedStream): Promise<StreamOrigin | undefined> {
+    const own = this.known(stream);
     if (own) return own;
-    const asked = membersToAsk(requestId, this.members().owners()).filter(
+    const asked = membersToAsk(stream.requestDigest, this.members().owners()).filter(
       (instanceId) => instanceId !== this.selfId(),
     );
-    const origin = await firstKnown(asked.map((instanceId) => this.ask(instanceId, requestId)));
+    const origin = await firstKnown(asked.map((instanceId) => this.ask(instanceId, stream)));
     this.metrics.count(origin ? 'stream_origins_found' : 'stream_origins_unknown');
-    if (!origin) this.log.record(LogCategory.failure, 'stream_origin_unknown', { requestId, asked });
+    if (!origin) this.log.record(LogCategory.failure, 'stream_origin_unknown', { ...stream, asked });
     return origin;
   }
 
   /** Keeps origins that an earlier process of this instance has recorded. */
-  restore(origins: readonly RestoredOrigin[]): void {
+  restore(origins: readonly KeptStream[]): void {
     const nowMs = this.clock.monotonicMs();
-    origins.forEach(({ requestId, origin, keepForMs }) =>
-      this.origins.add(requestId, origin, nowMs + keepForMs),
-    );
+    origins.forEach((stream) => this.origins.add(stream, nowMs + stream.keepForMs, nowMs));
   }
 
   run(nowMs: number): void {
@@ -77,24 +75,20 @@
     return { kept: this.origins.size, journal: this.journal?.dump() };
   }
 
-  private keep({ requestId, origin, keepForMs }: BegunStream): void {
-    this.origins.add(requestId, origin, this.clock.monotonicMs() + keepForMs);
-    this.journal?.add(requestId, origin, keepForMs);
+  private keep(stream: KeptStream): void {
+    const nowMs = this.clock.monotonicMs();
+    this.origins.add(stream, nowMs + stream.keepForMs, nowMs);
+    this.journal?.add(stream);
   }
 
-  private known(requestId: string): StreamOrigin | undefined {
-    return this.origins.find(requestId, this.clock.monotonicMs());
+  private known(stream: ResumedStream): StreamOrigin | undefined {
+    return this.origins.find(stream, this.clock.monotonicMs());
   }
 
-  private async ask(instanceId: string, requestId: string): Promise<StreamOrigin | undefined> {
+  private async ask(instanceId: string, stream: ResumedStream): Promise<StreamOrigin | undefined> {
     const member = this.members().membership.get(instanceId);
     if (!member) return undefined;
-    const answer = await this.node.request(
-      member.peerAddress,
-      'stream.origin',
-      { requestId },
-      ASK_TIMEOUT_MS,
-    );
+    const answer = await this.node.request(member.peerAddress, 'stream.origin', stream, ASK_TIMEOUT_MS);
     return answer.ok ? answer.value.origin : undefined;
   }
 
