Serve keys from the reading of the configuration with which an instance starts

Cause: an instance read the configuration from the store to know its routes, and then once more to prove that it knew the keys in force. The first reading proves it as well, so that keys are known together with the routes and each start reads the store once less.

The new cases of key-confirmation.test.ts and fleet-view-updater.test.ts failed before (no such call). The 62 tests of access, routing and admission and of organisations pass.

--- a/packages/serving/src/access/key-confirmation.test.ts
+++ b/packages/serving/src/access/key-confirmation.test.ts
@@ -106,6 +106,18 @@
     expect(acceptedUntilMs - provenAtMs).toBeLessThanOrEqual(LIMIT_MS);
   });
 
+  it('serves keys from the read with which an instance starts, and reads nothing else at once', async () => {
+    const { access, clock, confirmation, outside, renew } = setup();
+    confirmation.onNewestRead({ monotonicMs: clock.monotonicMs(), unixMs: clock.nowUnixMs() });
+    expect(access.authenticate(KEY, 'q')).toMatchObject({ ok: true, value: { name: 'fox' } });
+    outside.store = configuration(2, []);
+    await renew();
+    expect(access.authenticate(KEY, 'q')).toMatchObject({ ok: true });
+    clock.advance(LIMIT_MS / 2);
+    await renew();
+    expect(access.authenticate(KEY, 'q')).toMatchObject({ ok: false, error: { code: 'unauthenticated' } });
+  });
+
   it('does not make what a peer has proven younger by passing it on', async () => {
     const { clock, outside, renew, prove } = setup();
     outside.peer = { version: 1, ageMs: 1_500 };
--- a/packages/serving/src/access/key-confirmation.ts
+++ b/packages/serving/src/access/key-confirmation.ts
@@ -79,6 +79,13 @@
     void this.renew().finally(() => (this.asking = false));
   }
 
+  /** Records that another part of this instance has read the newest configuration, which it began to do at `askedAt`. */
+  onNewestRead(askedAt: ClockReading): void {
+    this.age.prove(askedAt, 0);
+    const { withdrawalLimitMs = 0 } = this.dependencies;
+    this.nextMs = askedAt.monotonicMs + withdrawalLimitMs / RENEWALS_PER_LIMIT;
+  }
+
   dump(): Record<string, unknown> {
     return {
       isConfirmed: this.isConfirmed,
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -20,8 +20,12 @@
   const clock = new ManualClock();
   const metrics = new Metrics();
   const store = { isUp: false };
+  const newestReads: number[] = [];
   const source: FleetSource = {
-    nextConfiguration: () => new Promise(() => undefined),
+    nextConfiguration: (revision) =>
+      revision === 0 && store.isUp
+        ? Promise.resolve(ok({ revision: 5, rejection: 'routes: expected array' }))
+        : new Promise(() => undefined),
     currentConfiguration: () => new Promise(() => undefined),
     readDirectory: () =>
       Promise.resolve(
@@ -49,6 +53,7 @@
     metrics,
     new DecisionLog(DISCARDING_WRITER, clock, metrics),
     new BacklogView(clock),
+    ({ monotonicMs }) => newestReads.push(monotonicMs),
   );
   const push = (ageMs: number): void =>
     handlers.get('view.pushed')?.({
@@ -56,7 +61,7 @@
       directory: { revision: 1, replicas: [] },
       ageMs,
     });
-  return { clock, updater, push, pushes, store };
+  return { clock, updater, push, pushes, store, newestReads };
 }
 
 describe('FleetViewUpdater', () => {
@@ -89,6 +94,16 @@
     expect(updater.isCutOff).toBe(false);
   });
 
+  it('tells when it began to read the newest configuration, whether or not that one is valid', async () => {
+    const { clock, updater, store, newestReads } = setup();
+    store.isUp = true;
+    updater.run(clock.monotonicMs());
+    const askedAtMs = clock.monotonicMs();
+    clock.advance(70);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(newestReads).toEqual([askedAtMs]);
+  });
+
   it('reads the directory on one relay while views are fresh, and on every relay once they are not', () => {
     const relays = ['a', 'b', 'c', 'd', 'e'];
     const updaters = relays.map((selfId) => setup(true, relays, selfId));
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, DecisionLog, Metrics, ReplicaRecord, System } from '@fighub/core';
 import { LogCategory, sleep } from '@fighub/core';
-import type { MemberUpdate } from '@fighub/decisions';
+import type { ClockReading, MemberUpdate } from '@fighub/decisions';
 import { ReplicaDirectory, coordinatorFor, coordinatorsOf, isCoordinator } from '@fighub/decisions';
 import type { FleetViewBody, MembershipRunner, PeerNode, PiggybackSource, TableDigest } from '@fighub/peers';
 
@@ -73,6 +73,8 @@
     private readonly metrics: Metrics,
     private readonly log: DecisionLog,
     private readonly backlog: BacklogView,
+    /** Called when the newest configuration was read from the store; `askedAt` is when the read began. */
+    private readonly onNewestRead: (askedAt: ClockReading) => void = () => undefined,
   ) {
     node.onNotice('view.pushed', (body) => this.onPushed(body));
     node.onRequest('view.fetch', () => this.body(true));
@@ -164,11 +166,15 @@
   private async readConfiguration(): Promise<void> {
     this.readingConfiguration = true;
     const waitMs = this.configurationRevision === 0 ? 0 : CONFIGURATION_WAIT_MS;
+    const askedAt = { monotonicMs: this.clock.monotonicMs(), unixMs: this.clock.nowUnixMs() };
     const reading = await this.source.nextConfiguration(this.configurationRevision, waitMs);
     if (reading.ok) {
       this.configurationRevision = reading.value.revision;
-      if (reading.value.configuration) this.applyConfigurationFrom(reading.value.configuration, 'store');
-      if (reading.value.rejection !== undefined) this.logRejection(reading.value.rejection);
+      const { configuration, rejection } = reading.value;
+      if (waitMs === 0 && (configuration !== undefined || rejection !== undefined))
+        this.onNewestRead(askedAt);
+      if (configuration) this.applyConfigurationFrom(configuration, 'store');
+      if (rejection !== undefined) this.logRejection(rejection);
     }
     if (!reading.ok || (waitMs === 0 && !reading.value.configuration)) await sleep(FAILED_READ_PAUSE_MS);
     this.readingConfiguration = false;
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -168,6 +168,7 @@
         get(Tokens.metrics),
         get(Tokens.log),
         get(Tokens.backlog),
+        (askedAt) => get(Tokens.keyConfirmation).onNewestRead(askedAt),
       ),
   );
   bindPart(
