Wait for an owner before refusing organisations for a share of their quota

Cause: an instance without an owner may use only its share of an organisation's limit, which is none or one request among 52 instances, and refused what exceeded it after it had asked the owner twice, 180 ms in all. Such a request is not known to be one that cannot be served: it is now offered to the owners until its queue limit of 1.5 s, and may start late. What lacks a free slot is refused as before.

The new case of permit-client.test.ts failed before.

--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -164,6 +164,18 @@
     expect(acquire).toHaveBeenCalledTimes(1);
   });
 
+  it('goes on asking while only its share of a limit of the organisation is used up', async () => {
+    const direct = { acquire: () => Promise.resolve(fail(notRun('limit_reached', 'no share of the quota'))) };
+    const { client, sent, accepts } = setup([pool('')], direct);
+    accepts.push(false, false, false, true);
+    const demand = { ...DEMAND, workClass: 'online', startByUnixMs: 0 } as const;
+    const acquired = client.acquire(demand, new AbortController().signal);
+    await vi.waitUntil(() => sent.length === 4);
+    const at = { poolId: 'm@', replicaId: 'r', address: 'r:1', fencingChecked: false };
+    client.granted({ ...at, requestId: 'self/q/3', permitId: 'p' });
+    expect((await acquired).ok).toBe(true);
+  });
+
   it.each([
     ['does not accept it the second time either', DEMAND.deadlineUnixMs, 2],
     ['would accept it too late', 0, 1],
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -1,8 +1,8 @@
 /** The holder's side of admission: requests slots from the owners of pools, and holds and releases permits. */
 import type { Clock, Metrics, Outcome, Problem, System } from '@fighub/core';
-import { EntityTable, fail, notRun, ok } from '@fighub/core';
+import { EntityTable, fail, notRun, ok, sleep } from '@fighub/core';
 import type { PoolLoad, ReleaseReport, ReplicaLoadReport } from '@fighub/decisions';
-import { AttemptEnd, orderPools, secondAskTimeoutMs } from '@fighub/decisions';
+import { AttemptEnd, nextAsk, orderPools } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { DirectDispatch, DirectRun } from './direct-dispatch.js';
@@ -131,8 +131,8 @@
   }
 
   /**
-   * Acquires a slot from `DirectDispatch`. If this instance has used up its share of the slots, the owners are asked once
-   * more, as long as the request can still start in time: one that was paused may accept it now, or another has taken over.
+   * Acquires a slot from `DirectDispatch`. If this instance has used up its share of the slots or limits, the owners are asked
+   * again as `nextAsk` says: one that was paused may accept the request now, or another has taken over.
    */
   private async acquireWithoutOwner(
     pools: readonly string[],
@@ -140,11 +140,20 @@
     signal: AbortSignal,
   ): Promise<Outcome<Slot, Problem>> {
     const direct = await this.direct.acquire(demand);
-    const startByUnixMs = demand.startByUnixMs ?? demand.deadlineUnixMs;
-    const timeoutMs = secondAskTimeoutMs(startByUnixMs, this.clock.nowUnixMs());
-    if (direct.ok || signal.aborted || timeoutMs === undefined) return direct;
-    const outcome = await this.acquireFromPools(pools, demand, timeoutMs, signal);
-    return outcome.ok || outcome.error !== NO_OWNER_ACCEPTED ? outcome : direct;
+    if (direct.ok) return direct;
+    const { deadlineUnixMs, startByUnixMs = deadlineUnixMs } = demand;
+    const limits = { deadlineUnixMs, startByUnixMs, lacksLimitShare: direct.error.code === 'limit_reached' };
+    for (let asks = 1; !signal.aborted; asks += 1) {
+      const askedAtUnixMs = this.clock.nowUnixMs();
+      const ask = nextAsk({ asks, ...limits }, askedAtUnixMs);
+      if (!ask) break;
+      const offered = ask.mayStartLate ? { ...demand, startByUnixMs: undefined } : demand;
+      const outcome = await this.acquireFromPools(pools, offered, ask.timeoutMs, signal);
+      if (outcome.ok || outcome.error !== NO_OWNER_ACCEPTED) return outcome;
+      // While no owner is known the answer comes at once.
+      if (limits.lacksLimitShare) await sleep(askedAtUnixMs + ask.timeoutMs - this.clock.nowUnixMs(), signal);
+    }
+    return direct;
   }
 
   /** Releases a slot and reports to the owner of its pool how the stream ended. */
