Guess no origin of an unnamed stream while instances know of different ones

A caller that repeats a request without naming the attempt could have its stream continued at another version: the instance that it reached answered from its own record, or from the first keeper that responded, although another keeper had been told of a second stream of the same request at another version. Found in reading; no play showed it. All keepers are now asked for unnamed streams, answers say that an origin is ambiguous, and what they know together decides. Named streams are found as before.

The new case of stream-origin-exchange.test.ts failed before.

--- a/packages/decisions/src/stream-origins.ts
+++ b/packages/decisions/src/stream-origins.ts
@@ -32,9 +32,15 @@
   readonly origin: StreamOrigin;
 }
 
-interface KeptOrigin {
-  /** Undefined if streams of the same request have begun at different origins, so that it is not certain which is meant. */
-  readonly origin: StreamOrigin | undefined;
+/** What an instance knows about where a stream began. */
+export interface KnownOrigin {
+  /** Undefined if it is not known. */
+  readonly origin?: StreamOrigin;
+  /** Set if streams of the same request have begun at different origins, so that it is not certain which one is meant. */
+  readonly isAmbiguous?: true;
+}
+
+interface KeptOrigin extends KnownOrigin {
   readonly forgetAtMs: number;
 }
 
@@ -69,18 +75,17 @@
     put(this.byAttempt, requestId, { origin, forgetAtMs });
     if (requestDigest === undefined) return;
     const other = valid(this.byContent.get(requestDigest), nowMs);
-    const isCertain =
-      other === undefined || (other.origin !== undefined && canContinue(other.origin, origin));
     put(this.byContent, requestDigest, {
-      origin: isCertain ? origin : undefined,
+      ...combineOrigins([{ origin }, other ?? {}]),
       forgetAtMs: Math.max(forgetAtMs, other?.forgetAtMs ?? 0),
     });
   }
 
-  /** The origin of a stream, or undefined when it is not known, no longer known or not certain. */
-  find({ requestId, requestDigest }: ResumedStream, nowMs: number): StreamOrigin | undefined {
+  /** Where a stream began, as far as it is known here and its caller still waits. */
+  find({ requestId, requestDigest }: ResumedStream, nowMs: number): KnownOrigin {
     const kept = requestId === undefined ? this.byContent.get(requestDigest) : this.byAttempt.get(requestId);
-    return valid(kept, nowMs)?.origin;
+    const { origin, isAmbiguous } = valid(kept, nowMs) ?? {};
+    return { origin, isAmbiguous };
   }
 
   /** Removes expired origins, at most once per period. */
@@ -95,6 +100,14 @@
   }
 }
 
+/** What several instances know together. None may have heard of all streams of a request. */
+export function combineOrigins(known: readonly KnownOrigin[]): KnownOrigin {
+  const [first, ...others] = known.flatMap(({ origin }) => origin ?? []);
+  const isAmbiguous =
+    known.some((each) => each.isAmbiguous) || others.some((other) => first && !canContinue(first, other));
+  return isAmbiguous ? { isAmbiguous } : { origin: first };
+}
+
 function put(origins: Map<string, KeptOrigin>, key: string, kept: KeptOrigin): void {
   origins.delete(key);
   origins.set(key, kept);
--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -8,6 +8,7 @@
 } from '@fighub/core';
 import type {
   BegunStream,
+  KnownOrigin,
   MemberUpdate,
   PoolLoad,
   RelayState,
@@ -16,7 +17,6 @@
   ReplicaLoadReport,
   RequestLimitReport,
   ResumedStream,
-  StreamOrigin,
   WorkClass,
 } from '@fighub/decisions';
 
@@ -300,8 +300,8 @@
   /** Which configuration the responding instance knows to be the newest. */
   'configuration.prove': { body: Record<string, never>; answer: ConfigurationProof };
   'view.fetch': { body: Record<string, never>; answer: FleetViewBody };
-  /** Where a stream began that its caller resumes; the origin is omitted when it is not known. */
-  'stream.origin': { body: ResumedStream; answer: { origin?: StreamOrigin } };
+  /** Where a stream began that its caller resumes. */
+  'stream.origin': { body: ResumedStream; answer: KnownOrigin };
   'store.call': { body: StoreCall; answer: StoreCallResponse };
   /** Whether the responding instance relays requests to replicas. */
   'relay.state': { body: Record<string, never>; answer: RelayState };
--- a/packages/serving/src/online/stream-origin-exchange.test.ts
+++ b/packages/serving/src/online/stream-origin-exchange.test.ts
@@ -67,6 +67,24 @@
     expect(await exchange('entry-2').find(STREAM)).toEqual(ORIGIN);
   });
 
+  it('guesses nothing while one of the keepers knows of another stream of the request', async () => {
+    const [firstKeeper = ''] = keepersOf(STREAM.requestDigest, MEMBERS);
+    const silent = new Set<string>();
+    const { exchange } = fleetOf([...KEEPER_IDS, 'entry-1', 'entry-2'], silent);
+    const unnamed = { requestDigest: STREAM.requestDigest };
+    const flush = () => new Promise((resolve) => setImmediate(resolve));
+    exchange('entry-1').record({ ...STREAM, origin: ORIGIN, keepForMs: 5_000 });
+    await flush();
+    expect(await exchange('entry-2').find(unnamed)).toEqual(ORIGIN);
+    silent.add(firstKeeper);
+    const other = { ...STREAM, requestId: 'q2', origin: { ...ORIGIN, softwareVersion: 'v2' } };
+    exchange('entry-2').record({ ...other, keepForMs: 5_000 });
+    await flush();
+    silent.clear();
+    expect(await exchange('entry-1').find(unnamed)).toBeUndefined();
+    expect(await exchange('entry-1').find(STREAM)).toEqual(ORIGIN);
+  });
+
   it('finds no origin when no keeper responds, and none after its caller has stopped waiting', async () => {
     const silent = new Set<string>();
     const { clock, exchange } = fleetOf([...KEEPER_IDS, 'entry-1', 'entry-2'], silent);
--- a/packages/serving/src/online/stream-origin-exchange.ts
+++ b/packages/serving/src/online/stream-origin-exchange.ts
@@ -1,8 +1,8 @@
 /** Exchanges with other instances where resumable streams began. */
 import type { Clock, DecisionLog, Metrics, System } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
-import type { ResumedStream, StreamOrigin } from '@fighub/decisions';
-import { StreamOrigins, keepersOf, membersToAsk } from '@fighub/decisions';
+import type { KnownOrigin, ResumedStream, StreamOrigin } from '@fighub/decisions';
+import { StreamOrigins, combineOrigins, keepersOf, membersToAsk } from '@fighub/decisions';
 import type { KeptStream, MembershipRunner, PeerNode } from '@fighub/peers';
 
 import type { OriginJournal } from './origin-journal.js';
@@ -32,7 +32,7 @@
     private readonly journal?: OriginJournal,
   ) {
     node.onNotice('stream.begun', ({ streams }) => streams.forEach((stream) => this.keep(stream)));
-    node.onRequest('stream.origin', (stream) => ({ origin: this.known(stream) }));
+    node.onRequest('stream.origin', (stream) => this.known(stream));
   }
 
   get busy(): boolean {
@@ -51,11 +51,16 @@
   /** Finds where a stream began, at this instance or at its keepers; undefined when that is unknown. */
   async find(stream: ResumedStream): Promise<StreamOrigin | undefined> {
     const own = this.known(stream);
-    if (own) return own;
+    const isNamed = stream.requestId !== undefined;
+    if (isNamed && own.origin) return own.origin;
     const asked = membersToAsk(stream.requestDigest, this.members().owners()).filter(
       (instanceId) => instanceId !== this.selfId(),
     );
-    const origin = await firstKnown(asked.map((instanceId) => this.ask(instanceId, stream)));
+    const answers = asked.map((instanceId) => this.ask(instanceId, stream));
+    // Without a name, other instances may know of another stream of the same request.
+    const origin = isNamed
+      ? await firstKnown(answers.map((answer) => answer.then((known) => known.origin)))
+      : combineOrigins([own, ...(await Promise.all(answers))]).origin;
     this.metrics.count(origin ? 'stream_origins_found' : 'stream_origins_unknown');
     if (!origin) this.log.record(LogCategory.failure, 'stream_origin_unknown', { ...stream, asked });
     return origin;
@@ -81,15 +86,15 @@
     this.journal?.add(stream);
   }
 
-  private known(stream: ResumedStream): StreamOrigin | undefined {
+  private known(stream: ResumedStream): KnownOrigin {
     return this.origins.find(stream, this.clock.monotonicMs());
   }
 
-  private async ask(instanceId: string, stream: ResumedStream): Promise<StreamOrigin | undefined> {
+  private async ask(instanceId: string, stream: ResumedStream): Promise<KnownOrigin> {
     const member = this.members().membership.get(instanceId);
-    if (!member) return undefined;
+    if (!member) return {};
     const answer = await this.node.request(member.peerAddress, 'stream.origin', stream, ASK_TIMEOUT_MS);
-    return answer.ok ? answer.value.origin : undefined;
+    return answer.ok ? answer.value : {};
   }
 
   private scheduleFlush(): void {
