Wait for the configuration of a job before its route counts as removed

Cause: the holder of a job concluded from its own configuration, which may be older than that of the acceptance, that the route was removed. Change: a job's record names the version by which it was accepted, and itemRouting lets a holder judge only by that version or a newer one, or after it has read from the store that there is none. Records without a version are run by the routes that are known, and lose none unconfirmed. Logs name both versions.

--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -59,6 +59,8 @@
   /** Organisation that submitted the job; absent if callers needed no key. */
   readonly organisation?: string;
   readonly acceptedAtUnixMs: number;
+  /** Version of the configuration by which the job was accepted. Absent in records of older releases. */
+  readonly configurationVersion?: number;
   readonly dueAtUnixMs: number;
   /** Time at which the job gives up all items that have no result. */
   readonly abandonAtUnixMs: number;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -20,6 +20,7 @@
 export * from './fair-queue.js';
 export * from './hedging.js';
 export * from './item-continuation.js';
+export * from './item-routing.js';
 export * from './job-checkpoint.js';
 export * from './job-progress.js';
 export * from './job-quota.js';
--- a/packages/serving/src/batch/item-run.test.ts
+++ b/packages/serving/src/batch/item-run.test.ts
@@ -12,6 +12,7 @@
 function requestWith(output: ItemOutput, clock: SystemClock): ItemRunRequest {
   return {
     jobId: 'j',
+    heldJob: { acceptedVersion: undefined, learnedAtMs: 0 },
     host: 'h',
     item: ITEM,
     output,
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -2,8 +2,15 @@
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Outcome, Problem, Route, StoredItem } from '@fighub/core';
 import { LogCategory } from '@fighub/core';
-import type { StreamOrigin } from '@fighub/decisions';
-import { AttemptEnd, EVENTS_OF_SOUND_PROMPT, canContinue, continuationWaitMs } from '@fighub/decisions';
+import type { HeldJob, StreamOrigin } from '@fighub/decisions';
+import {
+  AttemptEnd,
+  EVENTS_OF_SOUND_PROMPT,
+  ItemRouting,
+  canContinue,
+  continuationWaitMs,
+  itemRouting,
+} from '@fighub/decisions';
 
 import { pickBackend } from '../online/backend-choice.js';
 import { EventSplitter, MAX_EVENT_BYTES, dataOf } from '../online/event-splitter.js';
@@ -28,8 +35,10 @@
   impossible: 'impossible',
   /** The replica ran the item and reported a failure (status 500). */
   failed: 'failed',
-  /** No route matches the item any more. */
+  /** The route of the item was removed after its job was accepted. */
   noRoute: 'no_route',
+  /** Nothing was sent, since the configuration in force may be older than the one under which the job was accepted. */
+  configurationBehind: 'configuration_behind',
   /** The output is larger than a stored value may be. */
   tooLarge: 'too_large',
   /** Nothing was sent, since requests with a part of the item's prompt have crashed replicas. */
@@ -54,6 +63,7 @@
 /** One run of an item. */
 export interface ItemRunRequest {
   readonly jobId: string;
+  readonly heldJob: HeldJob;
   readonly host: string;
   /** Organisation of the job; undefined if it has none. */
   readonly organisation?: string;
@@ -83,6 +93,8 @@
   readonly permits: PermitClient;
   readonly transport: UpstreamTransport;
   readonly leavingAnnouncements: LeavingAnnouncements;
+  /** Asks for the newest configuration, which is then in the view. */
+  readonly confirmConfiguration: () => void;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: DecisionLog;
@@ -104,8 +116,15 @@
   dependencies: ItemRunDependencies,
   stop: AbortSignal,
 ): Promise<ItemRunResult> {
-  const route = dependencies.view.routes?.match(request.host, request.item.target);
-  if (!dependencies.view.routes) return INTERRUPTED;
+  const { view } = dependencies;
+  if (!view.routes) return INTERRUPTED;
+  const route = view.routes.match(request.host, request.item.target);
+  const configuration = {
+    version: view.configurationVersion,
+    confirmedAtMs: view.configurationConfirmedAtMs,
+  };
+  const routing = itemRouting(route !== undefined, configuration, request.heldJob);
+  if (routing === ItemRouting.wait) return { end: ItemRunOutcome.configurationBehind, givenWay: false };
   if (!route) return { end: ItemRunOutcome.noRoute, givenWay: false };
   if (isPromptBlocked(request.item, dependencies)) return { end: ItemRunOutcome.blocked, givenWay: false };
   const slot = await acquireSlot(request, route, dependencies, stop);
--- a/packages/serving/src/batch/job-acceptance.test.ts
+++ b/packages/serving/src/batch/job-acceptance.test.ts
@@ -51,7 +51,7 @@
     new DecisionLog(DISCARDING_WRITER, clock, metrics),
   );
   const submit = (jobId: string, organisation?: string) =>
-    acceptance.accept({ jobId, host: 'h', items: [ITEM], organisation }, ROUTE);
+    acceptance.accept({ jobId, host: 'h', configurationVersion: 6, items: [ITEM], organisation }, ROUTE);
   return { service, store, backlog, offered, faults, submit };
 }
 
--- a/packages/serving/src/batch/job-acceptance.ts
+++ b/packages/serving/src/batch/job-acceptance.ts
@@ -25,6 +25,8 @@
 export interface JobSubmission {
   readonly jobId: string;
   readonly host: string;
+  /** Version of the configuration that has the route by which the job was accepted. */
+  readonly configurationVersion: number;
   /** Organisation of the caller; undefined where callers need no key. */
   readonly organisation?: string;
   readonly items: readonly StoredItem[];
@@ -160,6 +162,7 @@
       routeName: route.name,
       organisation: submission.organisation,
       acceptedAtUnixMs: nowUnixMs,
+      configurationVersion: submission.configurationVersion,
       dueAtUnixMs: nowUnixMs + (rules?.dueAfterMs ?? 0),
       abandonAtUnixMs: nowUnixMs + (rules?.abandonAfterMs ?? 0) + ABANDON_MARGIN_MS,
       maxAttempts: route.maxAttempts,
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -18,7 +18,11 @@
 type Send = (call: UpstreamCall, listener: UpstreamListener, signal: AbortSignal) => Promise<unknown>;
 
 /** A job with an item for each of `outputs`. By default each item gets its output as one event. */
-async function newJob(outputs: readonly string[], send: Send = respondWith(outputs)) {
+async function newJob(
+  outputs: readonly string[],
+  send: Send = respondWith(outputs),
+  changes: Partial<JobProgress> = {},
+) {
   const clock = new SystemClock();
   const metrics = new Metrics();
   const options = { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 };
@@ -37,13 +41,25 @@
     failures: [],
     segments: [],
     openTokens: 0,
+    ...changes,
   } as unknown as JobProgress;
   const record = await store.write(batchJobKeys.progress('j'), undefined, progress);
   if (!record.ok) throw new Error('the progress could not be written');
+  const configuration: { version: number; route?: object; confirmedAtMs: number } = {
+    version: 1,
+    route: { name: 'r', backends: [] },
+    confirmedAtMs: Number.NEGATIVE_INFINITY,
+  };
   const dependencies = {
     view: {
       blockedPrompts: new BlockedPrompts(),
-      routes: { match: () => ({ name: 'r', backends: [] }) },
+      routes: { match: () => configuration.route },
+      get configurationVersion() {
+        return configuration.version;
+      },
+      get configurationConfirmedAtMs() {
+        return configuration.confirmedAtMs;
+      },
       isUsable: () => true,
       originOf: () => ORIGIN,
       confirmsOrigin: () => true,
@@ -56,6 +72,7 @@
     },
     transport: { send },
     leavingAnnouncements: { onUnusableSlot: () => undefined },
+    confirmConfiguration: () => undefined,
     clock,
     metrics,
     log: new DecisionLog(DISCARDING_WRITER, clock, metrics),
@@ -70,7 +87,7 @@
   }));
   const checkpoint = new JobCheckpoint('j', store, clock, metrics);
   const job = new RunningJob(record.value, items, [], [], checkpoint, store, dependencies, () => true);
-  return { job, store, clock };
+  return { job, store, clock, metrics, configuration };
 }
 
 /** Responds to each item with its output as one event. */
@@ -138,6 +155,38 @@
     ]);
   });
 
+  // Guards against items given up unsent, because their holder has not received the configuration that added their route.
+  it('gives up no item while its configuration is older than that of the acceptance, and runs it once it is not', async () => {
+    const { job, store, clock, metrics, configuration } = await newJob(['short'], undefined, {
+      configurationVersion: 6,
+    });
+    const route = configuration.route;
+    Object.assign(configuration, { version: 3, route: undefined });
+    job.run(clock.monotonicMs());
+    await vi.waitFor(() => expect(metrics.value('batch_jobs_awaiting_configuration')).toBe(1));
+    job.run(clock.monotonicMs() + 1_000);
+    await Promise.resolve();
+    expect(job.takeWrites(clock.monotonicMs())).toEqual([]);
+    Object.assign(configuration, { version: 6, route });
+    await vi.waitFor(() => {
+      job.run(clock.monotonicMs());
+      void writeTogether(store, job.takeWrites(clock.monotonicMs()));
+      expect(job.results(0).results.map(({ succeeded }) => succeeded)).toEqual([true]);
+    });
+  });
+
+  it('gives up the items of a route that was removed after the acceptance', async () => {
+    const { job, store, clock, configuration } = await newJob(['short'], undefined, {
+      configurationVersion: 6,
+    });
+    Object.assign(configuration, { version: 9, route: undefined });
+    await vi.waitFor(() => {
+      job.run(clock.monotonicMs());
+      void writeTogether(store, job.takeWrites(clock.monotonicMs()));
+      expect(job.results(0).results.map(({ succeeded }) => succeeded)).toEqual([false]);
+    });
+  });
+
   it('makes no other write while it is released', async () => {
     const { job, clock } = await newJob(['short'], () => new Promise(() => undefined));
     const laterMs = clock.monotonicMs() + 60_000;
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -69,6 +69,9 @@
   /** Whether this instance has stopped running the job. `isClosed` is about the stored progress instead. */
   private closed = false;
   private receivedEvents = 0;
+  /** Whether items wait for a configuration as new as the one under which the job was accepted. */
+  private isConfigurationBehind = false;
+  private readonly learnedAtMs: number;
   private readonly dueMs: number;
 
   constructor(
@@ -85,6 +88,7 @@
     // Each running item adds listeners to the signal; together they would exceed Node's default limit.
     setMaxListeners(0, this.stopping.signal);
     this.lastWriteMs = this.clock.monotonicMs();
+    this.learnedAtMs = this.lastWriteMs;
     this.dueMs = this.lastWriteMs + record.value.dueAtUnixMs - this.clock.nowUnixMs();
     const finished = new Set(record.value.finishedIndexes);
     const failures = new Map(record.value.failures.map((entry) => [entry.index, entry.failedAttempts]));
@@ -238,6 +242,7 @@
     const end = await runItem(
       {
         jobId: value.jobId,
+        heldJob: { acceptedVersion: value.configurationVersion, learnedAtMs: this.learnedAtMs },
         host: value.host,
         organisation: value.organisation,
         item: entry.item,
@@ -256,11 +261,13 @@
 
   private onEnd(entry: OpenItem, { end, brokenReplicaId, givenWay: preempted }: ItemRunResult): void {
     if (end !== ItemRunOutcome.blocked) entry.isBlocked = false;
+    if (end !== ItemRunOutcome.configurationBehind) this.isConfigurationBehind = false;
     if (end === ItemRunOutcome.done) this.onDone(entry);
     else if (end === ItemRunOutcome.impossible || end === ItemRunOutcome.noRoute) this.giveUp(entry, end);
     else if (end === ItemRunOutcome.tooLarge) this.giveUp(entry, TOO_LARGE);
     else if (end === ItemRunOutcome.failed) this.onFailure(entry);
     else if (end === ItemRunOutcome.blocked) this.onBlocked(entry);
+    else if (end === ItemRunOutcome.configurationBehind) this.onConfigurationBehind(entry);
     else {
       if (brokenReplicaId !== undefined) {
         entry.excludedReplicaIds.push(brokenReplicaId);
@@ -284,6 +291,27 @@
     if (entry.failedAttempts >= this.record.value.maxAttempts) this.giveUp(entry, ItemRunOutcome.failed);
   }
 
+  /** The wait ends with a newer configuration, with another holder, or with the job. */
+  private onConfigurationBehind(entry: OpenItem): void {
+    entry.retryAtMs = this.clock.monotonicMs() + INTERRUPTED_RETRY_DELAY_MS;
+    this.dependencies.confirmConfiguration();
+    if (this.isConfigurationBehind) return;
+    this.isConfigurationBehind = true;
+    this.metrics.count('batch_jobs_awaiting_configuration');
+    this.log.record(LogCategory.state, 'job_awaits_configuration', {
+      jobId: this.jobId,
+      ...this.configurationFields(),
+    });
+  }
+
+  /** Fields of a log line that show by which configuration items were judged. */
+  private configurationFields(): Record<string, unknown> {
+    return {
+      acceptedVersion: this.record.value.configurationVersion,
+      configurationVersion: this.dependencies.view.configurationVersion,
+    };
+  }
+
   /** The job may not give the item up yet. Its other items go on. */
   private onBlocked(entry: OpenItem): void {
     entry.retryAtMs = this.clock.monotonicMs() + BLOCKED_RETRY_DELAY_MS;
@@ -303,6 +331,7 @@
       itemId: entry.item.itemId,
       cause,
       failedAttempts: entry.failedAttempts,
+      ...this.configurationFields(),
     });
     this.addResult(entry, false, '');
   }
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -32,6 +32,8 @@
  * of reads takes while the store is slow.
  */
 const CUT_OFF_AFTER_MS = 1_000;
+/** Shortest time between two readings that confirm the configuration in force. */
+const CONFIRMATION_PERIOD_MS = 500;
 /** Timeout of a request for the view of a peer. */
 const FETCH_TIMEOUT_MS = 600;
 
@@ -53,6 +55,8 @@
   private nextDirectoryMs = 0;
   private readingDirectory = false;
   private readingConfiguration = false;
+  private confirmingConfiguration = false;
+  private nextConfirmationMs = Number.NEGATIVE_INFINITY;
   private configurationRevision = 0;
   private pushedConfigurationVersion = 0;
   private fetchingFrom: string | undefined;
@@ -110,6 +114,18 @@
     this.stopped = true;
   }
 
+  /**
+   * Reads the configuration in force from the store, so that what it lacks is known not to exist. The reading is not repeated
+   * when it fails; whoever needs it asks again.
+   */
+  confirmConfiguration(): void {
+    const nowMs = this.clock.monotonicMs();
+    if (this.stopped || this.confirmingConfiguration || nowMs < this.nextConfirmationMs) return;
+    this.nextConfirmationMs = nowMs + CONFIRMATION_PERIOD_MS;
+    this.confirmingConfiguration = true;
+    void this.readToConfirm(nowMs).finally(() => (this.confirmingConfiguration = false));
+  }
+
   /** The configuration version, which is exchanged with peers along with membership messages. */
   tableDigest(): TableDigest {
     return { revisions: [this.view.configurationVersion] };
@@ -180,6 +196,16 @@
     this.readingConfiguration = false;
   }
 
+  private async readToConfirm(askedAtMs: number): Promise<void> {
+    const reading = await this.source.currentConfiguration();
+    if (!reading.ok) return;
+    const { configuration, rejection } = reading.value;
+    this.applyConfigurationFrom(configuration, 'store');
+    if (rejection !== undefined) this.logRejection(rejection);
+    // A configuration that could not be taken may have what the one in force lacks.
+    else if (configuration) this.view.confirmConfiguration(askedAtMs);
+  }
+
   private async readDirectory(): Promise<void> {
     this.readingDirectory = true;
     const requestedAtMs = this.clock.monotonicMs();
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -30,6 +30,7 @@
   private readonly announcedLeaving = new LeavingReplicas();
   private readonly listeners: ViewListener[] = [];
   private changes = 0;
+  private confirmedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Increases with each change. */
   get version(): number {
@@ -55,6 +56,16 @@
     return this.table?.configuration.version ?? 0;
   }
 
+  /** When the configuration in force was last known to be the newest one, in monotonic time; minus infinity for never. */
+  get configurationConfirmedAtMs(): number {
+    return this.confirmedAtMs;
+  }
+
+  /** Records that the store held no newer configuration at `atMs`, in monotonic time. */
+  confirmConfiguration(atMs: number): void {
+    this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+  }
+
   /** The replica directory; at revision 0 until one is known. */
   get replicas(): DirectorySnapshot {
     return this.directory;
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -400,7 +400,8 @@
 
 function runDependencies(
   get: GetPart,
-): Omit<ForwardDependencies, 'copyDelays' | 'organisationUsage' | 'responseBuffers'> & ItemRunDependencies {
+): Omit<ForwardDependencies, 'copyDelays' | 'organisationUsage' | 'responseBuffers'> &
+  Omit<ItemRunDependencies, 'confirmConfiguration'> {
   return {
     view: get(Tokens.view),
     permits: get(Tokens.permits),
@@ -430,7 +431,10 @@
         get(Tokens.backlog),
         () => get(Tokens.membership),
         get(Tokens.node),
-        runDependencies(get),
+        {
+          ...runDependencies(get),
+          confirmConfiguration: () => get(Tokens.fleetViewUpdater).confirmConfiguration(),
+        },
         get(Tokens.clock),
         get(Tokens.metrics),
         get(Tokens.log),
