Refuse nothing for good by a configuration that may be outdated

What callers saw: 404 for a route, or 401 for a key, that had just been added, from an instance that had not received the version. They do not send such a request again, although other instances would serve it. A named version that does not arrive is looked for in the store after a second.

--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -31,6 +31,7 @@
   no_upstream: 503,
   store_unavailable: 503,
   keys_unconfirmed: 503,
+  configuration_outdated: 503,
   not_accepted: 503,
   outcome_unknown: 503,
   draining: 503,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -10,6 +10,7 @@
 export * from './chunk-ledger.js';
 export * from './concurrency.js';
 export * from './configuration-changes.js';
+export * from './configuration-denials.js';
 export * from './configuration-findings.js';
 export * from './connect-timeout.js';
 export * from './coordinators.js';
--- a/packages/serving/src/access/access-control.ts
+++ b/packages/serving/src/access/access-control.ts
@@ -25,12 +25,15 @@
     private readonly knowledge: KeyKnowledge,
     private readonly metrics: Metrics,
     private readonly log: DecisionLog,
+    /** Whether a key that the configuration in force lacks is known not to exist. */
+    private readonly mayRefuseForGood: () => boolean = () => true,
   ) {}
 
   /**
    * The organisation that holds `key`; undefined where the configuration has no organisations, or for a request without a
    * known key on an anonymous route. Fails with `unauthenticated` if a key is needed and none or an unknown one was
-   * sent, and with `keys_unconfirmed` if this instance cannot tell which keys are in force. `requestId` is for the log.
+   * sent, and with `keys_unconfirmed` if this instance cannot tell which keys are in force, or whether an unknown one was added.
+   * `requestId` is for the log.
    */
   authenticate(
     key: string | undefined,
@@ -46,8 +49,14 @@
     }
     const holder = key === undefined ? undefined : organisationKeys.holderOf(key);
     if (holder || route.anonymous) return ok(holder);
-    const detail = key === undefined ? 'a key is required' : 'the key is not known';
-    return this.refuse(notRun('unauthenticated', detail), requestId);
+    if (key === undefined) return this.refuse(notRun('unauthenticated', 'a key is required'), requestId);
+    const unknown = 'the key is not known';
+    return this.mayRefuseForGood()
+      ? this.refuse(notRun('unauthenticated', unknown), requestId)
+      : this.refuse(
+          notRun('keys_unconfirmed', `${unknown} at this instance`, UNCONFIRMED_RETRY_MS),
+          requestId,
+        );
   }
 
   private refuse(problem: Problem, requestId: string | undefined): Outcome<never, Problem> {
--- a/packages/serving/src/access/key-confirmation.test.ts
+++ b/packages/serving/src/access/key-confirmation.test.ts
@@ -70,12 +70,13 @@
     log,
     random: () => 0,
   });
-  const access = new AccessControl(view, confirmation, metrics, log);
+  const standing = { mayRefuseForGood: true };
+  const access = new AccessControl(view, confirmation, metrics, log, () => standing.mayRefuseForGood);
   const renew = async (): Promise<void> => {
     confirmation.run(clock.monotonicMs());
     await new Promise((resolve) => setTimeout(resolve, 0));
   };
-  return { clock, view, outside, confirmation, access, renew, prove: () => prove() };
+  return { standing, clock, view, outside, confirmation, access, renew, prove: () => prove() };
 }
 
 describe('KeyConfirmation', () => {
@@ -118,6 +119,19 @@
     expect(access.authenticate(KEY, 'q')).toMatchObject({ ok: false, error: { code: 'unauthenticated' } });
   });
 
+  // Guards against callers whose key was added a moment ago and who do not return after `unauthenticated`.
+  it('refuses an unknown key with a time to return while a newer configuration is known to exist', async () => {
+    const { access, outside, renew, standing } = setup();
+    outside.peer = { version: 1, ageMs: 0 };
+    await renew();
+    standing.mayRefuseForGood = false;
+    expect(access.authenticate('key-hen', 'q')).toMatchObject({
+      ok: false,
+      error: { code: 'keys_unconfirmed', run: 'not_run' },
+    });
+    expect(access.authenticate(undefined, 'q')).toMatchObject({ error: { code: 'unauthenticated' } });
+  });
+
   it('does not make what a peer has proven younger by passing it on', async () => {
     const { clock, outside, renew, prove } = setup();
     outside.peer = { version: 1, ageMs: 1_500 };
--- a/packages/serving/src/batch/job-reader.test.ts
+++ b/packages/serving/src/batch/job-reader.test.ts
@@ -43,6 +43,7 @@
     },
   } as unknown as PeerNode;
   const metrics = new Metrics();
+  const standing = { mayRefuseForGood: true };
   const reader = new JobReader(
     () => 'self',
     store,
@@ -51,10 +52,11 @@
     node,
     () => NOT_HELD,
     () => undefined,
+    () => standing.mayRefuseForGood,
     metrics,
     new DecisionLog(DISCARDING_WRITER, new SystemClock(), metrics),
   );
-  return { store, reader, asked, metrics };
+  return { store, reader, asked, metrics, standing };
 }
 
 describe('JobReader', () => {
@@ -92,6 +94,22 @@
     expect(await reader.results({ ...access, organisation: 'fox' }, 0)).toMatchObject({ ok: true });
   });
 
+  // Guards against callers who are told that their job does not exist, since their organisation was added a moment ago.
+  it("does not say that a job is unknown while its configuration may lack the caller's organisation", async () => {
+    const { reader, standing } = setup({
+      held: true,
+      itemCount: 1,
+      committedCount: 0,
+      organisation: 'fox',
+      results: [],
+    });
+    standing.mayRefuseForGood = false;
+    expect(await reader.results({ jobId: 'j' }, 0)).toMatchObject({
+      ok: false,
+      error: { code: 'configuration_outdated', run: 'not_run' },
+    });
+  });
+
   it('reads the body of an item from the holder, and from the store when the holder has not got it', async () => {
     const bodyBase64 = Buffer.from('a prompt').toString('base64');
     const access = { jobId: 'j', organisation: 'fox' };
--- a/packages/serving/src/batch/job-reader.ts
+++ b/packages/serving/src/batch/job-reader.ts
@@ -41,6 +41,12 @@
 
 /** The results are read from the store when the holder does not respond within this time. */
 const HOLDER_TIMEOUT_MS = 250;
+/** Another instance may have the newer configuration, so that callers need not wait for this one to receive it. */
+const CONFIGURATION_OUTDATED = notRun(
+  'configuration_outdated',
+  'this instance may not have the configuration that names the organisation',
+  250,
+);
 /** Number of jobs whose holder is remembered. */
 const MAX_KNOWN_JOBS = 500;
 /** Number of result segments in the cache; a segment takes at most about 100 KB. */
@@ -67,6 +73,8 @@
     private readonly localResults: (jobId: string, afterPosition: number) => JobResultsResponse,
     /** Stops a job, if this instance runs it. */
     private readonly endLocally: (jobId: string) => void,
+    /** Whether an organisation that the configuration in force lacks is known not to exist. */
+    private readonly mayRefuseForGood: () => boolean,
     private readonly metrics: Metrics,
     private readonly log: DecisionLog,
   ) {}
@@ -133,8 +141,9 @@
     return fail(mayHaveRun('outcome_unknown', 'the job may have been ended; end it again'));
   }
 
-  /** A job of another organisation does not exist for the caller. */
+  /** A job of another organisation does not exist for the caller, if this instance can tell whose caller it is. */
   private refuseAccess({ jobId, organisation }: JobAccess): Outcome<never, Problem> {
+    if (!this.mayRefuseForGood()) return fail(CONFIGURATION_OUTDATED);
     this.metrics.count('job_accesses_refused');
     this.log.record(LogCategory.failure, 'job_access_refused', { jobId, organisation });
     return fail(notRun('unknown_job', `there is no job ${jobId}`));
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -1,4 +1,4 @@
-import type { LineWriter } from '@fighub/core';
+import type { LineWriter, RoutingConfiguration } from '@fighub/core';
 import { DecisionLog, ManualClock, Metrics, fail, ok } from '@fighub/core';
 import { StoreErrorKind } from '@fighub/outside';
 import type { FleetViewBody, MembershipRunner, PeerNode } from '@fighub/peers';
@@ -12,6 +12,11 @@
 const DISCARDING_WRITER: LineWriter = { info: () => undefined, warn: () => undefined };
 const SELF = { instanceId: 'self', failureDomain: 'd', peerAddress: 'a:1', state: 'alive', incarnation: 1 };
 
+function configuration(version: number): RoutingConfiguration {
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  return { version, routes: [], services: [], limits };
+}
+
 function memberOf(instanceId: string) {
   return { instanceId, failureDomain: 'd', peerAddress: instanceId, schedules: true };
 }
@@ -19,14 +24,17 @@
 function setup(isRelay = false, memberIds: readonly string[] = [], selfId = 'self') {
   const clock = new ManualClock();
   const metrics = new Metrics();
-  const store = { isUp: false };
+  const store: { isUp: boolean; current?: RoutingConfiguration } = { isUp: false };
   const newestReads: number[] = [];
   const source: FleetSource = {
     nextConfiguration: (revision) =>
       revision === 0 && store.isUp
         ? Promise.resolve(ok({ revision: 5, rejection: 'routes: expected array' }))
         : new Promise(() => undefined),
-    currentConfiguration: () => new Promise(() => undefined),
+    currentConfiguration: () =>
+      store.current
+        ? Promise.resolve(ok({ revision: 5, configuration: store.current }))
+        : new Promise(() => undefined),
     readDirectory: () =>
       Promise.resolve(
         store.isUp
@@ -55,9 +63,9 @@
     new BacklogView(clock),
     ({ monotonicMs }) => newestReads.push(monotonicMs),
   );
-  const push = (ageMs: number): void =>
+  const push = (ageMs: number, configurationVersion = 0): void =>
     handlers.get('view.pushed')?.({
-      configurationVersion: 0,
+      configurationVersion,
       directory: { revision: 1, replicas: [] },
       ageMs,
     });
@@ -126,4 +134,36 @@
     clock.advance(500);
     expect(passedOnAfter(100)).toBe(2);
   });
+
+  it('refuses nothing for good while a newer version was named to it, until it has that version', () => {
+    const { updater, push } = setup();
+    push(100, 6);
+    expect(updater.mayRefuseForGood).toBe(false);
+    updater.applyConfigurationFrom(configuration(6), 'peer');
+    expect(updater.mayRefuseForGood).toBe(true);
+  });
+
+  it('reads the store when a version that was named does not arrive, and forgets one that no longer exists', async () => {
+    const { clock, updater, push, store } = setup();
+    updater.applyConfigurationFrom(configuration(3), 'store');
+    push(100, 6);
+    store.current = configuration(3);
+    clock.advance(900);
+    push(100, 3);
+    updater.run(clock.monotonicMs());
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(updater.mayRefuseForGood).toBe(false);
+    clock.advance(200);
+    updater.run(clock.monotonicMs());
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(updater.mayRefuseForGood).toBe(true);
+  });
+
+  it('refuses nothing for good while it is cut off', () => {
+    const { clock, updater, push } = setup();
+    push(100);
+    expect(updater.mayRefuseForGood).toBe(true);
+    clock.advance(1_000);
+    expect(updater.mayRefuseForGood).toBe(false);
+  });
 });
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -6,7 +6,13 @@
 import type { Clock, DecisionLog, Metrics, ReplicaRecord, System } from '@fighub/core';
 import { LogCategory, sleep } from '@fighub/core';
 import type { ClockReading, MemberUpdate } from '@fighub/decisions';
-import { ReplicaDirectory, coordinatorFor, coordinatorsOf, isCoordinator } from '@fighub/decisions';
+import {
+  ReplicaDirectory,
+  coordinatorFor,
+  coordinatorsOf,
+  isCoordinator,
+  mayRefuseForGood,
+} from '@fighub/decisions';
 import type { FleetViewBody, MembershipRunner, PeerNode, PiggybackSource, TableDigest } from '@fighub/peers';
 
 import type { BacklogView } from '../batch/backlog-view.js';
@@ -32,6 +38,8 @@
  * of reads takes while the store is slow.
  */
 const CUT_OFF_AFTER_MS = 1_000;
+/** A newer configuration that other instances have named is looked for in the store if it has not arrived within this time. */
+const AWAIT_NAMED_VERSION_MS = 1_000;
 /** Shortest time between two readings that confirm the configuration in force. */
 const CONFIRMATION_PERIOD_MS = 500;
 /** Timeout of a request for the view of a peer. */
@@ -98,6 +106,12 @@
     return Number.isFinite(lastContactMs) && this.clock.monotonicMs() - lastContactMs >= CUT_OFF_AFTER_MS;
   }
 
+  /** Whether a request may be refused for good because the configuration in force lacks what it names. */
+  get mayRefuseForGood(): boolean {
+    const { configurationVersion, newestNamedVersion } = this.view;
+    return mayRefuseForGood({ version: configurationVersion, newestNamedVersion, isCutOff: this.isCutOff });
+  }
+
   /** Whether this instance currently reads the directory from the store itself. */
   get reads(): boolean {
     return this.isReader || !this.receivesFreshViews;
@@ -106,6 +120,7 @@
   run(nowMs: number): void {
     if (this.stopped) return;
     if (this.isRelay || !this.receivesFreshViews) this.startConfigurationRead();
+    if (this.view.outdatedForMs(nowMs) >= AWAIT_NAMED_VERSION_MS) this.confirmConfiguration();
     if (this.reads) this.startDirectoryRead(nowMs);
     if (this.isRelay && nowMs >= this.nextPushMs) this.push(nowMs);
   }
@@ -133,7 +148,10 @@
 
   /** Fetches the configuration of a peer if it is newer. */
   onPeerTable(peer: MemberUpdate, digest: TableDigest): void {
-    if ((digest.revisions[0] ?? 0) > this.view.configurationVersion) void this.fetchFrom(peer.peerAddress);
+    const version = digest.revisions[0] ?? 0;
+    if (version <= this.view.configurationVersion) return;
+    this.view.onVersionNamed(version, this.clock.monotonicMs());
+    void this.fetchFrom(peer.peerAddress);
   }
 
   dump(): Record<string, unknown> {
@@ -317,6 +335,7 @@
     this.applyConfigurationFrom(body.configuration, 'relay');
     this.applyReceivedDirectory(body, 'relay');
     this.applyObservations(body);
+    this.view.onVersionNamed(body.configurationVersion, this.clock.monotonicMs());
     if (body.configurationVersion > this.view.configurationVersion) this.metrics.count('views_behind');
     const isCurrent = body.configurationVersion <= this.view.configurationVersion;
     const isNewest = body.directory.revision >= this.view.replicas.revision;
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -31,6 +31,7 @@
   private readonly listeners: ViewListener[] = [];
   private changes = 0;
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
+  private newestNamed = { version: 0, atMs: Number.NEGATIVE_INFINITY };
 
   /** Increases with each change. */
   get version(): number {
@@ -61,9 +62,29 @@
     return this.confirmedAtMs;
   }
 
-  /** Records that the store held no newer configuration at `atMs`, in monotonic time. */
+  /**
+   * Records that the store held no newer configuration at `atMs`, in monotonic time. Versions that were named before then do not
+   * exist any more.
+   */
   confirmConfiguration(atMs: number): void {
     this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+    if (this.newestNamed.atMs <= atMs) this.newestNamed = { version: 0, atMs: Number.NEGATIVE_INFINITY };
+  }
+
+  /** Records the version of another instance's configuration. */
+  onVersionNamed(version: number, nowMs: number): void {
+    if (version > Math.max(this.configurationVersion, this.newestNamed.version))
+      this.newestNamed = { version, atMs: nowMs };
+  }
+
+  /** The highest version that another instance has named; 0 for none that is newer than the last confirmed one. */
+  get newestNamedVersion(): number {
+    return this.newestNamed.version;
+  }
+
+  /** How long it has been known that a newer configuration exists, in milliseconds; 0 if none is known. */
+  outdatedForMs(nowMs: number): number {
+    return this.newestNamed.version > this.configurationVersion ? nowMs - this.newestNamed.atMs : 0;
   }
 
   /** The replica directory; at revision 0 until one is known. */
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -210,7 +210,13 @@
     container,
     Tokens.access,
     (get) =>
-      new AccessControl(get(Tokens.view), get(Tokens.keyConfirmation), get(Tokens.metrics), get(Tokens.log)),
+      new AccessControl(
+        get(Tokens.view),
+        get(Tokens.keyConfirmation),
+        get(Tokens.metrics),
+        get(Tokens.log),
+        () => get(Tokens.fleetViewUpdater).mayRefuseForGood,
+      ),
   );
 }
 
@@ -452,6 +458,7 @@
         get(Tokens.node),
         (jobId, afterPosition) => get(Tokens.jobs).results(jobId, afterPosition),
         (jobId) => get(Tokens.jobs).onEnded(jobId),
+        () => get(Tokens.fleetViewUpdater).mayRefuseForGood,
         get(Tokens.metrics),
         get(Tokens.log),
       ),
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -37,6 +37,8 @@
   readonly log: DecisionLog;
   /** Whether the load balancer should route callers to this instance. */
   isReady(): boolean;
+  /** Whether a request may be refused for good because the configuration in force lacks what it names. */
+  mayRefuseForGood(): boolean;
   /** Whether shutdown has begun. */
   isStopping(): boolean;
   /** Monotonic time by which the HTTP servers must be closed; infinite until shutdown begins. */
@@ -211,6 +213,7 @@
         view.replicas.revision > 0 &&
         keyConfirmation.isConfirmed &&
         !fleetViewUpdater.isCutOff,
+      mayRefuseForGood: () => fleetViewUpdater.mayRefuseForGood,
       isStopping: () => this.stopping,
       stopByMs: () => this.stopByMs,
       dump: () => this.dump(),
