Treat a response with a malformed head as broken

What callers saw: one response with the status 000 ended the process that forwards it. Cause: the HTTP parser takes any three digits for a status and nothing for the name of a header, on which the server that writes the response to the caller throws. The transport passed the head on unchecked. Change: headFault checks each head where it enters, from replicas and from relaying instances; the client of plain services checks the status. A malformed head is no evidence of anything, so that the request may have run.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './decision-log.js';
 export * from './entity-table.js';
 export * from './histogram.js';
+export * from './http-text.js';
 export * from './ids.js';
 export * from './invariant.js';
 export * from './jobs.js';
--- a/packages/outside/src/plain-service.ts
+++ b/packages/outside/src/plain-service.ts
@@ -1,4 +1,5 @@
 /** Client of plain services, which are HTTP services other than engines. */
+import { isFinalStatus } from '@fighub/core';
 import got, { RequestError } from 'got';
 
 import { nonPersistentAgent } from './connection-pool.js';
@@ -54,6 +55,10 @@
         throwHttpErrors: false,
         agent: { http: this.agent },
       });
+      if (!isFinalStatus(response.statusCode)) {
+        const body = `the response has the status ${String(response.statusCode)}`;
+        return { contentType: 'text/plain', body, sent: true };
+      }
       const contentType = response.headers['content-type'] ?? 'application/octet-stream';
       return { status: response.statusCode, contentType, body: response.body, sent: true };
     } catch (error) {
--- a/packages/serving/src/relay/relay-client.ts
+++ b/packages/serving/src/relay/relay-client.ts
@@ -7,6 +7,7 @@
 
 import type { UpstreamCall, UpstreamEnd, UpstreamHead, UpstreamListener } from '../online/forwarding.js';
 import { BodyFraming, UpstreamEndKind } from '../online/forwarding.js';
+import { headFault } from '../online/response-head.js';
 
 const STATE_TIMEOUT_MS = 250;
 /** A relay that has not accepted a call within this time may still run it, so that the call counts as broken. */
@@ -191,7 +192,8 @@
     }
     this.nextIndex += 1;
     if (leavingReplicaId !== undefined) this.listener.onLeaving(leavingReplicaId);
-    if (head) this.listener.onHead(toUpstreamHead(head));
+    if (head) this.onHead(head);
+    if (!this.isOpen) return;
     if (data) this.onData(Buffer.from(data.buffer, data.byteOffset, data.byteLength));
     if (end) this.finish(toUpstreamEnd(end, this.relayId));
   }
@@ -203,6 +205,17 @@
     this.finish({ kind: UpstreamEndKind.broken, detail, relayedBy: this.relayId, pathsLost: true });
   }
 
+  /** An instance of an earlier release passes on what it has received. */
+  private onHead(head: NonNullable<RelayPartBody['head']>): void {
+    const fault = headFault(head);
+    if (fault === undefined) {
+      this.listener.onHead(toUpstreamHead(head));
+      return;
+    }
+    this.cancel();
+    this.finish({ kind: UpstreamEndKind.unusable, detail: fault, relayedBy: this.relayId });
+  }
+
   private onData(part: Buffer): void {
     this.listener.onData(part);
     const ready = this.listener.whenReady();
--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -226,6 +226,23 @@
     expect(made.length).toBeLessThanOrEqual(1);
   });
 
+  // Guards against a malformed head that a relay of an earlier release passes on.
+  it.each([
+    ['a status below 100', { ...HEAD, status: 0 }],
+    ['a header without a name', { ...HEAD, headers: [['', 'x']] as const }],
+  ])('cannot use a relayed response with %s', async (_fault, head) => {
+    const [holder, relay] = (await start(2)) as [Instance, Instance];
+    await cutOff(holder);
+    relay.path.respond = (listener) => {
+      listener.onHead(head);
+      listener.onData(Buffer.from('body'));
+      return Promise.resolve({ kind: 'complete', detail: '' });
+    };
+    const { end, receiver } = await send(holder);
+    expect(end).toMatchObject({ kind: 'unusable', relayedBy: relay.instanceId });
+    expect([receiver.heads, receiver.body]).toEqual([[], '']);
+  });
+
   it('stops the relayed call when the caller leaves', async () => {
     const [holder, relay] = (await start(2)) as [Instance, Instance];
     await cutOff(holder);
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -33,6 +33,10 @@
   crashBody: string;
   /** Number of events of such a response before the crash. */
   crashAfterEvents: number;
+  /** Number of following requests whose response is `rawResponse` instead, after which its connection is closed. */
+  spoil: number;
+  /** Bytes of a response, which need not be one in HTTP; `{requestId}` stands for the id of the request. */
+  rawResponse: string;
   /** Requests a second that all responses state as the replica's limit, as the header value; empty for no limit. */
   requestLimit: string;
 }
@@ -95,6 +99,8 @@
     crashBody: '',
     crashAfterEvents: 0,
     requestLimit: '',
+    spoil: 0,
+    rawResponse: '',
   };
   /** When the replica crashed, in the time of `performance.now()`; undefined while it serves. */
   crashedAtMs: number | undefined;
@@ -190,6 +196,10 @@
   }
 
   private async answer(run: ReplicaRun, res: ServerResponse): Promise<void> {
+    if (consumeFault(this.faults, 'spoil')) {
+      res.socket?.end(this.faults.rawResponse.replaceAll('{requestId}', run.requestId));
+      return;
+    }
     const echoedAttemptId = consumeFault(this.faults, 'crossed') ? 'another-request' : run.requestId;
     const headers = { 'Attempt-Id': echoedAttemptId, 'Response-Seal': `seal-${run.requestId}` };
     if (this.faults.status > 0) {
@@ -247,7 +257,7 @@
 
 function consumeFault(
   faults: ReplicaFaults,
-  name: 'refuse' | 'breakOff' | 'unframed' | 'crossed' | 'stall' | 'pause',
+  name: 'refuse' | 'breakOff' | 'unframed' | 'crossed' | 'stall' | 'pause' | 'spoil',
 ): boolean {
   if (faults[name] === 0) return false;
   faults[name] -= 1;
