Let an unexpected error end only the request that it is thrown for

Cause: errors in handlers of requests, in receivers of responses, in runs of items and in handlers of messages all reached the process's handler of uncaught errors. A request is answered as one that may have run, without headers of the replica, and gives its slot back. Violated invariants still end the process.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,4 @@
 export * from './settings.js';
 export * from './table-rows.js';
 export * from './tick.js';
+export * from './unexpected-error.js';
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -72,7 +72,8 @@
   constructor(
     private readonly options: PeerNodeOptions,
     private readonly metrics: Metrics,
-    private readonly onHandlerError: (error: unknown) => void,
+    /** Called with what the handler of a message has thrown, and the name of the message. */
+    private readonly onHandlerError: (error: unknown, messageName: string) => void,
   ) {}
 
   /** Registers the handler of a request. */
@@ -293,7 +294,7 @@
     try {
       handler(frame.body);
     } catch (error) {
-      this.onHandlerError(error);
+      this.onHandlerError(error, frame.name ?? '');
     }
   }
 
@@ -307,7 +308,7 @@
       const body = await handler(frame.body);
       connection.send({ kind: FrameKind.response, callId: frame.callId, body });
     } catch (error) {
-      this.onHandlerError(error);
+      this.onHandlerError(error, frame.name ?? '');
     }
   }
 }
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -110,7 +110,7 @@
 const HTTP_INTERNAL_SERVER_ERROR = 500;
 const INTERRUPTED: ItemRunResult = { end: ItemRunOutcome.interrupted, givenWay: false };
 
-/** Runs the item once. Failures are returned, not thrown; aborting `stop` interrupts the run. */
+/** Runs the item once. Failures are returned; only unexpected errors are thrown. Aborting `stop` interrupts the run. */
 export async function runItem(
   request: ItemRunRequest,
   dependencies: ItemRunDependencies,
@@ -238,6 +238,10 @@
   };
   const sent = await dependencies.transport.send(call, listener, listener.signal);
   listener.close();
+  if (sent.thrown) {
+    dependencies.permits.release(slot, { end: AttemptEnd.cancelled, tokens: listener.events });
+    throw sent.thrown.error;
+  }
   output.spentMs += dependencies.clock.monotonicMs() - startedMs;
   const end = listener.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, listener.isInsideEvent);
   const verdict = listener.verdict(end);
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -8,7 +8,14 @@
   StoredResult,
   System,
 } from '@fighub/core';
-import { EntityTable, LogCategory, batchJobKeys, haveSamePrefix } from '@fighub/core';
+import {
+  EntityTable,
+  LogCategory,
+  batchJobKeys,
+  errorFields,
+  haveSamePrefix,
+  isFatalError,
+} from '@fighub/core';
 import { claimJob, coordinatorFor, isClosed, shouldClaim } from '@fighub/decisions';
 import type {
   JobItemBody,
@@ -100,7 +107,7 @@
   /** Starts the job if this instance is its holder, and notifies the holder otherwise. */
   offer(progress: JobProgress): void {
     if (progress.holder === this.selfId()) {
-      void this.claimAndStart(progress.jobId);
+      this.startSoon(progress.jobId);
       return;
     }
     this.notifyHolder(progress.holder, progress.jobId);
@@ -131,7 +138,7 @@
   }
 
   run(nowMs: number): void {
-    this.jobs.all().forEach((job) => job.run(nowMs));
+    this.jobs.all().forEach((job) => this.guard(job.jobId, () => job.run(nowMs)));
     this.writeDue(nowMs);
     this.dropFinished(nowMs);
     const isIdle = !this.busy;
@@ -139,7 +146,9 @@
     if (!this.claimsJobs && isIdle) return;
     this.nextListMs = nowMs + (isIdle ? IDLE_LIST_PERIOD_MS : LIST_PERIOD_MS);
     this.listing = true;
-    void this.list().finally(() => (this.listing = false));
+    this.list()
+      .catch((error: unknown) => this.onUnexpected(undefined, error))
+      .finally(() => (this.listing = false));
   }
 
   /** Releases all jobs and notifies the coordinators that should claim them. */
@@ -165,7 +174,7 @@
   /** Claims a job, or passes it on if this instance has released its own ones because it is to be taken away. */
   private onOffered(jobId: string): void {
     if (this.stopped) this.offerToOthers(jobId);
-    else void this.claimAndStart(jobId);
+    else this.startSoon(jobId);
   }
 
   private offerToOthers(jobId: string): void {
@@ -200,7 +209,7 @@
     this.listFailedAtMs = undefined;
     const jobs = listed.value.map((record) => record.value);
     this.backlog.onListed(jobs, requestedAtMs);
-    jobs.forEach((progress) => this.evaluateListed(progress));
+    jobs.forEach((progress) => this.guard(progress.jobId, () => this.evaluateListed(progress)));
   }
 
   private evaluateListed(progress: JobProgress): void {
@@ -216,8 +225,7 @@
     if (previous?.sequence !== sequence) this.observations.set(jobId, { sequence, firstSeenAtMs: nowMs });
     const unchangedMs = previous?.sequence === sequence ? nowMs - previous.firstSeenAtMs : 0;
     const isHeldHere = progress.holder === this.selfId();
-    if (isHeldHere || (this.claimsJobs && this.shouldTakeOver(progress, unchangedMs)))
-      void this.claimAndStart(jobId);
+    if (isHeldHere || (this.claimsJobs && this.shouldTakeOver(progress, unchangedMs))) this.startSoon(jobId);
   }
 
   private shouldTakeOver(progress: JobProgress, unchangedMs: number): boolean {
@@ -230,6 +238,24 @@
     });
   }
 
+  /** A job that cannot be started because of an unexpected error is left for the next listing. The other jobs go on. */
+  private startSoon(jobId: string): void {
+    this.claimAndStart(jobId).catch((error: unknown) => this.onUnexpected(jobId, error));
+  }
+
+  private guard(jobId: string, work: () => void): void {
+    try {
+      work();
+    } catch (error) {
+      this.onUnexpected(jobId, error);
+    }
+  }
+
+  private onUnexpected(jobId: string | undefined, error: unknown): void {
+    if (isFatalError(error)) throw error;
+    this.log.record(LogCategory.failure, 'job_error', { jobId, ...errorFields(error) });
+  }
+
   /** Reads the job, claims it if it has another holder, and starts it. */
   private async claimAndStart(jobId: string): Promise<void> {
     if (this.stopped || this.loadingJobIds.has(jobId) || this.jobs.has(jobId) || this.endedJobIds.has(jobId))
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -187,6 +187,21 @@
     });
   });
 
+  // Guards against one item whose run throws ending the process, with the other items and jobs there.
+  it('goes on with its other items when the run of one throws', async () => {
+    const respond = respondWith(['first', 'second']);
+    const { job, store, clock, metrics } = await newJob(['first', 'second'], (call, listener, signal) =>
+      call.requestId === '0' ? Promise.reject(new TypeError('unexpected')) : respond(call, listener, signal),
+    );
+    await vi.waitFor(() => {
+      job.run(clock.monotonicMs());
+      void writeTogether(store, job.takeWrites(clock.monotonicMs()));
+      expect(job.results(0).results.map(({ itemId }) => itemId)).toEqual(['1']);
+    });
+    expect(metrics.value('decision_item_error')).toBe(1);
+    expect(job.finished).toBe(false);
+  });
+
   it('makes no other write while it is released', async () => {
     const { job, clock } = await newJob(['short'], () => new Promise(() => undefined));
     const laterMs = clock.monotonicMs() + 60_000;
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -2,7 +2,14 @@
 import { setMaxListeners } from 'node:events';
 
 import type { Clock, DecisionLog, JobProgress, Metrics, StoredItem, StoredResult } from '@fighub/core';
-import { InvariantName, LogCategory, batchJobKeys, checkInvariant } from '@fighub/core';
+import {
+  InvariantName,
+  LogCategory,
+  batchJobKeys,
+  checkInvariant,
+  errorFields,
+  isFatalError,
+} from '@fighub/core';
 import type { CommitState, EndedItem, PartialOutput } from '@fighub/decisions';
 import {
   commitResults,
@@ -42,6 +49,8 @@
 const FAILED_RETRY_DELAY_MS = 300;
 /** Delay before an item is tried again whose prompt is blocked because it crashes replicas. */
 const BLOCKED_RETRY_DELAY_MS = 5_000;
+/** Delay before an item is run again whose run has ended with an unexpected error. */
+const UNEXPECTED_RETRY_DELAY_MS = 5_000;
 /** Number of replicas that an item avoids because they interrupted its last runs. */
 const MAX_EXCLUDED_REPLICAS = 2;
 /** Maximum bytes of output in one commit, as JSON. */
@@ -142,7 +151,9 @@
     if (!this.mayDispatch()) return;
     [...this.items.values()]
       .filter((entry) => !entry.running && entry.retryAtMs <= nowMs)
-      .forEach((entry) => void this.start(entry));
+      .forEach((entry) => {
+        this.start(entry).catch((error: unknown) => this.onUnexpected(entry, error));
+      });
   }
 
   /** Whether results, the progress or a checkpoint are to be written now, whatever other jobs write. */
@@ -259,6 +270,18 @@
     if (!this.closed && this.items.has(entry.index)) this.onEnd(entry, end);
   }
 
+  /** An item whose run has thrown is run again later; its job and the other jobs go on. */
+  private onUnexpected(entry: OpenItem, error: unknown): void {
+    if (isFatalError(error)) throw error;
+    entry.running = false;
+    entry.retryAtMs = this.clock.monotonicMs() + UNEXPECTED_RETRY_DELAY_MS;
+    this.log.record(LogCategory.failure, 'item_error', {
+      jobId: this.jobId,
+      itemId: entry.item.itemId,
+      ...errorFields(error),
+    });
+  }
+
   private onEnd(entry: OpenItem, { end, brokenReplicaId, givenWay: preempted }: ItemRunResult): void {
     if (end !== ItemRunOutcome.blocked) entry.isBlocked = false;
     if (end !== ItemRunOutcome.configurationBehind) this.isConfigurationBehind = false;
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -125,6 +125,11 @@
     try {
       if (!(await this.findOrigin())) return;
       while (await this.runAttempt(stop));
+    } catch (error) {
+      // A copy that still runs must not write to the caller either.
+      this.relay.abandon();
+      this.deadlinePassed.abort();
+      throw error;
     } finally {
       clearTimeout(timer);
     }
@@ -317,6 +322,10 @@
     );
     clearTimeout(overlap);
     race.onEnded();
+    if (sent.thrown) {
+      this.endUnexpectedly(slot, attempt);
+      throw sent.thrown.error;
+    }
     const end = attempt.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, attempt.isInsideEvent);
     const evidence =
       attempt.reportedNotRun || end.kind === UpstreamEndKind.notConnected ? 'not_run' : 'may_have_run';
@@ -330,12 +339,27 @@
     });
     this.observeFirstEvent(attempt, isCopy);
     this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, expectedOrigin, isCopy });
-    const delivered = end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun && attempt.deliver();
-    attempt.close();
+    const delivered = this.deliver(end, attempt);
     const detail = end.detail || `status ${String(attempt.status)}`;
     return { replicaId: slot.replicaId, delivered, evidence, detail };
   }
 
+  /** Passes a complete response on, as far as that has not happened yet. Returns whether the caller has the whole response. */
+  private deliver(end: UpstreamEnd, attempt: AttemptListener): boolean {
+    try {
+      return end.kind === UpstreamEndKind.complete && !attempt.reportedNotRun && attempt.deliver();
+    } finally {
+      attempt.close();
+    }
+  }
+
+  /** Gives back what an attempt holds that an unexpected error has ended. */
+  private endUnexpectedly(slot: Slot, attempt: AttemptListener): void {
+    this.runs += 1;
+    this.dependencies.permits.release(slot, { end: AttemptEnd.cancelled, tokens: attempt.events });
+    attempt.close();
+  }
+
   /** Ends a copy that has not won soon, since a request may run at two replicas for a short time only. */
   private endCopyIfSlow(copy: AttemptListener, race: AttemptRace): NodeJS.Timeout {
     return setTimeout(() => {
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -140,6 +140,8 @@
   readonly pathsLost?: boolean;
   /** Instance that relayed the call; absent for a direct one. */
   readonly relayedBy?: string;
+  /** An unexpected error of this instance, which says nothing about the replica; absent if there was none. */
+  readonly thrown?: { readonly error: unknown };
 }
 
 /**
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -110,6 +110,11 @@
     this.sink.cut();
   }
 
+  /** Writes nothing more, since the request has failed and is answered elsewhere. */
+  abandon(): void {
+    this.done = true;
+  }
+
   private writePart(head: UpstreamHead, part: Buffer): void {
     if (this.done) return;
     if (!this.headSent) {
--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -1,6 +1,6 @@
 /** Sends requests to replicas on behalf of instances that have lost their own paths to them. */
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
-import { LogCategory, sleep } from '@fighub/core';
+import { LogCategory, errorFields, sleep } from '@fighub/core';
 import type { RelayState } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, RelayCallBody, RelayPartBody } from '@fighub/peers';
 
@@ -86,10 +86,13 @@
     const call = new RelayedCall(body, holder.peerAddress, this.dependencies);
     this.calls.set(key, call);
     this.bodyBytes += body.body.length;
-    void call.run().then(() => {
-      this.calls.delete(key);
-      this.bodyBytes -= body.body.length;
-    });
+    void call
+      .run()
+      .catch((error: unknown) => call.fail(error))
+      .finally(() => {
+        this.calls.delete(key);
+        this.bodyBytes -= body.body.length;
+      });
     return true;
   }
 
@@ -157,6 +160,19 @@
     });
   }
 
+  /** Ends the call after an unexpected error. The request may have run. */
+  fail(error: unknown): void {
+    this.cancel();
+    const { requestId, holder, replicaId } = this.body;
+    this.dependencies.log.record(LogCategory.failure, 'relayed_call_error', {
+      requestId,
+      holder,
+      replicaId,
+      ...errorFields(error),
+    });
+    this.send({ end: { kind: UpstreamEndKind.broken, detail: 'unexpected error of the relaying instance' } });
+  }
+
   onLeaving(replicaId: string): void {
     // This instance passes the response on, so it must send the replica nothing more either.
     this.dependencies.leavingAnnouncements.onResponse(replicaId);
--- a/packages/serving/src/relay/relayed-transport.ts
+++ b/packages/serving/src/relay/relayed-transport.ts
@@ -15,6 +15,7 @@
   UpstreamTransport,
 } from '../online/forwarding.js';
 import { UpstreamEndKind } from '../online/forwarding.js';
+import { GuardedListener } from './guarded-listener.js';
 import type { RelayClient } from './relay-client.js';
 
 /** Why a request is relayed. The values appear in metrics. */
@@ -53,6 +54,20 @@
   }
 
   async send(call: UpstreamCall, listener: UpstreamListener, signal: AbortSignal): Promise<UpstreamEnd> {
+    const guarded = new GuardedListener(listener);
+    try {
+      const end = await this.sendEitherWay(call, guarded, AbortSignal.any([signal, guarded.signal]));
+      return guarded.thrown ? unexpectedEnd(guarded.thrown.error) : end;
+    } catch (error) {
+      return unexpectedEnd(error);
+    }
+  }
+
+  private async sendEitherWay(
+    call: UpstreamCall,
+    listener: UpstreamListener,
+    signal: AbortSignal,
+  ): Promise<UpstreamEnd> {
     if (this.isRelayed(call)) {
       const relayed = await this.relay(call, listener, signal);
       if (relayed) return relayed;
@@ -145,3 +160,8 @@
     });
   }
 }
+
+/** The end of a call that an unexpected error has ended. The request may have run. */
+function unexpectedEnd(error: unknown): UpstreamEnd {
+  return { kind: UpstreamEndKind.broken, detail: 'unexpected error', thrown: { error } };
+}
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -4,7 +4,7 @@
  * partition between it and the relays costs extra store calls but does not make its view stale.
  */
 import type { Clock, DecisionLog, Metrics, ReplicaRecord, System } from '@fighub/core';
-import { LogCategory, sleep } from '@fighub/core';
+import { LogCategory, errorFields, isFatalError, sleep } from '@fighub/core';
 import type { ClockReading, MemberUpdate } from '@fighub/decisions';
 import {
   ReplicaDirectory,
@@ -138,7 +138,9 @@
     if (this.stopped || this.confirmingConfiguration || nowMs < this.nextConfirmationMs) return;
     this.nextConfirmationMs = nowMs + CONFIRMATION_PERIOD_MS;
     this.confirmingConfiguration = true;
-    void this.readToConfirm(nowMs).finally(() => (this.confirmingConfiguration = false));
+    this.readToConfirm(nowMs)
+      .catch((error: unknown) => this.onReadError('configuration', error))
+      .finally(() => (this.confirmingConfiguration = false));
   }
 
   /** The configuration version, which is exchanged with peers along with membership messages. */
@@ -188,17 +190,30 @@
   }
 
   private startConfigurationRead(): void {
-    if (!this.readingConfiguration) void this.readConfiguration();
+    if (this.readingConfiguration) return;
+    this.readingConfiguration = true;
+    this.readConfiguration()
+      .catch((error: unknown) => this.onReadError('configuration', error))
+      .finally(() => (this.readingConfiguration = false));
   }
 
   private startDirectoryRead(nowMs: number): void {
     if (this.readingDirectory || nowMs < this.nextDirectoryMs) return;
     this.nextDirectoryMs = nowMs + DIRECTORY_PERIOD_MS;
-    void this.readDirectory();
+    this.readingDirectory = true;
+    this.readDirectory()
+      .catch((error: unknown) => this.onReadError('directory', error))
+      .finally(() => (this.readingDirectory = false));
+  }
+
+  /** The view before stays in force, and the next read is made as usual. */
+  private async onReadError(what: string, error: unknown): Promise<void> {
+    if (isFatalError(error)) throw error;
+    this.log.record(LogCategory.failure, 'view_read_error', { what, ...errorFields(error) });
+    await sleep(FAILED_READ_PAUSE_MS);
   }
 
   private async readConfiguration(): Promise<void> {
-    this.readingConfiguration = true;
     const waitMs = this.configurationRevision === 0 ? 0 : CONFIGURATION_WAIT_MS;
     const askedAt = { monotonicMs: this.clock.monotonicMs(), unixMs: this.clock.nowUnixMs() };
     const reading = await this.source.nextConfiguration(this.configurationRevision, waitMs);
@@ -211,7 +226,6 @@
       if (rejection !== undefined) this.logRejection(rejection);
     }
     if (!reading.ok || (waitMs === 0 && !reading.value.configuration)) await sleep(FAILED_READ_PAUSE_MS);
-    this.readingConfiguration = false;
   }
 
   private async readToConfirm(askedAtMs: number): Promise<void> {
@@ -225,10 +239,8 @@
   }
 
   private async readDirectory(): Promise<void> {
-    this.readingDirectory = true;
     const requestedAtMs = this.clock.monotonicMs();
     const reading = await this.source.readDirectory();
-    this.readingDirectory = false;
     this.recordStoreReachability(reading.ok, reading.ok ? '' : reading.error.detail);
     if (!reading.ok) {
       this.directory.onReadFailed(this.clock.monotonicMs());
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -1,7 +1,16 @@
 /** Builds the dependency injection container of a serving instance. */
 import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
 import type { Clock } from '@fighub/core';
-import { DecisionLog, Metrics, SystemClock, bindPart, splitAddress } from '@fighub/core';
+import {
+  DecisionLog,
+  LogCategory,
+  Metrics,
+  SystemClock,
+  bindPart,
+  errorFields,
+  isFatalError,
+  splitAddress,
+} from '@fighub/core';
 import type { GetPart } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
@@ -124,7 +133,11 @@
   container.bind(Tokens.clock).toConstantValue(clock);
   container.bind(Tokens.metrics).toConstantValue(metrics);
   container.bind(Tokens.log).toConstantValue(log);
-  container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onError));
+  const onMessageError = (error: unknown, message: string): void => {
+    if (isFatalError(error)) onError(error);
+    else log.record(LogCategory.failure, 'peer_message_error', { message, ...errorFields(error) });
+  };
+  container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onMessageError));
   container.bind(Tokens.view).toConstantValue(new FleetView());
   container.bind(Tokens.requestBodies).toConstantValue(new BufferBudget(bufferBytes(settings.memoryMb)));
   container.bind(Tokens.organisationUsage).toConstantValue(new OrganisationUsage());
