Read events as their format defines lines

Cause: the regular expression that took the data of an event out ends at line separators of JavaScript, which do not end a line in an event stream. It also missed lines that end with CR, fields without a colon and a byte order mark. An event without data adds nothing to an output, and comments between events do not interrupt an item.

--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -417,6 +417,9 @@
 
   private appendEvent(event: RawEvent): void {
     if (this.streamFault.signal.aborted) return;
+    const data = dataOf(event);
+    // Comments between events keep a connection in use.
+    if (event.eventId === undefined && data === undefined) return;
     const { lastEventId } = this.output;
     const isNext =
       event.eventId !== undefined && (lastEventId === undefined || event.eventId === lastEventId + 1);
@@ -426,9 +429,10 @@
     }
     this.stallTimer.onEvent();
     this.output.lastEventId = event.eventId;
-    const data = dataOf(event);
-    this.output.events.push(data);
-    this.output.bytes += jsonBytes(data);
+    if (data !== undefined) {
+      this.output.events.push(data);
+      this.output.bytes += jsonBytes(data);
+    }
     this.events += 1;
     this.lastEventMs = this.clock.monotonicMs();
     if (this.events === 1) this.firstEventMs = this.lastEventMs;
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -126,6 +126,16 @@
     ]);
   });
 
+  // Guards against an output that ends at a character which the language, but not the format of the stream, takes for a line end.
+  it.each(['\u2028', '\u2029', '\u0085', '\v', '\f', '\ufeff'])(
+    'commits the whole output of an item whose text has the character %j',
+    async (character) => {
+      const output = `before ${character} after`;
+      const { job } = await finishedJob([output]);
+      expect(job.results(0).results).toEqual([{ itemId: '0', succeeded: true, output }]);
+    },
+  );
+
   it('leaves a run whose output grows without end, and gives the item up', async () => {
     let sentEvents = 0;
     const endless: Send = (_call, listener, signal) => {
