--- a/packages/lab/src/fleet.test.ts
+++ b/packages/lab/src/fleet.test.ts
@@ -112,6 +112,15 @@
     expect(fixed.ok).toBe(true);
   });
 
+  // Guards against a job that is refused, or torn into other items, for a character in a prompt.
+  it('accepts items whose prompts have characters that end lines elsewhere', async () => {
+    const caller = fleet.caller(fleet.entry(0), 'obloha');
+    const lines = ['{"prompt":"wear a hat.\u2028Stay in the shade."}', '{"prompt":"a\u2029b\u0085c"}'];
+    const job = await caller.createJob({ model: 'alert-modely', lines, idempotencyKey: 'k-lines' });
+    const view = await caller.job(valueOf(job).jobId);
+    expect(view).toMatchObject({ ok: true, value: { itemCount: 2 } });
+  });
+
   it('runs a keyed non-idempotent call once and returns the same response through another instance', async () => {
     const order = { orderId: 'o-1' };
     const first = valueOf(
