Take only replicas that requests can be sent to from the directory

Cause: the id of an entry is its key, which was not checked, and goes into a header on which the HTTP library throws. A port out of range became port 80 on the way. Change: replicaFault states which replicas a request can be sent to. It is asked where entries are decoded and where views of other instances, perhaps of an earlier release, are received. Rejected entries are logged once and are in the dump.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -8,6 +8,7 @@
 export * from './online/response-head.js';
 export * from './routing/fleet-source.js';
 export * from './routing/fleet-view.js';
+export * from './routing/replica-check.js';
 export * from './routing/route-table.js';
 export type { ServingAdapters } from './serving-container.js';
 export * from './serving-instance.js';
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -1,11 +1,11 @@
-import type { LineWriter, RoutingConfiguration } from '@fighub/core';
+import type { LineWriter, ReplicaRecord, RoutingConfiguration } from '@fighub/core';
 import { DecisionLog, ManualClock, Metrics, fail, ok } from '@fighub/core';
 import { StoreErrorKind } from '@fighub/outside';
 import type { FleetViewBody, MembershipRunner, PeerNode } from '@fighub/peers';
 import { describe, expect, it } from 'vitest';
 
 import { BacklogView } from '../batch/backlog-view.js';
-import type { FleetSource } from './fleet-source.js';
+import type { FleetSource, RejectedEntry } from './fleet-source.js';
 import { FleetView } from './fleet-view.js';
 import { FleetViewUpdater } from './fleet-view-updater.js';
 
@@ -17,6 +17,18 @@
   return { version, routes: [], services: [], limits };
 }
 
+function replica(replicaId: string, address = '10.0.0.1:80'): ReplicaRecord {
+  return {
+    replicaId,
+    service: 's',
+    address,
+    failureDomain: 'd',
+    softwareVersion: 'v1',
+    slots: 8,
+    leaving: false,
+  };
+}
+
 function memberOf(instanceId: string) {
   return { instanceId, failureDomain: 'd', peerAddress: instanceId, schedules: true };
 }
@@ -24,7 +36,12 @@
 function setup(isRelay = false, memberIds: readonly string[] = [], selfId = 'self') {
   const clock = new ManualClock();
   const metrics = new Metrics();
-  const store: { isUp: boolean; current?: RoutingConfiguration } = { isUp: false };
+  const store: {
+    isUp: boolean;
+    current?: RoutingConfiguration;
+    replicas?: ReplicaRecord[];
+    rejected?: RejectedEntry[];
+  } = { isUp: false };
   const newestReads: number[] = [];
   const source: FleetSource = {
     nextConfiguration: (revision) =>
@@ -38,7 +55,7 @@
     readDirectory: () =>
       Promise.resolve(
         store.isUp
-          ? ok({ revision: 1, replicas: [] })
+          ? ok({ revision: 1, replicas: store.replicas ?? [], rejected: store.rejected ?? [] })
           : fail({ kind: StoreErrorKind.unavailable, detail: 'down' }),
       ),
   };
@@ -49,8 +66,9 @@
     onRequest: () => undefined,
     notifyAll: () => (pushes.count += 1),
   } as unknown as PeerNode;
+  const view = new FleetView();
   const updater = new FleetViewUpdater(
-    new FleetView(),
+    view,
     source,
     node,
     () =>
@@ -63,13 +81,13 @@
     new BacklogView(clock),
     ({ monotonicMs }) => newestReads.push(monotonicMs),
   );
-  const push = (ageMs: number, configurationVersion = 0): void =>
+  const push = (ageMs: number, configurationVersion = 0, replicas: ReplicaRecord[] = []): void =>
     handlers.get('view.pushed')?.({
       configurationVersion,
-      directory: { revision: 1, replicas: [] },
+      directory: { revision: 1, replicas },
       ageMs,
     });
-  return { clock, updater, push, pushes, store, newestReads };
+  return { view, metrics, clock, updater, push, pushes, store, newestReads };
 }
 
 describe('FleetViewUpdater', () => {
@@ -166,4 +184,32 @@
     clock.advance(1_000);
     expect(updater.mayRefuseForGood).toBe(false);
   });
+
+  // Guards against replicas that a relay of an earlier release has not checked, on which sending throws.
+  it('uses no replica that a relay passes on if no request can be sent to it', () => {
+    const { view, push } = setup();
+    push(100, 0, [
+      replica('r1'),
+      replica('z\u00e1loha \u010d. 1'),
+      replica('r2', '10.0.0.1:70000'),
+      replica(''),
+    ]);
+    expect(view.replicas.replicas.map(({ replicaId }) => replicaId)).toEqual(['r1']);
+  });
+
+  it('logs an entry that it rejects once, as long as the reason stays the same', async () => {
+    const { clock, updater, store, metrics } = setup();
+    const readOnce = async (): Promise<number> => {
+      clock.advance(600);
+      updater.run(clock.monotonicMs());
+      await new Promise((resolve) => setImmediate(resolve));
+      return metrics.value('decision_replica_entry_rejected');
+    };
+    store.isUp = true;
+    store.rejected = [{ key: 'servers/a', reason: 'x' }];
+    expect(await readOnce()).toBe(1);
+    expect(await readOnce()).toBe(1);
+    store.rejected = [{ key: 'servers/a', reason: 'y' }];
+    expect(await readOnce()).toBe(2);
+  });
 });
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -16,10 +16,11 @@
 import type { FleetViewBody, MembershipRunner, PeerNode, PiggybackSource, TableDigest } from '@fighub/peers';
 
 import type { BacklogView } from '../batch/backlog-view.js';
-import type { FleetSource } from './fleet-source.js';
+import type { FleetSource, RejectedEntry } from './fleet-source.js';
 import type { FleetView } from './fleet-view.js';
 import { AnnouncementSource, recordAnnouncement } from './leaving-announcements.js';
 import { ObservationSource, observationsBody, recordObservations } from './observation-exchange.js';
+import { replicaFault } from './replica-check.js';
 
 /** The directory is read this often: the hosting platform requires that changes take effect within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
@@ -53,6 +54,8 @@
   readonly name = 'fleet view updater';
   readonly busy = false;
   private readonly directory = new ReplicaDirectory();
+  /** Reasons of the entries that the last read has rejected, by key. */
+  private rejectedEntries: ReadonlyMap<string, string> = new Map();
   /** When this instance began its last successful read of the directory. */
   private storeReadAtMs = Number.NEGATIVE_INFINITY;
   /** When the newest view that a relay pushed was read from the store. */
@@ -167,6 +170,7 @@
       directoryRevision: this.view.replicas.revision,
       replicas: this.view.replicas.replicas,
       leavingReplicaIds: this.view.leavingReplicaIds,
+      rejectedEntries: Object.fromEntries(this.rejectedEntries),
       ...observationsBody(this.view, this.clock.monotonicMs()),
     };
   }
@@ -248,7 +252,9 @@
     }
     this.storeReadAtMs = requestedAtMs;
     this.nextPushMs = 0;
-    this.directory.apply(reading.value, this.clock.monotonicMs());
+    const { revision, replicas, rejected } = reading.value;
+    this.logRejectedEntries(rejected);
+    this.directory.apply({ revision, replicas }, this.clock.monotonicMs());
     this.applyDirectoryFrom(this.directory.snapshot, 'store', requestedAtMs);
   }
 
@@ -264,6 +270,14 @@
     this.log.record(LogCategory.failure, 'configuration_rejected', { detail, inForce: configurationVersion });
   }
 
+  /** Logs an entry when a read rejects it first, or for another reason than the read before. */
+  private logRejectedEntries(rejected: readonly RejectedEntry[]): void {
+    rejected
+      .filter(({ key, reason }) => this.rejectedEntries.get(key) !== reason)
+      .forEach((entry) => this.log.record(LogCategory.failure, 'replica_entry_rejected', { ...entry }));
+    this.rejectedEntries = new Map(rejected.map(({ key, reason }) => [key, reason]));
+  }
+
   /** Applies a configuration if it is newer than the one in force. `from` names its source in the log. */
   applyConfigurationFrom(configuration: FleetViewBody['configuration'], from: string): void {
     if (!configuration || !this.view.applyConfiguration(configuration)) return;
@@ -278,10 +292,13 @@
     });
   }
 
+  /** An instance of an earlier release passes on replicas that no request can be sent to. */
   private applyReceivedDirectory({ directory, ageMs }: FleetViewBody, from: string): void {
     const readAtMs = this.clock.monotonicMs() - ageMs;
-    this.directory.applyFromPeer(directory, readAtMs);
-    this.applyDirectoryFrom(directory, from, readAtMs);
+    const replicas = directory.replicas.filter((replica) => replicaFault(replica) === undefined);
+    const usable = { revision: directory.revision, replicas };
+    this.directory.applyFromPeer(usable, readAtMs);
+    this.applyDirectoryFrom(usable, from, readAtMs);
   }
 
   private applyDirectoryFrom(directory: FleetViewBody['directory'], from: string, readAtMs: number): void {
