End a call that cannot be sent instead of throwing

Cause: the HTTP library throws on such texts, so that the transport, whose interface says that it never rejects, did. Change: the transport checks the texts of a call, catches what the library throws, and ends the call as unsendable: nothing was sent, it says nothing about the replica, and no other replica is tried. An item that an earlier release has accepted is kept until its time to abandon, and takes no slot. Relays tell holders of an earlier release that the call was cancelled.

--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -265,6 +265,8 @@
   readonly detail: string;
   /** Whether the relay could not connect to the replica; omitted if not. */
   readonly unreachable?: boolean;
+  /** Whether the request cannot be expressed in the protocol; omitted if not. An earlier release reads `kind` only. */
+  readonly unsendable?: boolean;
 }
 
 /** A part of the response to a relayed call. Each notice has one of the optional fields. */
--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -24,6 +24,7 @@
   UpstreamTransport,
 } from '../online/forwarding.js';
 import { ENDLESS_RESPONSE, MISDIRECTED_STATUS, UpstreamEndKind, endOfStream } from '../online/forwarding.js';
+import { requestFault } from '../online/request-check.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 
@@ -41,6 +42,8 @@
   configurationBehind: 'configuration_behind',
   /** The output is larger than a stored value may be. */
   tooLarge: 'too_large',
+  /** Nothing was sent, since the protocol cannot express the item. Its job was accepted by an earlier release. */
+  unsendable: 'unsendable',
   /** Nothing was sent, since requests with a part of the item's prompt have crashed replicas. */
   blocked: 'blocked',
   /** The run was stopped, refused or cut short. A later run resumes after the last received event. */
@@ -126,6 +129,9 @@
   const routing = itemRouting(route !== undefined, configuration, request.heldJob);
   if (routing === ItemRouting.wait) return { end: ItemRunOutcome.configurationBehind, givenWay: false };
   if (!route) return { end: ItemRunOutcome.noRoute, givenWay: false };
+  const { host, item } = request;
+  if (requestFault({ ...item, requestId: item.itemId, host }) !== undefined)
+    return { end: ItemRunOutcome.unsendable, givenWay: false };
   if (isPromptBlocked(request.item, dependencies)) return { end: ItemRunOutcome.blocked, givenWay: false };
   const slot = await acquireSlot(request, route, dependencies, stop);
   if (!slot.ok && slot.error.code === 'prompt_crashes_upstream')
@@ -312,6 +318,7 @@
   if (verdict === ItemRunOutcome.done) return AttemptEnd.completed;
   if (end.pathsLost) return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
+  if (end.kind === UpstreamEndKind.unsendable) return AttemptEnd.cancelled;
   if (brokenByReplica && end.kind === UpstreamEndKind.broken) return AttemptEnd.broken;
   return end.kind === UpstreamEndKind.unusable ? AttemptEnd.unusable : AttemptEnd.cancelled;
 }
--- a/packages/serving/src/batch/running-job.test.ts
+++ b/packages/serving/src/batch/running-job.test.ts
@@ -22,6 +22,7 @@
   outputs: readonly string[],
   send: Send = respondWith(outputs),
   changes: Partial<JobProgress> = {},
+  headersOf: (index: number) => [string, string][] = () => [],
 ) {
   const clock = new SystemClock();
   const metrics = new Metrics();
@@ -81,7 +82,7 @@
   const items = outputs.map((_, index) => ({
     itemId: String(index),
     target: '/t',
-    headers: [],
+    headers: headersOf(index),
     bodyBase64: '',
     tokens: 1,
   }));
@@ -197,6 +198,29 @@
     });
   });
 
+  // Guards against an item that no replica can be sent, in a job that an earlier release has accepted.
+  it('keeps an item that cannot be sent until its time to abandon, and runs the others', async () => {
+    const { job, store, clock, metrics } = await newJob(
+      ['first', 'second'],
+      undefined,
+      { abandonAtUnixMs: Date.now() + 2_500 },
+      (index) => (index === 0 ? [['District', 'Lu\u010denec']] : []),
+    );
+    const results = (): unknown[] => {
+      job.run(clock.monotonicMs());
+      void writeTogether(store, job.takeWrites(clock.monotonicMs()));
+      return job.results(0).results.map(({ itemId, succeeded }) => [itemId, succeeded]);
+    };
+    await vi.waitFor(() => expect(results()).toEqual([['1', true]]), { timeout: 2_000 });
+    expect(metrics.value('batch_items_unsendable')).toBe(1);
+    const all = [
+      ['1', true],
+      ['0', false],
+    ];
+    await vi.waitFor(() => expect(results()).toEqual(all), { timeout: 10_000 });
+    expect(metrics.value('batch_items_unsendable')).toBe(1);
+  });
+
   // Guards against one item whose run throws ending the process, with the other items and jobs there.
   it('goes on with its other items when the run of one throws', async () => {
     const respond = respondWith(['first', 'second']);
--- a/packages/serving/src/batch/running-job.ts
+++ b/packages/serving/src/batch/running-job.ts
@@ -26,6 +26,7 @@
 
 import type { ItemOutput, ItemRunDependencies, ItemRunResult } from './item-run.js';
 import { ItemRunOutcome, MAX_OUTPUT_BYTES, jsonBytes, runItem } from './item-run.js';
+import { requestFault } from '../online/request-check.js';
 import type { JobCheckpoint } from './job-checkpoint.js';
 import type { JobWrite, JobWriteOutcome } from './job-writes.js';
 import { writeTogether } from './job-writes.js';
@@ -290,6 +291,7 @@
     else if (end === ItemRunOutcome.tooLarge) this.giveUp(entry, TOO_LARGE);
     else if (end === ItemRunOutcome.failed) this.onFailure(entry);
     else if (end === ItemRunOutcome.blocked) this.onBlocked(entry);
+    else if (end === ItemRunOutcome.unsendable) this.onUnsendable(entry);
     else if (end === ItemRunOutcome.configurationBehind) this.onConfigurationBehind(entry);
     else {
       if (brokenReplicaId !== undefined) {
@@ -314,6 +316,18 @@
     if (entry.failedAttempts >= this.record.value.maxAttempts) this.giveUp(entry, ItemRunOutcome.failed);
   }
 
+  /** The item is never run, and may not be given up before its time. Its job was accepted by an earlier release. */
+  private onUnsendable(entry: OpenItem): void {
+    const { itemId, target, headers } = entry.item;
+    entry.retryAtMs = Number.POSITIVE_INFINITY;
+    this.metrics.count('batch_items_unsendable');
+    this.log.record(LogCategory.failure, 'item_unsendable', {
+      jobId: this.jobId,
+      itemId,
+      detail: requestFault({ requestId: itemId, target, headers, host: this.record.value.host }),
+    });
+  }
+
   /** The wait ends with a newer configuration, with another holder, or with the job. */
   private onConfigurationBehind(entry: OpenItem): void {
     entry.retryAtMs = this.clock.monotonicMs() + INTERRUPTED_RETRY_DELAY_MS;
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -5,6 +5,7 @@
 export * from './online/buffer-budget.js';
 export * from './online/forward-runner.js';
 export * from './online/forwarding.js';
+export * from './online/request-check.js';
 export * from './online/response-head.js';
 export * from './routing/fleet-source.js';
 export * from './routing/fleet-view.js';
--- a/packages/serving/src/online/attempt-end.ts
+++ b/packages/serving/src/online/attempt-end.ts
@@ -10,7 +10,8 @@
 export function attemptEndOf(end: UpstreamEnd, reportedNotRun: boolean, status: number): AttemptEnd {
   if (end.pathsLost) return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.notConnected) return AttemptEnd.refused;
-  if (end.kind === UpstreamEndKind.cancelled) return AttemptEnd.cancelled;
+  if (end.kind === UpstreamEndKind.cancelled || end.kind === UpstreamEndKind.unsendable)
+    return AttemptEnd.cancelled;
   if (end.kind === UpstreamEndKind.broken) return AttemptEnd.broken;
   if (end.kind === UpstreamEndKind.unusable) return AttemptEnd.unusable;
   if (reportedNotRun) return status === MISDIRECTED_STATUS ? AttemptEnd.refused : AttemptEnd.cancelled;
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -28,7 +28,7 @@
 import { pickBackend } from './backend-choice.js';
 import type { CopyDelays } from './copy-delays.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
-import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream } from './forwarding.js';
+import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream, wasNotSent } from './forwarding.js';
 import { requestDigest } from './request-digest.js';
 import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
@@ -68,6 +68,8 @@
   /** Whether the response was passed on to the caller as a whole. */
   readonly delivered: boolean;
   readonly evidence: SendEvidence;
+  /** Whether the request cannot be expressed in the protocol, so that no other replica can get it either. */
+  readonly isUnsendable: boolean;
   readonly detail: string;
 }
 
@@ -232,6 +234,8 @@
     this.excluded.push(...results.map(({ replicaId }) => replicaId));
     const hasRun = results.some(({ evidence }) => evidence === SendEvidence.mayHaveRun);
     const detail = results.map((result) => result.detail).join('; ');
+    if (results.some(({ isUnsendable }) => isUnsendable))
+      return this.finishWithProblem(notRun('bad_request', detail), 'unsendable');
     return this.afterAttempt(hasRun ? SendEvidence.mayHaveRun : SendEvidence.notRun, detail);
   }
 
@@ -327,8 +331,7 @@
       throw sent.thrown.error;
     }
     const end = attempt.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, attempt.isInsideEvent);
-    const evidence =
-      attempt.reportedNotRun || end.kind === UpstreamEndKind.notConnected ? 'not_run' : 'may_have_run';
+    const evidence = attempt.reportedNotRun || wasNotSent(end) ? 'not_run' : 'may_have_run';
     if (evidence === SendEvidence.mayHaveRun) this.runs += 1;
     // A request that was blocked while it connected says nothing about the replica.
     const wasBlocked = end.kind === UpstreamEndKind.notConnected && this.isPromptBlocked();
@@ -341,7 +344,8 @@
     this.logAttempt(slot, end, attempt, evidence, { sentAtMs, resumeAfter, expectedOrigin, isCopy });
     const delivered = this.deliver(end, attempt);
     const detail = end.detail || `status ${String(attempt.status)}`;
-    return { replicaId: slot.replicaId, delivered, evidence, detail };
+    const isUnsendable = end.kind === UpstreamEndKind.unsendable;
+    return { replicaId: slot.replicaId, delivered, evidence, isUnsendable, detail };
   }
 
   /** Passes a complete response on, as far as that has not happened yet. Returns whether the caller has the whole response. */
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -123,6 +123,8 @@
   notConnected: 'not_connected',
   /** The connection broke, or a stream ended inside an event. */
   broken: 'broken',
+  /** Nothing was sent, because the request cannot be expressed in the protocol. It would be the same at any replica. */
+  unsendable: 'unsendable',
   /** The response was not for this request, or does not end. */
   unusable: 'unusable',
   /** The call was aborted through its signal. */
@@ -156,6 +158,17 @@
 /** HTTP 421: the process at this address is not the intended replica, so it did not run the request. */
 export const MISDIRECTED_STATUS = 421;
 
+/** Kinds of ends of calls of which nothing was sent. */
+const NOT_SENT_KINDS: ReadonlySet<UpstreamEndKind> = new Set([
+  UpstreamEndKind.notConnected,
+  UpstreamEndKind.unsendable,
+]);
+
+/** Whether nothing of the request was sent, so that no replica can have run it. */
+export function wasNotSent({ kind }: UpstreamEnd): boolean {
+  return NOT_SENT_KINDS.has(kind);
+}
+
 /** The end of a call that was aborted because the response exceeds what a replica's response may hold. */
 export const ENDLESS_RESPONSE: UpstreamEnd = {
   kind: UpstreamEndKind.unusable,
--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -2,9 +2,9 @@
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
 import { LogCategory, errorFields, sleep } from '@fighub/core';
 import type { RelayState } from '@fighub/decisions';
-import type { MembershipRunner, PeerNode, RelayCallBody, RelayPartBody } from '@fighub/peers';
+import type { MembershipRunner, PeerNode, RelayCallBody, RelayPartBody, RelayedEnd } from '@fighub/peers';
 
-import type { UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
+import type { UpstreamEnd, UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
 import { UpstreamEndKind } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
@@ -145,9 +145,7 @@
       this,
       this.cancelled.signal,
     );
-    this.send({
-      end: { kind: end.kind, detail: end.detail, ...(end.unreachable ? { unreachable: true } : {}) },
-    });
+    this.send({ end: toRelayedEnd(end) });
     const failed = end.kind !== UpstreamEndKind.complete;
     log.record(failed ? LogCategory.failure : LogCategory.routine, 'relayed_for_instance', {
       requestId,
@@ -215,3 +213,10 @@
     this.sentParts += 1;
   }
 }
+
+/** A holder of an earlier release does not know of requests that cannot be sent, and takes them for cancelled ones. */
+function toRelayedEnd({ kind, detail, unreachable }: UpstreamEnd): RelayedEnd {
+  if (kind === UpstreamEndKind.unsendable)
+    return { kind: UpstreamEndKind.cancelled, detail, unsendable: true };
+  return { kind, detail, ...(unreachable ? { unreachable: true } : {}) };
+}
