Refuse organisations whose names cannot be sent to replicas

Cause: the name goes to replicas in a header, which cannot hold it. A name with blanks at its ends arrives as another one. Change: requests and submissions of such an organisation are refused as not run. Replicas keep organisations apart by the name, so that none is sent without it. The configuration stays in force for the others, and fighub-check reports the name as an error.

--- a/packages/core/src/problem.ts
+++ b/packages/core/src/problem.ts
@@ -38,12 +38,13 @@
   upstream_failed: 502,
   deadline_passed: 504,
   prompt_crashes_upstream: 500,
+  organisation_unsendable: 500,
   internal: 500,
 } as const;
 export type ProblemCode = keyof typeof ProblemStatus;
 
 /** Codes of requests that would be refused again if their callers sent them again. */
-const FINAL_CODES: ReadonlySet<ProblemCode> = new Set(['prompt_crashes_upstream']);
+const FINAL_CODES: ReadonlySet<ProblemCode> = new Set(['prompt_crashes_upstream', 'organisation_unsendable']);
 
 /** Whether the caller must not be told to come back. */
 export function isFinal(code: ProblemCode): boolean {
--- a/packages/decisions/src/configuration-findings.ts
+++ b/packages/decisions/src/configuration-findings.ts
@@ -1,6 +1,6 @@
 /** Finds what is wrong with a routing configuration although it can be read. Answers mistakes before they reach callers. */
 import type { Organisation, Route, RoutingConfiguration } from '@fighub/core';
-import { RouteKind } from '@fighub/core';
+import { RouteKind, isExactHeaderValue } from '@fighub/core';
 
 /** How much a finding matters. The values appear in the output of tools. */
 export const FindingSeverity = {
@@ -66,7 +66,10 @@
       about(ConfigurationSection.services, index, name, usesOf(name, routes)),
     ),
     ...organisations.flatMap((organisation, index) =>
-      about(ConfigurationSection.organisations, index, organisation.name, quotasOf(organisation)),
+      about(ConfigurationSection.organisations, index, organisation.name, [
+        ...nameOf(organisation),
+        ...quotasOf(organisation),
+      ]),
     ),
     ...about(ConfigurationSection.limits, 0, 'limits', [
       ...limitsOf(configuration),
@@ -75,6 +78,13 @@
   ];
 }
 
+function nameOf({ name }: Organisation): Remark[] {
+  return remarkIf(
+    !isExactHeaderValue(name),
+    error('its requests are refused: replicas get the name in a header, which cannot hold this one'),
+  );
+}
+
 function about(
   section: ConfigurationSection,
   index: number,
