--- a/packages/outside/src/instance-list.ts
+++ b/packages/outside/src/instance-list.ts
@@ -2,8 +2,9 @@
 import type { Agent } from 'node:http';
 
 import type { Outcome } from '@fighub/core';
-import { fail, ok } from '@fighub/core';
+import { fail, ok, splitAddress } from '@fighub/core';
 import got from 'got';
+import { z } from 'zod';
 
 import { ResetReportingAgent } from './connection-reset.js';
 
@@ -22,9 +23,25 @@
   readonly state: ListedState;
 }
 
+/**
+ * Schema of an entry of the list, which other writers may have written too. Fields of newer releases are dropped.
+ */
+export const listedInstanceSchema: z.ZodType<ListedInstance> = z
+  .object({
+    instanceId: z.string().min(1),
+    kind: z.enum(['entry', 'upstream']),
+    failureDomain: z.string(),
+    address: z.string().min(1),
+    state: z.enum(Object.values(ListedState)),
+  })
+  .refine(({ kind, address }) => kind === 'upstream' || splitAddress(address).port > 0, {
+    path: ['address'],
+    message: 'expected a host and a port',
+  });
+
 /** Access to the list. Errors are returned as text. */
 export interface InstanceList {
-  /** Reads the whole list. */
+  /** Reads the whole list. Entries that name no instance are left out. */
   read(): Promise<Outcome<ListedInstance[], string>>;
   /** Registers an instance, or replaces its entry when it is registered already. */
   announce(instance: ListedInstance): Promise<Outcome<void, string>>;
@@ -44,8 +61,8 @@
 
   async read(): Promise<Outcome<ListedInstance[], string>> {
     try {
-      const body = await got(`${this.address}/instances`, this.options()).json<ListedInstance[]>();
-      return ok(body);
+      const body = z.array(z.unknown()).parse(await got(`${this.address}/instances`, this.options()).json());
+      return ok(body.flatMap((entry) => listedInstanceSchema.safeParse(entry).data ?? []));
     } catch (error) {
       return fail(String(error));
     }
