Leave out malformed records, so that batch jobs are still listed

What callers saw: nothing in a case; by the tests, one malformed record among those of batch jobs ended coordinators, or ended that any job ran. Cause: as with the entries of instances: records were parsed and used without a check, and one that throws ends the whole listing. Change: the client of the store leaves malformed records out of listings and reports a single one as unavailable; listings of jobs leave out values that are no progress. Counters: store_records_malformed, job_records_malformed.

--- a/packages/core/src/batch-jobs.ts
+++ b/packages/core/src/batch-jobs.ts
@@ -94,3 +94,19 @@
   segment: (jobId: string, epoch: number, sequence: number): string =>
     `results/${jobId}/${String(epoch)}-${String(sequence)}`,
 } as const;
+
+/** Whether a stored value has the fields of a job's progress that every holder relies on. */
+export function isJobProgress(value: unknown): value is JobProgress {
+  const progress = value as Partial<JobProgress> | null;
+  return (
+    typeof progress === 'object' &&
+    typeof progress?.jobId === 'string' &&
+    typeof progress.holder === 'string' &&
+    typeof progress.epoch === 'number' &&
+    typeof progress.sequence === 'number' &&
+    typeof progress.itemCount === 'number' &&
+    Array.isArray(progress.finishedIndexes) &&
+    Array.isArray(progress.failures) &&
+    Array.isArray(progress.segments)
+  );
+}
--- a/packages/outside/src/record-store.ts
+++ b/packages/outside/src/record-store.ts
@@ -17,6 +17,7 @@
 } from './key-value-service.js';
 import { StoreErrorKind } from './key-value-service.js';
 import { CallBudget } from './call-budget.js';
+import { parseJson } from './json.js';
 
 /** A record with the revision that identifies this version of it. */
 export interface Versioned<T> {
@@ -98,36 +99,59 @@
     this.writes = new CallBudget(options.writesPerSecond, clock);
   }
 
-  /** Reads one record; the value is undefined when it is absent. Concurrent reads of a key share one call. */
+  /**
+   * Reads one record; the value is undefined when it is absent. Concurrent reads of a key share one call. Fails as `unavailable` when the
+   * record is malformed.
+   */
   async read<T>(key: string): Promise<Outcome<Versioned<T> | undefined, StoreError>> {
     const shared = this.pendingReads.get(key) ?? this.startRead(key);
     const outcome = await shared;
     if (!outcome.ok) return outcome;
-    return ok(outcome.value && toVersioned<T>(outcome.value));
+    if (!outcome.value) return ok(undefined);
+    const record = parseRecord<T>(outcome.value);
+    if (record) return ok(record);
+    this.metrics.count('store_records_malformed');
+    return fail({ kind: StoreErrorKind.unavailable, detail: `the record ${key} is malformed` });
   }
 
-  /** Reads at most `limit` records whose key starts with `prefix` and follows `afterKey`, in key order. */
+  /**
+   * Reads at most `limit` records whose key starts with `prefix` and follows `afterKey`, in key order. Those whose value is malformed are
+   * left out.
+   */
   async list<T>(
     prefix: string,
     limit: number,
     afterKey?: string,
   ): Promise<Outcome<Versioned<T>[], StoreError>> {
-    const outcome = await this.callService('reads', this.reads, () =>
-      this.service.list(prefix, limit, afterKey),
-    );
-    return outcome.ok ? ok(outcome.value.map((entry) => toVersioned<T>(entry))) : outcome;
+    const page = await this.listEntries(prefix, limit, afterKey);
+    return page.ok ? ok(this.toRecords<T>(page.value)) : page;
   }
 
-  /** Reads all records whose key starts with `prefix`, in pages of `pageSize` records. */
+  /** Reads all records whose key starts with `prefix`, in pages of `pageSize` records. Malformed ones are left out. */
   async listAll<T>(prefix: string, pageSize: number): Promise<Outcome<Versioned<T>[], StoreError>> {
-    const collected: Versioned<T>[] = [];
-    let page = await this.list<T>(prefix, pageSize);
+    const collected: KeyValueEntry[] = [];
+    let page = await this.listEntries(prefix, pageSize);
     while (page.ok && page.value.length > 0) {
       collected.push(...page.value);
       if (page.value.length < pageSize) break;
-      page = await this.list<T>(prefix, pageSize, page.value[page.value.length - 1]?.key);
+      page = await this.listEntries(prefix, pageSize, page.value[page.value.length - 1]?.key);
     }
-    return page.ok ? ok(collected) : page;
+    return page.ok ? ok(this.toRecords<T>(collected)) : page;
+  }
+
+  private listEntries(
+    prefix: string,
+    limit: number,
+    afterKey?: string,
+  ): Promise<Outcome<KeyValueEntry[], StoreError>> {
+    return this.callService('reads', this.reads, () => this.service.list(prefix, limit, afterKey));
+  }
+
+  private toRecords<T>(entries: readonly KeyValueEntry[]): Versioned<T>[] {
+    const records = entries.flatMap((entry) => parseRecord<T>(entry) ?? []);
+    if (records.length < entries.length)
+      this.metrics.count('store_records_malformed', entries.length - records.length);
+    return records;
   }
 
   /**
@@ -341,6 +365,15 @@
   return versioned;
 }
 
+/** The record of an entry; undefined if another writer has left a value there that is none. */
+function parseRecord<T>(entry: KeyValueEntry): Versioned<T> | undefined {
+  const envelope = parseJson(entry.value) as Partial<Envelope<T>> | null | undefined;
+  if (!Array.isArray(envelope?.writeIds) || envelope.value === undefined) return undefined;
+  const versioned = { key: entry.key, revision: entry.revision, value: envelope.value };
+  writeIdsOf.set(versioned, envelope.writeIds as readonly string[]);
+  return versioned;
+}
+
 function toWrittenRecords(
   changes: readonly RecordChange[],
   encoded: readonly KeyChange[],
--- a/packages/serving/src/batch/job-acceptance.ts
+++ b/packages/serving/src/batch/job-acceptance.ts
@@ -12,7 +12,7 @@
   Route,
   StoredItem,
 } from '@fighub/core';
-import { LogCategory, batchJobKeys, fail, mayHaveRun, notRun, ok } from '@fighub/core';
+import { LogCategory, batchJobKeys, fail, isJobProgress, mayHaveRun, notRun, ok } from '@fighub/core';
 import { backlogName, coordinatorFor, isCertainlyWithinLimit } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { RecordChange, RecordStore } from '@fighub/outside';
@@ -109,7 +109,7 @@
     const requestedAtMs = this.clock.monotonicMs();
     const listed = await this.store.listAll<JobProgress>(batchJobKeys.progressPrefix, PROGRESS_PAGE_RECORDS);
     if (!listed.ok) return fail(notRun('store_unavailable', listed.error.detail, STORE_RETRY_MS));
-    const jobs = listed.value.map((record) => record.value);
+    const jobs = listed.value.map((record) => record.value).filter(isJobProgress);
     this.backlog.onListed(jobs, requestedAtMs);
     const known = jobs.find((job) => job.jobId === submission.jobId);
     if (known) return resent(known, submission);
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -14,6 +14,7 @@
   batchJobKeys,
   errorFields,
   haveSamePrefix,
+  isJobProgress,
   isFatalError,
 } from '@fighub/core';
 import { claimJob, coordinatorFor, isClosed, shouldClaim } from '@fighub/decisions';
@@ -207,7 +208,9 @@
     }
     this.listedAtMs = requestedAtMs;
     this.listFailedAtMs = undefined;
-    const jobs = listed.value.map((record) => record.value);
+    const jobs = listed.value.map((record) => record.value).filter(isJobProgress);
+    if (jobs.length < listed.value.length)
+      this.metrics.count('job_records_malformed', listed.value.length - jobs.length);
     this.backlog.onListed(jobs, requestedAtMs);
     jobs.forEach((progress) => this.guard(progress.jobId, () => this.evaluateListed(progress)));
   }
