Infer where a stream began only from a directory read after its request

Cause: where no instance had kept the origin of a stream, a directory of up to 1.5 s of age was taken for complete, and views that were held up on the way, or a suspended machine, made it look younger. A version that had just joined was missing from it. Change: the inference needs a reading of the store that this instance has begun after the request arrived; it is made only if it could help, at most every 100 ms. Gaps in the readings are found by both clocks.

--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -44,6 +44,9 @@
 /** The origin of a stream is kept for this long after its caller's deadline, since clocks and messages vary. */
 const ORIGIN_MARGIN_MS = 2_000;
 
+/** A stream of unknown origin is refused if the directory was not read by then, so that its caller can try another instance. */
+const DIRECTORY_READ_TIMEOUT_MS = 250;
+
 /** Components that the forwarding of requests uses. */
 export interface ForwardDependencies {
   readonly view: FleetView;
@@ -51,6 +54,8 @@
   readonly transport: UpstreamTransport;
   readonly origins: StreamOriginExchange;
   readonly leavingAnnouncements: LeavingAnnouncements;
+  /** Reads the directory from the store; resolves after the reading, whether or not it has succeeded, or after the time limit. */
+  readonly readDirectoryNow: (timeoutMs: number) => Promise<void>;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: DecisionLog;
@@ -144,10 +149,10 @@
   private async findOrigin(): Promise<boolean> {
     const { resumeAfter, resumedRequestId } = this.request;
     if (this.route.kind !== RouteKind.streaming || resumeAfter === undefined) return true;
-    const { origins, view, clock } = this.dependencies;
+    const { origins, view } = this.dependencies;
     const { requestDigest } = this;
     const known = await origins.find({ requestId: resumedRequestId, requestDigest });
-    const origin = known ?? view.originHistory.soleOrigin(this.route, clock.monotonicMs());
+    const origin = known ?? (await this.findSoleOrigin());
     if (!origin) return this.refuseToResume('it is not known where the stream began', 'origin_unknown');
     const isRouted = this.route.backends.some(
       ({ service, weight }) => service === origin.service && weight > 0,
@@ -159,6 +164,15 @@
     return true;
   }
 
+  /** Where the stream began if all streams began there, as a reading of the directory after its arrival shows. */
+  private async findSoleOrigin(): Promise<StreamOrigin | undefined> {
+    const { originHistory } = this.dependencies.view;
+    const askedAtMs = this.dependencies.clock.monotonicMs();
+    if (!originHistory.likelySoleOrigin(this.route, askedAtMs)) return undefined;
+    await this.dependencies.readDirectoryNow(DIRECTORY_READ_TIMEOUT_MS);
+    return originHistory.soleOrigin(this.route, askedAtMs);
+  }
+
   private refuseToResume(detail: string, reason: string): false {
     return this.finishWithProblem(notRun('no_upstream', detail), reason);
   }
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -38,11 +38,13 @@
   const metrics = new Metrics();
   const store: {
     isUp: boolean;
+    isSilent?: boolean;
     current?: RoutingConfiguration;
     replicas?: ReplicaRecord[];
     rejected?: RejectedEntry[];
   } = { isUp: false };
   const newestReads: number[] = [];
+  const directoryReads = { count: 0 };
   const source: FleetSource = {
     nextConfiguration: (revision) =>
       revision === 0 && store.isUp
@@ -52,12 +54,15 @@
       store.current
         ? Promise.resolve(ok({ revision: 5, configuration: store.current }))
         : new Promise(() => undefined),
-    readDirectory: () =>
-      Promise.resolve(
+    readDirectory: () => {
+      directoryReads.count += 1;
+      if (store.isSilent) return new Promise(() => undefined);
+      return Promise.resolve(
         store.isUp
           ? ok({ revision: 1, replicas: store.replicas ?? [], rejected: store.rejected ?? [] })
           : fail({ kind: StoreErrorKind.unavailable, detail: 'down' }),
-      ),
+      );
+    },
   };
   const handlers = new Map<string, (body: FleetViewBody) => void>();
   const pushes = { count: 0 };
@@ -87,7 +92,7 @@
       directory: { revision: 1, replicas },
       ageMs,
     });
-  return { view, metrics, clock, updater, push, pushes, store, newestReads };
+  return { view, metrics, directoryReads, clock, updater, push, pushes, store, newestReads };
 }
 
 describe('FleetViewUpdater', () => {
@@ -212,4 +217,21 @@
     store.rejected = [{ key: 'servers/a', reason: 'y' }];
     expect(await readOnce()).toBe(2);
   });
+
+  // Guards against a reading that was begun before a request, and may lack what was registered since, counting as one after it.
+  it('reads the directory for a request with a reading that is begun after it, once for all that wait', async () => {
+    const { updater, store, directoryReads, clock } = setup();
+    store.isUp = true;
+    updater.run(clock.monotonicMs());
+    expect(directoryReads.count).toBe(1);
+    await Promise.all([updater.readDirectoryNow(1_000), updater.readDirectoryNow(1_000)]);
+    expect(directoryReads.count).toBe(2);
+  });
+
+  it('keeps no request waiting for a store that does not respond', async () => {
+    const { updater, store } = setup();
+    store.isSilent = true;
+    await updater.readDirectoryNow(20);
+    expect(updater.ageMs).toBe(Number.POSITIVE_INFINITY);
+  });
 });
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -24,6 +24,8 @@
 
 /** The directory is read this often: the hosting platform requires that changes take effect within 2 s. */
 const DIRECTORY_PERIOD_MS = 500;
+/** Shortest time between two readings of the directory that requests wait for. */
+const MIN_DIRECTORY_PERIOD_MS = 100;
 /** A reading that is newer than the last one by less than this is the same one, received through another relay. */
 const SAME_READING_MS = DIRECTORY_PERIOD_MS / 2;
 /** Longest wait of one read for a newer configuration. */
@@ -64,7 +66,11 @@
   private pushReceivedAtMs = Number.NEGATIVE_INFINITY;
   private nextPushMs = 0;
   private nextDirectoryMs = 0;
-  private readingDirectory = false;
+  /** The reading of the directory that has begun and not ended. */
+  private directoryReading: Promise<void> | undefined;
+  private directoryBegunAtMs = Number.NEGATIVE_INFINITY;
+  /** The next reading of the directory, which requests wait for. */
+  private awaitedReading: Promise<void> | undefined;
   private readingConfiguration = false;
   private confirmingConfiguration = false;
   private nextConfirmationMs = Number.NEGATIVE_INFINITY;
@@ -146,6 +152,26 @@
       .finally(() => (this.confirmingConfiguration = false));
   }
 
+  /**
+   * Reads the directory from the store. Resolves when a reading that was begun after this call has been applied or has failed, or
+   * after `timeoutMs`.
+   */
+  async readDirectoryNow(timeoutMs: number): Promise<void> {
+    this.awaitedReading ??= this.readNext();
+    await Promise.race([this.awaitedReading, sleep(timeoutMs)]);
+  }
+
+  /** A reading that has begun before may lack what was registered since. */
+  private async readNext(): Promise<void> {
+    await this.directoryReading;
+    const waitMs = this.directoryBegunAtMs + MIN_DIRECTORY_PERIOD_MS - this.clock.monotonicMs();
+    if (waitMs > 0) await sleep(waitMs);
+    await this.directoryReading;
+    // Who asks from now on needs a later reading.
+    this.awaitedReading = undefined;
+    await this.beginDirectoryRead();
+  }
+
   /** The configuration version, which is exchanged with peers along with membership messages. */
   tableDigest(): TableDigest {
     return { revisions: [this.view.configurationVersion] };
@@ -202,12 +228,18 @@
   }
 
   private startDirectoryRead(nowMs: number): void {
-    if (this.readingDirectory || nowMs < this.nextDirectoryMs) return;
+    if (this.directoryReading || nowMs < this.nextDirectoryMs) return;
     this.nextDirectoryMs = nowMs + DIRECTORY_PERIOD_MS;
-    this.readingDirectory = true;
-    this.readDirectory()
+    void this.beginDirectoryRead();
+  }
+
+  private beginDirectoryRead(): Promise<void> {
+    this.directoryBegunAtMs = this.clock.monotonicMs();
+    const reading = this.readDirectory()
       .catch((error: unknown) => this.onReadError('directory', error))
-      .finally(() => (this.readingDirectory = false));
+      .finally(() => (this.directoryReading = undefined));
+    this.directoryReading = reading;
+    return reading;
   }
 
   /** The view before stays in force, and the next read is made as usual. */
@@ -302,7 +334,9 @@
   }
 
   private applyDirectoryFrom(directory: FleetViewBody['directory'], from: string, readAtMs: number): void {
-    this.view.originHistory.observeReplicas(directory.replicas, readAtMs);
+    const ageMs = this.clock.monotonicMs() - readAtMs;
+    const readAt = { monotonicMs: readAtMs, unixMs: this.clock.nowUnixMs() - ageMs };
+    this.view.originHistory.observeReplicas(directory.replicas, readAt, from === 'store');
     this.view.forgetLongGone(this.clock.monotonicMs());
     if (!this.view.applyDirectory(directory)) return;
     this.nextPushMs = 0;
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -367,6 +367,7 @@
     (get) =>
       new ForwardRunner({
         ...runDependencies(get),
+        readDirectoryNow: (timeoutMs) => get(Tokens.fleetViewUpdater).readDirectoryNow(timeoutMs),
         organisationUsage: get(Tokens.organisationUsage),
         responseBuffers: new BufferBudget(bufferBytes(get(Tokens.settings).memoryMb)),
         copyDelays: get(Tokens.settings).hedging.maxExtraFraction > 0 ? new CopyDelays() : undefined,
@@ -419,7 +420,7 @@
 
 function runDependencies(
   get: GetPart,
-): Omit<ForwardDependencies, 'copyDelays' | 'organisationUsage' | 'responseBuffers'> &
+): Omit<ForwardDependencies, 'copyDelays' | 'organisationUsage' | 'readDirectoryNow' | 'responseBuffers'> &
   Omit<ItemRunDependencies, 'confirmConfiguration'> {
   return {
     view: get(Tokens.view),
