Show the body of an item only when it is known whose job it is

What callers saw: by the source only (the review): on a host with an anonymous batch route, callers without a key could read bodies of an organisation's items for a time after the list of known jobs had been cleared. Cause: the organisation was compared only for jobs in that list, and items in memory were shown to callers without one. Change: items in memory are shown only for known jobs; for others the holder or the stored progress says whose job it is. Evidence: the test shows the body without this change, and passes with it. The stored items of another test now have all their fields, as each writer writes them.

--- a/packages/serving/src/batch/job-reader.test.ts
+++ b/packages/serving/src/batch/job-reader.test.ts
@@ -44,10 +44,11 @@
   } as unknown as PeerNode;
   const metrics = new Metrics();
   const standing = { mayRefuseForGood: true };
+  const inputs = new InputCache(store);
   const reader = new JobReader(
     () => 'self',
     store,
-    new InputCache(store),
+    inputs,
     () => members,
     node,
     () => NOT_HELD,
@@ -56,7 +57,7 @@
     metrics,
     new DecisionLog(DISCARDING_WRITER, new SystemClock(), metrics),
   );
-  return { store, reader, asked, metrics, standing };
+  return { store, inputs, reader, asked, metrics, standing };
 }
 
 describe('JobReader', () => {
@@ -110,6 +111,14 @@
     });
   });
 
+  // Guards against bodies of an organisation's items that are shown to callers without a key.
+  it('shows no body of a job whose organisation it does not know, though its items are in memory', async () => {
+    const { store, inputs, reader } = setup({ held: false });
+    await store.write(batchJobKeys.progress('j'), undefined, { ...PROGRESS, organisation: 'fox' });
+    inputs.put('j', [{ itemId: 'a', target: '/t', headers: [], bodyBase64: 'eA==', tokens: 1 }]);
+    expect(await reader.itemBody({ jobId: 'j' }, 'a')).toMatchObject({ error: { code: 'unknown_job' } });
+  });
+
   it('reads the body of an item from the holder, and from the store when the holder has not got it', async () => {
     const bodyBase64 = Buffer.from('a prompt').toString('base64');
     const access = { jobId: 'j', organisation: 'fox' };
@@ -121,7 +130,7 @@
     const progress = { ...PROGRESS, organisation: 'fox', inputPartCount: 1 };
     await store.write(batchJobKeys.progress('j'), undefined, progress);
     await store.write(batchJobKeys.input('j', 0), undefined, {
-      text: JSON.stringify([{ itemId: 'a', bodyBase64 }]),
+      text: JSON.stringify([{ itemId: 'a', target: '/t', headers: [], bodyBase64, tokens: 1 }]),
     });
     expect(await reader.itemBody(access, 'a')).toEqual({ ok: true, value: Buffer.from('a prompt') });
   });
--- a/packages/serving/src/batch/job-reader.ts
+++ b/packages/serving/src/batch/job-reader.ts
@@ -103,7 +103,8 @@
     const { jobId } = access;
     const known = this.knownJobs.get(jobId);
     if (known && known.organisation !== access.organisation) return this.refuseAccess(access);
-    const cached = known || access.organisation === undefined ? this.inputs.cached(jobId) : undefined;
+    // Whose job it is has to be known, also for callers without a key.
+    const cached = known ? this.inputs.cached(jobId) : undefined;
     if (cached) return toBody(jobId, itemId, bodyOf(cached, itemId));
     const fromHolder = await this.askHolder(jobId, 'job.item', { jobId, itemId });
     if (fromHolder?.held) {
