Bound the items of jobs in memory by their bytes

Cause: the cache of items kept 80 jobs, whatever their size. Change: the cache is bounded by bytes too, with a fifth of the process's memory (64 MiB at most), as the other buffers are.

--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -438,7 +438,11 @@
 function bindBatch(container: Container): void {
   const selfId = (get: GetPart) => () => get(Tokens.self).instanceId;
   bindPart(container, Tokens.backlog, (get) => new BacklogView(get(Tokens.clock)));
-  bindPart(container, Tokens.inputs, (get) => new InputCache(get(Tokens.store)));
+  bindPart(
+    container,
+    Tokens.inputs,
+    (get) => new InputCache(get(Tokens.store), bufferBytes(get(Tokens.settings).memoryMb)),
+  );
   bindPart(
     container,
     Tokens.jobs,
