Refuse a missing key for good only by a current configuration

Cause: withheld the final refusal for unknown keys only, although a newer configuration may need none. Change: both are refused as keys_unconfirmed while a newer version is known or the instance is cut off.

--- a/packages/serving/src/access/access-control.ts
+++ b/packages/serving/src/access/access-control.ts
@@ -25,7 +25,7 @@
     private readonly knowledge: KeyKnowledge,
     private readonly metrics: Metrics,
     private readonly log: DecisionLog,
-    /** Whether a key that the configuration in force lacks is known not to exist. */
+    /** Whether a key or an anonymous route that the configuration in force lacks is known not to exist. */
     private readonly mayRefuseForGood: () => boolean = () => true,
   ) {}
 
@@ -49,12 +49,11 @@
     }
     const holder = key === undefined ? undefined : organisationKeys.holderOf(key);
     if (holder || route.anonymous) return ok(holder);
-    if (key === undefined) return this.refuse(notRun('unauthenticated', 'a key is required'), requestId);
-    const unknown = 'the key is not known';
+    const detail = key === undefined ? 'a key is required' : 'the key is not known';
     return this.mayRefuseForGood()
-      ? this.refuse(notRun('unauthenticated', unknown), requestId)
+      ? this.refuse(notRun('unauthenticated', detail), requestId)
       : this.refuse(
-          notRun('keys_unconfirmed', `${unknown} at this instance`, UNCONFIRMED_RETRY_MS),
+          notRun('keys_unconfirmed', `${detail} at this instance`, UNCONFIRMED_RETRY_MS),
           requestId,
         );
   }
--- a/packages/serving/src/access/key-confirmation.test.ts
+++ b/packages/serving/src/access/key-confirmation.test.ts
@@ -129,7 +129,18 @@
       ok: false,
       error: { code: 'keys_unconfirmed', run: 'not_run' },
     });
+  });
+
+  // Guards against callers without a key whose route was made anonymous a moment ago.
+  it('refuses a missing key with a time to return while a newer configuration is known to exist', async () => {
+    const { access, outside, renew, standing } = setup();
+    outside.peer = { version: 1, ageMs: 0 };
+    await renew();
     expect(access.authenticate(undefined, 'q')).toMatchObject({ error: { code: 'unauthenticated' } });
+    standing.mayRefuseForGood = false;
+    expect(access.authenticate(undefined, 'q')).toMatchObject({
+      error: { code: 'keys_unconfirmed', run: 'not_run' },
+    });
   });
 
   it('does not make what a peer has proven younger by passing it on', async () => {
