Ignore a code cache of another program, or one with damaged data

Operators saw nothing before the processes ended: V8 compares the length of the program with that in the cache, not its content, and this release of Node.js does not verify the checksum of the data. Trials on arm64, Node.js 20.19, with 64 bytes inverted at one of seven places of the cache: at six of them each start ended with a fatal error of V8 or a segmentation fault (status 133 or 139), before the program's first line. With a cache left from a program of the same length, the earlier program ran.

It is written to a file beside it and renamed, so that a process that starts meanwhile reads the earlier cache or the new one; and only when the program has ended with status 0.

--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -1,11 +1,13 @@
 /**
  * Starts the bundled program from a V8 code cache, which spares each start most of the time for compiling it. A cache that is missing,
- * or was written by another release of Node.js, is ignored.
+ * is damaged, or was written for another program or by another release of Node.js, is ignored.
  *
  *   node [options of Node.js] launch.cjs [options of fighub-node]      starts the program
  *   node [options of Node.js] launch.cjs --write-code-cache            writes the cache; part of the build
  */
-const { readFileSync, writeFileSync } = require('node:fs');
+const { Buffer } = require('node:buffer');
+const { createHash } = require('node:crypto');
+const { readFileSync, renameSync, writeFileSync } = require('node:fs');
 const { createRequire } = require('node:module');
 const { dirname, join } = require('node:path');
 const process = require('node:process');
@@ -18,25 +20,46 @@
 /** Running the program with these options loads all of its modules, whose functions the cache is to contain. */
 const LOADING_OPTIONS = ['--check', '--settings', join(__dirname, 'code-cache-settings.jsonc')];
 const SHEBANG = /^#!.*/;
+/** A cache file begins with a SHA-256 digest: V8 itself compares no more of the program than its length, and crashes on damaged data. */
+const DIGEST_BYTES = 32;
 
-function readCache() {
+/** Digest of what a cache depends on, and of its data. */
+function cacheDigest(program, data) {
+  const { execArgv, version, platform, arch } = process;
+  const origin = JSON.stringify([version, platform, arch, execArgv, program.length]);
+  return createHash('sha256').update(origin).update(program).update(data).digest();
+}
+
+function readCache(program) {
   try {
-    return readFileSync(CACHE_PATH);
+    const file = readFileSync(CACHE_PATH);
+    const data = file.subarray(DIGEST_BYTES);
+    return file.subarray(0, DIGEST_BYTES).equals(cacheDigest(program, data)) ? data : undefined;
   } catch {
     return undefined;
   }
 }
 
-const source = readFileSync(PROGRAM_PATH, 'utf8').replace(SHEBANG, '');
+/** Processes that start meanwhile read the earlier cache or this one, never a part of it. */
+function writeCache(program, data) {
+  const partialPath = `${CACHE_PATH}.${String(process.pid)}.tmp`;
+  writeFileSync(partialPath, Buffer.concat([cacheDigest(program, data), data]));
+  renameSync(partialPath, CACHE_PATH);
+}
+
+const program = readFileSync(PROGRAM_PATH);
+const source = program.toString('utf8').replace(SHEBANG, '');
 const script = new Script(`(function (exports, require, module, __filename, __dirname) {${source}\n})`, {
   filename: PROGRAM_PATH,
-  cachedData: readCache(),
+  cachedData: readCache(program),
 });
 const main = script.runInThisContext();
 
 if (process.argv.includes('--write-code-cache')) {
   process.argv.splice(2, process.argv.length, ...LOADING_OPTIONS);
-  process.once('exit', () => writeFileSync(CACHE_PATH, script.createCachedData()));
+  process.once('exit', (status) => {
+    if (status === 0) writeCache(program, script.createCachedData());
+  });
 }
 
 const module_ = { exports: {} };
