--- a/deploy/rolldown.config.js
+++ b/deploy/rolldown.config.js
@@ -17,6 +17,7 @@
   external: ['cbor-extract'],
   // A CommonJS file, since Node.js 20 can start only those from a code cache.
   transform: { define: { 'import.meta': 'importMeta' } },
+  onLog: (level, log, print) => print(log.code === 'UNRESOLVED_IMPORT' ? 'error' : level, log),
   output: {
     file: 'target/fighub-node.cjs',
     format: 'cjs',
