Run the program without the optional native addon of cbor-x

The program loaded cbor-extract from node_modules/ if a compiler had been there when the packages were installed, so that two builds of the same sources behaved differently, and machine code of another kind of processor could be beside it. cbor-x is told to do without it.

Test: 'npx vitest run platform/src/build.test.ts -t "same program"' ended with status 9 without the setting, that of an addon placed beside the program that ends the process; passes now.

--- a/deploy/rolldown.config.js
+++ b/deploy/rolldown.config.js
@@ -13,10 +13,12 @@
   input: 'platform/src/bin/fighub-node.ts',
   platform: 'node',
   resolve: { mainFields: ['module', 'main'], alias: sources, extensionAlias: { '.js': ['.ts', '.js'] } },
-  // Optional native addon of cbor-x, which works without it.
+  // Optional native addon of cbor-x, which is told below to do without it: the program depends on no package at run time.
   external: ['cbor-extract'],
   // A CommonJS file, since Node.js 20 can start only those from a code cache.
-  transform: { define: { 'import.meta': 'importMeta' } },
+  transform: {
+    define: { 'import.meta': 'importMeta', 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
+  },
   onLog: (level, log, print) => print(log.code === 'UNRESOLVED_IMPORT' ? 'error' : level, log),
   output: {
     file: 'target/fighub-node.cjs',
