Join only the rest of a stream to one that has begun

Callers of streams that may be resumed got, after the first replica had broken off, whatever another replica answered with a 2xx status: text or JSON that ends with a blank line, a whole head, events without an id; and a response without any event (length 0, no chunk, 204, a comment) ended their stream as complete. Other statuses were never joined.

Cause: a response was judged by its status class and by ids that it has. An event without an id counted as the next one, and the complete end of any 2xx response as the end of the stream.

A response is joined only if it has status 200 and the media type of the response that has begun, and if its first event is exactly the next one; comments before it are dropped. It ends the caller's response only after an event of its own. Otherwise another replica is tried, and the caller's connection is broken off after the last one. An event without an id cannot be skipped by another replica, so that a stream with one is not resumed any more (its pieces came twice). The length that the first replica stated is left out where a stream may be resumed: with another number of bytes, callers would wait for the rest or take it for another response.

--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -28,7 +28,13 @@
 import { pickBackend } from './backend-choice.js';
 import type { CopyDelays } from './copy-delays.js';
 import type { ResponseSink, ForwardedRequest, UpstreamEnd, UpstreamTransport } from './forwarding.js';
-import { ENDLESS_RESPONSE, UpstreamEndKind, endOfStream, wasNotSent } from './forwarding.js';
+import {
+  ENDLESS_RESPONSE,
+  FOREIGN_RESPONSE,
+  UpstreamEndKind,
+  endOfStream,
+  wasNotSent,
+} from './forwarding.js';
 import { requestDigest } from './request-digest.js';
 import type { StreamOriginExchange } from './stream-origin-exchange.js';
 
@@ -344,7 +350,7 @@
       this.endUnexpectedly(slot, attempt);
       throw sent.thrown.error;
     }
-    const end = attempt.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, attempt.isInsideEvent);
+    const end = endOfAttempt(sent, attempt);
     const evidence = attempt.reportedNotRun || wasNotSent(end) ? 'not_run' : 'may_have_run';
     if (evidence === SendEvidence.mayHaveRun) this.runs += 1;
     // A request that was blocked while it connected says nothing about the replica.
@@ -432,7 +438,8 @@
   private afterAttempt(last: SendEvidence, detail: string): boolean {
     const { kind, resumable, maxAttempts } = this.route;
     const history = { sends: this.sends, runs: this.runs, last };
-    if (!this.hasUnknownOrigin && mayRetry({ kind, resumable, maxRuns: maxAttempts }, history)) {
+    const canGoOn = !this.hasUnknownOrigin && this.relay.canBeContinued;
+    if (canGoOn && mayRetry({ kind, resumable, maxRuns: maxAttempts }, history)) {
       this.dependencies.metrics.count('requests_sent_again');
       return true;
     }
@@ -532,3 +539,8 @@
     );
   }
 }
+
+function endOfAttempt(sent: UpstreamEnd, attempt: AttemptListener): UpstreamEnd {
+  if (attempt.isEndless) return ENDLESS_RESPONSE;
+  return attempt.isForeign ? FOREIGN_RESPONSE : endOfStream(sent, attempt.isInsideEvent);
+}
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -175,6 +175,12 @@
   detail: 'the response does not end',
 };
 
+/** The end of a call that was aborted because its response is none that goes on with the stream that has begun. */
+export const FOREIGN_RESPONSE: UpstreamEnd = {
+  kind: UpstreamEndKind.unusable,
+  detail: 'the response does not go on with the stream',
+};
+
 /** Sends requests to replicas and passes their responses on while they arrive. */
 export interface UpstreamTransport {
   /** Never rejects. Aborting `signal` closes the connection at once. */
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -5,8 +5,9 @@
 
 import type { BufferBudget } from './buffer-budget.js';
 import type { RawEvent } from './event-splitter.js';
-import { EventSplitter, MAX_EVENT_BYTES } from './event-splitter.js';
+import { EventSplitter, MAX_EVENT_BYTES, dataOf } from './event-splitter.js';
 import { MISDIRECTED_STATUS } from './forwarding.js';
+import { continuesStream, withoutLength } from './response-head.js';
 import { StallTimer } from './stall-timer.js';
 import type {
   BodyFraming,
@@ -49,7 +50,9 @@
 export class ResponseRelay {
   /** Id of the last event that was passed on; undefined before the first one with an id. */
   lastEventId: number | undefined;
-  private headSent = false;
+  /** Head of the response that the caller receives; undefined before it is written. */
+  private begunHead: UpstreamHead | undefined;
+  private hasUnnumberedEvents = false;
   private done = false;
 
   constructor(
@@ -70,12 +73,23 @@
 
   /** Whether a part of the response has been written to the caller. */
   get hasStarted(): boolean {
-    return this.headSent;
+    return this.begunHead !== undefined;
+  }
+
+  /** Whether another response may go on where this one is. No replica can be told to skip events without an id. */
+  get canBeContinued(): boolean {
+    return !this.hasUnnumberedEvents;
+  }
+
+  /** Whether a response with this head may be joined to the one that the caller has begun to receive. */
+  mayJoin(head: UpstreamHead): boolean {
+    return this.begunHead !== undefined && continuesStream(head, this.begunHead);
   }
 
   /** Passes one event of a stream on. */
   event(head: UpstreamHead, event: RawEvent): void {
     this.lastEventId = event.eventId ?? this.lastEventId;
+    this.hasUnnumberedEvents ||= event.eventId === undefined && dataOf(event) !== undefined;
     this.writePart(head, event.bytes);
   }
 
@@ -94,7 +108,7 @@
 
   /** Responds with a problem, or aborts the response if a part of it has been written. */
   refuse(problem: Problem): void {
-    if (this.headSent) {
+    if (this.hasStarted) {
       this.cut();
       return;
     }
@@ -117,9 +131,11 @@
 
   private writePart(head: UpstreamHead, part: Buffer): void {
     if (this.done) return;
-    if (!this.headSent) {
-      this.headSent = true;
-      this.sink.head(head);
+    if (!this.begunHead) {
+      this.begunHead = head;
+      const { kind, resumable } = this.route;
+      // What another replica adds need not have the length that the first one stated.
+      this.sink.head(kind === RouteKind.streaming && resumable ? withoutLength(head) : head);
     }
     if (part.length > 0) this.sink.data(part);
   }
@@ -153,6 +169,9 @@
   private readonly stallTimer: StallTimer | undefined;
   /** Whether the next event is the first one of a resumed stream. */
   private isFirstOfResumed: boolean;
+  /** Whether the response goes on with one that the caller has begun to receive. */
+  private readonly isJoined: boolean;
+  private cannotJoin = false;
 
   constructor(
     private readonly relay: ResponseRelay,
@@ -162,6 +181,7 @@
     this.stop = AbortSignal.any([stop, this.streamFault.signal]);
     this.startedMs = relay.clock.monotonicMs();
     this.isFirstOfResumed = relay.lastEventId !== undefined;
+    this.isJoined = relay.hasStarted;
     const { kind, resumable } = relay.route;
     // Only streams consist of events.
     const limits =
@@ -192,6 +212,9 @@
     // Another replica than the intended one has responded.
     if (head.status !== MISDIRECTED_STATUS) this.observer.onRequestLimit(head.requestsPerSecond);
     this.stallTimer?.onBytes();
+    if (!this.isJoined || !this.isStream || this.relay.mayJoin(head)) return;
+    this.cannotJoin = true;
+    this.streamFault.abort();
   }
 
   onData(part: Buffer): void {
@@ -214,6 +237,11 @@
     return this.exceeded;
   }
 
+  /** Whether the response was left because it is none that goes on with the stream. */
+  get isForeign(): boolean {
+    return this.cannotJoin;
+  }
+
   /** What marks the end of the response; undefined before its head arrives. */
   get framing(): BodyFraming | undefined {
     return this.head?.framing;
@@ -247,6 +275,8 @@
     const { head } = this;
     if (!head || this.streamFault.signal.aborted || this.isInsideEvent) return false;
     if (this.isStream) {
+      // Nothing in a response without events shows that the stream was at its end.
+      if (this.isJoined && this.events === 0) return false;
       if (this.events === 0 && !this.observer.mayPassOn()) return false;
       this.relay.end(head, this.splitter.rest);
       return true;
@@ -291,6 +321,8 @@
 
   private onEvent(event: RawEvent): void {
     if (!this.head || this.streamFault.signal.aborted) return;
+    // Comments may come before the first event.
+    if (this.isJoined && this.isFirstOfResumed && isComment(event)) return;
     if (!this.isNextEvent(event)) {
       this.streamFault.abort();
       return;
@@ -315,7 +347,12 @@
    */
   private isNextEvent(event: RawEvent): boolean {
     const { lastEventId } = this.relay;
-    if (event.eventId === undefined || lastEventId === undefined) return true;
+    if (lastEventId === undefined) return true;
+    if (event.eventId === undefined) return !(this.isJoined && this.isFirstOfResumed);
     return this.isFirstOfResumed ? event.eventId === lastEventId + 1 : event.eventId > lastEventId;
   }
 }
+
+function isComment(event: RawEvent): boolean {
+  return event.eventId === undefined && dataOf(event) === undefined;
+}
--- a/packages/standins/src/replica-standin.ts
+++ b/packages/standins/src/replica-standin.ts
@@ -66,6 +66,8 @@
 /** Time from the head of a response to the crash of the replica, if its request crashes replicas. */
 const CRASH_DELAY_MS = 40;
 
+const OPEN_MARK = '{open}';
+
 /** The software version of a replica unless a test states another one. */
 export const DEFAULT_SOFTWARE_VERSION = 'v1';
 
@@ -102,6 +104,11 @@
     spoil: 0,
     rawResponse: '',
   };
+  /**
+   * Returns bytes that answer this run instead of a stream, or undefined for a stream. The connection is closed after them
+   * unless they end with `{open}`.
+   */
+  rawAnswer: (run: ReplicaRun) => string | undefined = () => undefined;
   /** When the replica crashed, in the time of `performance.now()`; undefined while it serves. */
   crashedAtMs: number | undefined;
   /** Called when the replica has crashed. */
@@ -200,6 +207,13 @@
       res.socket?.end(this.faults.rawResponse.replaceAll('{requestId}', run.requestId));
       return;
     }
+    const raw = this.rawAnswer(run);
+    if (raw !== undefined) {
+      const bytes = raw.replaceAll('{requestId}', run.requestId);
+      if (bytes.endsWith(OPEN_MARK)) res.socket?.write(bytes.slice(0, -OPEN_MARK.length));
+      else res.socket?.end(bytes);
+      return;
+    }
     const echoedAttemptId = consumeFault(this.faults, 'crossed') ? 'another-request' : run.requestId;
     const headers = { 'Attempt-Id': echoedAttemptId, 'Response-Seal': `seal-${run.requestId}` };
     if (this.faults.status > 0) {
