Take a batch item for done only after an event of its last run

A batch item whose stream broke off was listed as done with the output so far when the next replica answered 200 without any event (length 0, or a comment), and a text/plain response with the next id was joined to its output.

Cause: the verdict asked whether the output had events from any run, and the type of the response was not read.

A run that resumes must have the media type of the response that began the output (text/event-stream if another instance received that one) and an event of its own. After a complete response without one the item starts anew, since each further run from the same event could end like this; the log line item_restarted names the replica (endedAt).

--- a/packages/serving/src/batch/item-run.ts
+++ b/packages/serving/src/batch/item-run.ts
@@ -18,13 +18,21 @@
 import { StallTimer } from '../online/stall-timer.js';
 import type {
   BodyFraming,
+  ResponseHead,
   UpstreamEnd,
   UpstreamHead,
   UpstreamListener,
   UpstreamTransport,
 } from '../online/forwarding.js';
-import { ENDLESS_RESPONSE, MISDIRECTED_STATUS, UpstreamEndKind, endOfStream } from '../online/forwarding.js';
+import {
+  ENDLESS_RESPONSE,
+  FOREIGN_RESPONSE,
+  MISDIRECTED_STATUS,
+  UpstreamEndKind,
+  endOfStream,
+} from '../online/forwarding.js';
 import { requestFault } from '../online/request-check.js';
+import { EVENT_STREAM_HEAD, continuesStream } from '../online/response-head.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
 
@@ -59,6 +67,8 @@
   lastEventId?: number;
   /** Where the events come from; undefined before the first one. */
   origin?: StreamOrigin;
+  /** Head of the response that began the output; undefined before the first event, or if another instance has received it. */
+  begunHead?: ResponseHead;
   /** Time that runs of the item have taken, including those whose events were discarded, in milliseconds. */
   spentMs: number;
 }
@@ -249,8 +259,10 @@
     throw sent.thrown.error;
   }
   output.spentMs += dependencies.clock.monotonicMs() - startedMs;
-  const end = listener.isEndless ? ENDLESS_RESPONSE : endOfStream(sent, listener.isInsideEvent);
+  const end = endOfRun(sent, listener);
   const verdict = listener.verdict(end);
+  if (listener.addedNothing(end) && output.origin)
+    discardOutput(request, { endedAt: slot.replicaId }, dependencies);
   const preempted = slot.revoked.aborted;
   const brokenByReplica = verdict === ItemRunOutcome.interrupted && !preempted && !stop.aborted;
   const wasBlocked = end.kind === UpstreamEndKind.notConnected && isPromptBlocked(item, dependencies);
@@ -287,26 +299,41 @@
   return { end: verdict, brokenReplicaId: brokenByReplica ? slot.replicaId : undefined, givenWay: preempted };
 }
 
+function endOfRun(sent: UpstreamEnd, listener: ItemListener): UpstreamEnd {
+  if (listener.isEndless) return ENDLESS_RESPONSE;
+  return listener.isForeign ? FOREIGN_RESPONSE : endOfStream(sent, listener.isInsideEvent);
+}
+
 /** Discards an output that the replica cannot continue, so that the item starts anew. */
 function restartUnlessContinuable(
-  { jobId, item, output }: ItemRunRequest,
+  request: ItemRunRequest,
   at: StreamOrigin | undefined,
-  { metrics, log }: ItemRunDependencies,
+  dependencies: ItemRunDependencies,
 ): void {
-  const { origin } = output;
+  const { origin } = request.output;
   if (!origin || (at && canContinue(origin, at))) return;
+  discardOutput(request, { continuesAt: at?.softwareVersion }, dependencies);
+}
+
+/** Discards the output of an item, so that its next run starts anew. */
+function discardOutput(
+  { jobId, item, output }: ItemRunRequest,
+  reason: { readonly continuesAt?: string } | { readonly endedAt: string },
+  { metrics, log }: ItemRunDependencies,
+): void {
   metrics.count('batch_items_restarted');
   log.record(LogCategory.failure, 'item_restarted', {
     jobId,
     itemId: item.itemId,
     lostEvents: output.lastEventId,
-    softwareVersion: origin.softwareVersion,
-    continuesAt: at?.softwareVersion,
+    softwareVersion: output.origin?.softwareVersion,
+    ...reason,
   });
   output.events.length = 0;
   output.bytes = 0;
   output.lastEventId = undefined;
   output.origin = undefined;
+  output.begunHead = undefined;
 }
 
 /** Size of a text in a stored record, in bytes. */
@@ -337,6 +364,9 @@
   /** Aborted when the stream skips or repeats an event, or has stalled. */
   private readonly streamFault = new AbortController();
   private exceeded = false;
+  /** Whether the response was left because it is none that goes on with the output. */
+  isForeign = false;
+  private head: UpstreamHead | undefined;
   private readonly stop: AbortSignal;
   private readonly stallTimer: StallTimer;
 
@@ -372,11 +402,16 @@
   }
 
   onHead(head: UpstreamHead): void {
+    this.head = head;
     this.status = head.notRun ? 0 : head.status;
     this.framing = head.framing;
     this.requestsPerSecond = head.requestsPerSecond;
     this.onResponse(head);
     this.stallTimer.onBytes();
+    const { lastEventId, begunHead = EVENT_STREAM_HEAD } = this.output;
+    if (this.status !== HTTP_OK || lastEventId === undefined || continuesStream(head, begunHead)) return;
+    this.isForeign = true;
+    this.streamFault.abort();
   }
 
   onData(part: Buffer): void {
@@ -412,9 +447,16 @@
       return ItemRunOutcome.interrupted;
     if (this.status === HTTP_UNPROCESSABLE_CONTENT) return ItemRunOutcome.impossible;
     if (this.status === HTTP_INTERNAL_SERVER_ERROR) return ItemRunOutcome.failed;
-    return this.status === HTTP_OK && this.output.events.length > 0
-      ? ItemRunOutcome.done
-      : ItemRunOutcome.interrupted;
+    return this.status === HTTP_OK && this.events > 0 ? ItemRunOutcome.done : ItemRunOutcome.interrupted;
+  }
+
+  /**
+   * Whether a complete response with success had no event. It does not show that the output was whole, and each further run
+   * from the same event could end like this.
+   */
+  addedNothing(end: UpstreamEnd): boolean {
+    const succeeded = end.kind === UpstreamEndKind.complete && this.status === HTTP_OK;
+    return succeeded && this.events === 0 && !this.streamFault.signal.aborted;
   }
 
   private exceed(): void {
@@ -452,6 +494,7 @@
     if (this.events > 0) return true;
     if (!this.confirmsOrigin()) return false;
     this.output.origin ??= this.expectedOrigin;
+    this.output.begunHead ??= this.head;
     return true;
   }
 }
