Bound the connections of callers by memory and descriptors

Seen: an entry with 300 descriptors took callers until it had none left. Requests on connections that were open before failed (`bind EMFILE`, 77 of 200 refused), and the instance concluded that it had lost its paths to replicas. An entry with 250 MB whose 3,800 callers sent header sections of 60 KB that did not end had a peak of 319 MB, at which the hosting platform ends the process; nothing is logged then.

Cause: nothing bounded connections. A header section takes memory before a request is seen, so that the bound of request bodies does not see it.

Change: the decision connectionBudget derives the number from memoryMb and the new setting maxFds, which the template fills in from limits.maxFds.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -13,6 +13,7 @@
 export * from './configuration-denials.js';
 export * from './configuration-findings.js';
 export * from './connect-timeout.js';
+export * from './connection-budget.js';
 export * from './coordinators.js';
 export * from './crash-suspicions.js';
 export * from './disconnected-holders.js';
