Complete the drain when a request to stop is repeated

Operators saw that a second SIGTERM cut open requests: close() called twice aborted the drain. A start that failed half way left open what it had started.

LifeCycle.close() may now be called repeatedly without effect; closeNow() ends the drain. A start can be given up by a signal, after which nothing more is started and what was started is closed, also when the start fails.

Evidence: packages/core/src/life-cycle.test.ts on: 'does not end the drain on a repeated close' fails with [aborted, stopped] in place of [stopped]; 'starts nothing more once the start is given up' fails, as the start resolves. Both pass now.

--- a/packages/core/src/life-cycle.ts
+++ b/packages/core/src/life-cycle.ts
@@ -18,22 +18,31 @@
   private readonly drainAbort = new AbortController();
   private closing: Promise<void> | undefined;
 
-  /** Starts a part. `close` drains and stops it; a part whose start fails is not stopped. */
+  /** Once `abandon` is aborted, no further part is started. */
+  constructor(private readonly abandon?: AbortSignal) {}
+
+  /**
+   * Starts a part. `close` drains and stops it; a part whose start fails is not stopped. Rejects with the reason of the abort if the start
+   * was abandoned meanwhile; the part is stopped by `close` then.
+   */
   async start(part: ManagedPart): Promise<void> {
     await part.start?.();
     this.started.push(part);
+    this.abandon?.throwIfAborted();
   }
 
-  /** Drains and then stops all parts. A second call ends the drain early. */
+  /** Drains and then stops all parts. Repeated calls change nothing. */
   close(): Promise<void> {
-    if (this.closing) {
-      this.drainAbort.abort();
-      return this.closing;
-    }
-    this.closing = this.closeAll();
+    this.closing ??= this.closeAll();
     return this.closing;
   }
 
+  /** Drains and then stops all parts, without waiting for accepted work any longer. */
+  closeNow(): Promise<void> {
+    this.drainAbort.abort();
+    return this.close();
+  }
+
   private async closeAll(): Promise<void> {
     const parts = [...this.started].reverse();
     await parts.reduce(
--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -36,11 +36,13 @@
   readonly peerAddress: string;
   /** The state of all components, for diagnosis. */
   dump(): Record<string, unknown>;
+  /** Completes open requests and stops the instance. Repeated calls change nothing. */
+  close(): Promise<void>;
   /**
-   * Completes open requests and stops the instance. A second call ends the waits for open requests and idempotency
-   * records early, but not the wait for running items of batch jobs that are not idempotent.
+   * Stops the instance without waiting for open requests and idempotency records any longer, but still waits for running items of batch
+   * jobs that are not idempotent.
    */
-  close(): Promise<void>;
+  closeNow(): Promise<void>;
 }
 
 /**
@@ -83,6 +85,7 @@
       peerAddress,
       dump: () => dumpState(container),
       close: () => this.lifeCycle.close(),
+      closeNow: () => this.lifeCycle.closeNow(),
     };
   }
 
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -53,8 +53,18 @@
   readonly components: ServingComponents;
   /** Starts a component, such as an HTTP server. The instance drains and stops it at shutdown. */
   own(part: ManagedPart): Promise<void>;
-  /** Completes accepted work and stops the instance. A second call ends the drain early. */
+  /** Completes accepted work and stops the instance. Repeated calls change nothing. */
   close(): Promise<void>;
+  /** Stops the instance without waiting for accepted work any longer. */
+  closeNow(): Promise<void>;
+}
+
+/** What the process that runs the instance adds to it. */
+export interface ProcessHooks {
+  /** Aborted when the start is to be given up. The start rejects then, after the parts that had been started are closed. */
+  readonly abandon?: AbortSignal;
+  /** State of the process for the state dump. */
+  readonly dump?: () => Record<string, unknown>;
 }
 
 /** Periods of the tick loop, with and without work in progress. */
@@ -71,15 +81,16 @@
   adapters: ServingAdapters,
   logger: Logger,
   onError: (error: unknown) => void,
+  hooks: ProcessHooks = {},
 ): Promise<ServingInstance> {
   const instanceId = newId(settings.instanceName);
   const container = buildContainer(settings, adapters, instanceId, logger, onError);
-  return new ServingStarter(settings, instanceId, container, onError).start();
+  return new ServingStarter(settings, instanceId, container, onError, hooks).start();
 }
 
 /** Starts the components in dependency order and registers their clean-up with the life cycle. */
 class ServingStarter {
-  private readonly lifeCycle = new LifeCycle();
+  private readonly lifeCycle: LifeCycle;
   private stopping = false;
   private stopByMs = Number.POSITIVE_INFINITY;
 
@@ -88,9 +99,22 @@
     private readonly instanceId: string,
     private readonly container: Container,
     private readonly onError: (error: unknown) => void,
-  ) {}
+    private readonly hooks: ProcessHooks,
+  ) {
+    this.lifeCycle = new LifeCycle(hooks.abandon);
+  }
 
+  /** Starts all components. If one fails, those that had been started are closed. */
   async start(): Promise<ServingInstance> {
+    try {
+      return await this.startAll();
+    } catch (error) {
+      await this.lifeCycle.closeNow();
+      throw error;
+    }
+  }
+
+  private async startAll(): Promise<ServingInstance> {
     const { container, instanceId, settings } = this;
     const originJournal = container.get(Tokens.originJournal);
     // Before other instances can ask for what is on the disk.
@@ -113,6 +137,10 @@
       components: this.components(),
       own: (part) => this.lifeCycle.start(part),
       close: () => this.close(),
+      closeNow: () => {
+        void this.close();
+        return this.lifeCycle.closeNow();
+      },
     };
   }
 
@@ -242,6 +270,7 @@
       store: container.get(Tokens.store).dump(),
       peers: container.get(Tokens.node).dump(),
       metrics: container.get(Tokens.metrics).dump(),
+      ...(this.hooks.dump ? { process: this.hooks.dump() } : {}),
     };
   }
 }
