--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -16,6 +16,8 @@
   /** Path of the field, with dots between its names; empty for a syntax error. */
   readonly field: string;
   readonly message: string;
+  /** Present if the text is not JSON, as that of a file that is not whole. */
+  readonly isSyntax?: true;
 }
 
 /** A place in a text, counted from 1. */
@@ -53,6 +55,7 @@
         ...positionAt(text, error.offset),
         field: '',
         message: printParseErrorCode(error.error),
+        isSyntax: true,
       })),
     );
   }
