Keep the process running when one run of a periodic system fails

An error that a system threw in a tick ended the process (status 70), and the systems after it were not run, whatever it was.

A system's error is now logged as system_error and ends only that run. A violated invariant still ends the process, and so does a system that fails 100 times in a row, since it does not recover by itself.

--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -1,5 +1,7 @@
 /** The loop that runs systems, which are units of periodic work over tables of entities. */
 
+import { isFatalError } from './unexpected-error.js';
+
 /** A unit of work that processes its entities in each tick. */
 export interface System {
   readonly name: string;
@@ -11,27 +13,37 @@
   run(nowMs: number): void;
 }
 
+/** Where a loop reports errors. */
+export interface TickErrors {
+  /** An error after which the process cannot safely continue: a violated invariant, or a system that has failed too often in a row. */
+  onFatal(error: unknown): void;
+  /** Any other error. It ends only this run of the system. */
+  onFailed(system: string, error: unknown): void;
+}
+
 /** Periods of a loop: while a system is busy, and while none is. */
 export interface TickPeriods {
   readonly busyMs: number;
   readonly idleMs: number;
 }
 
-/**
- * Runs all systems periodically, and earlier when `wake` is called. When a system throws, the error is passed to
- * `onError` and the systems after it are not run in this tick.
- */
+/** A system that fails this often in a row does not recover by itself. */
+const MAX_FAILED_RUNS = 100;
+
+/** Runs all systems periodically, and earlier when `wake` is called. An error of one system does not keep the others from running. */
 export class TickLoop {
   private timer: NodeJS.Timeout | undefined;
   private woken = false;
   private stopped = false;
   /** When each system with a shortest time between runs may run again. */
   private readonly nextRunMs = new Map<System, number>();
+  /** Number of the last runs of a system that failed; absent after a run that did not. */
+  private readonly failedRuns = new Map<System, number>();
 
   constructor(
     private readonly systems: readonly System[],
     private readonly periods: TickPeriods,
-    private readonly onError: (error: unknown) => void,
+    private readonly errors: TickErrors,
   ) {}
 
   start(): void {
@@ -68,11 +80,21 @@
   }
 
   private runAll(): void {
+    const nowMs = performance.now();
+    this.systems
+      .filter((system) => this.isDue(system, nowMs))
+      .forEach((system) => this.runOne(system, nowMs));
+  }
+
+  private runOne(system: System, nowMs: number): void {
     try {
-      const nowMs = performance.now();
-      this.systems.filter((system) => this.isDue(system, nowMs)).forEach((system) => system.run(nowMs));
+      system.run(nowMs);
+      this.failedRuns.delete(system);
     } catch (error) {
-      this.onError(error);
+      const failedRuns = (this.failedRuns.get(system) ?? 0) + 1;
+      this.failedRuns.set(system, failedRuns);
+      if (isFatalError(error) || failedRuns >= MAX_FAILED_RUNS) this.errors.onFatal(error);
+      else this.errors.onFailed(system.name, error);
     }
   }
 
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -1,6 +1,6 @@
 /** Starts and stops a serving instance on the adapters of a hosting platform. */
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
-import { LifeCycle, LogCategory, TickLoop, newId } from '@fighub/core';
+import { LifeCycle, LogCategory, TickLoop, errorFields, newId } from '@fighub/core';
 import type { RecordStore } from '@fighub/outside';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
@@ -199,7 +199,13 @@
         new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
       ],
       TICK_PERIODS,
-      this.onError,
+      {
+        onFatal: this.onError,
+        onFailed: (system, error) =>
+          container
+            .get(Tokens.log)
+            .record(LogCategory.failure, 'system_error', { system, ...errorFields(error) }),
+      },
     );
     host.connect(permits, () => tick.wake());
     host.onObserved(() => observations.onObserved());
