End one request of fighub-entry, and not the process, by an unexpected error

An error in a handler of one request or of one message of another instance ended fighub-entry, and a handler that threw before its first wait ended it past the handling of errors. A response that had begun was ended in order, so that it looked complete. An error in accepting a connection after the first one would have ended the process.

Such errors are logged as unexpected_error; only violated invariants end the process. A response that has begun is cut off.

Evidence: http-server.test.ts fails on: the rejecting handler gives a complete response, the throwing one none within 60 s. Both pass now.

--- a/packages/entry/src/ingress/http-helpers.ts
+++ b/packages/entry/src/ingress/http-helpers.ts
@@ -14,8 +14,9 @@
 
 /** Sends a problem document, or only ends the response if its headers have already been sent. */
 export function sendProblem(res: Response, problem: Problem): void {
+  // A response that has begun must not look complete.
   if (res.headersSent) {
-    res.end();
+    res.destroy();
     return;
   }
   // The connection cannot be reused while a part of the request body is still unread.
--- a/packages/entry/src/ingress/http-server.ts
+++ b/packages/entry/src/ingress/http-server.ts
@@ -78,7 +78,11 @@
   /** Starts to listen and returns the port, which the system chooses if `port` is 0. Rejects if it cannot listen. */
   listen(host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
-      this.server.server.once('error', reject);
+      // Also receives the errors of later connections that cannot be accepted, which end nothing else.
+      this.server.server.on('error', (error) => {
+        this.dependencies.metrics.count('server_errors');
+        reject(error);
+      });
       this.server.listen(port, host, () => resolve((this.server.server.address() as AddressInfo).port));
     });
   }
@@ -206,7 +210,7 @@
         next(false);
         return;
       }
-      handler(req, res, caller.value)
+      new Promise<void>((resolve) => resolve(handler(req, res, caller.value)))
         .catch((error: unknown) => {
           this.dependencies.onError(error);
           sendProblem(res, { ...notRun('internal', 'internal error'), run: 'may_have_run' });
--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -1,6 +1,6 @@
 /** Starts an entry instance from its settings, and drains and stops it. */
 import type { ManagedPart, MetricsSink } from '@fighub/core';
-import { LifeCycle, TickLoop, newId, sleep } from '@fighub/core';
+import { LifeCycle, TickLoop, errorFields, isFatalError, newId, sleep } from '@fighub/core';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
 
@@ -56,8 +56,18 @@
   sink?: MetricsSink,
 ): Promise<EntryInstance> {
   const instanceId = newId(settings.instanceName);
-  const container = buildContainer({ settings, instanceId, crash, sink });
-  return new EntryStarter(settings, instanceId, container, logger).start();
+  const container = buildContainer({
+    settings,
+    instanceId,
+    crash: (error) => (isFatalError(error) ? crash(error) : logUnexpected(logger, error)),
+    sink,
+  });
+  return new EntryStarter(settings, instanceId, container, logger, crash).start();
+}
+
+/** Logs an error of one request, message or run of a system, which has ended only that one. */
+function logUnexpected(logger: Logger, error: unknown, system?: string): void {
+  logger.warn({ event: 'unexpected_error', system, ...errorFields(error) }, 'unexpected_error');
 }
 
 /** Starts the components in dependency order and registers their clean-up with the life cycle. */
@@ -69,6 +79,7 @@
     private readonly instanceId: string,
     private readonly container: Container,
     private readonly logger: Logger,
+    private readonly crash: Crash,
   ) {}
 
   async start(): Promise<EntryInstance> {
@@ -152,7 +163,10 @@
       permits,
       ...(roles.includes(EntryRole.batch) ? [batch] : []),
     ];
-    const tick = new TickLoop(systems, TICK_PERIODS, container.get(Tokens.crash));
+    const tick = new TickLoop(systems, TICK_PERIODS, {
+      onFatal: this.crash,
+      onFailed: (system, error) => logUnexpected(this.logger, error, system),
+    });
     host.connect(permits, () => tick.wake());
     await this.startPart({ name: 'tick', start: () => tick.start(), stop: () => tick.stop() });
     await this.startPart({ name: 'batch', drain: () => batch.drain() });
