Take in large batch jobs one after the other

Cause: the bound of request bodies counts a job once. While it is taken in, its text, items, input parts and encodings exist beside each other, some ten times its size, mostly on the heap of 160 MB.

Change: the decision IntakeBudget counts ten times the size of each job against a tenth of the memory; a job that is larger is taken in alone. JobIntake lets jobs wait in order of arrival, and refuses as not run those that have waited for 1.5 s.

--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -1,6 +1,7 @@
 /** Forwards opaque requests and runs batch jobs on replicas, on any platform that implements the adapters. */
 export * from './access/organisation-usage.js';
 export * from './batch/job-acceptance.js';
+export * from './batch/job-intake.js';
 export * from './batch/job-reader.js';
 export * from './online/buffer-budget.js';
 export * from './online/forward-runner.js';
