Let an unexpected error end only the run of the system that threw it

Cause: the tick loop passed every error to the handler that ends the process, which is meant for violated invariants. Change: the loop reports the error with the name of the system and runs the others; an instance logs and counts it (`system_error`) and ends only on a violated invariant. A system that throws when asked whether it is busy counts as idle.

--- a/packages/core/src/tick.test.ts
+++ b/packages/core/src/tick.test.ts
@@ -34,4 +34,26 @@
     expect(always.runs).toBeGreaterThanOrEqual(100);
     expect(seldom.runs).toBe(10);
   });
+
+  it('runs the other systems when one throws, in its run or when asked whether it is busy', async () => {
+    const last = new CountingSystem();
+    const failing: System = {
+      name: 'failing',
+      get busy(): boolean {
+        throw new Error('busy');
+      },
+      run() {
+        throw new Error('run');
+      },
+    };
+    const failures: string[] = [];
+    const loop = new TickLoop([failing, last], { busyMs: 10, idleMs: 50 }, (error, name) =>
+      failures.push(`${name}: ${(error as Error).message}`),
+    );
+    loop.start();
+    await vi.advanceTimersByTimeAsync(200);
+    loop.stop();
+    expect(last.runs).toBe(4);
+    expect(new Set(failures)).toEqual(new Set(['failing: busy', 'failing: run']));
+  });
 });
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Runs all systems periodically, and earlier when `wake` is called. When a system throws, the error is passed to
- * `onError` and the systems after it are not run in this tick.
+ * Runs all systems periodically, and earlier when `wake` is called. When a system throws, the error and the name of the system are
+ * passed to `onError`, and the other systems run as usual.
  */
 export class TickLoop {
   private timer: NodeJS.Timeout | undefined;
@@ -31,7 +31,7 @@
   constructor(
     private readonly systems: readonly System[],
     private readonly periods: TickPeriods,
-    private readonly onError: (error: unknown) => void,
+    private readonly onError: (error: unknown, systemName: string) => void,
   ) {}
 
   start(): void {
@@ -57,7 +57,7 @@
   private schedule(): void {
     clearTimeout(this.timer);
     if (this.stopped) return;
-    const busy = this.systems.some((system) => system.busy);
+    const busy = this.systems.some((system) => this.isBusy(system));
     this.timer = setTimeout(
       () => {
         this.runAll();
@@ -68,11 +68,23 @@
   }
 
   private runAll(): void {
+    const nowMs = performance.now();
+    this.systems
+      .filter((system) => this.isDue(system, nowMs))
+      .forEach((system) => this.guard(system, () => system.run(nowMs)));
+  }
+
+  private isBusy(system: System): boolean {
+    return this.guard(system, () => system.busy) ?? false;
+  }
+
+  /** Returns undefined if the system throws. */
+  private guard<T>(system: System, work: () => T): T | undefined {
     try {
-      const nowMs = performance.now();
-      this.systems.filter((system) => this.isDue(system, nowMs)).forEach((system) => system.run(nowMs));
+      return work();
     } catch (error) {
-      this.onError(error);
+      this.onError(error, system.name);
+      return undefined;
     }
   }
 
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -1,6 +1,6 @@
 /** Starts and stops a serving instance on the adapters of a hosting platform. */
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
-import { LifeCycle, LogCategory, TickLoop, newId } from '@fighub/core';
+import { LifeCycle, LogCategory, TickLoop, errorFields, isFatalError, newId } from '@fighub/core';
 import type { RecordStore } from '@fighub/outside';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
@@ -171,7 +171,7 @@
         new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
       ],
       TICK_PERIODS,
-      this.onError,
+      (error, system) => this.onSystemError(error, system),
     );
     host.connect(permits, () => tick.wake());
     host.onObserved(() => observations.onObserved());
@@ -188,6 +188,15 @@
     await this.lifeCycle.start({ name: 'jobs', drain: () => jobs.drain() });
   }
 
+  /** The run of one system has failed; it is run again with the next tick. */
+  private onSystemError(error: unknown, system: string): void {
+    if (isFatalError(error)) this.onError(error);
+    else
+      this.container
+        .get(Tokens.log)
+        .record(LogCategory.failure, 'system_error', { system, ...errorFields(error) });
+  }
+
   private components(): ServingComponents {
     const { container } = this;
     const view = container.get(Tokens.view);
