Go on after responses and messages of other instances that lack what is read from them

Change: such tasks are handed to the node of the instance, which reports their errors as those of handlers (`peer_message_error`); a round of discovery that fails is logged (`discovery_error`) and followed by the next. A relayed response of the store without an outcome counts as none. A configuration whose version is no number is not applied instead of breaking an invariant.

--- a/packages/admission/src/owner-failure-detector.ts
+++ b/packages/admission/src/owner-failure-detector.ts
@@ -42,12 +42,15 @@
   /** Records whether an owner responded to a request for a slot. */
   recordResponse(instanceId: string, answered: boolean): void {
     if (answered) this.suspicions.onAnswer(instanceId);
-    else if (this.suspicions.onTimeout(instanceId)) void this.confirm(instanceId);
+    else if (this.suspicions.onTimeout(instanceId))
+      this.node.detach('swim.indirect', this.confirm(instanceId));
   }
 
   run(nowMs: number): void {
     this.suspicions.run(nowMs);
-    this.suspicions.takeDueChecks(nowMs).forEach((instanceId) => void this.check(instanceId));
+    this.suspicions
+      .takeDueChecks(nowMs)
+      .forEach((instanceId) => this.node.detach('pool.load', this.check(instanceId)));
   }
 
   /**
@@ -57,9 +60,12 @@
   private async confirm(instanceId: string): Promise<void> {
     if (this.confirming.has(instanceId)) return;
     this.confirming.add(instanceId);
-    const isReachedByOthers = await this.members().isReachedByOthers(instanceId);
-    this.confirming.delete(instanceId);
-    if (isReachedByOthers === false) this.suspect(instanceId);
+    try {
+      const isReachedByOthers = await this.members().isReachedByOthers(instanceId);
+      if (isReachedByOthers === false) this.suspect(instanceId);
+    } finally {
+      this.confirming.delete(instanceId);
+    }
   }
 
   /**
--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -48,6 +48,7 @@
   const node = {
     onNotice: () => undefined,
     onOutboundClosed: () => undefined,
+    detach: (_name: string, task: Promise<unknown>) => void task,
     notify: (_address: string, name: string, body: unknown) => notices.push([name, body]),
     request: (_address: string, name: string) => {
       sent.push(name);
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -331,7 +331,7 @@
         answer,
         retryAtMs: this.clock.monotonicMs() + ACQUIRE_RETRY_MS[body.workClass],
       });
-      void this.requestSlot(ownerId, body, timeoutMs);
+      this.node.detach('permit.acquire', this.requestSlot(ownerId, body, timeoutMs));
     });
   }
 
@@ -389,7 +389,10 @@
       .slice(0, MAX_ACQUIRE_RETRIES_PER_RUN)
       .forEach((demand) => {
         demand.retryAtMs = nowMs + ACQUIRE_RETRY_MS[demand.body.workClass];
-        void this.requestSlot(demand.ownerId, demand.body, this.acquireTimeoutMs);
+        this.node.detach(
+          'permit.acquire',
+          this.requestSlot(demand.ownerId, demand.body, this.acquireTimeoutMs),
+        );
       });
   }
 
--- a/packages/admission/src/permit-renewals.ts
+++ b/packages/admission/src/permit-renewals.ts
@@ -64,9 +64,12 @@
     [...this.renewUntilMs].forEach(([poolId, untilMs]) => {
       if (untilMs <= nowMs) this.renewUntilMs.delete(poolId);
       else
-        void this.renewPool(
-          poolId,
-          permits.filter((permit) => permit.poolId === poolId),
+        this.node.detach(
+          'permit.renew',
+          this.renewPool(
+            poolId,
+            permits.filter((permit) => permit.poolId === poolId),
+          ),
         );
     });
   }
--- a/packages/peers/src/membership-runner.test.ts
+++ b/packages/peers/src/membership-runner.test.ts
@@ -64,6 +64,7 @@
     return {
       onRequest: (name: string, handler: Handler) => this.handlers.set(`${from} ${name}`, handler),
       onNotice: (name: string, handler: Handler) => this.handlers.set(`${from} ${name}`, handler),
+      detach: (_name: string, task: Promise<unknown>) => void task,
       notify: deliver,
       notifyAll: (addresses: readonly string[], name: string, body: unknown) =>
         addresses.forEach((to) => deliver(to, name, body)),
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -118,7 +118,7 @@
   private scheduleProbe(): void {
     const jitter = 0.75 + this.random() / 2;
     this.timer = setTimeout(() => {
-      void this.probeOnce();
+      this.node.detach('swim.ping', this.probeOnce());
       this.scheduleProbe();
     }, this.options.probePeriodMs * jitter);
   }
@@ -184,7 +184,7 @@
     if (this.differingResponses < MAX_DIFFERING_RESPONSES) return;
     this.differingResponses = 0;
     this.metrics.count('member_lists_fetched');
-    void this.fetchMembers(address);
+    this.node.detach('swim.members', this.fetchMembers(address));
   }
 
   private onPing(body: PingBody): PingBody {
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -72,7 +72,7 @@
   constructor(
     private readonly options: PeerNodeOptions,
     private readonly metrics: Metrics,
-    /** Called with what the handler of a message has thrown, and the name of the message. */
+    /** Called with what the handler of a message or a detached task has thrown, and its name. */
     private readonly onHandlerError: (error: unknown, messageName: string) => void,
   ) {}
 
@@ -156,6 +156,14 @@
     addresses.forEach((address) => this.send(address, frame));
   }
 
+  /**
+   * Reports what a task has thrown that nobody waits for, as for a handler of messages: the response of another release may lack what
+   * the task reads from it. `name` says in the log what the task is about.
+   */
+  detach(name: string, task: Promise<unknown>): void {
+    task.catch((error: unknown) => this.onHandlerError(error, name));
+  }
+
   /** Bytes on all connections, open and closed, since the start. */
   traffic(): PeerTraffic {
     const open = [...[...this.links.values()].map((link) => link.connection), ...this.accepted];
@@ -282,7 +290,8 @@
   private onInboundFrame(connection: PeerConnection, frame: Frame): void {
     this.metrics.count('peer_messages_received');
     if (frame.kind === FrameKind.notice) this.onNoticeFrame(frame);
-    if (frame.kind === FrameKind.request) void this.onRequestFrame(connection, frame);
+    if (frame.kind === FrameKind.request)
+      this.detach(frame.name ?? '', this.onRequestFrame(connection, frame));
   }
 
   private onNoticeFrame(frame: Frame): void {
--- a/packages/serving/src/access/key-confirmation.test.ts
+++ b/packages/serving/src/access/key-confirmation.test.ts
@@ -47,6 +47,7 @@
   } as unknown as FleetSource;
   const node = {
     onRequest: (_name: string, handler: () => ConfigurationProof) => (prove = handler),
+    detach: (_name: string, task: Promise<unknown>) => void task,
     request: () => {
       clock.advance(outside.answerTakesMs);
       return Promise.resolve(outside.peer ? ok(outside.peer) : fail('timeout'));
--- a/packages/serving/src/access/key-confirmation.ts
+++ b/packages/serving/src/access/key-confirmation.ts
@@ -76,7 +76,10 @@
     if (this.asking || nowMs < this.nextMs) return;
     this.asking = true;
     this.nextMs = nowMs + withdrawalLimitMs / RENEWALS_PER_LIMIT;
-    void this.renew().finally(() => (this.asking = false));
+    this.dependencies.node.detach(
+      'configuration.prove',
+      this.renew().finally(() => (this.asking = false)),
+    );
   }
 
   /** Records that another part of this instance has read the newest configuration, which it began to do at `askedAt`. */
--- a/packages/serving/src/batch/job-runner.ts
+++ b/packages/serving/src/batch/job-runner.ts
@@ -323,10 +323,10 @@
   private writeDue(nowMs: number): void {
     const jobs = this.jobs.all();
     if (!jobs.some((job) => job.isWriteDue(nowMs))) return;
-    void writeTogether(
+    writeTogether(
       this.store,
       jobs.flatMap((job) => job.takeWrites(nowMs)),
-    );
+    ).catch((error: unknown) => this.onUnexpected(undefined, error));
   }
 
   private dropFinished(nowMs: number): void {
--- a/packages/serving/src/member-discovery.ts
+++ b/packages/serving/src/member-discovery.ts
@@ -3,7 +3,7 @@
  * case the list is unavailable.
  */
 import type { Clock, DecisionLog, ManagedPart } from '@fighub/core';
-import { LogCategory } from '@fighub/core';
+import { LogCategory, errorFields, isFatalError } from '@fighub/core';
 import type { MembersKnown, MemberUpdate } from '@fighub/decisions';
 import { isCoordinator, isListed, listReadPeriodMs } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
@@ -53,7 +53,11 @@
   }
 
   private async runRound(): Promise<void> {
-    await Promise.all([this.useList(), this.membership.seedAddresses(this.seedAddresses)]);
+    await Promise.all(
+      [this.useList(), this.membership.seedAddresses(this.seedAddresses)].map((work) =>
+        work.catch((error: unknown) => this.onUnexpected(error)),
+      ),
+    );
     if (this.stopped) return;
     const { knowsOthers } = this.membersKnown();
     this.timer = setTimeout(
@@ -62,6 +66,12 @@
     );
   }
 
+  /** The response of an instance of another release may lack what is read from it. The next round is made as usual. */
+  private onUnexpected(error: unknown): void {
+    if (isFatalError(error)) throw error;
+    this.log.record(LogCategory.failure, 'discovery_error', errorFields(error));
+  }
+
   private membersKnown(): MembersKnown {
     const nowMs = this.clock.monotonicMs();
     const others = this.membership.owners().filter((member) => member.instanceId !== this.self.instanceId);
--- a/packages/serving/src/online/stream-origin-exchange.ts
+++ b/packages/serving/src/online/stream-origin-exchange.ts
@@ -111,14 +111,17 @@
   }
 }
 
-/** The first result that is not undefined; undefined once all results are. */
+/** The first result that is not undefined; undefined once all results are, or have failed. */
 function firstKnown<T>(results: readonly Promise<T | undefined>[]): Promise<T | undefined> {
   return new Promise((resolve) => {
     results.forEach((result) => {
-      void result.then((value) => {
-        if (value !== undefined) resolve(value);
-      });
+      result.then(
+        (value) => {
+          if (value !== undefined) resolve(value);
+        },
+        () => undefined,
+      );
     });
-    void Promise.all(results).then(() => resolve(undefined));
+    void Promise.allSettled(results).then(() => resolve(undefined));
   });
 }
--- a/packages/serving/src/relay/relay-client.ts
+++ b/packages/serving/src/relay/relay-client.ts
@@ -135,7 +135,8 @@
     };
     void node
       .request(address, 'relay.call', { ...relayed, headers, body, leftMs, resumeAfter }, ACCEPT_TIMEOUT_MS)
-      .then((answer) => pending.onAnswer(answer.ok ? answer.value : answer.error));
+      .then((answer) => pending.onAnswer(answer.ok ? answer.value : answer.error))
+      .catch((error: unknown) => pending.fail(`unexpected error: ${String(error)}`));
     const end = await pending.ended;
     this.calls.delete(callId);
     this.choice.onCall(relayId, -1);
--- a/packages/serving/src/relayed-store.ts
+++ b/packages/serving/src/relayed-store.ts
@@ -127,9 +127,12 @@
     const chosen = others[Math.floor(this.random() * others.length)];
     if (!chosen) return fail({ kind: StoreErrorKind.unavailable, detail: 'no coordinator is known' });
     const answer = await this.node.request(chosen.peerAddress, 'store.call', call, RELAY_TIMEOUT_MS);
-    if (answer.ok) return answer.value.outcome as Outcome<T, StoreError>;
+    if (answer.ok && isOutcome(answer.value)) return answer.value.outcome as Outcome<T, StoreError>;
     const kind = call.kind === 'transact' ? StoreErrorKind.unknown : StoreErrorKind.unavailable;
-    return fail({ kind, detail: `the relaying instance did not respond: ${answer.error}` });
+    return fail({
+      kind,
+      detail: `the relaying instance did not respond: ${answer.ok ? 'malformed' : answer.error}`,
+    });
   }
 
   /**
@@ -159,6 +162,12 @@
   return outcome;
 }
 
+/** Whether the response of another release is as expected. */
+function isOutcome(body: Partial<StoreCallResponse> | null | undefined): boolean {
+  const outcome = body?.outcome as Partial<Outcome<unknown, StoreError>> | null | undefined;
+  return outcome?.ok === true || (outcome?.ok === false && typeof outcome.error?.kind === 'string');
+}
+
 /** Whether the outcome comes from the store itself: a success, a conflict or a value that is too large. */
 function isStoreResponse<T>(outcome: Outcome<T, StoreError>): boolean {
   if (outcome.ok) return true;
--- a/packages/serving/src/routing/fleet-view-updater.test.ts
+++ b/packages/serving/src/routing/fleet-view-updater.test.ts
@@ -70,6 +70,7 @@
     onNotice: (name: string, handler: (body: FleetViewBody) => void) => handlers.set(name, handler),
     onRequest: () => undefined,
     notifyAll: () => (pushes.count += 1),
+    detach: (_name: string, task: Promise<unknown>) => void task,
   } as unknown as PeerNode;
   const view = new FleetView();
   const updater = new FleetViewUpdater(
--- a/packages/serving/src/routing/fleet-view-updater.ts
+++ b/packages/serving/src/routing/fleet-view-updater.ts
@@ -182,7 +182,7 @@
     const version = digest.revisions[0] ?? 0;
     if (version <= this.view.configurationVersion) return;
     this.view.onVersionNamed(version, this.clock.monotonicMs());
-    void this.fetchFrom(peer.peerAddress);
+    this.node.detach('view.fetch', this.fetchFrom(peer.peerAddress));
   }
 
   dump(): Record<string, unknown> {
--- a/packages/serving/src/routing/fleet-view.ts
+++ b/packages/serving/src/routing/fleet-view.ts
@@ -163,7 +163,8 @@
   /** Applies a configuration if it is newer than the current one. Returns whether it was applied. */
   applyConfiguration(configuration: RoutingConfiguration): boolean {
     const before = this.configurationVersion;
-    if (configuration.version <= before) return false;
+    // Not a number if another release has sent none.
+    if (!(configuration.version > before)) return false;
     this.table = new RouteTable(configuration);
     this.keys = configuration.organisations && new OrganisationKeys(configuration.organisations);
     checkInvariant(InvariantName.revisionNeverFalls, this.configurationVersion > before, () => ({ before }));
