--- a/packages/outside/src/expiring-log.ts
+++ b/packages/outside/src/expiring-log.ts
@@ -3,12 +3,14 @@
  * files; when that one is large, the other one is emptied once its records have expired. Each write has a digest, so
  * that one that power was lost in is recognised and left out.
  */
+import { constants } from 'node:fs';
 import { mkdir, open } from 'node:fs/promises';
 import type { FileHandle } from 'node:fs/promises';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 
 import type { Outcome } from '@fighub/core';
 import { digest, fail, ok } from '@fighub/core';
+import VError from 'verror';
 
 import { parseJson } from './json.js';
 
@@ -36,6 +38,8 @@
 const SWITCH_AT_BYTES = 1_000_000;
 /** At this size the other file is used in any case, and records in it that have not expired are lost. */
 const MAX_FILE_BYTES = 16_000_000;
+/** A larger file was not written by this log. It is emptied, since it might not fit into memory. */
+const MAX_READ_BYTES = 2 * MAX_FILE_BYTES;
 const DIGEST_CHARACTERS = 16;
 
 /** A log that is open for appending. */
@@ -55,7 +59,7 @@
     nowUnixMs: number,
   ): Promise<Outcome<{ log: ExpiringLog; records: ExpiringRecord[] }, string>> {
     try {
-      await mkdir(directory, { recursive: true });
+      await createFolder(directory);
       const paths = Array.from({ length: FILE_COUNT }, (_, index) =>
         join(directory, `${name}-${String(index)}.log`),
       );
@@ -88,7 +92,8 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all(this.files.splice(0).map(({ handle }) => handle.close()));
+    // What the file system reports here concerns no record that was acknowledged.
+    await Promise.allSettled(this.files.splice(0).map(({ handle }) => handle.close()));
   }
 
   private async fileToAppendTo(nowUnixMs: number): Promise<LogFile | undefined> {
@@ -105,8 +110,30 @@
   }
 }
 
+/** Some file systems, on which no folder can be created, keep a recursive `mkdir` of Node.js busy without end. */
+async function createFolder(path: string, createParent = true): Promise<void> {
+  try {
+    await mkdir(path);
+  } catch (error) {
+    const { code } = error as NodeJS.ErrnoException;
+    if (code === 'EEXIST') return;
+    if (code !== 'ENOENT' || !createParent) throw error;
+    await createFolder(dirname(path));
+    await createFolder(path, false);
+  }
+}
+
 async function openFile(path: string): Promise<{ file: LogFile; records: ExpiringRecord[] }> {
-  const handle = await open(path, 'a+');
+  const handle = await open(
+    path,
+    constants.O_RDWR | constants.O_APPEND | constants.O_CREAT | constants.O_NONBLOCK,
+  );
+  const status = await handle.stat();
+  if (!status.isFile()) {
+    await handle.close();
+    throw new VError('%s is not a file', path);
+  }
+  if (status.size > MAX_READ_BYTES) await handle.truncate(0);
   const text = await handle.readFile('utf8');
   const records = text.split('\n').flatMap(decodeBlock);
   const bytes = Buffer.byteLength(text);
@@ -129,8 +156,12 @@
 function decodeBlock(line: string): ExpiringRecord[] {
   const text = line.slice(DIGEST_CHARACTERS + 1);
   if (line.length <= DIGEST_CHARACTERS || line.slice(0, DIGEST_CHARACTERS) !== checkOf(text)) return [];
-  const rows = parseJson(text) as [number, unknown][];
-  return rows.map(([expiresAtUnixMs, value]) => ({ expiresAtUnixMs, value }));
+  const rows = parseJson(text);
+  if (!Array.isArray(rows)) return [];
+  return (rows as unknown[]).flatMap((row) => {
+    const [expiresAtUnixMs, value] = Array.isArray(row) ? (row as unknown[]) : [];
+    return typeof expiresAtUnixMs === 'number' ? [{ expiresAtUnixMs, value }] : [];
+  });
 }
 
 function checkOf(text: string): string {
--- a/packages/serving/src/online/origin-journal.ts
+++ b/packages/serving/src/online/origin-journal.ts
@@ -4,7 +4,7 @@
  * from two software versions.
  */
 import type { Clock, DecisionLog, ManagedPart, Metrics, Outcome } from '@fighub/core';
-import { LogCategory } from '@fighub/core';
+import { LogCategory, sleep } from '@fighub/core';
 import type { ExpiringRecord, RecordLog } from '@fighub/outside';
 import type { KeptStream } from '@fighub/peers';
 import { z } from 'zod';
@@ -13,6 +13,8 @@
 const WRITE_PERIOD_MS = 20;
 /** Origins that may wait for a disk that does not respond; later ones are not recorded. */
 const MAX_WAITING_ORIGINS = 20_000;
+/** A start waits this long for a disk. What it brings later is restored then. */
+const OPEN_WAIT_MS = 2_000;
 
 const storedStream = z.object({
   requestId: z.string(),
@@ -43,8 +45,17 @@
     private readonly log: DecisionLog,
   ) {}
 
-  /** Restores the origins that earlier processes of this instance have recorded. */
+  /** Restores the origins that earlier processes of this instance have recorded. Resolves without them if the disk does not respond. */
   async start(): Promise<void> {
+    const wait = new AbortController();
+    const opening = this.open()
+      .catch((error: unknown) => this.reportFailure(String(error)))
+      .finally(() => wait.abort());
+    await Promise.race([opening, sleep(OPEN_WAIT_MS, wait.signal)]);
+    if (!wait.signal.aborted) this.reportFailure('the disk does not respond');
+  }
+
+  private async open(): Promise<void> {
     const nowUnixMs = this.clock.nowUnixMs();
     const opened = await this.openLog(nowUnixMs);
     if (!opened.ok) {
