--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -163,9 +163,9 @@
       permits,
       ...(roles.includes(EntryRole.batch) ? [batch] : []),
     ];
-    const tick = new TickLoop(systems, TICK_PERIODS, {
-      onFatal: this.crash,
-      onFailed: (system, error) => logUnexpected(this.logger, error, system),
+    const tick = new TickLoop(systems, TICK_PERIODS, (error, system) => {
+      if (isFatalError(error)) this.crash(error);
+      else logUnexpected(this.logger, error, system);
     });
     host.connect(permits, () => tick.wake());
     await this.startPart({ name: 'tick', start: () => tick.start(), stop: () => tick.stop() });
