Cut off a response of fighub-entry that has begun when an error ends it

A problem that was sent for a response that had begun ended it in order, so that a broken off stream looked complete to its caller.

The connection is closed instead.

--- a/packages/entry/src/ingress/http-helpers.ts
+++ b/packages/entry/src/ingress/http-helpers.ts
@@ -12,10 +12,11 @@
   readonly role: Role;
 }
 
-/** Sends a problem document, or only ends the response if its headers have already been sent. */
+/** Sends a problem document, or closes the connection if the headers have already been sent. */
 export function sendProblem(res: Response, problem: Problem): void {
+  // A response that has begun must not look complete.
   if (res.headersSent) {
-    res.end();
+    res.destroy();
     return;
   }
   // The connection cannot be reused while a part of the request body is still unread.
