Handle the signals of fighub-entry, and state its end

SIGUSR2 ended fighub-entry, SIGUSR1 opened a debugger, SIGHUP ended it without a drain, a second SIGTERM cut requests, and an unread standard error blocked it, as each line was written in place.

It now logs its phases and its end as fighub-node does, whose log output moves to packages/outside. SIGHUP stops it in order, since it says that its terminal is gone; its settings are not replaced while it runs. A second SIGINT ends the drain.

--- a/packages/entry/src/bin/fighub-entry.ts
+++ b/packages/entry/src/bin/fighub-entry.ts
@@ -5,19 +5,26 @@
  */
 import { readFileSync } from 'node:fs';
 
-import { InvariantError, describeFaults, parseSettings } from '@fighub/core';
+import type { EndReason as Reason } from '@fighub/core';
+import {
+  EndReason,
+  ExitStatus,
+  InvariantError,
+  ProcessPhase,
+  SignalAction,
+  actionOnSignal,
+  describeFaults,
+  parseSettings,
+} from '@fighub/core';
+import { LogOutput, ProcessLog, StandardStream, writeMessage } from '@fighub/outside';
 import meow from 'meow';
-import { pino } from 'pino';
 
+import type { EntryInstance } from '../life-cycle/entry-instance.js';
 import { startEntry } from '../life-cycle/entry-instance.js';
+import type { EntrySettings } from '../settings.js';
 import { entrySettingsSchema } from '../settings.js';
 import { createStatsdSink } from '../life-cycle/statsd-sink.js';
 
-/** Exit status for wrong usage or invalid settings. */
-const USAGE_ERROR_STATUS = 2;
-/** Exit status after an unexpected error; the same as EX_SOFTWARE of sysexits. */
-const CRASH_STATUS = 70;
-
 const cli = meow(
   `
   Runs one entry instance of fighub.
@@ -43,43 +50,70 @@
   },
 );
 
-function readSettings(file: string): string {
+/** Reads the settings once; they are not replaced while the program runs. */
+function readSettings(file: string): EntrySettings {
   try {
-    return readFileSync(file, 'utf8');
+    const settings = parseSettings(readFileSync(file, 'utf8'), entrySettingsSchema, file);
+    if (settings.ok) return settings.value;
+    writeMessage(describeFaults(settings.error));
   } catch (error) {
-    process.stderr.write(`${file}: ${(error as Error).message}\n`);
-    process.exit(USAGE_ERROR_STATUS);
+    writeMessage(`${file}: ${(error as Error).message}`);
   }
+  process.exit(ExitStatus.usage);
 }
 
-const settings = parseSettings(readSettings(cli.flags.settings), entrySettingsSchema, cli.flags.settings);
-if (!settings.ok) {
-  process.stderr.write(`${describeFaults(settings.error)}\n`);
-  process.exit(USAGE_ERROR_STATUS);
-}
-if (cli.flags.check) process.exit(0);
+const settings = readSettings(cli.flags.settings);
+if (cli.flags.check) process.exit(ExitStatus.stopped);
+
+// Each line is written at once.
+const log = new ProcessLog(new LogOutput(StandardStream.error, 0));
+log.useSettings(settings.logLevel, settings.instanceName);
+/** Empty until the instance has been started. */
+const started: { instance?: EntryInstance } = {};
+let interrupts = 0;
 
-const logger = pino({ level: settings.value.logLevel }, pino.destination({ fd: 2, sync: true }));
+function end(reason: Reason, exitStatus: number, detail: string): never {
+  return log.exit(log.endNow(reason, exitStatus, detail));
+}
 
 /** Logs an uncaught error or a violated invariant and exits, because the process cannot safely continue. */
-function crash(error: unknown): void {
-  const details = error instanceof InvariantError ? { invariant: error.invariant, state: error.state } : {};
-  logger.fatal({ err: error, ...details }, 'unexpected error; the process exits');
-  process.exit(CRASH_STATUS);
+function crash(error: unknown): never {
+  const isInvariant = error instanceof InvariantError;
+  const details = isInvariant ? { invariant: error.invariant, state: error.state } : {};
+  log.logger.fatal({ err: error, ...details }, 'unexpected error; the process exits');
+  const reason = isInvariant ? EndReason.invariantViolated : EndReason.unexpectedError;
+  return end(reason, ExitStatus.crash, error instanceof Error ? error.message : String(error));
+}
+
+function stop(signal: string, running: EntryInstance): void {
+  log.enter(ProcessPhase.stopping);
+  void running.close().then(() => {
+    log.logger.info('instance stopped');
+    end(EndReason.signal, ExitStatus.stopped, signal);
+  });
+}
+
+/** Stops on SIGTERM and SIGINT, and on SIGHUP, which says that the terminal of the program is gone. */
+function onSignal(signal: NodeJS.Signals): void {
+  const action = actionOnSignal(signal === 'SIGHUP' ? 'SIGTERM' : signal, log.phase, interrupts);
+  if (signal === 'SIGINT') interrupts += 1;
+  log.logger.info({ event: 'signal_received', signal, phase: log.phase, action }, 'signal_received');
+  if (action === SignalAction.abandonStart)
+    end(EndReason.signal, ExitStatus.stopped, `${signal} in the phase ${log.phase}`);
+  if (action === SignalAction.stop && started.instance) stop(signal, started.instance);
+  if (action === SignalAction.endDrain) void started.instance?.closeNow();
 }
 
 process.on('uncaughtException', crash);
 process.on('unhandledRejection', crash);
+(['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGUSR1', 'SIGUSR2'] as const).forEach((signal) =>
+  process.on(signal, onSignal),
+);
 
-const instance = await startEntry(settings.value, logger, crash, createStatsdSink(settings.value.statsd));
-const stop = (): void => {
-  void instance.close().then(() => {
-    logger.info('instance stopped');
-    process.exit(0);
-  });
-};
-process.on('SIGTERM', stop);
-process.on('SIGINT', stop);
+log.enter(ProcessPhase.binding);
+const instance = await startEntry(settings, log.logger, crash, createStatsdSink(settings.statsd));
+started.instance = instance;
+log.enter(ProcessPhase.serving);
 if (cli.flags.json) {
   const { instanceId, httpAddress, peerAddress } = instance;
   process.stdout.write(`${JSON.stringify({ instanceId, httpAddress, peerAddress })}\n`);
--- a/platform/src/log-output.test.ts
+++ b/packages/outside/src/log-output.test.ts
@@ -5,7 +5,10 @@
 import { describe, expect, it } from 'vitest';
 
 import { LogOutput } from './log-output.js';
-import { eventually } from './testing/platform-fleet.js';
+
+async function eventually(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
+}
 
 const LINE = `${'x'.repeat(999)}\n`;
 const FULL_DEVICE = '/dev/full';
@@ -17,10 +20,10 @@
     const output = new LogOutput(openSync(path, 'w'));
     const lines = Array.from({ length: 100 }, (_, index) => `line ${String(index)} ${'x'.repeat(100)}\n`);
     lines.forEach((line) => output.write(line));
-    await eventually(() => Promise.resolve(readFileSync(path).length >= lines.join('').length - 4_096));
+    await eventually(() => readFileSync(path).length >= lines.join('').length - 4_096);
     await eventually(() => {
       output.flush();
-      return Promise.resolve(readFileSync(path, 'utf8') === lines.join(''));
+      return readFileSync(path, 'utf8') === lines.join('');
     });
     output.write('held\n');
     expect(output.end('last\n', 1_000)).toBe(true);
@@ -34,7 +37,7 @@
     Array.from({ length: 50 }, () => output.write(LINE));
     await eventually(() => {
       output.flush();
-      return Promise.resolve(output.droppedLines === 50);
+      return output.droppedLines === 50;
     });
     expect(output.end('last\n', 1_000)).toBe(false);
   });
--- a/platform/src/log-output.ts
+++ b/packages/outside/src/log-output.ts
@@ -1,10 +1,10 @@
-/** Writes log lines to standard output without waiting for its reader. */
+/** Writes log lines to a standard stream without waiting for its reader. */
 import { fstatSync, write, writeSync } from 'node:fs';
 
 /** File descriptors of the standard streams. */
 export const StandardStream = { output: 1, error: 2 } as const;
 
-/** Lines are written in blocks of this size, or after the period if there are fewer. */
+/** Size of the blocks in which lines are written unless another one is stated, and the period for what is less. */
 const BLOCK_BYTES = 4_096;
 const FLUSH_PERIOD_MS = 500;
 /** Lines that are held while the reader does not read. Later ones are dropped. */
@@ -24,7 +24,11 @@
   private heldBytes = 0;
   private isWriting = false;
 
-  constructor(private readonly descriptor: number) {
+  /** Lines are written once there are `blockBytes` of them, or after a period. */
+  constructor(
+    private readonly descriptor: number,
+    private readonly blockBytes = BLOCK_BYTES,
+  ) {
     stopWaitingForReaders();
     setInterval(() => this.flush(), FLUSH_PERIOD_MS).unref();
   }
@@ -38,7 +42,7 @@
     }
     this.lines.push(bytes);
     this.heldBytes += bytes.length;
-    if (this.heldBytes >= BLOCK_BYTES) this.flush();
+    if (this.heldBytes >= this.blockBytes) this.flush();
   }
 
   /** Starts to write what is held, unless a write is under way. */
@@ -74,7 +78,7 @@
         return;
       }
       this.isWriting = false;
-      if (this.heldBytes >= BLOCK_BYTES) this.flush();
+      if (this.heldBytes >= this.blockBytes) this.flush();
     });
   }
 }
--- a/platform/src/process-log.ts
+++ b/packages/outside/src/process-log.ts
@@ -13,15 +13,14 @@
 
 /** Logs the phases and the end of this process. Create one in a process. */
 export class ProcessLog {
-  /** Writes to standard output. It has the level and the name of the settings once these are known. */
+  /** It has the level and the name of the settings once these are known. */
   logger: Logger;
   private readonly life = new ProcessLife();
-  private readonly output = new LogOutput(StandardStream.output);
   private instanceName: string | undefined;
   private statedEnd: ProcessEnd | undefined;
   private hasEnded = false;
 
-  constructor() {
+  constructor(private readonly output = new LogOutput(StandardStream.output)) {
     this.logger = pino({ base: null }, this.output);
     process.on('exit', (exitStatus) => this.onExit(exitStatus));
   }
@@ -57,7 +56,7 @@
     process.exit(end.exitStatus);
   }
 
-  /** Writes the last line of the process, whatever led to its exit: to standard error if standard output does not take it. */
+  /** Writes the last line of the process, whatever led to its exit: to standard error if the log does not take it. */
   private onExit(exitStatus: number): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
