--- a/packages/outside/src/index.ts
+++ b/packages/outside/src/index.ts
@@ -1,4 +1,4 @@
-/** Interfaces to the services of the hosting platform and to upstreams, and their adapters. */
+/** Interfaces to the services of the hosting platform and to upstreams, and their adapters; the log output of a process. */
 export * from './call-budget.js';
 export * from './circuit-breaker.js';
 export * from './connection-pool.js';
