--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -37,6 +37,14 @@
   }
 }
 
+/** Longest delay of a timer of Node.js, about 25 days; a longer one would end at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** The delay to set a timer with for a wait of `delayMs`, of which a very long one ends early and a negative one at once. */
+export function timerMs(delayMs: number): number {
+  return Math.min(MAX_TIMER_MS, Math.max(0, delayMs));
+}
+
 /** Resolves after `delayMs`, or as soon as `signal` is aborted. Never rejects. */
 export function sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
   return new Promise((resolve) => {
@@ -49,7 +57,7 @@
       signal?.removeEventListener('abort', finish);
       resolve();
     };
-    const timer = setTimeout(finish, delayMs);
+    const timer = setTimeout(finish, timerMs(delayMs));
     signal?.addEventListener('abort', finish, { once: true });
   });
 }
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -5,7 +5,7 @@
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
 import { DIRECT_POOL_ID } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
-import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun, sleep } from '@fighub/core';
+import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun, sleep, timerMs } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
 import {
   AttemptEnd,
@@ -127,7 +127,7 @@
 
   async run(): Promise<void> {
     const leftMs = Math.max(0, this.deadlineMs - this.dependencies.clock.monotonicMs());
-    const timer = setTimeout(() => this.deadlinePassed.abort(), leftMs);
+    const timer = setTimeout(() => this.deadlinePassed.abort(), timerMs(leftMs));
     const stop = AbortSignal.any([this.callerDisconnected, this.deadlinePassed.signal]);
     try {
       if (!(await this.findOrigin())) return;
--- a/packages/serving/src/online/stall-timer.ts
+++ b/packages/serving/src/online/stall-timer.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@fighub/core';
+import { timerMs } from '@fighub/core';
 import type { StallLimits } from '@fighub/decisions';
 import { StallDeadline } from '@fighub/decisions';
 
@@ -48,6 +49,6 @@
     this.timer = setTimeout(() => {
       if (this.suspensions === 0 && this.clock.monotonicMs() >= this.deadline.atMs) this.onStalled();
       else this.schedule();
-    }, leftMs);
+    }, timerMs(leftMs));
   }
 }
