Wait for addresses that another process holds, and serve without the one of the metrics

Operators saw: with another process on port 9464 an entry ended with status 70 at each start (21 times in 30 s in a run by hand) and was never ready. The same for an address of its own that another process still held for a moment. Cause: every address was bound once, and any failure ended the process. The metrics address is outside of the ports that the hosting platform keeps free. Listening addresses were bound after the first outbound connections. An error of a server that listens had no listener, so that one for a connection that cannot be accepted would have ended the process. Change: a listener binds the addresses. The status, caller and peer addresses are bound before the first outbound connection, status and caller first, and the peer address when both are bound. They are waited for until a process before this one has been killed (grace period and 2 s), with one line (`listener_unavailable`, `listener_regained`) and 503 from the readiness probe; then the process ends with the name, the address, the time and the cause. The metrics address is tried without end beside the serving instance. Later errors of servers are logged (`listener_error`).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './invariant.js';
 export * from './jobs.js';
 export * from './life-cycle.js';
+export * from './listener.js';
 export * from './metrics.js';
 export * from './outcome.js';
 export * from './problem.js';
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -1,9 +1,9 @@
 /** Sends typed messages to other instances and handles those that it receives. */
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
 
-import type { Metrics, Outcome } from '@fighub/core';
-import { fail, ok, splitAddress } from '@fighub/core';
+import type { ListenerLog, Metrics, Outcome } from '@fighub/core';
+import { Listener, fail, ok, splitAddress } from '@fighub/core';
 
 import type { Frame } from './frame.js';
 import { FrameKind, sharedFrame } from './frame.js';
@@ -48,6 +48,7 @@
   lastUsedMs: number;
 }
 
+const NO_LOG: ListenerLog = { record: () => undefined };
 /** Maximum number of frames that wait for the handshake of one connection. */
 const MAX_WAITING_FRAMES = 1_000;
 /** Outbound connections that were not used for this long are closed when another one is dialled. */
@@ -65,7 +66,7 @@
   private readonly noticeHandlers = new Map<string, (body: unknown) => void>();
   private readonly inboundClosedListeners: ((instanceId: string) => void)[] = [];
   private readonly outboundClosedListeners: ((address: string) => void)[] = [];
-  private server: Server | undefined;
+  private listener: Listener | undefined;
   private nextCallId = 1;
   private closedTraffic: PeerTraffic = { bytesSent: 0, bytesReceived: 0 };
 
@@ -102,21 +103,20 @@
     this.outboundClosedListeners.push(listener);
   }
 
-  /** Starts listening and returns the port; rejects when the address cannot be bound. */
-  listen(): Promise<number> {
+  /**
+   * Starts listening and returns the port. While another process holds the address, tries again until the monotonic time `untilMs`;
+   * rejects when the address cannot be bound.
+   */
+  async listen(log: ListenerLog = NO_LOG, untilMs = performance.now()): Promise<number> {
     const server = createServer((socket) => this.accept(socket));
-    this.server = server;
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(this.options.port, this.options.host, () => {
-        resolve((server.address() as AddressInfo).port);
-      });
-    });
+    this.listener = new Listener(server, this.options, 'peer server', log);
+    await this.listener.bind(untilMs);
+    return (server.address() as AddressInfo | null)?.port ?? 0;
   }
 
   /** Stops listening and closes all connections. */
   close(): void {
-    this.server?.close();
+    this.listener?.close();
     [...this.links.values()].forEach((link) => link.connection.close('this instance stops'));
     [...this.accepted].forEach((connection) => connection.close('this instance stops'));
   }
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -1,6 +1,14 @@
 /** Starts and stops a serving instance on the adapters of a hosting platform. */
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
-import { LifeCycle, LogCategory, TickLoop, errorFields, isFatalError, newId } from '@fighub/core';
+import {
+  ADDRESS_WAIT_MARGIN_MS,
+  LifeCycle,
+  LogCategory,
+  TickLoop,
+  errorFields,
+  isFatalError,
+  newId,
+} from '@fighub/core';
 import type { RecordStore } from '@fighub/outside';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
@@ -57,29 +65,41 @@
   close(): Promise<void>;
 }
 
+/**
+ * Binds the HTTP servers of an instance before it opens its first connection, whose local port may be one that they need. Addresses that
+ * another process holds are waited for until the monotonic time `untilMs`. Returns the bound servers, which the instance drains
+ * and stops at shutdown.
+ */
+export type ServerBinder = (
+  components: ServingComponents,
+  untilMs: number,
+) => Promise<readonly ManagedPart[]>;
+
 /** Periods of the tick loop, with and without work in progress. */
 const TICK_PERIODS = { busyMs: 10, idleMs: 50 } as const;
 /** Time at the end of the grace period that is kept for clean-up, before the hosting platform kills the process. */
 const STOP_MARGIN_MS = 700;
 
 /**
- * Starts an instance without HTTP servers; the caller adds them with `own`. Rejects when the peer port cannot
- * be opened.
+ * Starts an instance with the HTTP servers that `bindServers` returns. Addresses that another process holds are waited for until a
+ * process before this one must have ended. Rejects when the peer address cannot be bound, or when `bindServers` rejects.
  */
 export async function startServing(
   settings: ServingSettings,
   adapters: ServingAdapters,
   logger: Logger,
   onError: (error: unknown) => void,
+  bindServers: ServerBinder = () => Promise.resolve([]),
 ): Promise<ServingInstance> {
   const instanceId = newId(settings.instanceName);
   const container = buildContainer(settings, adapters, instanceId, logger, onError);
-  return new ServingStarter(settings, instanceId, container, onError).start();
+  return new ServingStarter(settings, instanceId, container, onError).start(bindServers);
 }
 
 /** Starts the components in dependency order and registers their clean-up with the life cycle. */
 class ServingStarter {
   private readonly lifeCycle = new LifeCycle();
+  private started = false;
   private stopping = false;
   private stopByMs = Number.POSITIVE_INFINITY;
 
@@ -90,16 +110,17 @@
     private readonly onError: (error: unknown) => void,
   ) {}
 
-  async start(): Promise<ServingInstance> {
+  async start(bindServers: ServerBinder): Promise<ServingInstance> {
     const { container, instanceId, settings } = this;
-    const originJournal = container.get(Tokens.originJournal);
-    // Before other instances can ask for what is on the disk.
-    if (originJournal) await this.lifeCycle.start(originJournal);
-    const node = container.get(Tokens.node);
-    await node.listen();
-    await this.lifeCycle.start({ name: 'peers', stop: () => node.close() });
+    const components = this.components();
+    const servers = await this.bindAddresses(bindServers, components);
     await this.startMembers();
     await this.startSystems();
+    await servers.reduce(
+      (previous, server) => previous.then(() => this.lifeCycle.start(server)),
+      Promise.resolve(),
+    );
+    this.started = true;
     const log = container.get(Tokens.log);
     const { failureDomain, coordinates } = settings;
     log.record(LogCategory.state, 'instance_started', {
@@ -110,12 +131,31 @@
     });
     return {
       instanceId,
-      components: this.components(),
+      components,
       own: (part) => this.lifeCycle.start(part),
       close: () => this.close(),
     };
   }
 
+  /** Binds the address for other instances last, since they rely on an instance that responds there. */
+  private async bindAddresses(
+    bindServers: ServerBinder,
+    components: ServingComponents,
+  ): Promise<readonly ManagedPart[]> {
+    const { container, settings } = this;
+    const untilMs = performance.now() + settings.shutdown.graceMs + ADDRESS_WAIT_MARGIN_MS;
+    const originJournal = container.get(Tokens.originJournal);
+    const [servers] = await Promise.all([
+      bindServers(components, untilMs),
+      // Before other instances can ask for what is on the disk.
+      originJournal && this.lifeCycle.start(originJournal),
+    ]);
+    const node = container.get(Tokens.node);
+    await node.listen(container.get(Tokens.log), untilMs);
+    await this.lifeCycle.start({ name: 'peers', stop: () => node.close() });
+    return servers;
+  }
+
   private close(): Promise<void> {
     if (!this.stopping) {
       this.stopping = true;
@@ -217,6 +257,7 @@
       organisationUsage: container.get(Tokens.organisationUsage),
       log: container.get(Tokens.log),
       isReady: () =>
+        this.started &&
         !this.stopping &&
         view.routes !== undefined &&
         view.replicas.revision > 0 &&
