Treat unexpected errors and taken ports alike in fighub-entry

A handler that threw before it returned a promise was not guarded at all. Change: only a violated invariant ends the process; all else is logged and counted (`request_error`, `peer_message_error`, `system_error`).

--- a/packages/entry/src/ingress/http-server.ts
+++ b/packages/entry/src/ingress/http-server.ts
@@ -1,8 +1,8 @@
 /** HTTP server with the routes of callers and operators. */
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 
-import type { Metrics, Problem, Role } from '@fighub/core';
-import { notRun, problemDocument } from '@fighub/core';
+import type { HostPort, ListenerLog, Metrics, Problem, Role } from '@fighub/core';
+import { Listener, notRun, problemDocument } from '@fighub/core';
 import restify from 'restify';
 
 import type { TableApi } from '../operators/table-api.js';
@@ -27,8 +27,8 @@
   readonly dump: () => Record<string, unknown>;
   /** Returns the names of the models that callers can request. */
   readonly models: () => string[];
-  /** Receives every unexpected error of a route handler. */
-  readonly onError: (error: unknown) => void;
+  /** Receives every unexpected error of a route handler, and the path of the request. */
+  readonly onError: (error: unknown, path: string) => void;
 }
 
 /** Roles that may use the routes of callers. */
@@ -64,6 +64,8 @@
     },
   });
 
+  private listener: Listener | undefined;
+
   constructor(private readonly dependencies: HttpServerDependencies) {
     this.server.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
     // Errors of restify are sent as problem documents instead of in its own format.
@@ -75,17 +77,19 @@
     this.addRoutes();
   }
 
-  /** Starts to listen and returns the port, which the system chooses if `port` is 0. Rejects if it cannot listen. */
-  listen(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.server.server.once('error', reject);
-      this.server.listen(port, host, () => resolve((this.server.server.address() as AddressInfo).port));
-    });
+  /**
+   * Starts to listen and returns the port, which the system chooses if `address.port` is 0. While another process holds the address, tries
+   * again until the monotonic time `untilMs`. Rejects if it cannot listen.
+   */
+  async listen(address: HostPort, log: ListenerLog, untilMs: number): Promise<number> {
+    this.listener = new Listener(this.server.server as Server, address, 'HTTP server', log);
+    await this.listener.bind(untilMs);
+    return (this.server.server.address() as AddressInfo | null)?.port ?? 0;
   }
 
   /** Stops accepting connections and closes the open ones at once. */
   close(): void {
-    this.server.server.close();
+    this.listener?.close();
     this.server.server.closeAllConnections();
   }
 
@@ -206,9 +210,10 @@
         next(false);
         return;
       }
-      handler(req, res, caller.value)
+      // A handler may throw before it returns a promise.
+      new Promise<void>((resolve) => resolve(handler(req, res, caller.value)))
         .catch((error: unknown) => {
-          this.dependencies.onError(error);
+          this.dependencies.onError(error, req.path());
           sendProblem(res, { ...notRun('internal', 'internal error'), run: 'may_have_run' });
         })
         .finally(() => next());
--- a/packages/entry/src/life-cycle/entry-container.ts
+++ b/packages/entry/src/life-cycle/entry-container.ts
@@ -2,8 +2,16 @@
 import 'reflect-metadata';
 
 import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
-import { Metrics, SystemClock, bindPart } from '@fighub/core';
-import type { GetPart, MetricsSink } from '@fighub/core';
+import {
+  DecisionLog,
+  LogCategory,
+  Metrics,
+  SystemClock,
+  bindPart,
+  errorFields,
+  isFatalError,
+} from '@fighub/core';
+import type { GetPart, LineWriter, MetricsSink } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
 import {
@@ -38,6 +46,7 @@
   readonly instanceId: string;
   /** Ends the process after an error from which it cannot safely continue. */
   readonly crash: Crash;
+  readonly logger: LineWriter;
   /** Receives all counters and samples, in addition to the state dump. */
   readonly sink?: MetricsSink;
 }
@@ -50,8 +59,11 @@
   const container = new Container({ defaultScope: 'Singleton' });
   container.bind(Tokens.settings).toConstantValue(input.settings);
   container.bind(Tokens.crash).toConstantValue(input.crash);
-  container.bind(Tokens.clock).toConstantValue(new SystemClock());
-  container.bind(Tokens.metrics).toConstantValue(new Metrics(input.sink));
+  const clock = new SystemClock();
+  const metrics = new Metrics(input.sink);
+  container.bind(Tokens.clock).toConstantValue(clock);
+  container.bind(Tokens.metrics).toConstantValue(metrics);
+  container.bind(Tokens.log).toConstantValue(new DecisionLog(input.logger, clock, metrics));
   bindExternalServices(container);
   bindPeers(container, input.instanceId);
   bindTable(container);
@@ -101,7 +113,11 @@
   bindPart(container, Tokens.peerNode, (get) => {
     const { host, peerPort, fleetSecret } = get(Tokens.settings);
     const options = { instanceId, host, port: peerPort, secret: fleetSecret };
-    return new PeerNode(options, get(Tokens.metrics), get(Tokens.crash));
+    return new PeerNode(options, get(Tokens.metrics), (error, message) => {
+      if (isFatalError(error)) get(Tokens.crash)(error);
+      else
+        get(Tokens.log).record(LogCategory.failure, 'peer_message_error', { message, ...errorFields(error) });
+    });
   });
   bindPart(container, Tokens.membership, (get) => {
     const replication = get(Tokens.tableReplication);
--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -1,6 +1,15 @@
 /** Starts an entry instance from its settings, and drains and stops it. */
 import type { ManagedPart, MetricsSink } from '@fighub/core';
-import { LifeCycle, TickLoop, newId, sleep } from '@fighub/core';
+import {
+  ADDRESS_WAIT_MARGIN_MS,
+  LifeCycle,
+  LogCategory,
+  TickLoop,
+  errorFields,
+  isFatalError,
+  newId,
+  sleep,
+} from '@fighub/core';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
 
@@ -44,8 +53,8 @@
 }
 
 /**
- * Starts an instance, which accepts requests once the promise resolves. Rejects if a port cannot be opened or a
- * component fails to start. Errors from which the process cannot safely continue go to `crash`.
+ * Starts an instance, which accepts requests once the promise resolves. Ports that another process holds are waited for until a process
+ * before this one must have ended. Rejects if a port cannot be opened or a component fails to start. Errors from which the process cannot safely continue go to `crash`.
  */
 export async function startEntry(
   settings: EntrySettings,
@@ -54,20 +63,24 @@
   sink?: MetricsSink,
 ): Promise<EntryInstance> {
   const instanceId = newId(settings.instanceName);
-  const container = buildContainer({ settings, instanceId, crash, sink });
+  const container = buildContainer({ settings, instanceId, crash, logger, sink });
   return new EntryStarter(settings, instanceId, container, logger).start();
 }
 
 /** Starts the components in dependency order and registers their clean-up with the life cycle. */
 class EntryStarter {
   private readonly lifeCycle = new LifeCycle();
+  /** A process before this one has ended by then. */
+  private readonly bindUntilMs: number;
 
   constructor(
     private readonly settings: EntrySettings,
     private readonly instanceId: string,
     private readonly container: Container,
     private readonly logger: Logger,
-  ) {}
+  ) {
+    this.bindUntilMs = performance.now() + settings.drainLimitMs + ADDRESS_WAIT_MARGIN_MS;
+  }
 
   async start(): Promise<EntryInstance> {
     const { settings, container, instanceId } = this;
@@ -86,6 +99,13 @@
     };
   }
 
+  /** An unexpected error ends what it was thrown for; a violated invariant ends the process. */
+  private onUnexpected(event: string, fields: Readonly<Record<string, unknown>>, error: unknown): void {
+    if (isFatalError(error)) this.container.get(Tokens.crash)(error);
+    else
+      this.container.get(Tokens.log).record(LogCategory.failure, event, { ...fields, ...errorFields(error) });
+  }
+
   private startPart(part: ManagedPart): Promise<void> {
     return this.lifeCycle.start(part);
   }
@@ -93,7 +113,7 @@
   private async startPeers(): Promise<string> {
     const { settings, container, instanceId } = this;
     const node = container.get(Tokens.peerNode);
-    const peerPort = await node.listen();
+    const peerPort = await node.listen(container.get(Tokens.log), this.bindUntilMs);
     await this.startPart({ name: 'peers', stop: () => node.close() });
     const peerAddress = settings.announcedPeerAddress ?? `${settings.host}:${String(peerPort)}`;
     const { failureDomain } = settings;
@@ -149,7 +169,9 @@
       permits,
       ...(roles.includes(EntryRole.batch) ? [batch] : []),
     ];
-    const tick = new TickLoop(systems, TICK_PERIODS, container.get(Tokens.crash));
+    const tick = new TickLoop(systems, TICK_PERIODS, (error, system) =>
+      this.onUnexpected('system_error', { system }, error),
+    );
     host.connect(permits, () => tick.wake());
     await this.startPart({ name: 'tick', start: () => tick.start(), stop: () => tick.stop() });
     await this.startPart({ name: 'batch', drain: () => batch.drain() });
@@ -158,7 +180,11 @@
 
   private async startGateway(): Promise<number> {
     const server = this.buildServer();
-    const httpPort = await server.listen(this.settings.host, this.settings.httpPort);
+    const httpPort = await server.listen(
+      { host: this.settings.host, port: this.settings.httpPort },
+      this.container.get(Tokens.log),
+      this.bindUntilMs,
+    );
     await this.startPart({
       name: 'gateway',
       drain: (abort) => this.drainGateway(abort),
@@ -188,7 +214,7 @@
       metrics,
       dump: () => dumpState(container),
       models: () => table.view.models(),
-      onError: container.get(Tokens.crash),
+      onError: (error, path) => this.onUnexpected('request_error', { path }, error),
     });
   }
 
