Bound the log lines of changes of state

Seen by reading: lines of changes of state had no limit, and some follow what others state, such as the request limits in responses of replicas (`request_limit_changed`). A log that grows without bound fills the memory when its reader is slow.

Evidence: the new test of packages/core/src/decision-log.test.ts fails without the change (5,000 lines in one second).

Change: 400 lines a second for each event; `leftOut` of the next line states how many are missing, and the counters hold all. The test that 100 changes are all written stays.

--- a/packages/core/src/decision-log.test.ts
+++ b/packages/core/src/decision-log.test.ts
@@ -29,4 +29,14 @@
     Array.from({ length: 100 }, () => log.record(LogCategory.state, 'store_lost', {}));
     expect(lines).toHaveLength(100);
   });
+
+  it('bounds changes of state that come without end, and reports how many were left out', () => {
+    const { lines, clock, log } = setup();
+    Array.from({ length: 5_000 }, () => log.record(LogCategory.state, 'request_limit_changed', {}));
+    expect(lines.length).toBeLessThan(500);
+    const written = lines.length;
+    clock.advance(1_000);
+    log.record(LogCategory.state, 'request_limit_changed', {});
+    expect(lines[written]).toMatchObject({ leftOut: 5_000 - written });
+  });
 });
--- a/packages/core/src/decision-log.ts
+++ b/packages/core/src/decision-log.ts
@@ -12,11 +12,11 @@
   warn(fields: object, message: string): void;
 }
 
-/** Maximum lines per second for each event, by category. Changes of state are not limited. */
+/** Maximum lines per second for each event, by category. Changes of state are rare, unless something outside changes without end. */
 const LINES_PER_SECOND: Record<LogCategory, number> = {
   routine: 40,
   failure: 60,
-  state: Number.POSITIVE_INFINITY,
+  state: 400,
 };
 const WINDOW_MS = 1_000;
 
