Refuse requests that cannot end before the instance is killed

In a planned stop of an entry, requests that came late in the grace period on connections that were kept, or opened before, were passed on to replicas; those that still ran 7.3 s after SIGTERM were cut without an answer, also requests that must not be repeated.

Cause: an instance that stops took every request until its server was closed, whatever time was left, and then destroyed all connections. Connections whose response had begun before SIGTERM, and those without a request so far, stayed open until then. The grace period was a default of the settings (8 s), not what the hosting platform states.

takesLateRequest (decisions) takes a request at a stopping instance if its deadline lies before the last answers, or if it is expected to end by then: by the longest duration of the latest 64 of its route and a quarter, or by the usual one (90%) where it may be repeated and the load balancer may still send new callers. All others are refused as not run at once. Before the end, requests that have not ended are answered (502 that they may have run, 503 if nothing was sent); only responses that have begun are broken off. Connections are closed when they are idle after the notice, and announced with Connection: close where the response has not begun. Relayed calls of other instances are ended in time as well.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -26,6 +26,7 @@
 export * from './job-progress.js';
 export * from './job-quota.js';
 export * from './knowledge-age.js';
+export * from './late-requests.js';
 export * from './leaving-replicas.js';
 export * from './limit-parts.js';
 export * from './limited-replicas.js';
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -116,6 +116,8 @@
     private readonly route: Route,
     sink: ResponseSink,
     private readonly callerDisconnected: AbortSignal,
+    /** Aborted when this instance can forward no longer, since it is about to be killed. */
+    private readonly instanceEnds: AbortSignal,
     private readonly dependencies: ForwardDependencies,
   ) {
     this.requestDigest = requestDigest(request);
@@ -134,7 +136,7 @@
   async run(): Promise<void> {
     const leftMs = Math.max(0, this.deadlineMs - this.dependencies.clock.monotonicMs());
     const timer = setTimeout(() => this.deadlinePassed.abort(), leftMs);
-    const stop = AbortSignal.any([this.callerDisconnected, this.deadlinePassed.signal]);
+    const stop = AbortSignal.any([this.callerDisconnected, this.deadlinePassed.signal, this.instanceEnds]);
     try {
       if (!(await this.findOrigin())) return;
       while (await this.runAttempt(stop));
@@ -250,7 +252,7 @@
     const attempts = [this.attempt(slot, race, stop), mayCopy ? this.sendCopy(slot, race, stop) : undefined];
     const results = (await Promise.all(attempts)).filter((result) => result !== undefined);
     if (results.some(({ delivered }) => delivered)) return this.recordCompletion();
-    if (this.callerDisconnected.aborted || this.deadlinePassed.signal.aborted) return this.finishStopped();
+    if (stop.aborted) return this.finishStopped();
     this.excluded.push(...results.map(({ replicaId }) => replicaId));
     const hasRun = results.some(({ evidence }) => evidence === SendEvidence.mayHaveRun);
     const detail = results.map((result) => result.detail).join('; ');
@@ -446,13 +448,15 @@
     return this.finishWithProblem(notRun('upstream_failed', detail), 'not_repeatable');
   }
 
-  /** Ends a request whose caller disconnected or whose deadline passed. */
+  /** Ends a request whose caller disconnected, whose deadline passed, or whose instance ends. */
   private finishStopped(): false {
     if (this.callerDisconnected.aborted) {
       this.dependencies.metrics.count('callers_gone');
       this.relay.cut();
       return false;
     }
+    if (!this.deadlinePassed.signal.aborted)
+      return this.finishWithProblem(notRun('draining', 'the instance stops'), 'stopping');
     return this.finishWithProblem(
       notRun('deadline_passed', 'the time limit of the request was reached'),
       'deadline',
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -1,6 +1,8 @@
 /** Starts and stops a serving instance on the adapters of a hosting platform. */
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
 import { LifeCycle, LogCategory, TickLoop, newId } from '@fighub/core';
+import type { StopSchedule } from '@fighub/decisions';
+import { stopSchedule } from '@fighub/decisions';
 import type { RecordStore } from '@fighub/outside';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
@@ -41,8 +43,8 @@
   mayRefuseForGood(): boolean;
   /** Whether shutdown has begun. */
   isStopping(): boolean;
-  /** Monotonic time by which the HTTP servers must be closed; infinite until shutdown begins. */
-  stopByMs(): number;
+  /** What happens when until the process is killed; undefined until shutdown begins. */
+  stopSchedule(): StopSchedule | undefined;
   /** State of all components, for the state dump endpoint. */
   dump(): Record<string, unknown>;
 }
@@ -59,8 +61,7 @@
 
 /** Periods of the tick loop, with and without work in progress. */
 const TICK_PERIODS = { busyMs: 10, idleMs: 50 } as const;
-/** Time at the end of the grace period that is kept for clean-up, before the hosting platform kills the process. */
-const STOP_MARGIN_MS = 700;
+const MS_PER_S = 1_000;
 
 /**
  * Starts an instance without HTTP servers; the caller adds them with `own`. Rejects when the peer port cannot
@@ -81,7 +82,7 @@
 class ServingStarter {
   private readonly lifeCycle = new LifeCycle();
   private stopping = false;
-  private stopByMs = Number.POSITIVE_INFINITY;
+  private schedule: StopSchedule | undefined;
 
   constructor(
     private readonly settings: ServingSettings,
@@ -120,10 +121,12 @@
     if (!this.stopping) {
       this.stopping = true;
       this.container.get(Tokens.relayServer).refuseNewCalls();
-      const { graceMs } = this.settings.shutdown;
-      this.stopByMs = performance.now() + graceMs - STOP_MARGIN_MS;
+      const { graceMs, graceS, noticeMs } = this.settings.shutdown;
+      const killedAfterMs = graceS === undefined ? graceMs : graceS * MS_PER_S;
+      this.schedule = stopSchedule(performance.now(), killedAfterMs, noticeMs);
       this.container.get(Tokens.log).record(LogCategory.state, 'instance_stopping', {
         instanceId: this.instanceId,
+        graceMs: killedAfterMs,
         openRequests: this.container.get(Tokens.runner).openRequests,
       });
     }
@@ -184,10 +187,21 @@
         tick.stop();
       },
     });
-    await this.lifeCycle.start(container.get(Tokens.relayServer));
+    const relayServer = container.get(Tokens.relayServer);
+    await this.lifeCycle.start({
+      name: relayServer.name,
+      drain: (signal) => relayServer.drain(AbortSignal.any([signal, this.closeTime()])),
+      stop: () => relayServer.stop(),
+    });
     await this.lifeCycle.start({ name: 'jobs', drain: () => jobs.drain() });
   }
 
+  /** Aborted when all requests must have ended, so that holders hear of it before the process is killed. */
+  private closeTime(): AbortSignal {
+    const leftMs = (this.schedule?.closeByMs ?? 0) - performance.now();
+    return AbortSignal.timeout(Math.max(0, Math.ceil(leftMs)));
+  }
+
   private components(): ServingComponents {
     const { container } = this;
     const view = container.get(Tokens.view);
@@ -215,7 +229,7 @@
         !fleetViewUpdater.isCutOff,
       mayRefuseForGood: () => fleetViewUpdater.mayRefuseForGood,
       isStopping: () => this.stopping,
-      stopByMs: () => this.stopByMs,
+      stopSchedule: () => this.schedule,
       dump: () => this.dump(),
     };
   }
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -92,6 +92,8 @@
     .strictObject({
       /** Time between the request to stop and the moment when the hosting platform kills the process. */
       graceMs: durationMs.default(8_000),
+      /** The same in seconds, as hosting platforms state it; takes precedence. */
+      graceS: z.number().positive().optional(),
       /** Time in which the load balancer notices that this instance is not ready. */
       noticeMs: durationMs.default(2_600),
     })
