--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -9,6 +9,8 @@
   isFatalError,
   newId,
 } from '@fighub/core';
+import type { StopSchedule } from '@fighub/decisions';
+import { stopSchedule } from '@fighub/decisions';
 import type { RecordStore } from '@fighub/outside';
 import type { Container } from 'inversify';
 import type { Logger } from 'pino';
@@ -49,8 +51,8 @@
   mayRefuseForGood(): boolean;
   /** Whether shutdown has begun. */
   isStopping(): boolean;
-  /** Monotonic time by which the HTTP servers must be closed; infinite until shutdown begins. */
-  stopByMs(): number;
+  /** What happens when until the process is killed; undefined until shutdown begins. */
+  stopSchedule(): StopSchedule | undefined;
   /** State of all components, for the state dump endpoint. */
   dump(): Record<string, unknown>;
 }
@@ -87,8 +89,6 @@
 
 /** Periods of the tick loop, with and without work in progress. */
 const TICK_PERIODS = { busyMs: 10, idleMs: 50 } as const;
-/** Time at the end of the grace period that is kept for clean-up, before the hosting platform kills the process. */
-const STOP_MARGIN_MS = 700;
 
 /**
  * Starts an instance with the HTTP servers that `bindServers` returns. Addresses that another process holds are waited for until a
@@ -112,7 +112,7 @@
   private readonly lifeCycle: LifeCycle;
   private started = false;
   private stopping = false;
-  private stopByMs = Number.POSITIVE_INFINITY;
+  private schedule: StopSchedule | undefined;
 
   constructor(
     private readonly settings: ServingSettings,
@@ -188,10 +188,11 @@
     if (!this.stopping) {
       this.stopping = true;
       this.container.get(Tokens.relayServer).refuseNewCalls();
-      const { graceMs } = this.settings.shutdown;
-      this.stopByMs = performance.now() + graceMs - STOP_MARGIN_MS;
+      const { graceMs, noticeMs } = this.settings.shutdown;
+      this.schedule = stopSchedule(performance.now(), graceMs, noticeMs);
       this.container.get(Tokens.log).record(LogCategory.state, 'instance_stopping', {
         instanceId: this.instanceId,
+        graceMs,
         openRequests: this.container.get(Tokens.runner).openRequests,
       });
     }
@@ -252,7 +253,12 @@
         tick.stop();
       },
     });
-    await this.lifeCycle.start(container.get(Tokens.relayServer));
+    const relayServer = container.get(Tokens.relayServer);
+    await this.lifeCycle.start({
+      name: relayServer.name,
+      drain: (signal) => relayServer.drain(AbortSignal.any([signal, this.closeTime()])),
+      stop: () => relayServer.stop(),
+    });
     await this.lifeCycle.start({ name: 'jobs', drain: () => jobs.drain() });
   }
 
@@ -265,6 +271,12 @@
         .record(LogCategory.failure, 'system_error', { system, ...errorFields(error) });
   }
 
+  /** Aborted when all requests must have ended, so that holders hear of it before the process is killed. */
+  private closeTime(): AbortSignal {
+    const leftMs = (this.schedule?.closeByMs ?? 0) - performance.now();
+    return AbortSignal.timeout(Math.max(0, Math.ceil(leftMs)));
+  }
+
   private components(): ServingComponents {
     const { container } = this;
     const view = container.get(Tokens.view);
@@ -293,7 +305,7 @@
         !fleetViewUpdater.isCutOff,
       mayRefuseForGood: () => fleetViewUpdater.mayRefuseForGood,
       isStopping: () => this.stopping,
-      stopByMs: () => this.stopByMs,
+      stopSchedule: () => this.schedule,
       dump: () => this.dump(),
     };
   }
--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a serving instance. */
 import { z } from 'zod';
 
+const MS_PER_S = 1_000;
 const durationMs = z.number().int().positive();
 const hostAndPort = z.string().regex(/^[\w.-]+:\d{1,5}$/, 'expected host:port');
 
@@ -94,9 +95,15 @@
     .strictObject({
       /** Time between the request to stop and the moment when the hosting platform kills the process. */
       graceMs: durationMs.default(8_000),
+      /** The same in seconds, as hosting platforms state it; takes precedence. */
+      graceS: z.number().positive().optional(),
       /** Time in which the load balancer notices that this instance is not ready. */
       noticeMs: durationMs.default(2_600),
     })
+    .transform(({ graceMs, graceS, noticeMs }) => ({
+      graceMs: graceS === undefined ? graceMs : graceS * MS_PER_S,
+      noticeMs,
+    }))
     .prefault({}),
   logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
 });
