Say in the log that the memory of a process comes near a limit

A line now says once that the heap or the memory is over four fifths of its limit, with the figures, and once that both are normal again. Cost: statistics of the heap and one reading of the resident memory a second.

--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -22,6 +22,7 @@
 import type { JobRunner } from './batch/job-runner.js';
 import { MembershipLog } from './membership-log.js';
 import { MemberDiscovery } from './member-discovery.js';
+import { MemoryWatch } from './memory-watch.js';
 import type { BufferBudget } from './online/buffer-budget.js';
 import type { ForwardRunner } from './online/forward-runner.js';
 import type { FleetView } from './routing/fleet-view.js';
@@ -238,6 +239,7 @@
         container.get(Tokens.keyConfirmation),
         container.get(Tokens.transport),
         new MembershipLog(() => container.get(Tokens.membership), container.get(Tokens.log)),
+        new MemoryWatch(this.settings.memoryMb, container.get(Tokens.log)),
       ],
       TICK_PERIODS,
       (error, system) => this.onSystemError(error, system),
