Refuse a port above 65535 in the settings

Operators saw nothing: such a port was read as 0, so that the process listened on any port and nobody reached it. Seen by reading.

--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -3,7 +3,11 @@
 
 const MS_PER_S = 1_000;
 const durationMs = z.number().int().positive();
-const hostAndPort = z.string().regex(/^[\w.-]+:\d{1,5}$/, 'expected host:port');
+const MAX_PORT = 65_535;
+const hostAndPort = z
+  .string()
+  .regex(/^[\w.-]+:\d{1,5}$/, 'expected host:port')
+  .refine((address) => Number(address.split(':')[1]) <= MAX_PORT, `the port is above ${String(MAX_PORT)}`);
 
 /** Schema of the settings of a serving instance. Unknown keys are rejected. */
 export const servingSettingsSchema = z.strictObject({
