Complete a log line that was written in part before the last line

Operators who copied the line about the end found it joined to the middle of another line, when the reader of the log had paused and came back as the process ended: the line was no JSON, and the rest of up to 1 MB that had been held was missing without being counted.

Cause: a block that waits for room is kept by its timer only; the end writes the lines that are held, but not that block. Evidence: the new test, without the block in what is taken at the end, fails: the text lacks the rest of the block and 'last' stands within a line (expected 100 lines and the last one). Change: the block that waits is kept where the end finds it, and is written first. A write that is in the thread pool at the moment of the end is still not seen by it.

--- a/packages/outside/src/log-output.test.ts
+++ b/packages/outside/src/log-output.test.ts
@@ -1,4 +1,5 @@
-import { mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { execFileSync } from 'node:child_process';
+import { constants, mkdtempSync, openSync, readFileSync, readSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
@@ -10,6 +11,7 @@
   while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
 }
 
+const PIPE_BYTES = 65_536;
 const LINE = `${'x'.repeat(999)}\n`;
 const FULL_DEVICE = '/dev/full';
 
@@ -32,6 +34,24 @@
     rmSync(folder, { recursive: true, force: true });
   });
 
+  it('completes a line that was written in part before the last one, for a reader that reads again', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'fighub-log-'));
+    const path = join(folder, 'pipe');
+    execFileSync('mkfifo', [path]);
+    const reader = openSync(path, constants.O_RDWR | constants.O_NONBLOCK);
+    const output = new LogOutput(openSync(path, constants.O_WRONLY | constants.O_NONBLOCK));
+    const buffer = Buffer.alloc(2 * PIPE_BYTES);
+    const read = (): string => buffer.toString('latin1', 0, readSync(reader, buffer));
+    Array.from({ length: 100 }, () => output.write(LINE));
+    let text = '';
+    await eventually(() => output.isWaiting);
+    text += read();
+    expect(output.end('last\n', 1_000)).toBe(true);
+    text += read();
+    expect(text).toBe(`${LINE.repeat(100)}last\n`);
+    rmSync(folder, { recursive: true, force: true });
+  });
+
   it('counts the lines that cannot be written, and goes on', async () => {
     const output = new LogOutput(openSync(FULL_DEVICE, 'w'));
     Array.from({ length: 50 }, () => output.write(LINE));
--- a/packages/outside/src/log-output.ts
+++ b/packages/outside/src/log-output.ts
@@ -23,6 +23,8 @@
   private lines: Buffer[] = [];
   private heldBytes = 0;
   private isWriting = false;
+  /** What is left of a block for which the reader had no room. Its first line may have been written in part. */
+  private waitingBlock: Buffer | undefined;
 
   /** Lines are written once there are `blockBytes` of them, or after a period. */
   constructor(
@@ -33,6 +35,11 @@
     setInterval(() => this.flush(), FLUSH_PERIOD_MS).unref();
   }
 
+  /** Whether a write is to be made again, because the reader had no room for it. */
+  get isWaiting(): boolean {
+    return this.waitingBlock !== undefined;
+  }
+
   /** Takes one line, which ends with a line break. */
   write(line: string): void {
     const bytes = Buffer.from(line);
@@ -59,7 +66,8 @@
   }
 
   private takeHeld(): Buffer {
-    const held = Buffer.concat(this.lines);
+    const held = Buffer.concat(this.waitingBlock ? [this.waitingBlock, ...this.lines] : this.lines);
+    this.waitingBlock = undefined;
     this.lines = [];
     return held;
   }
@@ -67,7 +75,8 @@
   private writeBlock(block: Buffer): void {
     write(this.descriptor, block, (error, written) => {
       if (error && PASSING_ERRORS.has(error.code)) {
-        setTimeout(() => this.writeBlock(block), RETRY_DELAY_MS).unref();
+        this.waitingBlock = block;
+        setTimeout(() => this.writeWaitingBlock(), RETRY_DELAY_MS).unref();
         return;
       }
       if (error) this.droppedLines += countLines(block);
@@ -81,6 +90,12 @@
       if (this.heldBytes >= this.blockBytes) this.flush();
     });
   }
+
+  private writeWaitingBlock(): void {
+    const block = this.waitingBlock;
+    this.waitingBlock = undefined;
+    if (block) this.writeBlock(block);
+  }
 }
 
 /** Writes one line to a standard stream within `limitMs`. Returns whether it was written. */
