--- a/packages/entry/src/ingress/http-server.test.ts
+++ b/packages/entry/src/ingress/http-server.test.ts
@@ -3,16 +3,41 @@
 import { Metrics, ok } from '@fighub/core';
 import { afterEach, describe, expect, it } from 'vitest';
 
+import type { HttpServerDependencies } from './http-server.js';
 import { HttpServer } from './http-server.js';
 
-type Dependencies = ConstructorParameters<typeof HttpServer>[0];
-
+const HOST = '127.0.0.1';
 const ERROR = new Error('of the test');
-let server: HttpServer | undefined;
+const NO_LOG = { record: () => undefined };
+
+let server: HttpServer;
+
+afterEach(() => server.close());
 
-afterEach(() => server?.close());
+describe('HttpServer', () => {
+  it.each(['/v1/models', '/admin/v1/dump', '/v1/jobs/j1'])(
+    'ends only the request when the handler of %s throws',
+    async (path) => {
+      const errors: unknown[] = [];
+      const fail = (): never => {
+        throw new Error('unexpected');
+      };
+      server = new HttpServer({
+        auth: { authenticate: () => ok({ role: 'administrator' }) },
+        metrics: new Metrics(),
+        models: fail,
+        dump: fail,
+        jobs: { status: () => Promise.reject(new Error('unexpected')) },
+        onError: (error: unknown, requestPath: string) => errors.push([String(error), requestPath]),
+      } as unknown as HttpServerDependencies);
+      const port = await server.listen({ host: HOST, port: 0 }, NO_LOG, 0);
+      const response = await fetch(`http://${HOST}:${String(port)}${path}`);
+      expect(response.status).toBe(500);
+      expect(await response.json()).toMatchObject({ code: 'internal' });
+      expect(errors).toEqual([['Error: unexpected', path]]);
+    },
+  );
 
-describe('an unexpected error of one request', () => {
   it.each([
     [
       'throws',
@@ -35,11 +60,11 @@
       },
       onError: (error: unknown) => errors.push(error),
     };
-    server = new HttpServer(dependencies as unknown as Dependencies);
-    const port = await server.listen('127.0.0.1', 0);
+    server = new HttpServer(dependencies as unknown as HttpServerDependencies);
+    const port = await server.listen({ host: HOST, port: 0 }, NO_LOG, 0);
     const complete = await new Promise<boolean>((resolve) => {
       const sent = request(
-        { port, host: '127.0.0.1', method: 'POST', path: '/v1/completions', agent: false },
+        { port, host: HOST, method: 'POST', path: '/v1/completions', agent: false },
         (res) => {
           res.resume();
           res.on('close', () => resolve(res.complete));
