State the error that ends a process before its end is recorded

A process that ended by an unexpected error left neither the error nor a process_ended line where its address space was limited: it ended by SIGTRAP.

Cause: the end is recorded from a worker thread before any line about it is written; V8 ends the process at once if it cannot reserve the heap of the thread, which no handler sees. The lines were still held in memory. Change: a crash writes what is held and the last line first. What is logged after it, such as that the store did not respond, follows it. The record in the store is still missing after such an end, and counts as unknown.

--- a/packages/outside/src/process-log.ts
+++ b/packages/outside/src/process-log.ts
@@ -22,7 +22,7 @@
 
   constructor(private readonly output = new LogOutput(StandardStream.output)) {
     this.logger = pino({ base: null }, this.output);
-    process.on('exit', (exitStatus) => this.onExit(exitStatus));
+    process.on('exit', (exitStatus) => this.writeEnd(exitStatus));
   }
 
   get phase(): ProcessPhase {
@@ -50,6 +50,12 @@
     return this.life.end(reason, exitStatus, detail, performance.now());
   }
 
+  /** Writes the last line before the process ends, where what is still to be done may end it at once. */
+  stateEnd(end: ProcessEnd): void {
+    this.statedEnd ??= end;
+    this.writeEnd(end.exitStatus);
+  }
+
   /** Ends the process. */
   exit(end: ProcessEnd): never {
     this.statedEnd ??= end;
@@ -57,8 +63,12 @@
   }
 
   /** Writes the last line of the process, whatever led to its exit: to standard error if the log does not take it. */
-  private onExit(exitStatus: number): void {
-    if (this.hasEnded) return;
+  private writeEnd(exitStatus: number): void {
+    if (this.hasEnded) {
+      // Lines that came after the last one.
+      this.output.end('', LOG_END_LIMIT_MS);
+      return;
+    }
     this.hasEnded = true;
     const end = this.statedEnd ?? this.endNow(EndReason.unknown, exitStatus, '');
     const { droppedLines } = this.output;
