Stop within the grace period when another process shares the unread output

A process whose standard output nobody read did not end after SIGTERM until it was killed, and one that ended by an unexpected error would have kept its addresses without responding, when another process with the same output had ended before: two roles of a machine, or a process and its successor, whose output one supervisor collects.

Cause: writes that do not wait are a mode of the pipe, which all its writers share. Node.js restores the mode at its end, so that the end of one process let the writes of the others wait for the reader, also the last ones. Evidence: a real entry and 'node -e' on one full pipe: 14 s after SIGTERM it still ran (without the other process it ended after 2.9 s). Change: the log opens the pipe again for itself, which gives it a mode of its own; where it may not (a pipe of another user), the shared one is used as before.

--- a/packages/outside/src/log-output.ts
+++ b/packages/outside/src/log-output.ts
@@ -1,5 +1,5 @@
 /** Writes log lines to a standard stream without waiting for its reader. */
-import { fstatSync, write, writeSync } from 'node:fs';
+import { constants, fstatSync, openSync, write, writeSync } from 'node:fs';
 
 /** File descriptors of the standard streams. */
 export const StandardStream = { output: 1, error: 2 } as const;
@@ -21,6 +21,7 @@
   /** Lines that were dropped, because the reader does not read or the descriptor cannot be written. */
   droppedLines = 0;
   private lines: Buffer[] = [];
+  private readonly descriptor: number;
   private heldBytes = 0;
   private isWriting = false;
   /** What is left of a block for which the reader had no room. Its first line may have been written in part. */
@@ -28,10 +29,11 @@
 
   /** Lines are written once there are `blockBytes` of them, or after a period. */
   constructor(
-    private readonly descriptor: number,
+    descriptor: number,
     private readonly blockBytes = BLOCK_BYTES,
   ) {
     stopWaitingForReaders();
+    this.descriptor = withOwnMode(descriptor);
     setInterval(() => this.flush(), FLUSH_PERIOD_MS).unref();
   }
 
@@ -101,7 +103,20 @@
 /** Writes one line to a standard stream within `limitMs`. Returns whether it was written. */
 export function writeLine(descriptor: number, line: string, limitMs: number): boolean {
   stopWaitingForReaders();
-  return writeUntil(descriptor, Buffer.from(line), performance.now() + limitMs);
+  return writeUntil(withOwnMode(descriptor), Buffer.from(line), performance.now() + limitMs);
+}
+
+/**
+ * Opens a pipe again, so that its mode is not shared with other processes that write to it: one of them may let writes wait for the reader
+ * again, as Node.js does at its end. Returns `descriptor` itself if it is no pipe or cannot be opened, as that of another user.
+ */
+function withOwnMode(descriptor: number): number {
+  try {
+    if (!fstatSync(descriptor).isFIFO()) return descriptor;
+    return openSync(`/proc/self/fd/${String(descriptor)}`, constants.O_WRONLY | constants.O_NONBLOCK);
+  } catch {
+    return descriptor;
+  }
 }
 
 /**
