--- a/packages/serving/src/settings.ts
+++ b/packages/serving/src/settings.ts
@@ -25,7 +25,7 @@
   /** Memory that the process may use, in megabytes. What it holds for callers and replicas that read slowly is bounded by it. */
   memoryMb: z.number().positive().default(400),
   /** Open files and sockets that the process may have. Connections of callers are bounded by it and by the memory. */
-  maxFds: z.number().int().positive().default(4_096),
+  maxFds: z.number().positive().default(4_096),
   /**
    * Folder for files that are of use after a loss of power, such as where streams began; omitted where there is no disk. Nothing
    * that was acknowledged depends on it.
