--- a/packages/outside/src/log-output.ts
+++ b/packages/outside/src/log-output.ts
@@ -1,5 +1,5 @@
 /** Writes log lines to a standard stream without waiting for its reader. */
-import { fstatSync, write, writeSync } from 'node:fs';
+import { constants, fstatSync, openSync, write, writeSync } from 'node:fs';
 
 /** File descriptors of the standard streams. */
 export const StandardStream = { output: 1, error: 2 } as const;
@@ -21,18 +21,27 @@
   /** Lines that were dropped, because the reader does not read or the descriptor cannot be written. */
   droppedLines = 0;
   private lines: Buffer[] = [];
+  private readonly descriptor: number;
   private heldBytes = 0;
   private isWriting = false;
+  /** What is left of a block for which the reader had no room. Its first line may have been written in part. */
+  private waitingBlock: Buffer | undefined;
 
   /** Lines are written once there are `blockBytes` of them, or after a period. */
   constructor(
-    private readonly descriptor: number,
+    descriptor: number,
     private readonly blockBytes = BLOCK_BYTES,
   ) {
     stopWaitingForReaders();
+    this.descriptor = withOwnMode(descriptor);
     setInterval(() => this.flush(), FLUSH_PERIOD_MS).unref();
   }
 
+  /** Whether a write is to be made again, because the reader had no room for it. */
+  get isWaiting(): boolean {
+    return this.waitingBlock !== undefined;
+  }
+
   /** Takes one line, which ends with a line break. */
   write(line: string): void {
     const bytes = Buffer.from(line);
@@ -59,7 +68,8 @@
   }
 
   private takeHeld(): Buffer {
-    const held = Buffer.concat(this.lines);
+    const held = Buffer.concat(this.waitingBlock ? [this.waitingBlock, ...this.lines] : this.lines);
+    this.waitingBlock = undefined;
     this.lines = [];
     return held;
   }
@@ -67,7 +77,8 @@
   private writeBlock(block: Buffer): void {
     write(this.descriptor, block, (error, written) => {
       if (error && PASSING_ERRORS.has(error.code)) {
-        setTimeout(() => this.writeBlock(block), RETRY_DELAY_MS).unref();
+        this.waitingBlock = block;
+        setTimeout(() => this.writeWaitingBlock(), RETRY_DELAY_MS).unref();
         return;
       }
       if (error) this.droppedLines += countLines(block);
@@ -81,12 +92,31 @@
       if (this.heldBytes >= this.blockBytes) this.flush();
     });
   }
+
+  private writeWaitingBlock(): void {
+    const block = this.waitingBlock;
+    this.waitingBlock = undefined;
+    if (block) this.writeBlock(block);
+  }
 }
 
 /** Writes one line to a standard stream within `limitMs`. Returns whether it was written. */
 export function writeLine(descriptor: number, line: string, limitMs: number): boolean {
   stopWaitingForReaders();
-  return writeUntil(descriptor, Buffer.from(line), performance.now() + limitMs);
+  return writeUntil(withOwnMode(descriptor), Buffer.from(line), performance.now() + limitMs);
+}
+
+/**
+ * Opens a pipe again, so that its mode is not shared with other processes that write to it: one of them may let writes wait for the reader
+ * again, as Node.js does at its end. Returns `descriptor` itself if it is no pipe or cannot be opened, as that of another user.
+ */
+function withOwnMode(descriptor: number): number {
+  try {
+    if (!fstatSync(descriptor).isFIFO()) return descriptor;
+    return openSync(`/proc/self/fd/${String(descriptor)}`, constants.O_WRONLY | constants.O_NONBLOCK);
+  } catch {
+    return descriptor;
+  }
 }
 
 /**
