--- a/packages/peers/src/peer-messages.ts
+++ b/packages/peers/src/peer-messages.ts
@@ -265,6 +265,8 @@
   readonly detail: string;
   /** Whether the relay could not connect to the replica; omitted if not. */
   readonly unreachable?: boolean;
+  /** Whether the failure is one of the relay and says nothing about the replica; omitted if not, and by earlier releases. */
+  readonly pathsLost?: boolean;
   /** Whether the request cannot be expressed in the protocol; omitted if not. An earlier release reads `kind` only. */
   readonly unsendable?: boolean;
 }
--- a/packages/serving/src/relay/relay-client.ts
+++ b/packages/serving/src/relay/relay-client.ts
@@ -270,5 +270,12 @@
 function toUpstreamEnd(end: NonNullable<RelayPartBody['end']>, relayedBy: string): UpstreamEnd {
   if (end.unsendable) return { kind: UpstreamEndKind.unsendable, detail: end.detail, relayedBy };
   const kind = Object.values(UpstreamEndKind).find((known) => known === end.kind) ?? UpstreamEndKind.broken;
-  return { kind, detail: end.detail, relayedBy, ...(end.unreachable ? { unreachable: true } : {}) };
+  const { detail, unreachable, pathsLost } = end;
+  return {
+    kind,
+    detail,
+    relayedBy,
+    ...(unreachable ? { unreachable } : {}),
+    ...(pathsLost ? { pathsLost } : {}),
+  };
 }
--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -215,8 +215,9 @@
 }
 
 /** A holder of an earlier release does not know of requests that cannot be sent, and takes them for cancelled ones. */
-function toRelayedEnd({ kind, detail, unreachable }: UpstreamEnd): RelayedEnd {
+function toRelayedEnd({ kind, detail, unreachable, pathsLost }: UpstreamEnd): RelayedEnd {
   if (kind === UpstreamEndKind.unsendable)
     return { kind: UpstreamEndKind.cancelled, detail, unsendable: true };
+  if (pathsLost) return { kind, detail, pathsLost };
   return { kind, detail, ...(unreachable ? { unreachable: true } : {}) };
 }
