--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -23,6 +23,8 @@
 /** The path of one instance to the replicas, with the calls that took it. */
 class FakePath implements DirectTransport {
   isCut = false;
+  /** How calls end while the path is cut. */
+  cutEnd: UpstreamEnd = UNREACHABLE;
   readonly calls: UpstreamCall[] = [];
   readonly cancelled: string[] = [];
   /** What the replica does with a call. */
@@ -35,7 +37,7 @@
 
   async send(call: UpstreamCall, listener: UpstreamListener, signal: AbortSignal): Promise<UpstreamEnd> {
     this.calls.push(call);
-    if (this.isCut) return UNREACHABLE;
+    if (this.isCut) return this.cutEnd;
     if (!call.mayBegin()) return { kind: 'not_connected', detail: 'not begun' };
     const stopped = new Promise<UpstreamEnd>((resolve) =>
       signal.addEventListener('abort', () => {
@@ -216,6 +218,15 @@
     expect((await send(holder)).end).toEqual({ ...UNREACHABLE, pathsLost: true });
   });
 
+  it('says nothing of the replica when the relaying instance lacks what a connection needs', async () => {
+    const [holder, relay] = (await start(2)) as [Instance, Instance];
+    await cutOff(holder);
+    relay.path.isCut = true;
+    relay.path.cutEnd = { ...UNREACHABLE, detail: 'EMFILE', pathsLost: true };
+    const { end } = await send(holder);
+    expect(end).toEqual({ kind: 'not_connected', detail: 'EMFILE', relayedBy: 'i1', pathsLost: true });
+  });
+
   it('never relays a call for another instance that it cannot make itself', async () => {
     const [holder, relay] = (await start(3)) as [Instance, Instance];
     await cutOff(holder);
