Go on after an owner whose response holds no loads

Change: the task is handed to the node, which reports its error. permit-client.test.ts fails without it (an unhandled rejection) and passes with it; the fake of the node in that file now notes which responses could not be read.

--- a/packages/admission/src/permit-client.test.ts
+++ b/packages/admission/src/permit-client.test.ts
@@ -45,10 +45,12 @@
   /** Whether the next requests are accepted; later ones time out. */
   const accepts: boolean[] = [];
   const notices: [name: string, body: unknown][] = [];
+  /** Names of the messages whose responses could not be read. */
+  const unread = new Set<string>();
   const node = {
     onNotice: () => undefined,
     onOutboundClosed: () => undefined,
-    detach: (_name: string, task: Promise<unknown>) => void task,
+    detach: (name: string, task: Promise<unknown>) => void task.catch(() => unread.add(name)),
     notify: (_address: string, name: string, body: unknown) => notices.push([name, body]),
     request: (_address: string, name: string) => {
       sent.push(name);
@@ -85,7 +87,7 @@
       client.run(clock.monotonicMs());
     }
   };
-  return { client, sent, accepts, notices, clock, pass };
+  return { client, sent, accepts, notices, unread, clock, pass };
 }
 
 /** Names of the requests that an instance sends in 5 s in which it asks once for a slot in one of `pools`. */
@@ -107,6 +109,15 @@
     expect(requestsFor([pool('d'), pool('e')])).toContain('pool.load');
   });
 
+  // Guards against a response of another release that ends the process as an unhandled rejection.
+  it('goes on after an owner whose response holds no loads', async () => {
+    const { client, accepts, unread, pass } = setup([pool('d'), pool('e')]);
+    accepts.push(...Array.from({ length: 100 }, () => true));
+    void client.acquire(DEMAND, new AbortController().signal);
+    pass(5_000);
+    await vi.waitFor(() => expect(unread).toEqual(new Set(['pool.load'])));
+  });
+
   it('asks for frequent ticks while a request waits, and not while it only holds a permit', async () => {
     const { client, pass } = setup([pool('')]);
     const acquired = client.acquire(DEMAND, new AbortController().signal);
--- a/packages/admission/src/permit-client.ts
+++ b/packages/admission/src/permit-client.ts
@@ -473,7 +473,7 @@
       const ownerId = this.host.ownerOfPool(pool.poolId) ?? '';
       byOwner.set(ownerId, [...(byOwner.get(ownerId) ?? []), pool.poolId]);
     });
-    byOwner.forEach((poolIds, ownerId) => void this.requestLoads(ownerId, poolIds));
+    byOwner.forEach((poolIds, ownerId) => this.node.detach('pool.load', this.requestLoads(ownerId, poolIds)));
   }
 
   private sample(pools: readonly PoolDescription[]): PoolDescription[] {
