Bound the time limit of relayed calls at a stop to what a timer allows

A grace period of more than 24 days in the settings would have ended them at once. By reading, like the times of a configuration; no test of its own.

--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -8,6 +8,7 @@
   errorFields,
   isFatalError,
   newId,
+  timerMs,
 } from '@fighub/core';
 import type { StopSchedule } from '@fighub/decisions';
 import { stopSchedule } from '@fighub/decisions';
@@ -276,7 +277,7 @@
   /** Aborted when all requests must have ended, so that holders hear of it before the process is killed. */
   private closeTime(): AbortSignal {
     const leftMs = (this.schedule?.closeByMs ?? 0) - performance.now();
-    return AbortSignal.timeout(Math.max(0, Math.ceil(leftMs)));
+    return AbortSignal.timeout(timerMs(Math.ceil(leftMs)));
   }
 
   private components(): ServingComponents {
