Divide the memory of a process among what is bounded by itself

Cause: the bound of connections left two fifths of the memory to request bodies and responses. The items of jobs in memory took a fifth more and the intake of jobs a tenth, which nothing subtracted, so that everything full came to 1.3 times the memory. In a run with samples every 15 ms buffers outside the heap rose to 98 MB while the bodies arrived, and the heap by 62 MB while the items were kept.

Change: the decision memoryShares divides memoryMb among all of them.

--- a/packages/decisions/src/connection-budget.test.ts
+++ b/packages/decisions/src/connection-budget.test.ts
@@ -9,7 +9,7 @@
   { memoryMb: 602, maxFds: 8_192 },
 ];
 const LARGEST_HEADER_MB = 64 / 1_024;
-/** Peak under the load of the site files, and the fifths of the memory for request bodies and for responses. */
+/** Peak under the load of the site files, and the parts of the memory for what is bounded by itself. */
 const USUAL_PEAK_MB = 95;
 const BUFFERS_FRACTION = 0.4;
 /** Files, and what peers, the store and probes need. */
--- a/packages/decisions/src/connection-budget.ts
+++ b/packages/decisions/src/connection-budget.ts
@@ -3,6 +3,7 @@
  * them: each connection takes memory before a request is seen, and a descriptor, without which no replica, peer or store
  * can be reached. The platform ends a process that exceeds its memory.
  */
+import { memoryShares } from './memory-shares.js';
 
 /** What the platform grants a process. */
 export interface ProcessLimits {
@@ -19,11 +20,6 @@
   readonly refused: number;
 }
 
-const BYTES_PER_MB = 1_048_576;
-/** Memory of a process under its usual load, without the buffers that are bounded by themselves. */
-const BASE_MB = 100;
-/** Part of the memory that is left for request bodies and for responses that callers have not read. */
-const BUFFER_FRACTION = 0.4;
 /** Memory of a connection at most before its request is seen: a header section of the largest size. */
 const BYTES_PER_CONNECTION = 65_536;
 /** Descriptors that the platform reserves for files. */
@@ -38,8 +34,7 @@
 
 /** The connections that callers may have open at a process with these limits. */
 export function connectionBudget({ memoryMb, maxFds }: ProcessLimits): ConnectionBudget {
-  const freeMb = memoryMb * (1 - BUFFER_FRACTION) - BASE_MB;
-  const byMemory = Math.max(MIN_BY_MEMORY, (freeMb * BYTES_PER_MB) / BYTES_PER_CONNECTION);
+  const byMemory = Math.max(MIN_BY_MEMORY, memoryShares(memoryMb).connectionBytes / BYTES_PER_CONNECTION);
   const byDescriptors = Math.max(MIN_BY_DESCRIPTORS, (maxFds - FILE_DESCRIPTORS) * CALLER_FRACTION);
   const total = Math.floor(Math.min(byMemory, byDescriptors));
   const refused = Math.ceil(total * REFUSED_FRACTION);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,6 +35,7 @@
 export * from './load-drift.js';
 export * from './member-ring.js';
 export * from './membership.js';
+export * from './memory-shares.js';
 export * from './ordered-map.js';
 export * from './organisation-limits.js';
 export * from './organisation-quotas.js';
--- a/packages/decisions/src/intake-budget.ts
+++ b/packages/decisions/src/intake-budget.ts
@@ -2,10 +2,8 @@
  * Decides how many batch jobs are taken in at the same time. Answers many large jobs at once: parsing, checking and storing
  * a job takes its size several times over, on a heap that ends the process when it is full.
  */
+import { memoryShares } from './memory-shares.js';
 
-const BYTES_PER_MB = 1_048_576;
-/** Part of the memory of a process for jobs that are being taken in. */
-const INTAKE_FRACTION = 0.1;
 /** Memory that a job takes at its peak, as a multiple of its size: texts and encodings of it that exist at the same time. */
 const MEMORY_FACTOR = 10;
 
@@ -15,7 +13,7 @@
   private usedBytes = 0;
 
   constructor(memoryMb: number) {
-    this.maxBytes = memoryMb * INTAKE_FRACTION * BYTES_PER_MB;
+    this.maxBytes = memoryShares(memoryMb).jobIntakeBytes;
   }
 
   /** Takes memory for a job whose submission has `bodyBytes`. Returns false, and takes nothing, if it has to wait. */
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -13,6 +13,7 @@
 } from '@fighub/core';
 import type { GetPart } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
+import { memoryShares } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
 import { ExpiringLog, RecordStore } from '@fighub/outside';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
@@ -63,18 +64,9 @@
 const NO_LOAD_READER: LoadReader = { load: () => Promise.resolve(undefined) };
 
 const MS_PER_S = 1_000;
-const BYTES_PER_MB = 1_048_576;
-/** Part of the memory of a process that request bodies, and as much again that incomplete responses, may take. */
-const BUFFER_FRACTION = 0.2;
-const MAX_BUFFER_BYTES = 64 * BYTES_PER_MB;
 /** Name of the files in which coordinators record where streams began. */
 const ORIGIN_LOG_NAME = 'stream-origins';
 
-/** Memory for one kind of buffers of a process with `memoryMb` of memory. */
-function bufferBytes(memoryMb: number): number {
-  return Math.min(MAX_BUFFER_BYTES, memoryMb * BUFFER_FRACTION * BYTES_PER_MB);
-}
-
 function token<T>(name: string): ServiceIdentifier<T> {
   return Symbol.for(`fighub/serving/${name}`) as ServiceIdentifier<T>;
 }
@@ -139,7 +131,8 @@
   };
   container.bind(Tokens.node).toConstantValue(new PeerNode(nodeOptions, metrics, onMessageError));
   container.bind(Tokens.view).toConstantValue(new FleetView());
-  container.bind(Tokens.requestBodies).toConstantValue(new BufferBudget(bufferBytes(settings.memoryMb)));
+  const { requestBodyBytes } = memoryShares(settings.memoryMb);
+  container.bind(Tokens.requestBodies).toConstantValue(new BufferBudget(requestBodyBytes));
   container.bind(Tokens.organisationUsage).toConstantValue(new OrganisationUsage());
   container.bind(Tokens.self).toConstantValue({
     instanceId,
@@ -369,7 +362,7 @@
         ...runDependencies(get),
         readDirectoryNow: (timeoutMs) => get(Tokens.fleetViewUpdater).readDirectoryNow(timeoutMs),
         organisationUsage: get(Tokens.organisationUsage),
-        responseBuffers: new BufferBudget(bufferBytes(get(Tokens.settings).memoryMb)),
+        responseBuffers: new BufferBudget(memoryShares(get(Tokens.settings).memoryMb).responseBytes),
         copyDelays: get(Tokens.settings).hedging.maxExtraFraction > 0 ? new CopyDelays() : undefined,
       }),
   );
@@ -441,7 +434,7 @@
   bindPart(
     container,
     Tokens.inputs,
-    (get) => new InputCache(get(Tokens.store), bufferBytes(get(Tokens.settings).memoryMb)),
+    (get) => new InputCache(get(Tokens.store), memoryShares(get(Tokens.settings).memoryMb).jobInputBytes),
   );
   bindPart(
     container,
