Give the slot of a completion back when its engine throws

Cause: only an attempt that ended by an outcome released its slot. After an unexpected error the owner of the pool counted the slot as used for as long as this instance lived, and each such error took one more of the replica's slots.

Change: the call of the engine releases the slot before the error goes on.

Evidence: the new test of completion-runner.test.ts fails on the code before (no release) and passes.

--- a/packages/entry/src/online/completion-runner.test.ts
+++ b/packages/entry/src/online/completion-runner.test.ts
@@ -28,4 +28,14 @@
     expect(demands.map(({ softwareVersion }) => softwareVersion)).toEqual([undefined, 'v1']);
     expect(end).toMatchObject({ kind: 'completed', tokens: ['x', 'x'], softwareVersion: 'v1' });
   });
+
+  it('gives the slot back when the engine throws', async () => {
+    const unexpected = new TypeError('unexpected');
+    const releases: unknown[] = [];
+    const runner = runnerWith({ run: () => Promise.reject(unexpected) });
+    (runner.dependencies.permits as { release: unknown }).release = (_: unknown, end: unknown) =>
+      releases.push(end);
+    await expect(runner.run(COMPLETION_SPEC, new AbortController().signal)).rejects.toBe(unexpected);
+    expect(releases).toEqual([{ end: 'cancelled', tokens: 0 }]);
+  });
 });
--- a/packages/entry/src/online/completion-runner.ts
+++ b/packages/entry/src/online/completion-runner.ts
@@ -236,9 +236,8 @@
       fencing: slot.fencingChecked ? spec.fencing : undefined,
       idempotent: spec.idempotent,
     };
-    spec.onDispatch?.();
     const stop = AbortSignal.any([this.signal, slot.revoked, tokenMissing.signal]);
-    const engineEnd = await this.dependencies.engine.run(call, this.dependencies.limits, onChunk, stop);
+    const engineEnd = await this.callEngine(slot, call, onChunk, stop);
     const end = tokenMissing.signal.aborted
       ? { ...engineEnd, kind: EngineEndKind.broken, detail: 'the stream skipped a token' }
       : engineEnd;
@@ -254,6 +253,23 @@
     return { end, preempted: slot.revoked.aborted && !this.signal.aborted };
   }
 
+  /** Calls the engine. An unexpected error, also of `onChunk`, gives the slot back. */
+  private async callEngine(
+    slot: Slot,
+    call: Parameters<Engine['run']>[0],
+    onChunk: (chunk: EngineChunk) => void,
+    stop: AbortSignal,
+  ): Promise<EngineEnd> {
+    const { engine, limits, permits } = this.dependencies;
+    try {
+      this.spec.onDispatch?.();
+      return await engine.run(call, limits, onChunk, stop);
+    } catch (error) {
+      permits.release(slot, { end: Ends.cancelled, tokens: 0 });
+      throw error;
+    }
+  }
+
   /**
    * Returns whether `chunk` is the next token of this attempt. Chunks that are late, duplicated or of another stream
    * are dropped. When tokens were skipped, `tokenMissing` is aborted, which ends the attempt.
