Check a dispatch against the time from which another instance may claim the chunk

Cause: whether a dispatch is allowed, and the invariant that ends the process on one without a lease, read the clock one after the other and compared it with the same end of the usable lease.

Change: the invariant compares with the end of the lease itself. Whether a dispatch is allowed is decided as before.

--- a/packages/entry/src/batch/held-chunk.ts
+++ b/packages/entry/src/batch/held-chunk.ts
@@ -279,15 +279,14 @@
     void this.runner.run(spec, this.stopping.signal).then((end) => this.onItemEnd(offset, end));
   }
 
-  /** Throws `InvariantError` when an item is dispatched without a valid lease. */
+  /** Throws `InvariantError` when an item is dispatched although another instance may claim the chunk. */
   private assertLease(): void {
-    const nowMs = this.clock.monotonicMs();
-    checkInvariant(InvariantName.noDispatchOnExpiredLease, !this.closed && nowMs < this.leaseUntilMs, () => ({
-      chunk: this.dump(),
-    }));
+    const claimableAtMs = this.leaseUntilMs + this.options.leaseMs * (1 - USABLE_LEASE_FRACTION);
+    const isHeld = !this.closed && this.clock.monotonicMs() < claimableAtMs;
+    checkInvariant(InvariantName.noDispatchOnExpiredLease, isHeld, () => ({ chunk: this.dump() }));
   }
 
-  /** Whether an item may be dispatched now, which needs a valid lease and a job that is known to be open. */
+  /** Whether an item may be dispatched now, which needs a usable lease and a job that is known to be open. */
   checkDispatch(): boolean {
     const allowed = !this.closed && this.clock.monotonicMs() < this.leaseUntilMs && this.mayDispatch();
     if (!allowed) this.metrics.count('batch_dispatches_refused');
