Let errors of work that nothing waits for end only that work in fighub-entry

Cause: eleven tasks of fighub-entry (searches for chunks, writes of their ledgers, runs of items, reads of the instance list and of the table, retries of idempotency records, collection of jobs) were begun and left. A rejection of any of them reached the process and ended it; a timer's callback that threw did the same.

Change: BackgroundTasks runs such work and reports its errors with the name of the work; only a violated invariant ends the process. An item whose run throws has failed one attempt that may have run; a chunk whose write throws is left to its next holder; records are settled one by one; a fetch from a peer can be made again.

--- a/packages/core/src/unexpected-error.ts
+++ b/packages/core/src/unexpected-error.ts
@@ -12,6 +12,25 @@
   return error instanceof InvariantError;
 }
 
+/** Runs work that nothing waits for. An error of it ends nothing else: it is passed to `report` with the name of the work. */
+export class BackgroundTasks {
+  constructor(private readonly report: (task: string, error: unknown) => void) {}
+
+  /** Begins `work` at once. `task` names it in the report. */
+  run(task: string, work: () => unknown): void {
+    void this.finish(task, work);
+  }
+
+  /** Begins `work` at once, and resolves when it has ended, also by an error. */
+  async finish(task: string, work: () => unknown): Promise<void> {
+    try {
+      await work();
+    } catch (error) {
+      this.report(task, error);
+    }
+  }
+}
+
 /** Fields of the log line about an unexpected error. */
 export function errorFields(error: unknown): { readonly error: string; readonly stack?: string } {
   if (!(error instanceof Error)) return { error: String(error) };
--- a/packages/entry/src/batch/batch-runner.ts
+++ b/packages/entry/src/batch/batch-runner.ts
@@ -1,6 +1,14 @@
 /** Finds open batch jobs, leases their chunks and runs the leased chunks on this instance. */
 import type { PermitClient } from '@fighub/admission';
-import type { ChunkLedger, Clock, JobChunk, JobManifest, Metrics, System } from '@fighub/core';
+import type {
+  BackgroundTasks,
+  ChunkLedger,
+  Clock,
+  JobChunk,
+  JobManifest,
+  Metrics,
+  System,
+} from '@fighub/core';
 import { EntityTable, JobState, jobKeys } from '@fighub/core';
 import type { OpenChunk } from '@fighub/decisions';
 import { emptyLedger, isComplete, orderChunks, prefersChunk, takeLease } from '@fighub/decisions';
@@ -72,6 +80,7 @@
     private readonly members: () => MembershipRunner,
     node: PeerNode,
     private readonly options: BatchOptions,
+    private readonly tasks: BackgroundTasks,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
   ) {
@@ -94,7 +103,7 @@
     if (nowMs < this.nextDiscoveryMs || this.discovering) return;
     this.nextDiscoveryMs = nowMs + (this.held.size > 0 ? DISCOVERY_PERIOD_MS : IDLE_DISCOVERY_PERIOD_MS);
     this.discovering = true;
-    void this.discover().finally(() => (this.discovering = false));
+    this.tasks.run('search for work', () => this.discover().finally(() => (this.discovering = false)));
   }
 
   /** Stops all streams of a cancelled job on this instance. Its items are not dispatched any more. */
@@ -271,6 +280,7 @@
       this.store,
       this.runner,
       () => this.mayDispatch(job.jobId),
+      this.tasks,
       this.clock,
       this.metrics,
     );
@@ -288,7 +298,7 @@
     if (!chunk.complete) return;
     this.metrics.count('chunks_completed');
     this.nextDiscoveryMs = 0;
-    void this.findChunksOf(chunk.job);
+    this.tasks.run('search for chunks', () => this.findChunksOf(chunk.job));
   }
 
   /** Marks a job as complete if it is open, and moves it to the index of ended jobs. */
--- a/packages/entry/src/batch/held-chunk.test.ts
+++ b/packages/entry/src/batch/held-chunk.test.ts
@@ -6,6 +6,7 @@
 import { describe, expect, it, vi } from 'vitest';
 
 import { HeldChunk } from './held-chunk.js';
+import { reportedTasks } from '../testing/background-tasks.js';
 
 const ITEMS = 900;
 
@@ -50,6 +51,7 @@
       store,
       { run: () => Promise.resolve(end) } as never,
       () => true,
+      reportedTasks().tasks,
       clock,
       new Metrics(),
     );
--- a/packages/entry/src/batch/held-chunk.ts
+++ b/packages/entry/src/batch/held-chunk.ts
@@ -1,5 +1,6 @@
 /** One chunk that this instance has leased, with its items, uncommitted results and ledger. */
 import type {
+  BackgroundTasks,
   ChunkLedger,
   Clock,
   ItemAttempts,
@@ -9,7 +10,17 @@
   Metrics,
   Outcome,
 } from '@fighub/core';
-import { InvariantName, ItemStatus, checkInvariant, fail, jobKeys, newId, ok, sleep } from '@fighub/core';
+import {
+  InvariantName,
+  ItemStatus,
+  checkInvariant,
+  fail,
+  jobKeys,
+  mayHaveRun,
+  newId,
+  ok,
+  sleep,
+} from '@fighub/core';
 import {
   applyCommit,
   isComplete,
@@ -98,6 +109,7 @@
     private readonly runner: CompletionRunner,
     /** Whether the job is known to be open, so that its items may be dispatched. */
     private readonly mayDispatch: () => boolean,
+    private readonly tasks: BackgroundTasks,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
   ) {
@@ -141,7 +153,7 @@
       this.drop('its lease has lapsed');
       return;
     }
-    if (!this.writing && this.shouldWrite(nowMs)) void this.commit(false);
+    if (!this.writing && this.shouldWrite(nowMs)) this.writeInBackground(() => this.commit(false));
     if (this.mayDispatch()) this.startItems(nowMs);
   }
 
@@ -249,11 +261,23 @@
     marked.slice(0, Math.max(0, capacity)).forEach((offset) => this.start(offset));
     const unmarked = ready.filter((offset) => !this.started.has(offset)).slice(0, Math.max(0, capacity));
     if (unmarked.length === 0 || this.writing || this.running.size > MARK_BATCH_ITEMS) return;
-    void this.write(markStarted(this.ledger.value, unmarked)).then((outcome) => {
+    this.writeInBackground(async () => {
+      const outcome = await this.write(markStarted(this.ledger.value, unmarked));
       if (outcome.ok) unmarked.forEach((offset) => this.started.add(offset));
     });
   }
 
+  /** An unexpected error leaves open what is stored, so that the chunk is left to the next holder. */
+  private writeInBackground(write: () => Promise<void>): void {
+    this.tasks.run('write of a chunk', () =>
+      write().catch((error: unknown) => {
+        this.writing = false;
+        this.drop('an unexpected error');
+        throw error;
+      }),
+    );
+  }
+
   private start(offset: number): void {
     const item = this.input.items[offset];
     if (!item) return;
@@ -276,7 +300,22 @@
       mayDispatch: () => this.checkDispatch(),
       onDispatch: () => this.assertLease(),
     };
-    void this.runner.run(spec, this.stopping.signal).then((end) => this.onItemEnd(offset, end));
+    this.tasks.run('run of an item', () =>
+      this.runner.run(spec, this.stopping.signal).then(
+        (end) => this.onItemEnd(offset, end),
+        (error: unknown) => this.onItemError(offset, error),
+      ),
+    );
+  }
+
+  /** Counts an unexpected error as a failed attempt that may have run. */
+  private onItemError(offset: number, error: unknown): never {
+    const problem = mayHaveRun('internal', 'its run has failed because of an unexpected error');
+    const tokens = this.progress.get(offset)?.tokens ?? [];
+    const softwareVersion = this.progress.get(offset)?.softwareVersion;
+    const run = { kind: CompletionKind.failed, tokens, softwareVersion, problem };
+    this.onItemEnd(offset, { ...run, brokeReplica: true, sent: true });
+    throw error;
   }
 
   /** Throws `InvariantError` when an item is dispatched although another instance may claim the chunk. */
--- a/packages/entry/src/batch/invariants.test.ts
+++ b/packages/entry/src/batch/invariants.test.ts
@@ -9,6 +9,7 @@
 import { HeldChunk } from './held-chunk.js';
 import { JobReader } from './job-reader.js';
 import { TableStore, bucketOf } from '../table/table-store.js';
+import { reportedTasks } from '../testing/background-tasks.js';
 
 function store(service = new MemoryKeyValueService()): RecordStore {
   const options = { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 100 };
@@ -26,7 +27,7 @@
 
 describe('a broken invariant throws', () => {
   it('when a row of a newer bucket has a lower revision', async () => {
-    const table = new TableStore(store(), new Metrics(), () => 0);
+    const table = new TableStore(store(), reportedTasks().tasks, new Metrics(), () => 0);
     const row = { key: 'model/a', value: {}, deleted: false, changedAtUnixMs: 0, changedBy: '' };
     const bucket = bucketOf(row.key);
     table.apply({ bucket, revision: 1, rows: [{ ...row, revision: 5 }] });
@@ -35,7 +36,7 @@
   });
 
   it('when a newer bucket lacks a row', async () => {
-    const table = new TableStore(store(), new Metrics(), () => 0);
+    const table = new TableStore(store(), reportedTasks().tasks, new Metrics(), () => 0);
     const row = { key: 'model/a', revision: 1, value: {}, deleted: false, changedAtUnixMs: 0, changedBy: '' };
     const bucket = bucketOf(row.key);
     table.apply({ bucket, revision: 1, rows: [row] });
@@ -137,6 +138,7 @@
       records,
       runner as never,
       () => true,
+      reportedTasks().tasks,
       clock,
       new Metrics(),
     );
--- a/packages/entry/src/batch/job-collector.test.ts
+++ b/packages/entry/src/batch/job-collector.test.ts
@@ -9,6 +9,7 @@
 import { moveToEnded } from './job-index.js';
 import { JobIntake } from './job-intake.js';
 import { TableStore } from '../table/table-store.js';
+import { reportedTasks } from '../testing/background-tasks.js';
 
 const SUBMISSION = {
   organisation: 'o',
@@ -25,9 +26,17 @@
   const service = new MemoryKeyValueService();
   const options = { readsPerSecond: 100_000, writesPerSecond: 100_000, deadlineMs: 100 };
   const store = new RecordStore(service, options, storeClock ?? clock, new Metrics());
-  const table = new TableStore(store, new Metrics(), () => 0);
+  const table = new TableStore(store, reportedTasks().tasks, new Metrics(), () => 0);
   const self = { instanceId: 'a', failureDomain: 'd' };
-  const collector = new JobCollector('a', store, table, () => [self], clock, new Metrics());
+  const collector = new JobCollector(
+    'a',
+    store,
+    table,
+    () => [self],
+    reportedTasks().tasks,
+    clock,
+    new Metrics(),
+  );
   const limits = { chunkItems: 2, chunkBytes: 10_000, maxItems: 10, maxItemBytes: 1_000 };
   const intake = new JobIntake(store, limits, clock, new Metrics());
   const upload = (lines: string) => intake.accept(SUBMISSION, Readable.from([lines]));
--- a/packages/entry/src/batch/job-collector.ts
+++ b/packages/entry/src/batch/job-collector.ts
@@ -1,5 +1,5 @@
 /** Deletes ended jobs whose retention is over, and the chunks of uploads that were never accepted. */
-import type { Clock, JobManifest, ManagedPart, Metrics } from '@fighub/core';
+import type { BackgroundTasks, Clock, JobManifest, ManagedPart, Metrics } from '@fighub/core';
 import { jobKeys } from '@fighub/core';
 import type { FleetMember } from '@fighub/decisions';
 import { winnerOf } from '@fighub/decisions';
@@ -34,12 +34,13 @@
     private readonly store: RecordStore,
     private readonly table: TableStore,
     private readonly members: () => readonly FleetMember[],
+    private readonly tasks: BackgroundTasks,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
   ) {}
 
   start(): void {
-    this.timer = setInterval(() => void this.collect(), PERIOD_MS);
+    this.timer = setInterval(() => this.tasks.run('job collector', () => this.collect()), PERIOD_MS);
   }
 
   stop(): void {
--- a/packages/entry/src/life-cycle/entry-container.ts
+++ b/packages/entry/src/life-cycle/entry-container.ts
@@ -3,6 +3,7 @@
 
 import { DirectDispatch, PermitClient, PoolHost, UpstreamStates } from '@fighub/admission';
 import {
+  BackgroundTasks,
   DecisionLog,
   LogCategory,
   Metrics,
@@ -63,7 +64,13 @@
   const metrics = new Metrics(input.sink);
   container.bind(Tokens.clock).toConstantValue(clock);
   container.bind(Tokens.metrics).toConstantValue(metrics);
-  container.bind(Tokens.log).toConstantValue(new DecisionLog(input.logger, clock, metrics));
+  const log = new DecisionLog(input.logger, clock, metrics);
+  container.bind(Tokens.log).toConstantValue(log);
+  const tasks = new BackgroundTasks((task, error) => {
+    if (isFatalError(error)) input.crash(error);
+    else log.record(LogCategory.failure, 'background_task_error', { task, ...errorFields(error) });
+  });
+  container.bind(Tokens.tasks).toConstantValue(tasks);
   bindExternalServices(container);
   bindPeers(container, input.instanceId);
   bindTable(container);
@@ -140,7 +147,10 @@
   bindPart(
     container,
     Tokens.table,
-    (get) => new TableStore(get(Tokens.store), get(Tokens.metrics), () => get(Tokens.clock).nowUnixMs()),
+    (get) =>
+      new TableStore(get(Tokens.store), get(Tokens.tasks), get(Tokens.metrics), () =>
+        get(Tokens.clock).nowUnixMs(),
+      ),
   );
   bindPart(
     container,
@@ -152,6 +162,7 @@
         get(Tokens.peerNode),
         () => get(Tokens.membership),
         get(Tokens.self),
+        get(Tokens.tasks),
         get(Tokens.metrics),
       ),
   );
@@ -230,6 +241,7 @@
         get(Tokens.store),
         get(Tokens.peerNode),
         () => get(Tokens.membership),
+        get(Tokens.tasks),
         get(Tokens.clock),
         get(Tokens.metrics),
       ),
@@ -276,6 +288,7 @@
         () => get(Tokens.membership),
         get(Tokens.peerNode),
         get(Tokens.settings).batch,
+        get(Tokens.tasks),
         get(Tokens.clock),
         get(Tokens.metrics),
       ),
@@ -289,6 +302,7 @@
         get(Tokens.store),
         get(Tokens.table),
         () => get(Tokens.membership).owners(),
+        get(Tokens.tasks),
         get(Tokens.clock),
         get(Tokens.metrics),
       ),
--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -144,6 +144,7 @@
         container.get(Tokens.self),
         membership,
         container.get(Tokens.upstreams),
+        container.get(Tokens.tasks),
         container.get(Tokens.metrics),
       ),
     );
--- a/packages/entry/src/life-cycle/instance-list-poller.ts
+++ b/packages/entry/src/life-cycle/instance-list-poller.ts
@@ -1,6 +1,6 @@
 /** Registers this instance in the instance list of the hosting platform and reads the other instances from it. */
 import type { UpstreamStates } from '@fighub/admission';
-import type { ManagedPart, Metrics } from '@fighub/core';
+import type { BackgroundTasks, ManagedPart, Metrics } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import type { InstanceList, ListedState } from '@fighub/outside';
@@ -19,13 +19,14 @@
     private readonly self: MemberUpdate,
     private readonly membership: MembershipRunner,
     private readonly upstreams: UpstreamStates,
+    private readonly tasks: BackgroundTasks,
     private readonly metrics: Metrics,
   ) {}
 
   async start(): Promise<void> {
     await this.announce('live');
     await this.read();
-    this.timer = setInterval(() => void this.read(), this.readPeriodMs);
+    this.timer = setInterval(() => this.tasks.run('instance list', () => this.read()), this.readPeriodMs);
   }
 
   async drain(): Promise<void> {
--- a/packages/entry/src/life-cycle/tokens.ts
+++ b/packages/entry/src/life-cycle/tokens.ts
@@ -6,7 +6,7 @@
   PoolHost,
   UpstreamStates,
 } from '@fighub/admission';
-import type { Clock, DecisionLog, Metrics } from '@fighub/core';
+import type { BackgroundTasks, Clock, DecisionLog, Metrics } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
 import type { HttpEngine, InstanceList, KeyValueService, PlainService, RecordStore } from '@fighub/outside';
@@ -36,6 +36,7 @@
   settings: token<EntrySettings>('settings'),
   self: token<MemberUpdate>('self'),
   crash: token<Crash>('crash'),
+  tasks: token<BackgroundTasks>('tasks'),
   log: token<DecisionLog>('log'),
   clock: token<Clock>('clock'),
   metrics: token<Metrics>('metrics'),
--- a/packages/entry/src/online/idempotency-records.ts
+++ b/packages/entry/src/online/idempotency-records.ts
@@ -1,5 +1,5 @@
 /** Idempotency records: a request with an Idempotency-Key runs at most once, whichever instances receive it. */
-import type { Clock, Metrics, Outcome, Problem } from '@fighub/core';
+import type { BackgroundTasks, Clock, Metrics, Outcome, Problem } from '@fighub/core';
 import { digest, fail, mayHaveRun, notRun, ok, sleep } from '@fighub/core';
 import type { MembershipRunner, PeerNode } from '@fighub/peers';
 import type { RecordStore, Versioned } from '@fighub/outside';
@@ -60,6 +60,7 @@
     private readonly store: RecordStore,
     private readonly node: PeerNode,
     private readonly members: () => MembershipRunner,
+    private readonly tasks: BackgroundTasks,
     private readonly clock: Clock,
     private readonly metrics: Metrics,
   ) {
@@ -68,7 +69,10 @@
 
   /** Starts the retries of records that are not settled. */
   start(): void {
-    this.timer = setInterval(() => void this.settleAll(), SETTLE_INTERVAL_MS);
+    this.timer = setInterval(
+      () => this.tasks.run('idempotency records', () => this.settleAll()),
+      SETTLE_INTERVAL_MS,
+    );
   }
 
   stop(): void {
@@ -232,14 +236,18 @@
   /** Retries the records that are not settled. */
   private async settleAll(): Promise<void> {
     await Promise.all(
-      [...this.unsettled.entries()].map(async ([key, settle]) => {
-        if (!(await settle()) || this.unsettled.get(key) !== settle) return;
-        this.unsettled.delete(key);
-        this.deactivate(key);
-      }),
+      [...this.unsettled.entries()].map(([key, settle]) =>
+        this.tasks.finish('idempotency record', () => this.settleAgain(key, settle)),
+      ),
     );
   }
 
+  private async settleAgain(key: string, settle: () => Promise<boolean>): Promise<void> {
+    if (!(await settle()) || this.unsettled.get(key) !== settle) return;
+    this.unsettled.delete(key);
+    this.deactivate(key);
+  }
+
   /** Marks the request of a record as no longer running here, unless the record still has to be settled. */
   private deactivate(recordKey: string): void {
     if (!this.unsettled.has(recordKey)) this.active.delete(recordKey);
--- a/packages/entry/src/operators/order-issuer.test.ts
+++ b/packages/entry/src/operators/order-issuer.test.ts
@@ -6,6 +6,7 @@
 
 import { OrderIssuer } from './order-issuer.js';
 import { TableStore } from '../table/table-store.js';
+import { reportedTasks } from '../testing/background-tasks.js';
 
 class FakeOrders implements EngineOrders {
   readonly sent: EngineOrder[] = [];
@@ -27,7 +28,7 @@
   const clock = new ManualClock();
   const options = { readsPerSecond: 10_000, writesPerSecond: 10_000, deadlineMs: 100 };
   const store = new RecordStore(new MemoryKeyValueService(), options, clock, new Metrics());
-  const table = new TableStore(store, new Metrics(), () => 0);
+  const table = new TableStore(store, reportedTasks().tasks, new Metrics(), () => 0);
   for (let index = 0; index < replicas; index += 1) {
     const value = { serves: 'm', address: `http://r${String(index)}`, failureDomain: 'd', fencingChecked };
     await table.edit({ key: `upstream/r${String(index)}`, value, changedBy: '' });
--- a/packages/entry/src/table/table-replication.ts
+++ b/packages/entry/src/table/table-replication.ts
@@ -2,7 +2,7 @@
  * Replicates the operators' table to this instance. In each failure domain a few relays watch the key-value service;
  * all other instances receive changes from their peers.
  */
-import type { Metrics, TableBucket } from '@fighub/core';
+import type { BackgroundTasks, Metrics, TableBucket } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
 import { rankMembers } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, TableDigest } from '@fighub/peers';
@@ -35,6 +35,7 @@
     private readonly node: PeerNode,
     private readonly members: () => MembershipRunner,
     private readonly self: MemberUpdate,
+    private readonly tasks: BackgroundTasks,
     private readonly metrics: Metrics,
   ) {
     node.onRequest('table.fetch', (body) => ({ buckets: table.bucketsFor(body.buckets) }));
@@ -46,7 +47,10 @@
   async start(): Promise<void> {
     await this.table.readAll();
     this.updateRelayRole();
-    this.timer = setInterval(() => this.updateRelayRole(), RELAY_READ_PERIOD_MS);
+    this.timer = setInterval(
+      () => this.tasks.run('relay role', () => this.updateRelayRole()),
+      RELAY_READ_PERIOD_MS,
+    );
   }
 
   stop(): void {
@@ -62,10 +66,8 @@
       .map((revision, index) => ({ revision, index }))
       .filter((entry) => entry.revision > (own[entry.index] ?? 0));
     if (newer.length === 0 || this.fetchingFrom.has(peer.instanceId)) return;
-    void this.fetch(
-      peer,
-      newer.map((entry) => entry.index),
-    );
+    const buckets = newer.map((entry) => entry.index);
+    this.tasks.run('table fetch', () => this.fetch(peer, buckets));
   }
 
   /** Returns the ids of the live instances whose last reported revision of `bucket` is below `revision`. */
@@ -102,7 +104,7 @@
       return;
     }
     // A watch can miss events or go silent without ending, so a relay also reads the table periodically.
-    void this.table.readAll();
+    this.tasks.run('table read', () => this.table.readAll());
     if (!this.watch) this.openWatch();
   }
 
@@ -122,8 +124,9 @@
 
   private async fetch(peer: MemberUpdate, buckets: readonly number[]): Promise<void> {
     this.fetchingFrom.add(peer.instanceId);
-    const response = await this.node.request(peer.peerAddress, 'table.fetch', { buckets }, FETCH_TIMEOUT_MS);
-    this.fetchingFrom.delete(peer.instanceId);
+    const response = await this.node
+      .request(peer.peerAddress, 'table.fetch', { buckets }, FETCH_TIMEOUT_MS)
+      .finally(() => this.fetchingFrom.delete(peer.instanceId));
     if (response.ok) response.value.buckets.forEach((bucket) => this.table.apply(bucket));
   }
 
--- a/packages/entry/src/table/table-store.ts
+++ b/packages/entry/src/table/table-store.ts
@@ -1,5 +1,5 @@
 /** The local copy of the operators' table, and edits of the table in the key-value service. */
-import type { Metrics, Outcome, Problem, StoredRow, TableBucket } from '@fighub/core';
+import type { BackgroundTasks, Metrics, Outcome, Problem, StoredRow, TableBucket } from '@fighub/core';
 import {
   InvariantName,
   checkInvariant,
@@ -58,6 +58,7 @@
 
   constructor(
     private readonly store: RecordStore,
+    private readonly tasks: BackgroundTasks,
     private readonly metrics: Metrics,
     private readonly nowUnixMs: () => number,
   ) {}
@@ -123,7 +124,8 @@
     const checked = checkEdit(edit);
     if (!checked.ok) return checked;
     const edited = await this.tryEdit({ ...edit, value: checked.value }, MAX_EDIT_TRIES);
-    if (edited.ok) void this.appendToHistory(edited.value, MAX_HISTORY_TRIES);
+    if (edited.ok)
+      this.tasks.run('table history', () => this.appendToHistory(edited.value, MAX_HISTORY_TRIES));
     return edited;
   }
 
