Give the items of the test of a held chunk the time that a busy machine needs

Traced: the test ran the chunk every 50 ms (the default of waitFor) and gave up after 1 s (its other default). 96 items run at a time, so that 900 need 10 runs, half a second on an idle machine. At a load of 28 it stopped with 228 items left, which is 7 runs: the time was over, and nothing was lost.

Change: the chunk is run every 5 ms, for at most 10 s. What is checked stays: all items have ended, and all results are committed on release.

--- a/packages/entry/src/batch/held-chunk.test.ts
+++ b/packages/entry/src/batch/held-chunk.test.ts
@@ -9,6 +9,9 @@
 import { reportedTasks } from '../testing/background-tasks.js';
 
 const ITEMS = 900;
+const TICK_MS = 5;
+/** Far more than the ticks in which all items run, also on a busy machine. */
+const TICKS_TIMEOUT_MS = 10_000;
 
 /** Key-value service whose writes of output segments wait until they are let through. */
 class HoldingStore extends MemoryKeyValueService {
@@ -55,10 +58,13 @@
       clock,
       new Metrics(),
     );
-    await vi.waitFor(() => {
-      chunk.run(clock.monotonicMs());
-      expect(chunk.unfinishedItemCount).toBe(0);
-    });
+    await vi.waitFor(
+      () => {
+        chunk.run(clock.monotonicMs());
+        expect(chunk.unfinishedItemCount).toBe(0);
+      },
+      { timeout: TICKS_TIMEOUT_MS, interval: TICK_MS },
+    );
     service.letThrough();
     await chunk.release();
     const stored = await store.read<ChunkLedger>('l');
