Read what has arrived before a limit of a wait is over

Cause: the event loop runs expired timers before it reads what the kernel has received. After a pause of the process, limits of waits were over before what had arrived was handled: replicas counted as unreachable, calls to other instances as timed out, connections as silent, and systems decided by the age of messages that lay unread.

Change: WaitLimit ends a wait one turn later, after what has arrived. Systems and the failure detector run after the reading when they are late.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,4 @@
 export * from './table-rows.js';
 export * from './tick.js';
 export * from './unexpected-error.js';
+export * from './wait-limit.js';
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -1,4 +1,5 @@
 /** The loop that runs systems, which are units of periodic work over tables of entities. */
+import { runWhenRead } from './wait-limit.js';
 
 /** A unit of work that processes its entities in each tick. */
 export interface System {
@@ -58,13 +59,15 @@
     clearTimeout(this.timer);
     if (this.stopped) return;
     const busy = this.systems.some((system) => this.isBusy(system));
-    this.timer = setTimeout(
-      () => {
-        this.runAll();
-        this.schedule();
-      },
-      busy ? this.periods.busyMs : this.periods.idleMs,
-    );
+    const periodMs = busy ? this.periods.busyMs : this.periods.idleMs;
+    const dueAtMs = performance.now() + periodMs;
+    this.timer = setTimeout(() => runWhenRead(dueAtMs, () => this.tick()), periodMs);
+  }
+
+  private tick(): void {
+    if (this.stopped) return;
+    this.runAll();
+    this.schedule();
   }
 
   private runAll(): void {
--- a/packages/outside/src/http-engine.ts
+++ b/packages/outside/src/http-engine.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http';
 import { StringDecoder } from 'node:string_decoder';
 
+import { WaitLimit } from '@fighub/core';
 import { createParser } from 'eventsource-parser';
 import got from 'got';
 import { z } from 'zod';
@@ -81,9 +82,9 @@
   private readonly parser = createParser({ onEvent: (event) => this.onEvent(event.data) });
   /** Keeps the bytes of a character that is split between two parts. */
   private readonly decoder = new StringDecoder('utf8');
-  private inactivityTimer: NodeJS.Timeout | undefined;
+  private inactivityLimit: WaitLimit | undefined;
   /** Runs while no whole event has arrived since the head or the last one. */
-  private eventTimer: NodeJS.Timeout | undefined;
+  private eventLimit: WaitLimit | undefined;
   private destroyStream: () => void = () => undefined;
 
   constructor(
@@ -112,19 +113,19 @@
     this.signal.addEventListener('abort', this.onAbort, { once: true });
     stream.on('response', (response: { statusCode: number }) => {
       this.status = response.statusCode;
-      this.restartInactivityTimer(this.limits.gapMs);
-      this.restartEventTimer();
+      this.restartInactivityLimit(this.limits.gapMs);
+      this.restartEventLimit();
     });
     stream.on('data', (part: Buffer) => this.onData(part));
     stream.on('end', () => this.onEnd());
     stream.on('error', (error: Error) => this.onError(error));
-    this.restartInactivityTimer(this.limits.headersMs);
+    this.restartInactivityLimit(this.limits.headersMs);
   }
 
   private readonly onAbort = (): void => this.finish(EngineEndKind.cancelled, 'the call was cancelled');
 
   private onData(part: Buffer): void {
-    this.restartInactivityTimer(this.limits.gapMs);
+    this.restartInactivityLimit(this.limits.gapMs);
     const text = this.decoder.write(part);
     if (this.status === HTTP_OK) this.parser.feed(text);
     else this.refusal += text;
@@ -141,7 +142,7 @@
       return;
     }
     if (this.settled) return;
-    this.restartEventTimer();
+    this.restartEventLimit();
     const event = parseStreamEvent(data);
     if (event) this.onChunk(event);
     else this.finish(EngineEndKind.broken, 'the upstream sent a malformed event');
@@ -159,29 +160,28 @@
     else this.finish(EngineEndKind.broken, error.message);
   }
 
-  private restartInactivityTimer(limitMs: number): void {
-    clearTimeout(this.inactivityTimer);
-    this.inactivityTimer = setTimeout(() => {
+  private restartInactivityLimit(limitMs: number): void {
+    this.inactivityLimit?.clear();
+    this.inactivityLimit = new WaitLimit(limitMs, () => {
       this.replaceConnections();
       this.finish(EngineEndKind.silent, `the upstream sent nothing for ${String(limitMs)} ms`);
-    }, limitMs);
+    });
   }
 
   /** Ends a stream that sends bytes now and then but completes no event. */
-  private restartEventTimer(): void {
-    clearTimeout(this.eventTimer);
+  private restartEventLimit(): void {
+    this.eventLimit?.clear();
     const limitMs = this.limits.gapMs * EVENT_GAP_FACTOR;
-    this.eventTimer = setTimeout(
-      () => this.finish(EngineEndKind.broken, `the upstream completed no event in ${String(limitMs)} ms`),
-      limitMs,
+    this.eventLimit = new WaitLimit(limitMs, () =>
+      this.finish(EngineEndKind.broken, `the upstream completed no event in ${String(limitMs)} ms`),
     );
   }
 
   private finish(kind: EngineEndKind, detail: string, sent = true): void {
     if (this.settled) return;
     this.settled = true;
-    clearTimeout(this.inactivityTimer);
-    clearTimeout(this.eventTimer);
+    this.inactivityLimit?.clear();
+    this.eventLimit?.clear();
     this.signal.removeEventListener('abort', this.onAbort);
     if (kind !== EngineEndKind.completed) this.destroyStream();
     this.resolve({ kind, detail, sent });
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -1,5 +1,6 @@
 /** Runs the SWIM membership protocol over the connections between instances. */
 import type { Metrics } from '@fighub/core';
+import { runWhenRead } from '@fighub/core';
 import type { Member, MemberUpdate } from '@fighub/decisions';
 import { MemberState, Membership, updateOf } from '@fighub/decisions';
 
@@ -42,6 +43,7 @@
 export class MembershipRunner {
   readonly membership: Membership;
   private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
   private lastDisseminatedVersion = 0;
   /** Responses to pings in a row whose sender knows other live members. */
   private differingResponses = 0;
@@ -66,6 +68,7 @@
   }
 
   stop(): void {
+    this.stopped = true;
     clearTimeout(this.timer);
   }
 
@@ -116,11 +119,15 @@
   }
 
   private scheduleProbe(): void {
-    const jitter = 0.75 + this.random() / 2;
-    this.timer = setTimeout(() => {
-      this.node.detach('swim.ping', this.probeOnce());
-      this.scheduleProbe();
-    }, this.options.probePeriodMs * jitter);
+    const periodMs = this.options.probePeriodMs * (0.75 + this.random() / 2);
+    const dueAtMs = performance.now() + periodMs;
+    this.timer = setTimeout(() => runWhenRead(dueAtMs, () => this.probeAgain()), periodMs);
+  }
+
+  private probeAgain(): void {
+    if (this.stopped) return;
+    this.node.detach('swim.ping', this.probeOnce());
+    this.scheduleProbe();
   }
 
   private async probeOnce(): Promise<void> {
--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -4,7 +4,7 @@
 import { Metrics } from '@fighub/core';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
-import { HEARTBEAT_PERIOD_MS } from './peer-connection.js';
+import { HEARTBEAT_PERIOD_MS, SILENCE_LIMIT_MS } from './peer-connection.js';
 import { PeerNode } from './peer-node.js';
 
 const TIMEOUT_MS = 1_000;
@@ -14,8 +14,8 @@
 /** Two nodes, one of which reaches the other through a proxy that can stop passing bytes on. */
 class ProxiedNodes {
   isSilent = false;
-  readonly dialling = this.newNode('dialling');
-  private readonly accepting = this.newNode('accepting');
+  readonly dialling = newNode('dialling');
+  private readonly accepting = newNode('accepting');
   private proxy: Server | undefined;
   private readonly sockets: Socket[] = [];
 
@@ -43,12 +43,6 @@
     this.proxy?.close();
   }
 
-  private newNode(instanceId: string): PeerNode {
-    return new PeerNode({ instanceId, host: '127.0.0.1', port: 0, secret: 's' }, new Metrics(), (error) => {
-      throw error;
-    });
-  }
-
   private relay(near: Socket, far: Socket): void {
     this.sockets.push(near, far);
     near.on('data', (bytes) => this.isSilent || far.write(bytes));
@@ -56,6 +50,18 @@
   }
 }
 
+function newNode(instanceId: string): PeerNode {
+  return new PeerNode({ instanceId, host: '127.0.0.1', port: 0, secret: 's' }, new Metrics(), (error) => {
+    throw error;
+  });
+}
+
+/** Holds up the process. */
+function pauseProcess(durationMs: number): void {
+  const untilMs = performance.now() + durationMs;
+  while (performance.now() < untilMs);
+}
+
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
@@ -108,4 +114,30 @@
     nodes.dialling.notify(address, 'job.offered', { jobId: 'j' });
     await closed;
   });
+
+  it('stays open after a pause of this process, whose responses have arrived meanwhile', async () => {
+    const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
+    const close = (): void => [dialling, accepting].forEach((node) => node.close());
+    nodes = { stop: close } as ProxiedNodes;
+    let pauseMs = 0;
+    accepting.onRequest('swim.members', () => {
+      // Runs once the response has been written.
+      setImmediate(() => pauseProcess(pauseMs));
+      return { members: [] };
+    });
+    const address = `127.0.0.1:${String(await accepting.listen())}`;
+    const ask = () => dialling.request(address, 'swim.members', {}, TIMEOUT_MS);
+    await ask();
+    const closed = vi.fn();
+    dialling.onOutboundClosed(closed);
+    pauseMs = TIMEOUT_MS + 100;
+    expect((await ask()).ok).toBe(true);
+    dialling.notify(address, 'job.offered', { jobId: 'j' });
+    const { bytesSent } = accepting.traffic();
+    // The accepting node returns the heartbeat, which is read after the pause only.
+    while (accepting.traffic().bytesSent === bytesSent) await new Promise((resolve) => setImmediate(resolve));
+    pauseProcess(SILENCE_LIMIT_MS + HEARTBEAT_PERIOD_MS);
+    await pause(2 * HEARTBEAT_PERIOD_MS);
+    expect(closed).not.toHaveBeenCalled();
+  });
 });
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -108,23 +108,32 @@
   }
 
   private onTimer(): void {
+    if (this.overdue() !== undefined) setImmediate(() => this.closeIfOverdue());
+    else if (this.ready && this.dialled) this.sendHeartbeat();
+  }
+
+  /** After a pause of this process, what the other end has sent meanwhile is read before this. */
+  private closeIfOverdue(): void {
+    const reason = this.overdue();
+    if (reason !== undefined) this.close(reason);
+  }
+
+  /** What the other end has not sent in time; undefined if nothing is overdue. */
+  private overdue(): string | undefined {
     const nowMs = performance.now();
-    if (!this.ready && nowMs - this.openedMs > HANDSHAKE_TIMEOUT_MS) this.close('no handshake');
-    else if (!this.dialled && this.silentForMs > ACCEPTED_IDLE_LIMIT_MS) this.close('idle');
-    else if (this.ready && this.dialled) this.sendHeartbeat(nowMs);
+    if (!this.ready && nowMs - this.openedMs > HANDSHAKE_TIMEOUT_MS) return 'no handshake';
+    if (!this.dialled) return this.silentForMs > ACCEPTED_IDLE_LIMIT_MS ? 'idle' : undefined;
+    const unansweredMs = nowMs - (this.unansweredSinceMs ?? nowMs);
+    return unansweredMs > SILENCE_LIMIT_MS ? 'nothing received within the silence limit' : undefined;
   }
 
   /**
-   * Sends a heartbeat when it is not known whether the last message arrived, and closes the connection when nothing is
+   * Sends a heartbeat when it is not known whether the last message arrived; the connection is closed when nothing is
    * received in response. Only the dialling end does this; the accepting end returns each heartbeat.
    */
-  private sendHeartbeat(nowMs: number): void {
-    if (this.unansweredSinceMs !== undefined && nowMs - this.unansweredSinceMs > SILENCE_LIMIT_MS) {
-      this.close('nothing received within the silence limit');
-      return;
-    }
+  private sendHeartbeat(): void {
     if (!this.unconfirmed) return;
-    this.unansweredSinceMs ??= nowMs;
+    this.unansweredSinceMs ??= performance.now();
     this.send({ kind: FrameKind.heartbeat });
   }
 
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -3,7 +3,7 @@
 import { connect, createServer } from 'node:net';
 
 import type { ListenerLog, Metrics, Outcome } from '@fighub/core';
-import { Listener, fail, ok, splitAddress } from '@fighub/core';
+import { Listener, WaitLimit, fail, ok, splitAddress } from '@fighub/core';
 
 import type { Frame } from './frame.js';
 import { FrameKind, sharedFrame } from './frame.js';
@@ -133,9 +133,9 @@
   ): Promise<Outcome<PeerRequests[K]['answer'], PeerFailure>> {
     return new Promise((resolve) => {
       const callId = this.nextCallId++;
-      const timer = setTimeout(() => this.onCallTimeout(callId), timeoutMs);
+      const limit = new WaitLimit(timeoutMs, () => this.onCallTimeout(callId));
       const finish = (outcome: Outcome<unknown, PeerFailure>): void => {
-        clearTimeout(timer);
+        limit.clear();
         this.pending.delete(callId);
         resolve(outcome as Outcome<PeerRequests[K]['answer'], PeerFailure>);
       };
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -5,7 +5,7 @@
 import type { PermitClient, Slot, SlotDemand } from '@fighub/admission';
 import { DIRECT_POOL_ID } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
-import { LogCategory, RouteKind, isFinal, mayHaveRun, notRun, sleep, timerMs } from '@fighub/core';
+import { LogCategory, RouteKind, WaitLimit, isFinal, mayHaveRun, notRun, sleep, timerMs } from '@fighub/core';
 import type { StreamOrigin } from '@fighub/decisions';
 import {
   AttemptEnd,
@@ -346,7 +346,7 @@
       attempt,
       attempt.signal,
     );
-    clearTimeout(overlap);
+    overlap?.clear();
     race.onEnded();
     if (sent.thrown) {
       this.endUnexpectedly(slot, attempt);
@@ -387,12 +387,12 @@
   }
 
   /** Ends a copy that has not won soon, since a request may run at two replicas for a short time only. */
-  private endCopyIfSlow(copy: AttemptListener, race: AttemptRace): NodeJS.Timeout {
-    return setTimeout(() => {
+  private endCopyIfSlow(copy: AttemptListener, race: AttemptRace): WaitLimit {
+    return new WaitLimit(MAX_COPY_OVERLAP_MS, () => {
       if (!race.isOpen) return;
       this.dependencies.metrics.count('copies_ended_late');
       copy.abandon();
-    }, MAX_COPY_OVERLAP_MS);
+    });
   }
 
   private observeFirstEvent(attempt: AttemptListener, isCopy: boolean): void {
--- a/packages/serving/src/online/stall-timer.ts
+++ b/packages/serving/src/online/stall-timer.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@fighub/core';
-import { timerMs } from '@fighub/core';
+import { WaitLimit } from '@fighub/core';
 import type { StallLimits } from '@fighub/decisions';
 import { StallDeadline } from '@fighub/decisions';
 
@@ -9,7 +9,7 @@
 /** Calls `onStalled` once when a stream has stalled. Runs until then, or until it is stopped. */
 export class StallTimer {
   private readonly deadline: StallDeadline;
-  private timer: NodeJS.Timeout | undefined;
+  private limit: WaitLimit | undefined;
   private suspensions = 0;
 
   constructor(
@@ -40,15 +40,15 @@
   }
 
   stop(): void {
-    clearTimeout(this.timer);
+    this.limit?.clear();
   }
 
   /** The timer is not set anew with each part of a stream, but once it has expired. */
   private schedule(): void {
     const leftMs = Math.max(MIN_PERIOD_MS, this.deadline.atMs - this.clock.monotonicMs());
-    this.timer = setTimeout(() => {
+    this.limit = new WaitLimit(leftMs, () => {
       if (this.suspensions === 0 && this.clock.monotonicMs() >= this.deadline.atMs) this.onStalled();
       else this.schedule();
-    }, timerMs(leftMs));
+    });
   }
 }
