Join small parts of request bodies, so that they take the memory that is counted

Cause: a body was kept as the parts in which it arrived, and its bytes were counted. HTTP chunks of one byte are parts of one byte, each of which takes some 400 bytes of memory and 190 of heap, so that the shares of the memory said nothing about such bodies. Both fighub-node and fighub-entry read bodies like this.

Change: BodyParts joins parts below 16 KB with those before them, so that a body has at most some 16 parts beside one for each 16 KB.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Domain types and utilities that all packages share. They do no network or file I/O. */
 export * from './address.js';
 export * from './batch-jobs.js';
+export * from './body-parts.js';
 export * from './clock.js';
 export * from './container.js';
 export * from './decision-log.js';
--- a/packages/entry/src/ingress/http-helpers.ts
+++ b/packages/entry/src/ingress/http-helpers.ts
@@ -1,6 +1,6 @@
 /** Helpers shared by all HTTP routes: request bodies and headers, responses, and authentication of callers. */
 import type { Outcome, Problem, Role } from '@fighub/core';
-import { ProblemStatus, fail, keyDigest, notRun, ok, problemDocument } from '@fighub/core';
+import { BodyParts, ProblemStatus, fail, keyDigest, notRun, ok, problemDocument } from '@fighub/core';
 import type { Request, Response } from 'restify';
 
 import type { NamedOrganisation } from '../table/table-view.js';
@@ -44,19 +44,19 @@
  * connection closes early.
  */
 export async function readBody(req: Request, maxBytes: number): Promise<Outcome<string, Problem>> {
-  const parts: Buffer[] = [];
+  const parts = new BodyParts();
   let size = 0;
   try {
     for await (const part of req as AsyncIterable<Buffer>) {
       size += part.length;
       if (size > maxBytes)
         return fail(notRun('body_too_large', `request body exceeds the limit of ${String(maxBytes)} bytes`));
-      parts.push(part);
+      parts.add(part);
     }
   } catch {
     return fail(notRun('bad_request', 'the connection closed before the end of the request body'));
   }
-  return ok(Buffer.concat(parts).toString('utf8'));
+  return ok(parts.whole().toString('utf8'));
 }
 
 /** Reads a JSON request body. Fails like `readBody`, and with `bad_json` if the body cannot be parsed. */
