Run no system after the tick loop was stopped

Cause: a run that had been asked for by wake, before or after the stop, was made nevertheless. The systems then send messages through connections that have been closed.

Change: such a run is not made, like one that is due by time.

Evidence: the new test of tick.test.ts fails on the code before (one run, bound 0), and passes.

--- a/packages/core/src/tick.test.ts
+++ b/packages/core/src/tick.test.ts
@@ -35,6 +35,19 @@
     expect(seldom.runs).toBe(10);
   });
 
+  it('runs no system after it was stopped, also when it had been woken before', async () => {
+    const system = new CountingSystem();
+    const loop = new TickLoop([system], { busyMs: 10, idleMs: 50 }, (error) => {
+      throw error;
+    });
+    loop.start();
+    loop.wake();
+    loop.stop();
+    loop.wake();
+    await vi.advanceTimersByTimeAsync(200);
+    expect(system.runs).toBe(0);
+  });
+
   it('runs the other systems when one throws, in its run or when asked whether it is busy', async () => {
     const last = new CountingSystem();
     const failing: System = {
--- a/packages/core/src/tick.ts
+++ b/packages/core/src/tick.ts
@@ -50,8 +50,7 @@
     this.woken = true;
     setImmediate(() => {
       this.woken = false;
-      this.runAll();
-      this.schedule();
+      this.tick();
     });
   }
 
