Open no connection to another instance after the node was closed

Cause: a node that was closed dialled anew for the next message, such as the second ping of a probe whose first had failed because of the close. The connection, with its timer, then stayed open, since nothing closes a node twice.

Change: a closed node sends no messages; requests fail as not connected, so that they count as not sent.

Evidence: the new test of peer-connection.test.ts gets a response on the code before, and passes.

--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -5,6 +5,7 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import { HEARTBEAT_PERIOD_MS, SILENCE_LIMIT_MS } from './peer-connection.js';
+import { PeerFailure } from './peer-messages.js';
 import { PeerNode } from './peer-node.js';
 
 const TIMEOUT_MS = 1_000;
@@ -115,6 +116,19 @@
     await closed;
   });
 
+  it('is not opened any more once its node is closed', async () => {
+    const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
+    nodes = { stop: () => [dialling, accepting].forEach((node) => node.close()) } as ProxiedNodes;
+    accepting.onRequest('swim.members', () => ({ members: [] }));
+    const address = `127.0.0.1:${String(await accepting.listen())}`;
+    const ask = () => dialling.request(address, 'swim.members', {}, TIMEOUT_MS);
+    expect((await ask()).ok).toBe(true);
+    dialling.close();
+    expect(await ask()).toEqual({ ok: false, error: PeerFailure.notConnected });
+    dialling.notify(address, 'job.offered', { jobId: 'j' });
+    expect(dialling.dump()).toMatchObject({ links: [], pendingCalls: 0 });
+  });
+
   it('stays open after a pause of this process, whose responses have arrived meanwhile', async () => {
     const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
     const close = (): void => [dialling, accepting].forEach((node) => node.close());
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -68,6 +68,7 @@
   private readonly outboundClosedListeners: ((address: string) => void)[] = [];
   private listener: Listener | undefined;
   private nextCallId = 1;
+  private isClosed = false;
   private closedTraffic: PeerTraffic = { bytesSent: 0, bytesReceived: 0 };
 
   constructor(
@@ -114,8 +115,9 @@
     return (server.address() as AddressInfo | null)?.port ?? 0;
   }
 
-  /** Stops listening and closes all connections. */
+  /** Stops listening and closes all connections. Messages are not sent any more. */
   close(): void {
+    this.isClosed = true;
     this.listener?.close();
     [...this.links.values()].forEach((link) => link.connection.close('this instance stops'));
     [...this.accepted].forEach((connection) => connection.close('this instance stops'));
@@ -141,7 +143,7 @@
       };
       this.pending.set(callId, { address, finish });
       const sent = this.send(address, { kind: FrameKind.request, name, callId, body });
-      if (!sent) finish(fail(PeerFailure.congested));
+      if (!sent) finish(fail(this.isClosed ? PeerFailure.notConnected : PeerFailure.congested));
     });
   }
 
@@ -192,6 +194,7 @@
   }
 
   private send(address: string, frame: Frame): boolean {
+    if (this.isClosed) return false;
     const link = this.links.get(address) ?? this.dial(address);
     link.lastUsedMs = performance.now();
     this.metrics.count('peer_messages_sent');
