Let a load report that cannot be read end no process

Cause: the owner of a pool reads the load reports of its replicas in fighub-entry, and nothing waits for that. The reports were used as they were received: one without the list of cached prefixes threw, and the rejection ended the process, each second again at the next owner.

Change: a response that is no report counts as none, and other errors of the reading are reported as those of other detached tasks are.

Evidence: on the code before, the new test of pool-host.test.ts fails with an unhandled rejection, and the four malformed reports of http-engine.test.ts are passed on; all pass. That the owner's process ended was not run, but follows from unhandledRejection of fighub-entry.

--- a/packages/admission/src/pool-host.test.ts
+++ b/packages/admission/src/pool-host.test.ts
@@ -2,8 +2,9 @@
 import type { PoolPolicy } from '@fighub/decisions';
 import { BlockedPrompts, MemberState, RequestLimits } from '@fighub/decisions';
 import type { AcquireBody, GrantedBody, HeldPermit, MembershipRunner } from '@fighub/peers';
+import type { LoadReader } from '@fighub/outside';
 import { PeerNode } from '@fighub/peers';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import type { PoolCatalogue, PoolDescription } from './pool-catalogue.js';
 import { PoolHost } from './pool-host.js';
@@ -50,12 +51,18 @@
   };
 }
 
-function setup() {
+function rethrow(error: unknown): never {
+  throw error;
+}
+
+function setup(loadReader?: LoadReader, onError: (error: unknown) => void = rethrow) {
   const clock = new ManualClock();
   const metrics = new Metrics();
-  const node = new PeerNode({ instanceId: 'self', host: '127.0.0.1', port: 0, secret: 's' }, metrics, (e) => {
-    throw e;
-  });
+  const node = new PeerNode(
+    { instanceId: 'self', host: '127.0.0.1', port: 0, secret: 's' },
+    metrics,
+    onError,
+  );
   const self = { instanceId: 'self', failureDomain: 'd', peerAddress: '', state: 'alive', schedules: true };
   const holderState: { state: MemberState } = { state: MemberState.alive };
   const membership = {
@@ -71,7 +78,7 @@
     isReachedByOthers: () => Promise.resolve(reached.byOthers),
   } as unknown as MembershipRunner;
   const upstreams = new UpstreamStates(clock);
-  const host = new PoolHost('self', CATALOGUE, upstreams, () => members, node, undefined, clock, metrics);
+  const host = new PoolHost('self', CATALOGUE, upstreams, () => members, node, loadReader, clock, metrics);
   const grants: GrantedBody[] = [];
   host.connect(
     {
@@ -87,6 +94,23 @@
 }
 
 describe('PoolHost', () => {
+  it('reports an unexpected error of reading the load of a replica, and goes on', async () => {
+    const unexpected = new TypeError('unexpected');
+    const errors: unknown[] = [];
+    const { clock, host, grants } = setup({ load: () => Promise.reject(unexpected) }, (error) =>
+      errors.push(error),
+    );
+    host.run(clock.monotonicMs());
+    host.acquire(acquireBody('q1'));
+    host.run(clock.monotonicMs());
+    clock.advance(1_000);
+    host.run(clock.monotonicMs());
+    await vi.waitFor(() => expect(errors).toEqual([unexpected]));
+    host.acquire(acquireBody('q2'));
+    host.run(clock.monotonicMs());
+    expect(grants).toHaveLength(2);
+  });
+
   it('never reuses a permit id after a scheduler was dropped and its permits were renewed', () => {
     const { clock, host, grants } = setup();
     host.run(clock.monotonicMs());
--- a/packages/admission/src/pool-host.ts
+++ b/packages/admission/src/pool-host.ts
@@ -478,7 +478,11 @@
     this.pools
       .all()
       .filter((pool) => isIdleRound || pool.permits.size > 0)
-      .forEach((pool) => pool.replicas.all().forEach((replica) => void this.readLoad(pool, replica)));
+      .forEach((pool) =>
+        pool.replicas
+          .all()
+          .forEach((replica) => this.node.detach('engine load', this.readLoad(pool, replica))),
+      );
   }
 
   private async readLoad(pool: PoolScheduler, replica: PoolReplica): Promise<void> {
--- a/packages/outside/src/engine.ts
+++ b/packages/outside/src/engine.ts
@@ -85,7 +85,7 @@
 
 /** Reads the load reports of engines. */
 export interface LoadReader {
-  /** Returns the load report of the engine at `address`; undefined when it does not respond. */
+  /** Returns the load report of the engine at `address`; undefined when it does not respond, or not with a report. */
   load(address: string): Promise<EngineLoad | undefined>;
 }
 
--- a/packages/outside/src/http-engine.test.ts
+++ b/packages/outside/src/http-engine.test.ts
@@ -55,6 +55,16 @@
     return { end, chunks };
   }
 
+  it.each(['{}', 'null', '[]', '{"running":0,"waiting":0,"maxConcurrency":8,"cachedPrefixes":"p"}'])(
+    'takes a load report without the fields of one for none: %s',
+    async (body) => {
+      server.on('request', (_request, response) => response.end(body));
+      await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+      const { port } = server.address() as AddressInfo;
+      expect(await engine.load(`http://127.0.0.1:${String(port)}`)).toBeUndefined();
+    },
+  );
+
   it('ends a stream as broken that sends bytes but completes no event', async () => {
     const bytes = Array.from({ length: 200 }, () => Buffer.from('x'));
     const { end } = await run([Buffer.from(eventOf('one', 0)), Buffer.from('data: '), ...bytes], 1_000);
--- a/packages/outside/src/http-engine.ts
+++ b/packages/outside/src/http-engine.ts
@@ -54,11 +54,12 @@
 
   async load(address: string): Promise<EngineLoad | undefined> {
     try {
-      return await got(`${address}/load`, {
+      const report = await got(`${address}/load`, {
         agent: { http: this.pools.agentFor(address) },
         timeout: { request: LOAD_TIMEOUT_MS },
         retry: { limit: 0 },
-      }).json<EngineLoad>();
+      }).json();
+      return loadSchema.parse(report);
     } catch {
       this.pools.replace(address);
       return undefined;
@@ -203,6 +204,15 @@
   };
 }
 
+const loadSchema = z.object({
+  running: z.number(),
+  waiting: z.number(),
+  maxConcurrency: z.number(),
+  leaving: z.boolean().default(false),
+  cachedPrefixes: z.array(z.string()).default([]),
+  models: z.array(z.string()).default([]),
+});
+
 const streamEventSchema = z.object({
   id: z.string(),
   attempt_id: z.string(),
