Report an unexpected error of a direct store call whose relayed one was used

Cause: when a call to the store was also sent through a coordinator and that response was used, the direct call went on, and its rejection was handled by nothing, which ends the process. The adapter returns failures as values, so that only an unexpected error does this.

Change: the rest of the direct call is a detached task of the node, whose errors are reported.

Evidence: the new test of relayed-store.test.ts fails on the code before with an unhandled rejection, and passes.

--- a/packages/serving/src/relayed-store.test.ts
+++ b/packages/serving/src/relayed-store.test.ts
@@ -3,7 +3,7 @@
 import type { KeyChange } from '@fighub/outside';
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import type { MembershipRunner, PeerNode, StoreCall } from '@fighub/peers';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { RelayedStore } from './relayed-store.js';
 
@@ -29,8 +29,11 @@
 
 function setup(direct: MemoryKeyValueService, store: MemoryKeyValueService) {
   const relayed: StoreCall[] = [];
+  const errors: unknown[] = [];
   const node = {
     onRequest: () => undefined,
+    detach: (_name: string, task: Promise<unknown>) =>
+      void task.catch((error: unknown) => errors.push(error)),
     request: async (_address: string, _name: string, call: StoreCall) => {
       relayed.push(call);
       if (call.kind === 'get') return ok({ outcome: await store.get(call.key) });
@@ -53,7 +56,7 @@
     () => 0,
   );
   const options = { readsPerSecond: 1_000, writesPerSecond: 1_000, deadlineMs: 5_000 };
-  return { records: new RecordStore(service, options, clock, metrics), relayed, metrics };
+  return { records: new RecordStore(service, options, clock, metrics), relayed, errors, metrics };
 }
 
 describe('RelayedStore', () => {
@@ -80,6 +83,19 @@
     expect(store.writtenKeys).toEqual(['a']);
   });
 
+  it('uses the response of a coordinator when the direct path ends with an unexpected error after that', async () => {
+    const store = new MemoryKeyValueService();
+    await store.compareAndSwap('k', 0, JSON.stringify({ writeIds: [], value: 7 }));
+    const unexpected = new TypeError('unexpected');
+    let failDirectCall: () => void = () => undefined;
+    const direct = new MemoryKeyValueService();
+    direct.get = () => new Promise<never>((_, reject) => (failDirectCall = () => reject(unexpected)));
+    const { records, errors } = setup(direct, store);
+    expect(await records.read('k')).toMatchObject({ ok: true, value: { value: 7 } });
+    failDirectCall();
+    await vi.waitFor(() => expect(errors).toEqual([unexpected]));
+  });
+
   it('reports the failure when both paths fail', async () => {
     const down = new MemoryKeyValueService();
     down.down = true;
--- a/packages/serving/src/relayed-store.ts
+++ b/packages/serving/src/relayed-store.ts
@@ -81,7 +81,10 @@
     if (this.clock.monotonicMs() < this.relayFirstUntilMs) return this.firstResponse(relay, callDirectly);
     const directCall = callDirectly();
     const outcome = await this.firstResponse(() => directCall, relay);
-    void directCall.then((direct) => this.updatePathPreference(direct, outcome));
+    this.node.detach(
+      'store.call',
+      directCall.then((direct) => this.updatePathPreference(direct, outcome)),
+    );
     return outcome;
   }
 
