Complete the drain of fighub-entry when the release of a chunk throws

Cause: the drain waits for the releases of all chunks together, so that an unexpected error of one ended the drain: the requests and chunks that were still open were cut, and the process ended with status 70.

Change: the release of each chunk is a task whose errors are reported. A chunk that is not released is claimed after its lease.

Evidence: the new test of background-work.test.ts rejects on the code before, and passes.

--- a/packages/entry/src/background-work.test.ts
+++ b/packages/entry/src/background-work.test.ts
@@ -1,10 +1,11 @@
 /** Unexpected errors in work that nothing waits for end only that work. */
-import type { ChunkLedger, JobManifest } from '@fighub/core';
+import type { ChunkLedger, EntityTable, JobManifest } from '@fighub/core';
 import { ManualClock, Metrics, SystemClock } from '@fighub/core';
 import { emptyLedger, takeLease } from '@fighub/decisions';
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import { describe, expect, it, vi } from 'vitest';
 
+import { BatchRunner } from './batch/batch-runner.js';
 import { HeldChunk } from './batch/held-chunk.js';
 import { InstanceListPoller } from './life-cycle/instance-list-poller.js';
 import type { CompletionSpec } from './online/completion-runner.js';
@@ -110,6 +111,40 @@
   });
 });
 
+describe('BatchRunner', () => {
+  it('releases the other chunks, and completes the drain, when the release of one throws', async () => {
+    const { tasks, reports } = reportedTasks();
+    const node = { onNotice: () => undefined };
+    const none = {} as never;
+    const options = { leaseMs: LEASE_MS, commitPeriodMs: 10, maxHeldChunks: 2 };
+    const runner = new BatchRunner(
+      'a',
+      none,
+      none,
+      none,
+      none,
+      none,
+      none,
+      node as never,
+      options,
+      tasks,
+      new ManualClock(),
+      new Metrics(),
+    );
+    let isReleased = false;
+    const release = async () => {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      isReleased = true;
+    };
+    const held = Reflect.get(runner, 'held') as EntityTable<{ release: () => Promise<void> }>;
+    held.set('bad', { release: fails });
+    held.set('good', { release });
+    await runner.drain();
+    expect(isReleased).toBe(true);
+    expect(reports).toEqual([['release of a chunk', UNEXPECTED]]);
+  });
+});
+
 describe('periodic work', () => {
   it('goes on: the instance list is read again, and a table is fetched again', async () => {
     const { tasks, reports } = reportedTasks();
--- a/packages/entry/src/batch/batch-runner.ts
+++ b/packages/entry/src/batch/batch-runner.ts
@@ -118,7 +118,10 @@
   /** Stops claiming chunks, then commits the results of all held chunks and releases their leases. */
   async drain(): Promise<void> {
     this.stopped = true;
-    await Promise.all(this.held.all().map((chunk) => chunk.release()));
+    const releases = this.held
+      .all()
+      .map((chunk) => this.tasks.finish('release of a chunk', () => chunk.release()));
+    await Promise.all(releases);
   }
 
   dump(): Record<string, unknown> {
