Let an entry of the table that cannot be read end no process

Cause: a relay of fighub-entry watches the table in the store, and the listener parsed each event. A value under table/ that another writer has left threw inside the listener, which is an uncaught error: it ended the relays of all failure domains at the same time.

Change: the application of an event is a background task, whose errors are reported. The periodic read skips such values already.

Evidence: the new test of background-work.test.ts fails on the code before with a SyntaxError of the watch, and passes.

--- a/packages/entry/src/background-work.test.ts
+++ b/packages/entry/src/background-work.test.ts
@@ -184,6 +184,29 @@
     expect(reports.map(([task]) => task)).toContain('instance list');
   });
 
+  it('goes on after an entry of the table that another writer has left', async () => {
+    const service = new MemoryKeyValueService();
+    const store = recordStore(service);
+    const { tasks, reports } = reportedTasks();
+    const table = new TableStore(store, tasks, new Metrics(), () => 0);
+    const node = { onRequest: () => undefined, onNotice: () => undefined };
+    const members = { owners: () => [SELF] };
+    const replication = new TableReplication(
+      table,
+      store,
+      node as never,
+      () => members as never,
+      SELF,
+      tasks,
+      new Metrics(),
+    );
+    await replication.start();
+    await service.compareAndSwap('table/0', 0, 'no record');
+    await service.compareAndSwap('table/1', 0, JSON.stringify({ writeIds: [], value: null }));
+    await vi.waitFor(() => expect(reports.map(([task]) => task)).toEqual(['table event', 'table event']));
+    replication.stop();
+  });
+
   it('settles the other idempotency records when the write of one throws', async () => {
     const { tasks, reports } = reportedTasks();
     const written: string[] = [];
--- a/packages/entry/src/table/table-replication.ts
+++ b/packages/entry/src/table/table-replication.ts
@@ -111,8 +111,11 @@
   private openWatch(): void {
     const handle = this.store.watch('table/', {
       onEvent: (event) => {
-        if (event.value === undefined) return;
-        this.table.apply(RecordStore.parse<TableBucket>(event.key, event.value, event.revision).value);
+        const { key, value, revision } = event;
+        if (value === undefined) return;
+        this.tasks.run('table event', () =>
+          this.table.apply(RecordStore.parse<TableBucket>(key, value, revision).value),
+        );
       },
       onEnd: () => {
         if (this.watch === handle) this.watch = undefined;
