Count no pause of this process as time of a handshake between instances

Cause: a connection whose handshake was not complete 2 s after it was opened was closed, after what had arrived was read. The handshake has two messages of each end, so that a pause in which the kernel established the connection left it incomplete, and all calls that waited for it failed as not connected.

Change: the limit counts expiries of the timer of the connection, of which a pause has one. Without a pause it ends as before, at the third.

Evidence: the new test of peer-connection.test.ts, which pauses the process for 2.8 s once a connection was asked for, fails on the code before, and passes.

--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -4,7 +4,7 @@
 import { Metrics } from '@fighub/core';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
-import { HEARTBEAT_PERIOD_MS, SILENCE_LIMIT_MS } from './peer-connection.js';
+import { HANDSHAKE_TIMEOUT_MS, HEARTBEAT_PERIOD_MS, SILENCE_LIMIT_MS } from './peer-connection.js';
 import { PeerFailure } from './peer-messages.js';
 import { PeerNode } from './peer-node.js';
 
@@ -116,6 +116,20 @@
     await closed;
   });
 
+  it('is not given up after a pause of this process in which the handshake could not go on', async () => {
+    const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
+    nodes = { stop: () => [dialling, accepting].forEach((node) => node.close()) } as ProxiedNodes;
+    accepting.onRequest('swim.members', () => ({ members: [] }));
+    const address = `127.0.0.1:${String(await accepting.listen())}`;
+    const closed = vi.fn();
+    dialling.onOutboundClosed(closed);
+    const answer = dialling.request(address, 'swim.members', {}, 20_000);
+    // The kernel establishes the connection meanwhile.
+    process.nextTick(() => pauseProcess(HANDSHAKE_TIMEOUT_MS + HEARTBEAT_PERIOD_MS));
+    expect((await answer).ok).toBe(true);
+    expect(closed).not.toHaveBeenCalled();
+  });
+
   it('is not opened any more once its node is closed', async () => {
     const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
     nodes = { stop: () => [dialling, accepting].forEach((node) => node.close()) } as ProxiedNodes;
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -12,7 +12,8 @@
 export const HEARTBEAT_PERIOD_MS = 800;
 /** An accepted connection that receives nothing for this long is closed. */
 const ACCEPTED_IDLE_LIMIT_MS = 60_000;
-const HANDSHAKE_TIMEOUT_MS = 2_000;
+/** A connection whose handshake takes longer than this is closed. */
+export const HANDSHAKE_TIMEOUT_MS = 2_000;
 const MAX_UNSENT_BYTES = 8 * 1024 * 1024;
 
 /** The frame that each frame from the accepting end answers, with the same call id. */
@@ -53,7 +54,8 @@
   private unconfirmed: Frame | undefined;
   /** When the first heartbeat since the last received bytes was sent; undefined when none was sent since. */
   private unansweredSinceMs: number | undefined;
-  private readonly openedMs = performance.now();
+  /** Expiries of the timer. After a pause of this process it expires once, however long the pause was. */
+  private periods = 0;
   private readonly timer: NodeJS.Timeout;
   private closed = false;
 
@@ -108,6 +110,7 @@
   }
 
   private onTimer(): void {
+    this.periods += 1;
     if (this.overdue() !== undefined) setImmediate(() => this.closeIfOverdue());
     else if (this.ready && this.dialled) this.sendHeartbeat();
   }
@@ -120,9 +123,10 @@
 
   /** What the other end has not sent in time; undefined if nothing is overdue. */
   private overdue(): string | undefined {
-    const nowMs = performance.now();
-    if (!this.ready && nowMs - this.openedMs > HANDSHAKE_TIMEOUT_MS) return 'no handshake';
+    // A pause is not counted, since the handshake has several messages, of which only one can arrive during it.
+    if (!this.ready && this.periods * HEARTBEAT_PERIOD_MS > HANDSHAKE_TIMEOUT_MS) return 'no handshake';
     if (!this.dialled) return this.silentForMs > ACCEPTED_IDLE_LIMIT_MS ? 'idle' : undefined;
+    const nowMs = performance.now();
     const unansweredMs = nowMs - (this.unansweredSinceMs ?? nowMs);
     return unansweredMs > SILENCE_LIMIT_MS ? 'nothing received within the silence limit' : undefined;
   }
