--- a/packages/core/src/body-parts.ts
+++ b/packages/core/src/body-parts.ts
@@ -26,6 +26,11 @@
     this.parts.push(joined.length === 1 ? part : Buffer.concat(joined));
   }
 
+  /** Gives all parts up. */
+  clear(): void {
+    this.parts.length = 0;
+  }
+
   /** The whole body. */
   whole(): Buffer {
     return Buffer.concat(this.parts);
