Join small parts of whole responses of replicas, as those of request bodies

Cause: a response that is passed on as a whole was kept as the parts in which it arrived, and its bytes were counted. A replica that sends chunks of some bytes made it take several times the memory that is counted.

Change: the parts are collected by BodyParts.

Evidence: the new test of response-relay.test.ts kept 20,000 parts of one byte before (bound 20), and passes. The memory of a part of one byte was measured with request bodies only.

--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -62,6 +62,39 @@
     },
   );
 
+  it('does not keep each of many small parts of a whole response, which take far more memory than their bytes', () => {
+    const concat = vi.spyOn(Buffer, 'concat');
+    const received: Buffer[] = [];
+    const ignored = () => undefined;
+    const sink: ResponseSink = {
+      head: ignored,
+      data: (part) => received.push(part),
+      whenDrained: ignored,
+      end: ignored,
+      cut: ignored,
+      refuse: ignored,
+    };
+    const route = { name: 'once', kind: 'once', resumable: false } as unknown as Route;
+    const relay = new ResponseRelay(
+      route,
+      'q1',
+      undefined,
+      sink,
+      new SystemClock(),
+      new BufferBudget(100_000),
+    );
+    const attempt = relay.startAttempt(new AbortController().signal, OBSERVER);
+    attempt.onHead(HEAD);
+    for (let index = 0; index < 20_000; index += 1) attempt.onData(Buffer.alloc(1, 'x'));
+    expect(attempt.deliver()).toBe(true);
+    // The parts are given up with the attempt.
+    const most = Math.max(...concat.mock.calls.map(([parts]) => parts.length));
+    concat.mockRestore();
+    attempt.close();
+    expect(received).toEqual([Buffer.alloc(20_000, 'x')]);
+    expect(most).toBeLessThanOrEqual(20);
+  });
+
   describe('with a route that allows to resume', () => {
     beforeEach(() => vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'performance'] }));
     afterEach(() => vi.useRealTimers());
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -1,6 +1,6 @@
 /** Passes the responses of replicas on to the caller, from several attempts when a stream is resumed. */
 import type { Clock, Problem, Route } from '@fighub/core';
-import { RouteKind } from '@fighub/core';
+import { BodyParts, RouteKind } from '@fighub/core';
 import { EVENTS_OF_SOUND_PROMPT } from '@fighub/decisions';
 
 import type { BufferBudget } from './buffer-budget.js';
@@ -156,7 +156,7 @@
   wasAbandoned = false;
   private head: UpstreamHead | undefined;
   private readonly splitter = new EventSplitter();
-  private readonly parts: Buffer[] = [];
+  private readonly parts = new BodyParts();
   private keptBytes = 0;
   private exceeded = false;
   /** Aborted when the stream has stalled, or does not continue with the next event. */
@@ -267,7 +267,7 @@
     this.stallTimer?.stop();
     this.relay.buffers.release(this.keptBytes);
     this.keptBytes = 0;
-    this.parts.length = 0;
+    this.parts.clear();
   }
 
   /** Passes a complete response on to the caller. Returns false when it must not be passed on. */
@@ -285,7 +285,7 @@
     // it would tell the caller that nothing ran, for which there is no evidence.
     if (this.relay.hasStarted || REFUSAL_STATUSES.has(head.status)) return false;
     if (!this.observer.mayPassOn()) return false;
-    this.relay.end(head, Buffer.concat(this.parts));
+    this.relay.end(head, this.parts.whole());
     return true;
   }
 
@@ -306,7 +306,7 @@
       return;
     }
     this.keptBytes += part.length;
-    this.parts.push(part);
+    this.parts.add(part);
   }
 
   private exceed(): void {
