Count the request bodies of relayed calls with those of callers

Cause: an instance that relays calls for others kept up to 32 MB of their request bodies, whatever its own memory is, beside the share for the bodies of its callers, so that everything full came to more than a process of 250 MB has.

Change: both take from the same share. A call that has no room is not accepted, and its holder tries another relay.

Evidence: the new test of relayed-transport.test.ts fails on the code before (the call is relayed) and passes; its last check is that all bytes were given back.

Also: the failure detector runs again when it is started after a stop, as before its late runs were put off. Nothing does so yet.

--- a/packages/decisions/src/memory-shares.ts
+++ b/packages/decisions/src/memory-shares.ts
@@ -15,7 +15,7 @@
 
 /** What each kind may take, in bytes. All of them can be full at the same time. */
 export interface MemoryShares {
-  /** Bodies of the requests that are being handled. */
+  /** Bodies of the requests that are being handled, also of those that are relayed for other instances. */
   readonly requestBodyBytes: number;
   /** Parts of responses that callers have not got. */
   readonly responseBytes: number;
--- a/packages/peers/src/membership-runner.ts
+++ b/packages/peers/src/membership-runner.ts
@@ -64,6 +64,7 @@
   }
 
   start(): void {
+    this.stopped = false;
     this.scheduleProbe();
   }
 
--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -4,6 +4,7 @@
 import type { RelayState } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, RelayCallBody, RelayPartBody, RelayedEnd } from '@fighub/peers';
 
+import type { BufferBudget } from '../online/buffer-budget.js';
 import type { UpstreamEnd, UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
 import { UpstreamEndKind } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
@@ -11,8 +12,6 @@
 
 /** Calls that one instance relays at the same time. */
 const MAX_OPEN_CALLS = 200;
-/** Bytes of their request bodies in memory, above which no more calls are accepted. */
-const MAX_BODY_BYTES = 32 * 1_048_576;
 /** Bytes of a response that are sent before the holder has confirmed that it has passed them on. */
 const SEND_WINDOW_BYTES = 262_144;
 const DRAIN_CHECK_MS = 20;
@@ -25,6 +24,8 @@
   readonly leavingAnnouncements: LeavingAnnouncements;
   readonly members: () => MembershipRunner;
   readonly node: PeerNode;
+  /** Memory for the request bodies of callers and of relayed calls together. */
+  readonly requestBodies: BufferBudget;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly log: DecisionLog;
@@ -35,7 +36,6 @@
   readonly name = 'relay server';
   /** Open calls, by holder and call id. */
   private readonly calls = new Map<string, RelayedCall>();
-  private bodyBytes = 0;
   private refusing = false;
 
   constructor(
@@ -70,14 +70,14 @@
   }
 
   private state(): RelayState {
-    const hasRoom = this.calls.size < MAX_OPEN_CALLS && this.bodyBytes < MAX_BODY_BYTES;
+    const hasRoom = this.calls.size < MAX_OPEN_CALLS && !this.dependencies.requestBodies.isFull;
     return { available: !this.refusing && !this.arePathsLost() && hasRoom, openCalls: this.calls.size };
   }
 
   private accept(body: RelayCallBody): boolean {
-    const { metrics, members } = this.dependencies;
+    const { metrics, members, requestBodies } = this.dependencies;
     const holder = members().membership.get(body.holder);
-    if (!holder || !this.state().available) {
+    if (!holder || !this.state().available || !requestBodies.take(body.body.length)) {
       metrics.count('relay_calls_refused');
       return false;
     }
@@ -85,13 +85,12 @@
     const key = keyOf(body.holder, body.callId);
     const call = new RelayedCall(body, holder.peerAddress, this.dependencies);
     this.calls.set(key, call);
-    this.bodyBytes += body.body.length;
     void call
       .run()
       .catch((error: unknown) => call.fail(error))
       .finally(() => {
         this.calls.delete(key);
-        this.bodyBytes -= body.body.length;
+        requestBodies.release(body.body.length);
       });
     return true;
   }
--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -1,7 +1,7 @@
 import { DecisionLog, Metrics, SystemClock } from '@fighub/core';
 import type { MembershipRunner } from '@fighub/peers';
 import { PeerNode } from '@fighub/peers';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import type {
   DirectTransport,
@@ -12,11 +12,14 @@
 } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
+import { BufferBudget } from '../online/buffer-budget.js';
 import { RelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { RelayedTransport } from './relayed-transport.js';
 
 const HOST = '127.0.0.1';
+/** Memory for request bodies. */
+const BODIES_BYTES = 1_000;
 const HEAD: UpstreamHead = { status: 200, headers: [['Seal', 's']], framing: 'chunks', notRun: false };
 const UNREACHABLE: UpstreamEnd = { kind: 'not_connected', detail: 'refused', unreachable: true };
 
@@ -59,6 +62,7 @@
   readonly path: FakePath;
   readonly transport: RelayedTransport;
   readonly server: RelayServer;
+  readonly requestBodies: BufferBudget;
   readonly leaving: string[];
 }
 
@@ -90,6 +94,7 @@
     const path = new FakePath();
     const transport = new RelayedTransport({ direct: path, client, clock, metrics, log });
     const leaving: string[] = [];
+    const requestBodies = new BufferBudget(BODIES_BYTES);
     const server = new RelayServer(
       {
         direct: transport.directPath,
@@ -99,13 +104,14 @@
         } as unknown as LeavingAnnouncements,
         members: membership,
         node,
+        requestBodies,
         clock,
         metrics,
         log,
       },
       () => transport.arePathsLost,
     );
-    return { instanceId, node, path, transport, server, leaving };
+    return { instanceId, node, path, transport, server, requestBodies, leaving };
   };
   const instances: Instance[] = [];
   for (let index = 0; index < count; index += 1) instances.push(await startOne(`i${String(index)}`));
@@ -227,6 +233,20 @@
     expect(end).toEqual({ kind: 'not_connected', detail: 'EMFILE', relayedBy: 'i1', pathsLost: true });
   });
 
+  it('relays no call whose body has no room beside those of its own callers, and later ones once there is room', async () => {
+    const [holder, relay] = (await start(2)) as [Instance, Instance];
+    await cutOff(holder);
+    relay.requestBodies.take(BODIES_BYTES - 1);
+    expect((await send(holder, 'r', 'a')).end).toMatchObject({ kind: 'not_connected' });
+    relay.requestBodies.release(BODIES_BYTES - 1);
+    // The holder asks the relay again after a while.
+    const isRelayed = async () => expect((await send(holder, 'r', 'b')).end.kind).toBe('complete');
+    await vi.waitFor(isRelayed, { timeout: 10_000 });
+    await vi.waitFor(() => {
+      expect(relay.requestBodies.take(BODIES_BYTES)).toBe(true);
+    });
+  });
+
   it('never relays a call for another instance that it cannot make itself', async () => {
     const [holder, relay] = (await start(3)) as [Instance, Instance];
     await cutOff(holder);
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -347,6 +347,7 @@
           leavingAnnouncements: get(Tokens.leavingAnnouncements),
           members: () => get(Tokens.membership),
           node: get(Tokens.node),
+          requestBodies: get(Tokens.requestBodies),
           clock: get(Tokens.clock),
           metrics: get(Tokens.metrics),
           log: get(Tokens.log),
