Try the next batch jobs when one that waits for memory was refused

Seen by callers: a small job that would have fitted was refused as not run after 1.5 s, because a larger one before it waited for memory, even after that one had been refused. Found in a review, by reading.

Cause: waiting jobs were tried only when a running one ended, not when the first in the order was given up.

Change: a job that is refused lets the next ones be tried. The order of arrival stays.

Evidence: the new test of job-intake.test.ts fails on the code before (refused with overloaded) and passes.

--- a/packages/serving/src/batch/job-intake.test.ts
+++ b/packages/serving/src/batch/job-intake.test.ts
@@ -35,4 +35,17 @@
       value: 'taken',
     });
   });
+
+  it('takes a job in that fits as soon as a larger one before it was refused', async () => {
+    const intake = new JobIntake(MEMORY_MB, 100);
+    let finish: () => void = () => undefined;
+    const running = intake.run(LARGE_BYTES, () => new Promise<void>((resolve) => (finish = resolve)));
+    const large = intake.run(LARGE_BYTES, () => Promise.resolve());
+    await sleep(50);
+    const small = intake.run(1, () => Promise.resolve('taken'));
+    expect(await large).toMatchObject({ ok: false });
+    expect(await small).toEqual({ ok: true, value: 'taken' });
+    finish();
+    await running;
+  });
 });
--- a/packages/serving/src/batch/job-intake.ts
+++ b/packages/serving/src/batch/job-intake.ts
@@ -47,6 +47,7 @@
           clearTimeout(timer);
           this.waiting.delete(job);
           resolve(mayBegin);
+          if (!mayBegin) this.beginNext();
         },
       };
       const timer = setTimeout(() => job.begin(false), this.maxWaitMs);
