Parse the bytes of callers by turns

Callers that send bodies in chunks of one byte left all others without an answer. 64 KB of such chunks are ten thousand calls of the parser, some 33 ms, and Node.js parses up to 32 such reads of each connection, and those of all readable connections, before anything else has its turn.

Connections that have taken the least work lately come first, so that an ordinary request does not wait for the others (decisions/read-turns, with the load that it answers).

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -50,6 +50,7 @@
 export * from './prefix-index.js';
 export * from './prompt-crashes.js';
 export * from './quarantine.js';
+export * from './read-turns.js';
 export * from './relay-choice.js';
 export * from './rendezvous.js';
 export * from './replica-capacity.js';
