Let a request take the place of an idle connection

Callers that open as many connections as an entry serves, and send nothing or no whole request, kept all others out for as long as they stayed: the next request was refused with 503, and further connections were closed on arrival.

Cause: places went to those who came first, and nothing but a time limit took one back. Now a request that arrives on a connection over the budget takes the place of one that has been idle for 250 ms: first of those that never had a request, then of any without an open one, the one that has been idle for longest. If none is idle, the request is refused as before. While even the places over the budget are taken, a new connection replaces the oldest of these, since it sends its request within moments. ConnectionLedger decides this, with the load that it answers in its test.

--- a/packages/decisions/src/connection-budget.test.ts
+++ b/packages/decisions/src/connection-budget.test.ts
@@ -20,11 +20,8 @@
 function arrive(count: number, budget = connectionBudget({ memoryMb: 250, maxFds: 4_100 })) {
   const ledger = new ConnectionLedger<object>(budget);
   const callers = Array.from({ length: count }, () => ({}));
-  const taken = callers.filter((caller) => {
-    if (ledger.openCount >= budget.served + budget.refused) return false;
-    ledger.opened(caller);
-    return true;
-  });
+  const closed = new Set(callers.map((caller) => ledger.opened(caller, 0)));
+  const taken = callers.filter((caller) => !closed.has(caller));
   return { ledger, taken, budget };
 }
 
@@ -52,10 +49,50 @@
     const { ledger, taken, budget } = arrive(CALLERS);
     const [first = {}, ...others] = taken;
     const last = others[others.length - 1] ?? {};
-    expect(taken.filter((caller) => ledger.mayServe(caller))).toHaveLength(budget.served);
-    expect(ledger.mayServe(last)).toBe(false);
+    expect(taken.filter((caller) => ledger.mayServe(caller, 0).isServed)).toHaveLength(budget.served);
+    expect(ledger.mayServe(last, 0).isServed).toBe(false);
     ledger.closed(first);
-    expect(ledger.mayServe(last)).toBe(true);
+    expect(ledger.mayServe(last, 0).isServed).toBe(true);
+  });
+
+  it('serves a request in the place of the connection that has been idle for longest', () => {
+    const { ledger, taken } = arrive(CALLERS);
+    const [used = {}, busy = {}, idle = {}] = taken;
+    ledger.requestBegan(busy);
+    ledger.requestBegan(used);
+    ledger.requestEnded(used, 1);
+    const newcomer = {};
+    ledger.opened(newcomer, 10_000);
+    expect(ledger.mayServe(newcomer, 10_001)).toEqual({ isServed: true, closed: idle });
+  });
+
+  it('closes connections that have had requests only if no others are idle, and none that has an open request', () => {
+    const ledger = new ConnectionLedger<object>({ served: 3, refused: 1 });
+    const [used, busy, receiving] = [{ name: 'used' }, { name: 'busy' }, { name: 'receiving' }];
+    [used, busy, receiving].forEach((connection) => ledger.opened(connection, 0));
+    ledger.requestBegan(busy);
+    ledger.requestBegan(used);
+    ledger.requestEnded(used, 100);
+    ledger.received(receiving, 9_990);
+    const newcomer = {};
+    ledger.opened(newcomer, 10_000);
+    expect(ledger.mayServe(newcomer, 10_000).closed).toBe(used);
+  });
+
+  it('refuses a request if no connection is idle', () => {
+    const ledger = new ConnectionLedger<object>({ served: 1, refused: 1 });
+    ledger.opened({}, 0);
+    const newcomer = {};
+    ledger.opened(newcomer, 1);
+    expect(ledger.mayServe(newcomer, 2)).toEqual({ isServed: false });
+  });
+
+  it('closes the connection that has waited for longest over the budget for a new one', () => {
+    const ledger = new ConnectionLedger<object>({ served: 1, refused: 1 });
+    const waiting = {};
+    ledger.opened({}, 0);
+    ledger.opened(waiting, 1);
+    expect(ledger.opened({}, 2)).toBe(waiting);
   });
 
   it('forgets closed connections', () => {
--- a/packages/decisions/src/connection-budget.ts
+++ b/packages/decisions/src/connection-budget.ts
@@ -41,10 +41,33 @@
   return { served: total - refused, refused };
 }
 
-/** Keeps which open connections are over the budget. */
+/** A connection on which nothing has happened for this long may be closed for another one. */
+const IDLE_AFTER_MS = 250;
+
+/** Whether a request is handled. */
+export interface ServingDecision<Connection> {
+  readonly isServed: boolean;
+  /** The connection that leaves its place to the request. */
+  readonly closed?: Connection;
+}
+
+/** What is known about a connection within the budget. */
+interface OpenConnection {
+  /** Requests that have begun and were not answered. */
+  openRequests: number;
+  hasHadRequest: boolean;
+  lastActiveAtMs: number;
+}
+
+/**
+ * Keeps which open connections are over the budget. One of these that sends a request takes the place of a connection that is idle: callers
+ * that open connections and send nothing, or no whole request, would otherwise keep all others out.
+ */
 export class ConnectionLedger<Connection extends object> {
-  private readonly within = new Set<Connection>();
+  private readonly within = new Map<Connection, OpenConnection>();
   private readonly beyond = new Set<Connection>();
+  /** Until then no connection is looked for that could be closed for another one. */
+  private noneIdleUntilMs = 0;
 
   constructor(private readonly budget: ConnectionBudget) {}
 
@@ -52,9 +75,17 @@
     return this.within.size + this.beyond.size;
   }
 
-  opened(connection: Connection): void {
-    if (this.hasRoom()) this.within.add(connection);
-    else this.beyond.add(connection);
+  /** Adds a connection. Returns the one that is to be closed for it; undefined if there is none. */
+  opened(connection: Connection, nowMs: number): Connection | undefined {
+    if (this.hasRoom()) {
+      this.addWithin(connection, nowMs);
+      return undefined;
+    }
+    this.beyond.add(connection);
+    if (this.beyond.size <= this.budget.refused) return undefined;
+    const [first] = this.beyond;
+    if (first) this.beyond.delete(first);
+    return first;
   }
 
   closed(connection: Connection): void {
@@ -62,16 +93,68 @@
     this.beyond.delete(connection);
   }
 
-  /** Whether the next request of a connection is handled. One that was over the budget is not any more once others have closed. */
-  mayServe(connection: Connection): boolean {
-    if (!this.beyond.has(connection)) return true;
-    if (!this.hasRoom()) return false;
+  /** Records that bytes have arrived on a connection. */
+  received(connection: Connection, nowMs: number): void {
+    const open = this.within.get(connection);
+    if (open) open.lastActiveAtMs = nowMs;
+  }
+
+  /** Records that a whole request has arrived on a connection, which is not closed for another one until it was answered. */
+  requestBegan(connection: Connection): void {
+    const open = this.within.get(connection);
+    if (!open) return;
+    open.openRequests += 1;
+    open.hasHadRequest = true;
+  }
+
+  requestEnded(connection: Connection, nowMs: number): void {
+    const open = this.within.get(connection);
+    if (!open) return;
+    open.openRequests = Math.max(0, open.openRequests - 1);
+    open.lastActiveAtMs = nowMs;
+  }
+
+  /** Whether the next request of a connection is handled, and the idle connection that is to be closed for it. */
+  mayServe(connection: Connection, nowMs: number): ServingDecision<Connection> {
+    if (!this.beyond.has(connection)) return { isServed: true };
+    const idle = this.hasRoom() ? undefined : this.longestIdle(nowMs);
+    if (idle) this.closed(idle);
+    if (!this.hasRoom()) return { isServed: false };
     this.beyond.delete(connection);
-    this.within.add(connection);
-    return true;
+    this.addWithin(connection, nowMs);
+    return { isServed: true, closed: idle };
+  }
+
+  private addWithin(connection: Connection, nowMs: number): void {
+    this.within.set(connection, { openRequests: 0, hasHadRequest: false, lastActiveAtMs: nowMs });
   }
 
   private hasRoom(): boolean {
     return this.within.size < this.budget.served;
   }
+
+  /** Of the connections that are idle, one that has never had a request, else any; the one that has been idle for longest. */
+  private longestIdle(nowMs: number): Connection | undefined {
+    if (nowMs < this.noneIdleUntilMs) return undefined;
+    const answered = [...this.within].filter(([, { openRequests }]) => openRequests === 0);
+    const first = answered.reduce<[Connection, OpenConnection] | undefined>(
+      (found, next) => (found && goesBefore(found[1], next[1], nowMs) ? found : next),
+      undefined,
+    );
+    if (first && isIdle(first[1], nowMs)) return first[0];
+    // Those that are active now are not idle before this time.
+    this.noneIdleUntilMs = nowMs + IDLE_AFTER_MS / 2;
+    return undefined;
+  }
+}
+
+function isIdle({ lastActiveAtMs }: OpenConnection, nowMs: number): boolean {
+  return nowMs - lastActiveAtMs >= IDLE_AFTER_MS;
+}
+
+/** Whether `left` is closed before `right`. */
+function goesBefore(left: OpenConnection, right: OpenConnection, nowMs: number): boolean {
+  if (isIdle(left, nowMs) !== isIdle(right, nowMs)) return isIdle(left, nowMs);
+  if (left.hasHadRequest !== right.hasHadRequest) return !left.hasHadRequest;
+  return left.lastActiveAtMs <= right.lastActiveAtMs;
 }
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,2 +1,3 @@
 /** Bounds what callers take of a process while their requests arrive. */
+export * from './connection-guard.js';
 export * from './input-pacer.js';
