Close connections whose header sections are overdue within a second

Callers that stopped in their header sections kept their connections, and the places of others, for up to 33 s with headerTimeoutMs of 3 s: Node.js looks for overdue connections every 30 s unless it is told otherwise. It does so every second now. The 408 that it sends means that nothing has run, as before.

--- a/packages/ingress/src/connection-guard.ts
+++ b/packages/ingress/src/connection-guard.ts
@@ -9,6 +9,9 @@
 
 import type { InputPacer } from './input-pacer.js';
 
+/** How often a server looks for connections whose header sections are overdue; Node.js does so every 30 s by default. */
+export const CONNECTION_CHECK_PERIOD_MS = 1_000;
+
 /** Guards the connections of one server. */
 export class ConnectionGuard {
   private readonly ledger: ConnectionLedger<Socket>;
