Take the bodies of requests as they are parsed, also those that nobody needs

Callers that sent reads of job results with bodies in chunks of one byte took an entry over its memory. Nothing read such a body: the stream of the request kept each chunk as an object of some 400 bytes, up to 16 KB of content, which are 6 MB for each connection. And small parts of a body that was read were joined in buffers from the pool of Node.js, each of which keeps 8 KB, while only the bytes of the parts were counted.

Bodies are now taken by a listener while they are parsed, so that the stream keeps none. Requests that need no body read it within the same limits of size and time and discard it, before they are handled; their connections were kept open for good when the body did not end. Small parts are copied into blocks that grow, and the memory of these blocks is what the budget counts.

--- a/packages/core/src/body-parts.test.ts
+++ b/packages/core/src/body-parts.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { BodyParts } from './body-parts.js';
 
@@ -30,4 +30,21 @@
   it('keeps large parts as they are', () => {
     expect(collect(Array.from({ length: 64 }, () => 65_536))).toEqual({ most: 64, isWhole: true });
   });
+
+  it.each([1, 100, 5_000, 20_000])('states the memory that parts of %i bytes take', (size) => {
+    const parts = new BodyParts();
+    const allocated = vi.spyOn(Buffer, 'allocUnsafeSlow');
+    let statedBytes = 0;
+    Array.from({ length: 500 }, () => {
+      statedBytes += parts.memoryFor(size);
+      parts.add(Buffer.alloc(size));
+    });
+    const blocks = allocated.mock.calls.map(([bytes]) => bytes);
+    // Of the blocks in a row of growing sizes, only the last is kept.
+    const kept = blocks.filter((bytes, index) => (blocks[index + 1] ?? 0) <= bytes);
+    const whole = size >= 16_384 ? size * 500 : 0;
+    expect(statedBytes).toBe(kept.reduce((sum, bytes) => sum + bytes, 0) + whole);
+    expect(statedBytes).toBeLessThan(size * 500 * 2 + 512);
+    allocated.mockRestore();
+  });
 });
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,3 +1,5 @@
 /** Bounds what callers take of a process while their requests arrive. */
 export * from './connection-guard.js';
 export * from './input-pacer.js';
+export * from './request-bodies.js';
+export * from './request-body.js';
--- a/platform/src/request-body.test.ts
+++ b/packages/ingress/src/request-body.test.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage } from 'node:http';
+import { Readable } from 'node:stream';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
-import { HeldBytes } from './held-bytes.js';
+import { RequestBodies } from './request-bodies.js';
 import { readRequestBody } from './request-body.js';
 
 const LIMIT_MS = 10_000;
@@ -13,13 +14,9 @@
 
 /** Reads a body that arrives in `parts`. */
 function read(parts: Iterable<Buffer>) {
-  const held = new HeldBytes(BUDGET as never);
   const untilMs = performance.now() + LIMIT_MS;
-  const arriving = (async function* () {
-    yield* parts;
-    await Promise.resolve();
-  })();
-  return readRequestBody(arriving as unknown as IncomingMessage, { maxBytes: 1_000_000, held, untilMs });
+  const arriving = Readable.from(parts) as IncomingMessage;
+  return readRequestBody(arriving, { maxBytes: 1_000_000, untilMs }, new RequestBodies(BUDGET).open());
 }
 
 describe('readRequestBody', () => {
@@ -47,10 +44,9 @@
       yield Buffer.from('the last part is kept by the loop that waits for the next');
       await closed;
     })();
-    const held = new HeldBytes(BUDGET as never);
-    const untilMs = performance.now() + SHORT_LIMIT_MS;
-    const limits = { maxBytes: 1_000_000, held, untilMs };
-    const body = await readRequestBody(arriving as unknown as IncomingMessage, limits);
+    const limits = { maxBytes: 1_000_000, untilMs: performance.now() + SHORT_LIMIT_MS };
+    const held = new RequestBodies(BUDGET).open();
+    const body = await readRequestBody(Readable.from(arriving) as IncomingMessage, limits, held);
     expect(!body.ok && body.error.code).toBe('deadline_passed');
     await vi.waitFor(() => {
       collectGarbage();
@@ -59,11 +55,18 @@
     close();
   });
 
-  it('fails with an unexpected error, such as one for lack of memory, instead of leaving the request open', async () => {
-    const lackOfMemory = new RangeError('Array buffer allocation failed');
-    vi.spyOn(Buffer, 'concat').mockImplementation(() => {
-      throw lackOfMemory;
-    });
-    await expect(read([Buffer.from('ab'), Buffer.from('c')])).rejects.toBe(lackOfMemory);
-  });
+  it.each([
+    ['allocUnsafeSlow', 2],
+    ['concat', 100_000],
+  ] as const)(
+    'fails with an unexpected error of %s, such as one for lack of memory, instead of leaving the request open',
+    async (method, bytes) => {
+      const lackOfMemory = new RangeError('Array buffer allocation failed');
+      const parts = [Buffer.alloc(bytes), Buffer.alloc(bytes)];
+      vi.spyOn(Buffer, method).mockImplementation(() => {
+        throw lackOfMemory;
+      });
+      await expect(read(parts)).rejects.toBe(lackOfMemory);
+    },
+  );
 });
