Give up a body that does not end for one that arrives

Callers whose bodies stopped short of their end filled the memory for bodies, and every other caller with a body was refused until their time limits had passed: 5 s for online requests, 60 s for batch jobs.

The first to come kept the memory. Now the budget gives up an incomplete body when it is full: the largest of those that have received nothing for 1 s, else the largest one, if the body that arrives stays smaller. Its caller gets the same refusal as before, which is true, as its body was never whole. Bodies that are whole are not given up. IncompleteBodies decides this.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,7 @@
 export * from './expected-waits.js';
 export * from './fair-queue.js';
 export * from './hedging.js';
+export * from './incomplete-bodies.js';
 export * from './intake-budget.js';
 export * from './item-continuation.js';
 export * from './item-routing.js';
--- a/packages/ingress/src/request-bodies.ts
+++ b/packages/ingress/src/request-bodies.ts
@@ -1,4 +1,6 @@
 /** The memory that the bodies of all requests of a process take while they arrive and are handled. */
+import { IncompleteBodies } from '@fighub/decisions';
+
 /** Memory of a fixed size. */
 export interface ByteBudget {
   /** Takes bytes; returns false, and takes nothing, if there is no room for them. */
@@ -6,13 +8,15 @@
   release(bytes: number): void;
 }
 
-/** Divides a budget among bodies. */
+/** Divides a budget among bodies. A body that is still arriving may be given up for another one. */
 export class RequestBodies {
+  private readonly incomplete = new IncompleteBodies<HeldBody>();
+
   constructor(private readonly budget: ByteBudget) {}
 
   /** Adds a body that has received nothing yet. */
   open(): HeldBody {
-    return new HeldBody(this.budget);
+    return new HeldBody(this.budget, this.incomplete);
   }
 }
 
@@ -20,20 +24,47 @@
 export class HeldBody {
   private bytes = 0;
   private isReleased = false;
+  private onGivenUp: () => void = () => undefined;
 
-  constructor(private readonly budget: ByteBudget) {}
+  constructor(
+    private readonly budget: ByteBudget,
+    private readonly incomplete: IncompleteBodies<HeldBody>,
+  ) {}
+
+  /** Sets what is called when the body is given up for another one. Its memory is given back then. */
+  whenGivenUp(listener: () => void): void {
+    this.onGivenUp = listener;
+  }
 
   /** Takes `bytes` for what has arrived; returns false if there is no room for them, or if the memory was given back. */
   tryTake(bytes: number): boolean {
-    if (this.isReleased || !this.budget.take(bytes)) return false;
+    if (this.isReleased) return false;
+    const nowMs = performance.now();
+    while (!this.budget.take(bytes)) {
+      const other = this.incomplete.givenUpFor(this, bytes, nowMs);
+      if (!other) return false;
+      other.giveUp();
+    }
     this.bytes += bytes;
+    this.incomplete.grew(this, bytes, nowMs);
     return true;
   }
 
+  /** Records that the body is whole, and is not given up any more. */
+  complete(): void {
+    this.incomplete.remove(this);
+  }
+
   /** Gives all bytes back, and takes none any more. */
   release(): void {
     this.isReleased = true;
+    this.incomplete.remove(this);
     this.budget.release(this.bytes);
     this.bytes = 0;
   }
+
+  private giveUp(): void {
+    this.release();
+    this.onGivenUp();
+  }
 }
--- a/packages/ingress/src/request-body.ts
+++ b/packages/ingress/src/request-body.ts
@@ -36,11 +36,13 @@
     return undefined;
   };
   const whole = (): Buffer => {
+    held.complete();
     const body = parts.whole();
     parts.clear();
     return body;
   };
-  const body = await receive(req, limits, { keep, whole, clear: () => parts.clear() });
+  const onGivenUp = (giveUp: (problem: Problem) => void): void => held.whenGivenUp(() => giveUp(NO_MEMORY));
+  const body = await receive(req, limits, { keep, whole, clear: () => parts.clear(), onGivenUp });
   if (!body.ok) held.release();
   return body;
 }
@@ -51,7 +53,7 @@
   limits: BodyLimits,
 ): Promise<Outcome<undefined, Problem>> {
   const none = (): undefined => undefined;
-  return receive(req, limits, { keep: none, whole: none, clear: none });
+  return receive(req, limits, { keep: none, whole: none, clear: none, onGivenUp: none });
 }
 
 /** What is done with the parts of a body. */
@@ -62,6 +64,8 @@
   readonly whole: () => T;
   /** Gives up what has arrived. */
   readonly clear: () => void;
+  /** Passes what ends the reading from elsewhere. */
+  readonly onGivenUp: (giveUp: (problem: Problem) => void) => void;
 }
 
 /**
@@ -88,6 +92,7 @@
         resolve(fail(problem));
       });
     const limit = new WaitLimit(untilMs - performance.now(), () => giveUp(TOO_LATE));
+    receiver.onGivenUp(giveUp);
     const onPart = (part: Buffer): void => {
       if (isOver) return;
       size += part.length;
