Never answer what cannot be parsed in place of an earlier request

A caller that sent a request and behind it, on the same connection, bytes that are no request, got the 400, 408 or 431 of these bytes as the response to its first request, which may have been running. 408 promises that it was not run.

Cause: Node.js writes its own response to a parser's error as long as the headers of the response in progress have not been sent.

The other responses to malformed requests are as before.

--- a/packages/ingress/src/input-pacer.test.ts
+++ b/packages/ingress/src/input-pacer.test.ts
@@ -5,6 +5,7 @@
 
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
+import { ConnectionGuard } from './connection-guard.js';
 import { InputPacer } from './input-pacer.js';
 
 const SMALL_CHUNKS = 50_000;
@@ -27,7 +28,9 @@
 
 async function start(handle: (req: IncomingMessage, res: ServerResponse) => void): Promise<number> {
   server = createServer(handle);
-  new InputPacer().attach(server);
+  new ConnectionGuard(server, { served: 100, refused: 10 }, 'test', new InputPacer(), {
+    record: () => undefined,
+  });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   return (server.address() as AddressInfo).port;
 }
@@ -91,3 +94,28 @@
     await vi.waitUntil(() => closed, WAIT);
   });
 });
+
+describe('ConnectionGuard', () => {
+  it('never answers what cannot be parsed in place of an earlier request', async () => {
+    let response: ServerResponse | undefined;
+    const port = await start((_, res) => (response = res));
+    const { socket, received } = open(port);
+    socket.write(REQUEST);
+    await vi.waitUntil(() => response !== undefined, WAIT);
+    socket.write('this is no request\r\n\r\n');
+    await vi.waitUntil(() => socket.destroyed, WAIT);
+    expect(received()).toBe('');
+  });
+
+  it.each([
+    ['this is no request\r\n\r\n', '400'],
+    [`GET / HTTP/1.1\r\nX: ${'a'.repeat(70_000)}\r\n\r\n`, '431'],
+    [`${HEAD}no chunk\r\n`, '400'],
+  ])('answers what cannot be parsed: %#', async (text, status) => {
+    const port = await start(() => undefined);
+    const { socket, received } = open(port);
+    socket.write(text);
+    await vi.waitUntil(() => received() !== '', WAIT);
+    expect(received()).toContain(`HTTP/1.1 ${status}`);
+  });
+});
