Begin the next request of a connection when the one before is answered

What arrives behind an open request stays unparsed now, up to one read of the socket, until the response has ended. Requests that were parsed together with the first are begun, up to 64; a connection with more is closed. That a caller has closed its connection is still noticed while its further requests wait.

--- a/packages/ingress/src/connection-guard.ts
+++ b/packages/ingress/src/connection-guard.ts
@@ -11,6 +11,8 @@
 
 /** How often a server looks for connections whose header sections are overdue; Node.js does so every 30 s by default. */
 export const CONNECTION_CHECK_PERIOD_MS = 1_000;
+/** Requests of one connection that may be open at a time. Further ones wait unread, unless they have been parsed together. */
+const MAX_PIPELINED_REQUESTS = 64;
 
 /** Responses to what cannot be parsed, by the code of the parser's error. None of these requests has run. */
 const PARSE_ERROR_STATUS: Readonly<Record<string, string>> = {
@@ -31,7 +33,7 @@
     server: Server,
     budget: ConnectionBudget,
     private readonly name: string,
-    pacer: InputPacer,
+    private readonly pacer: InputPacer,
     private readonly log: ListenerLog,
   ) {
     this.ledger = new ConnectionLedger(budget);
@@ -74,7 +76,13 @@
   private onRequest({ socket }: IncomingMessage, res: ServerResponse): void {
     const open = this.open.get(socket) ?? new Set();
     this.open.set(socket, open.add(res));
-    res.once('close', () => open.delete(res));
+    res.once('close', () => {
+      open.delete(res);
+      if (open.size < 2) this.pacer.release(socket);
+    });
+    if (open.size > 1) this.pacer.hold(socket);
+    if (open.size <= MAX_PIPELINED_REQUESTS || socket.destroyed) return;
+    this.close(socket, 'connection_over_pipelined');
   }
 
   /**
--- a/packages/ingress/src/input-pacer.test.ts
+++ b/packages/ingress/src/input-pacer.test.ts
@@ -9,6 +9,8 @@
 import { InputPacer } from './input-pacer.js';
 
 const SMALL_CHUNKS = 50_000;
+/** More requests than arrive with one read. */
+const PIPELINED = 2_000;
 const CHUNK = '1\r\na\r\n';
 /** Bytes that are parsed in one turn of a connection that takes much work: a quarter of what one read of the socket brings. */
 const TURN_BYTES = 16_384;
@@ -85,6 +87,24 @@
     expect(received()).toContain(body.join(''));
   });
 
+  it('does not begin the next requests of a connection before the first is answered', async () => {
+    const waiting: ServerResponse[] = [];
+    const port = await start((_, res) => waiting.push(res));
+    const { socket, received } = open(port);
+    socket.write(REQUEST.repeat(PIPELINED));
+    await vi.waitUntil(() => waiting.length > 0, WAIT);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect(waiting.length).toBeLessThan(PIPELINED / 20);
+    const answered = new Set<ServerResponse>();
+    const answer = (): boolean => {
+      waiting.filter((res) => !answered.has(res)).forEach((res) => answered.add(res.end('.')));
+      return answered.size === PIPELINED;
+    };
+    await vi.waitUntil(answer, { ...WAIT, interval: 1 });
+    expect(socket.destroyed).toBe(false);
+    expect(received()).toContain('200 OK');
+  });
+
   it('tells the server at once when a caller has closed its connection', async () => {
     let closed = false;
     const port = await start((req) => req.socket.once('end', () => (closed = true)));
