Bound what a connection between instances may send before its proof

Anybody who reached the address between instances could announce a message of 4 MB and stop short of its end. The process kept it until the time limit of the handshake: 80 such connections took 495 MB of an entry and 511 MB of a coordinator that may have 210. Their number had no bound either.

Frames of the handshake may have 4 KB now; 4 MB only after the other end has proven that it knows the secret of the fleet, also if its proof and a large frame arrive with one read. A tenth of the descriptors is for connections without a proof. One more closes the oldest of them, since an instance proves itself within moments. Nothing changes in what is sent, so that earlier builds are understood as before.

--- a/packages/decisions/src/connection-budget.test.ts
+++ b/packages/decisions/src/connection-budget.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { ConnectionLedger, connectionBudget } from './connection-budget.js';
+import { ConnectionLedger, connectionBudget, unprovenConnections } from './connection-budget.js';
 
 /** Limits of the machines of the site files. */
 const MACHINES = [
@@ -44,6 +44,16 @@
   });
 });
 
+describe('unprovenConnections', () => {
+  it('leaves room for all instances of a large fleet that start together', () => {
+    expect(unprovenConnections(4_100)).toBeGreaterThanOrEqual(330);
+  });
+
+  it('takes few of few descriptors', () => {
+    expect(unprovenConnections(300)).toBe(16);
+  });
+});
+
 describe('ConnectionLedger', () => {
   it('refuses the requests of the connections that came last, until others have closed', () => {
     const { ledger, taken, budget } = arrive(CALLERS);
--- a/packages/decisions/src/connection-budget.ts
+++ b/packages/decisions/src/connection-budget.ts
@@ -44,6 +44,15 @@
 /** A connection on which nothing has happened for this long may be closed for another one. */
 const IDLE_AFTER_MS = 250;
 
+/** Part of the descriptors for connections to which the other end has not proven yet that it is an instance. */
+const UNPROVEN_FRACTION = 0.1;
+const MIN_UNPROVEN = 16;
+
+/** Inbound connections between instances that may be open before the other end has proven what it is. */
+export function unprovenConnections(maxFds: number): number {
+  return Math.max(MIN_UNPROVEN, Math.floor((maxFds - FILE_DESCRIPTORS) * UNPROVEN_FRACTION));
+}
+
 /** Whether a request is handled. */
 export interface ServingDecision<Connection> {
   readonly isServed: boolean;
--- a/packages/peers/src/frame.ts
+++ b/packages/peers/src/frame.ts
@@ -7,6 +7,8 @@
 
 /** Largest body of a frame, in bytes. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+/** Largest body of a frame of the handshake, in bytes, whose sender may be anybody. */
+export const MAX_HANDSHAKE_FRAME_BYTES = 4 * 1024;
 const HEADER_BYTES = 4;
 
 /** Kinds of frames. Hellos and proofs form the handshake. A notice is a one-way message. */
@@ -61,20 +63,22 @@
 export class FrameReader {
   private buffered: Buffer = Buffer.alloc(0);
 
-  /** Adds bytes and returns the frames that they complete, or the reason why the stream is invalid. */
-  push(bytes: Buffer): Outcome<Frame[], string> {
+  /** `maxFrameBytes` limits the body of each frame and may be changed between two frames. */
+  constructor(public maxFrameBytes = MAX_FRAME_BYTES) {}
+
+  /** Adds bytes, and passes each frame that they complete to `onFrame`. Fails with the reason if the stream is invalid. */
+  push(bytes: Buffer, onFrame: (frame: Frame) => void): Outcome<void, string> {
     this.buffered = this.buffered.length === 0 ? bytes : Buffer.concat([this.buffered, bytes]);
-    const frames: Frame[] = [];
     while (this.buffered.length >= HEADER_BYTES) {
       const length = this.buffered.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) return fail(`a frame of ${String(length)} bytes is over the limit`);
+      if (length > this.maxFrameBytes) return fail(`a frame of ${String(length)} bytes is over the limit`);
       if (this.buffered.length < HEADER_BYTES + length) break;
       const frame = decodeBody(this.buffered.subarray(HEADER_BYTES, HEADER_BYTES + length));
       if (!frame.ok) return frame;
-      frames.push(frame.value);
       this.buffered = this.buffered.subarray(HEADER_BYTES + length);
+      onFrame(frame.value);
     }
-    return ok(frames);
+    return ok(undefined);
   }
 }
 
--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -130,6 +130,32 @@
     expect(closed).not.toHaveBeenCalled();
   });
 
+  it('is closed for a newer one while too many have not proven what they are, and never after its proof', async () => {
+    const options = { host: '127.0.0.1', port: 0, secret: 's', maxUnprovenConnections: 3 };
+    const [accepting, dialling] = [
+      new PeerNode({ ...options, instanceId: 'accepting' }, new Metrics(), () => undefined),
+      newNode('dialling'),
+    ];
+    const strangers: Socket[] = [];
+    nodes = {
+      stop: () => {
+        strangers.forEach((socket) => socket.destroy());
+        [dialling, accepting].forEach((node) => node.close());
+      },
+    } as ProxiedNodes;
+    accepting.onRequest('swim.members', () => ({ members: [] }));
+    const port = await accepting.listen();
+    const ask = () => dialling.request(`127.0.0.1:${String(port)}`, 'swim.members', {}, TIMEOUT_MS);
+    expect((await ask()).ok).toBe(true);
+    const closed = vi.fn();
+    dialling.onOutboundClosed(closed);
+    strangers.push(...Array.from({ length: 10 }, () => connect(port, '127.0.0.1')));
+    strangers.forEach((socket) => socket.on('error', () => undefined).resume());
+    await vi.waitUntil(() => strangers.filter(({ destroyed }) => destroyed).length === 7, WAIT);
+    expect((await ask()).ok).toBe(true);
+    expect(closed).not.toHaveBeenCalled();
+  });
+
   it('is not opened any more once its node is closed', async () => {
     const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
     nodes = { stop: () => [dialling, accepting].forEach((node) => node.close()) } as ProxiedNodes;
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -2,7 +2,7 @@
 import type { Socket } from 'node:net';
 
 import type { Frame } from './frame.js';
-import { FrameKind, FrameReader, encodeFrame } from './frame.js';
+import { FrameKind, FrameReader, MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES, encodeFrame } from './frame.js';
 import type { HelloBody } from './peer-handshake.js';
 import { isHello, newHello, proofMatches, proofOf, versionsOverlap } from './peer-handshake.js';
 
@@ -43,7 +43,7 @@
   peerInstanceId = '';
   bytesSent = 0;
   bytesReceived = 0;
-  private readonly reader = new FrameReader();
+  private readonly reader = new FrameReader(MAX_HANDSHAKE_FRAME_BYTES);
   private readonly ownHello: HelloBody;
   private peerHello: HelloBody | undefined;
   private lastReceivedMs = performance.now();
@@ -145,12 +145,8 @@
     this.lastReceivedMs = performance.now();
     this.unansweredSinceMs = undefined;
     this.bytesReceived += bytes.length;
-    const frames = this.reader.push(bytes);
-    if (!frames.ok) {
-      this.close(frames.error);
-      return;
-    }
-    frames.value.forEach((frame) => this.onFrame(frame));
+    const read = this.reader.push(bytes, (frame) => this.onFrame(frame));
+    if (!read.ok) this.close(read.error);
   }
 
   private onFrame(frame: Frame): void {
@@ -185,6 +181,7 @@
       return;
     }
     this.ready = true;
+    this.reader.maxFrameBytes = MAX_FRAME_BYTES;
     this.peerInstanceId = peer.instanceId;
     this.listener.onReady(this);
   }
--- a/packages/peers/src/peer-node.ts
+++ b/packages/peers/src/peer-node.ts
@@ -27,6 +27,8 @@
   readonly port: number;
   /** The fleet's secret, which both ends of a connection must prove that they know. */
   readonly secret: string;
+  /** Largest number of inbound connections whose handshake has not succeeded yet. */
+  readonly maxUnprovenConnections?: number;
 }
 
 /** Bytes sent and received on connections between instances. */
@@ -48,6 +50,7 @@
   lastUsedMs: number;
 }
 
+const DEFAULT_MAX_UNPROVEN_CONNECTIONS = 256;
 const NO_LOG: ListenerLog = { record: () => undefined };
 /** Maximum number of frames that wait for the handshake of one connection. */
 const MAX_WAITING_FRAMES = 1_000;
@@ -60,6 +63,8 @@
   private readonly links = new Map<string, Link>();
   /** Inbound connections, including those whose handshake has not succeeded yet. */
   private readonly accepted = new Set<PeerConnection>();
+  /** Those inbound connections whose handshake has not succeeded yet, the oldest first. */
+  private readonly unproven = new Set<PeerConnection>();
   /** Requests without a response, by call id. */
   private readonly pending = new Map<number, PendingCall>();
   private readonly requestHandlers = new Map<string, (body: unknown) => unknown>();
@@ -271,16 +276,26 @@
 
   private accept(socket: Socket): void {
     const connection = new PeerConnection(socket, false, this.options.instanceId, this.options.secret, {
-      onReady: () => undefined,
+      onReady: (proven) => this.unproven.delete(proven),
       onFrame: (source, frame) => this.onInboundFrame(source, frame),
       onClosed: (closed, reason) => {
         this.accepted.delete(closed);
+        this.unproven.delete(closed);
         this.countTraffic(closed);
         if (closed.ready) this.inboundClosedListeners.forEach((listener) => listener(closed.peerInstanceId));
         else this.metrics.count('peer_connections_refused', 1, [reason]);
       },
     });
     this.accepted.add(connection);
+    this.unproven.add(connection);
+    this.closeOldestUnproven();
+  }
+
+  /** An instance proves itself within moments, so that the oldest connection is the least likely to be one. */
+  private closeOldestUnproven(): void {
+    const { maxUnprovenConnections = DEFAULT_MAX_UNPROVEN_CONNECTIONS } = this.options;
+    const [oldest] = this.unproven;
+    if (oldest && this.unproven.size > maxUnprovenConnections) oldest.close('too many without a proof');
   }
 
   private countTraffic(connection: PeerConnection): void {
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -13,7 +13,7 @@
 } from '@fighub/core';
 import type { GetPart } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
-import { memoryShares } from '@fighub/decisions';
+import { memoryShares, unprovenConnections } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
 import { ExpiringLog, RecordStore } from '@fighub/outside';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
@@ -119,7 +119,13 @@
   const metrics = new Metrics();
   const log = new DecisionLog(logger, clock, metrics);
   const { host, port } = splitAddress(settings.peerAddress);
-  const nodeOptions = { instanceId, host, port, secret: settings.fleetSecret };
+  const nodeOptions = {
+    instanceId,
+    host,
+    port,
+    secret: settings.fleetSecret,
+    maxUnprovenConnections: unprovenConnections(settings.maxFds),
+  };
   container.bind(Tokens.settings).toConstantValue(settings);
   container.bind(Tokens.adapters).toConstantValue(adapters);
   container.bind(Tokens.clock).toConstantValue(clock);
