--- a/platform/src/testing/caller-crowd.ts
+++ b/packages/lab/src/caller-crowd.ts
@@ -5,14 +5,11 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 
-import { splitAddress } from '@fighub/core';
-
-import type { DeployedNode } from './deployed-fleet.js';
-import { HOST, callAddress, eventually } from './platform-fleet.js';
+import { sleep, splitAddress } from '@fighub/core';
 
 /** Connections that are opened at once, for which the queue of new connections has room. */
 const OPENED_AT_ONCE = 50;
-const SAMPLE_PERIOD_MS = 25;
+const POLL_PERIOD_MS = 25;
 
 /** A connection of the crowd, with the bytes that came back on it. */
 export interface CrowdCaller {
@@ -64,11 +61,9 @@
   }
 }
 
-/** The head of a request whose body is sent in chunks. */
-export function chunkedHead(method: string, path: string, requestId: string): Buffer {
-  return Buffer.from(
-    `${method} ${path} HTTP/1.1\r\nHost: ${HOST}\r\nAttempt-Id: ${requestId}\r\nTransfer-Encoding: chunked\r\n\r\n`,
-  );
+/** The head of a request whose body is sent in chunks. `headers` are lines, each with its end. */
+export function chunkedHead(method: string, path: string, headers: string): Buffer {
+  return Buffer.from(`${method} ${path} HTTP/1.1\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
 }
 
 /** `count` chunks of `bytes` each, without the last chunk that ends a body. */
@@ -76,58 +71,6 @@
   return Buffer.from(`${bytes.toString(16)}\r\n${'a'.repeat(bytes)}\r\n`.repeat(count));
 }
 
-/** Sends an ordinary request again after each refusal, as callers do, until it is served or fails. Returns the last status. */
-export async function ordinaryRequest(
-  address: string,
-  requestId: string,
-  body = 'ordinary',
-): Promise<number> {
-  const headers = { 'Attempt-Id': requestId, 'Content-Length': Buffer.byteLength(body) };
-  const { status, headers: answered } = await callAddress(address, 'POST', '/once/a', headers, body);
-  if (status !== 503 && status !== 429) return status;
-  const retryAfterMs = Number(answered['retry-after'] ?? 0) * 1_000;
-  await new Promise((resolve) => setTimeout(resolve, retryAfterMs));
-  return ordinaryRequest(address, `${requestId}-again`, body);
-}
-
-/** What a process has used at most since the watch began. */
-export class UsageWatch {
-  private readonly pid: number;
-  private peakUnreadBytes = 0;
-  private peakDescriptors = 0;
-  private readonly timer: NodeJS.Timeout;
-
-  constructor(
-    private readonly node: DeployedNode,
-    private readonly addresses: readonly string[],
-  ) {
-    this.pid = node.pid;
-    this.timer = setInterval(() => this.sample(), SAMPLE_PERIOD_MS);
-  }
-
-  /** Whether the same process still runs. */
-  get livesOn(): boolean {
-    return this.pid !== 0 && this.node.pid === this.pid && this.node.ends.length === 0;
-  }
-
-  get descriptors(): number {
-    this.sample();
-    return this.peakDescriptors;
-  }
-
-  /** Peak of the memory of the process, and of the bytes that the kernel holds for it unread, in megabytes. */
-  get memoryMb(): number {
-    this.sample();
-    return this.node.peakMemoryMb() + this.peakUnreadBytes / 1_048_576;
-  }
-
-  stop(): void {
-    clearInterval(this.timer);
-  }
-
-  private sample(): void {
-    if (!this.livesOn) return;
-    this.peakUnreadBytes = Math.max(this.peakUnreadBytes, this.node.unreadBytes(this.addresses));
-    this.peakDescriptors = Math.max(this.peakDescriptors, this.node.descriptorCount());
-  }
+async function eventually(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(POLL_PERIOD_MS);
 }
--- a/packages/lab/src/index.ts
+++ b/packages/lab/src/index.ts
@@ -2,3 +2,5 @@
 export * from './child-process.js';
 export * from './fleet.js';
 export * from './random.js';
+export * from './caller-crowd.js';
+export * from './process-usage.js';
