--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,6 +5,7 @@
 export * from './batch-queue.js';
 export * from './batch-run-estimates.js';
 export * from './blocked-prompts.js';
+export * from './buffer-budget.js';
 export * from './burst-reserve.js';
 export * from './chunk-choice.js';
 export * from './chunk-ledger.js';
--- a/packages/serving/src/index.ts
+++ b/packages/serving/src/index.ts
@@ -3,7 +3,6 @@
 export * from './batch/job-acceptance.js';
 export * from './batch/job-intake.js';
 export * from './batch/job-reader.js';
-export * from './online/buffer-budget.js';
 export * from './online/forward-runner.js';
 export * from './online/forwarding.js';
 export * from './online/request-check.js';
--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -6,7 +6,7 @@
 import { DIRECT_POOL_ID } from '@fighub/admission';
 import type { Clock, DecisionLog, Metrics, Problem, Route } from '@fighub/core';
 import { LogCategory, RouteKind, WaitLimit, isFinal, mayHaveRun, notRun, sleep, timerMs } from '@fighub/core';
-import type { StreamOrigin } from '@fighub/decisions';
+import type { BufferBudget, StreamOrigin } from '@fighub/decisions';
 import {
   AttemptEnd,
   PROMPT_BLOCKED,
@@ -23,7 +23,6 @@
 import { attemptEndOf } from './attempt-end.js';
 import { AttemptRace } from './attempt-race.js';
 import type { AttemptListener } from './response-relay.js';
-import type { BufferBudget } from './buffer-budget.js';
 import { ResponseRelay } from './response-relay.js';
 import { pickBackend } from './backend-choice.js';
 import type { CopyDelays } from './copy-delays.js';
--- a/packages/serving/src/online/forward-runner.test.ts
+++ b/packages/serving/src/online/forward-runner.test.ts
@@ -1,13 +1,12 @@
 import type { Slot } from '@fighub/admission';
 import type { Route } from '@fighub/core';
 import { DecisionLog, Metrics, SystemClock, ok } from '@fighub/core';
-import { BlockedPrompts } from '@fighub/decisions';
+import { BlockedPrompts, BufferBudget } from '@fighub/decisions';
 import { describe, expect, it } from 'vitest';
 
 import { OrganisationUsage } from '../access/organisation-usage.js';
 import { RelayedTransport } from '../relay/relayed-transport.js';
 import type { RelayClient } from '../relay/relay-client.js';
-import { BufferBudget } from './buffer-budget.js';
 import type { ForwardDependencies } from './forward-run.js';
 import { ForwardRunner } from './forward-runner.js';
 import type { DirectTransport, ForwardedRequest, ResponseSink } from './forwarding.js';
--- a/packages/serving/src/online/response-relay.test.ts
+++ b/packages/serving/src/online/response-relay.test.ts
@@ -1,8 +1,8 @@
 import type { Route } from '@fighub/core';
 import { SystemClock } from '@fighub/core';
+import { BufferBudget } from '@fighub/decisions';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
-import { BufferBudget } from './buffer-budget.js';
 import type { ResponseSink } from './forwarding.js';
 import { BodyFraming } from './forwarding.js';
 import type { AttemptObserver } from './response-relay.js';
--- a/packages/serving/src/online/response-relay.ts
+++ b/packages/serving/src/online/response-relay.ts
@@ -1,9 +1,9 @@
 /** Passes the responses of replicas on to the caller, from several attempts when a stream is resumed. */
 import type { Clock, Problem, Route } from '@fighub/core';
 import { BodyParts, RouteKind } from '@fighub/core';
+import type { BufferBudget } from '@fighub/decisions';
 import { EVENTS_OF_SOUND_PROMPT } from '@fighub/decisions';
 
-import type { BufferBudget } from './buffer-budget.js';
 import type { RawEvent } from './event-splitter.js';
 import { EventSplitter, MAX_EVENT_BYTES, dataOf } from './event-splitter.js';
 import { MISDIRECTED_STATUS } from './forwarding.js';
--- a/packages/serving/src/relay/relay-server.ts
+++ b/packages/serving/src/relay/relay-server.ts
@@ -1,10 +1,9 @@
 /** Sends requests to replicas on behalf of instances that have lost their own paths to them. */
 import type { Clock, DecisionLog, ManagedPart, Metrics } from '@fighub/core';
 import { LogCategory, errorFields, sleep } from '@fighub/core';
-import type { RelayState } from '@fighub/decisions';
+import type { BufferBudget, RelayState } from '@fighub/decisions';
 import type { MembershipRunner, PeerNode, RelayCallBody, RelayPartBody, RelayedEnd } from '@fighub/peers';
 
-import type { BufferBudget } from '../online/buffer-budget.js';
 import type { UpstreamEnd, UpstreamHead, UpstreamListener, UpstreamTransport } from '../online/forwarding.js';
 import { UpstreamEndKind } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
--- a/packages/serving/src/relay/relayed-transport.test.ts
+++ b/packages/serving/src/relay/relayed-transport.test.ts
@@ -1,4 +1,5 @@
 import { DecisionLog, Metrics, SystemClock } from '@fighub/core';
+import { BufferBudget } from '@fighub/decisions';
 import type { MembershipRunner } from '@fighub/peers';
 import { PeerNode } from '@fighub/peers';
 import { afterEach, describe, expect, it, vi } from 'vitest';
@@ -12,7 +13,6 @@
 } from '../online/forwarding.js';
 import type { FleetView } from '../routing/fleet-view.js';
 import type { LeavingAnnouncements } from '../routing/leaving-announcements.js';
-import { BufferBudget } from '../online/buffer-budget.js';
 import { RelayClient } from './relay-client.js';
 import { RelayServer } from './relay-server.js';
 import { RelayedTransport } from './relayed-transport.js';
--- a/packages/serving/src/serving-container.ts
+++ b/packages/serving/src/serving-container.ts
@@ -13,7 +13,7 @@
 } from '@fighub/core';
 import type { GetPart } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
-import { memoryShares, unprovenConnections } from '@fighub/decisions';
+import { BufferBudget, memoryShares, unprovenConnections } from '@fighub/decisions';
 import type { InstanceList, KeyValueService, LoadReader } from '@fighub/outside';
 import { ExpiringLog, RecordStore } from '@fighub/outside';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
@@ -30,7 +30,6 @@
 import { JobAcceptance } from './batch/job-acceptance.js';
 import { JobReader } from './batch/job-reader.js';
 import { JobRunner } from './batch/job-runner.js';
-import { BufferBudget } from './online/buffer-budget.js';
 import type { DirectTransport } from './online/forwarding.js';
 import { CopyDelays } from './online/copy-delays.js';
 import type { ForwardDependencies } from './online/forward-run.js';
--- a/packages/serving/src/serving-instance.ts
+++ b/packages/serving/src/serving-instance.ts
@@ -10,7 +10,7 @@
   newId,
   timerMs,
 } from '@fighub/core';
-import type { StopSchedule } from '@fighub/decisions';
+import type { BufferBudget, StopSchedule } from '@fighub/decisions';
 import { stopSchedule } from '@fighub/decisions';
 import type { RecordStore } from '@fighub/outside';
 import type { Container } from 'inversify';
@@ -24,7 +24,6 @@
 import { MembershipLog } from './membership-log.js';
 import { MemberDiscovery } from './member-discovery.js';
 import { MemoryWatch } from './memory-watch.js';
-import type { BufferBudget } from './online/buffer-budget.js';
 import type { ForwardRunner } from './online/forward-runner.js';
 import type { FleetView } from './routing/fleet-view.js';
 import type { ServingAdapters } from './serving-container.js';
