Bound bodies and connections of fighub-entry

Cause: bodies had a limit each and none together, connections none at all. Its HTTP server has a guard of its connections now, parses by turns, and counts all bodies against a budget; a body has 60 s, and a header section 10 s. What arrives for a request that needs no body is discarded. New settings, memoryMb (1,024) and maxFds (4,096), give the bounds, as in fighub-node.

--- a/packages/entry/src/ingress/http-server.test.ts
+++ b/packages/entry/src/ingress/http-server.test.ts
@@ -8,6 +8,7 @@
 
 const HOST = '127.0.0.1';
 const ERROR = new Error('of the test');
+const LIMITS = { memoryMb: 350, maxFds: 4_096 };
 const NO_LOG = { record: () => undefined };
 
 let server: HttpServer;
@@ -23,6 +24,8 @@
         throw new Error('unexpected');
       };
       server = new HttpServer({
+        limits: LIMITS,
+        log: NO_LOG,
         auth: { authenticate: () => ok({ role: 'administrator' }) },
         metrics: new Metrics(),
         models: fail,
@@ -49,6 +52,8 @@
   ])('does not make a response complete that has begun, when its handler %s', async (_, fail) => {
     const errors: unknown[] = [];
     const dependencies = {
+      limits: LIMITS,
+      log: NO_LOG,
       metrics: new Metrics(),
       auth: { authenticate: () => ok({}) },
       gateway: {
--- a/packages/entry/src/ingress/http-server.ts
+++ b/packages/entry/src/ingress/http-server.ts
@@ -1,21 +1,28 @@
 /** HTTP server with the routes of callers and operators. */
-import type { AddressInfo, Server } from 'node:net';
+import type { Server as HttpNodeServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 
 import type { HostPort, ListenerLog, Metrics, Problem, Role } from '@fighub/core';
 import { Listener, notRun, problemDocument } from '@fighub/core';
+import type { ProcessLimits } from '@fighub/decisions';
+import { BufferBudget, connectionBudget, memoryShares } from '@fighub/decisions';
+import { CONNECTION_CHECK_PERIOD_MS, ConnectionGuard, InputPacer, RequestBodies } from '@fighub/ingress';
 import restify from 'restify';
 
 import type { TableApi } from '../operators/table-api.js';
 import { ADMIN_PAGE } from '../operators/admin-page.js';
 import type { Gateway } from '../online/gateway.js';
 import type { Authenticator, Request, Response, RouteHandler } from './http-helpers.js';
-import { sendJson, sendProblem } from './http-helpers.js';
+import { holdBody, sendJson, sendProblem } from './http-helpers.js';
 import type { JobApi } from '../batch/job-api.js';
 import type { OrderApi } from '../operators/order-api.js';
 import type { OrganisationApi } from '../operators/organisation-api.js';
 
 /** Collaborators to which the routes pass their requests. */
 export interface HttpServerDependencies {
+  /** What the process may take, which bounds connections and bodies. */
+  readonly limits: ProcessLimits;
+  readonly log: ListenerLog;
   readonly gateway: Gateway;
   readonly jobs: JobApi;
   readonly table: TableApi;
@@ -38,6 +45,13 @@
 /** Roles that may manage organisations and their keys. */
 const ADMINISTRATORS: readonly Role[] = ['administrator'];
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Connections close within moments once callers are refused, so that callers may as well return. */
+const NO_CONNECTIONS = notRun(
+  'overloaded',
+  'the connections of other callers are as many as this instance can take',
+  1_000,
+);
 
 const PROBLEM_CONTENT_TYPE = 'application/problem+json';
 
@@ -64,10 +78,25 @@
     },
   });
 
+  private readonly httpServer = this.server.server as HttpNodeServer;
+  private readonly connections: ConnectionGuard;
+  private readonly bodies: RequestBodies;
   private listener: Listener | undefined;
 
   constructor(private readonly dependencies: HttpServerDependencies) {
-    this.server.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    const { limits, log } = dependencies;
+    this.httpServer.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    this.httpServer.headersTimeout = HEADERS_TIMEOUT_MS;
+    // Restify takes no options for the server of Node.js, which reads this one when it begins to listen.
+    Object.assign(this.httpServer, { connectionsCheckingInterval: CONNECTION_CHECK_PERIOD_MS });
+    this.connections = new ConnectionGuard(
+      this.httpServer,
+      connectionBudget(limits),
+      'HTTP server',
+      new InputPacer(),
+      log,
+    );
+    this.bodies = new RequestBodies(new BufferBudget(memoryShares(limits.memoryMb).requestBodyBytes));
     // Errors of restify are sent as problem documents instead of in its own format.
     this.server.on('restifyError', (_req: Request, res: Response, error: RestifyError, done: () => void) => {
       error.problem = RESTIFY_PROBLEMS[error.statusCode] ?? notRun('bad_request', error.message);
@@ -82,7 +111,7 @@
    * again until the monotonic time `untilMs`. Rejects if it cannot listen.
    */
   async listen(address: HostPort, log: ListenerLog, untilMs: number): Promise<number> {
-    this.listener = new Listener(this.server.server as Server, address, 'HTTP server', log);
+    this.listener = new Listener(this.httpServer, address, 'HTTP server', log);
     await this.listener.bind(untilMs);
     return (this.server.server.address() as AddressInfo | null)?.port ?? 0;
   }
@@ -129,8 +158,10 @@
     this.get('/v1/jobs/:job/results', CALLERS, (req, res, caller) =>
       jobs.results(req, res, caller, param(req, 'job')),
     );
-    this.post('/v1/jobs/:job/cancel', CALLERS, (req, res, caller) =>
-      jobs.cancel(res, caller, param(req, 'job')),
+    this.post(
+      '/v1/jobs/:job/cancel',
+      CALLERS,
+      withoutBody((req, res, caller) => jobs.cancel(res, caller, param(req, 'job'))),
     );
     this.get('/admin/v1/jobs', OPERATORS, (_req, res) => jobs.listOpen(res));
     this.get('/admin/v1/dump', OPERATORS, (_req, res) => {
@@ -151,8 +182,11 @@
     );
     this.server.del(
       '/admin/v1/table/rows/*',
-      this.route(OPERATORS, (req, res, caller) =>
-        this.guardRow(req, res, caller.role, () => table.delete(req, res, caller, param(req, '*'))),
+      this.route(
+        OPERATORS,
+        withoutBody((req, res, caller) =>
+          this.guardRow(req, res, caller.role, () => table.delete(req, res, caller, param(req, '*'))),
+        ),
       ),
     );
   }
@@ -167,15 +201,23 @@
     );
     this.server.del(
       path,
-      this.route(ADMINISTRATORS, (req, res, caller) => organisations.retire(res, caller, name(req))),
+      this.route(
+        ADMINISTRATORS,
+        withoutBody((req, res, caller) => organisations.retire(res, caller, name(req))),
+      ),
     );
-    this.post(`${path}/keys`, ADMINISTRATORS, (req, res, caller) =>
-      organisations.addKey(res, caller, name(req)),
+    this.post(
+      `${path}/keys`,
+      ADMINISTRATORS,
+      withoutBody((req, res, caller) => organisations.addKey(res, caller, name(req))),
     );
     this.server.del(
       `${path}/keys/:hash`,
-      this.route(ADMINISTRATORS, (req, res, caller) =>
-        organisations.removeKey(res, caller, name(req), param(req, 'hash')),
+      this.route(
+        ADMINISTRATORS,
+        withoutBody((req, res, caller) =>
+          organisations.removeKey(res, caller, name(req), param(req, 'hash')),
+        ),
       ),
     );
   }
@@ -190,7 +232,7 @@
   }
 
   private get(path: string, roles: readonly Role[], handler: RouteHandler): void {
-    this.server.get(path, this.route(roles, handler));
+    this.server.get(path, this.route(roles, withoutBody(handler)));
   }
 
   private post(path: string, roles: readonly Role[], handler: RouteHandler): void {
@@ -203,6 +245,12 @@
    */
   private route(roles: readonly Role[], handler: RouteHandler) {
     return (req: Request, res: Response, next: (error?: unknown) => void): void => {
+      if (!this.connections.mayServe(req.socket)) {
+        res.setHeader('Connection', 'close');
+        sendProblem(res, NO_CONNECTIONS);
+        next(false);
+        return;
+      }
       const caller = this.dependencies.auth.authenticate(req, roles);
       if (!caller.ok) {
         this.dependencies.metrics.count('requests_unauthorised');
@@ -210,6 +258,8 @@
         next(false);
         return;
       }
+      holdBody(req, res, this.bodies.open());
+      this.connections.keepUntilAnswered(req.socket, res);
       // A handler may throw before it returns a promise.
       new Promise<void>((resolve) => resolve(handler(req, res, caller.value)))
         .catch((error: unknown) => {
@@ -221,6 +271,14 @@
   }
 }
 
+/** A handler that does not read the body. What arrives of it is discarded, so that the stream of the request keeps none. */
+function withoutBody(handler: RouteHandler): RouteHandler {
+  return (req, res, caller) => {
+    req.on('data', () => undefined);
+    return handler(req, res, caller);
+  };
+}
+
 function param(req: Request, name: string): string {
   const value = (req.params as Record<string, string | undefined>)[name] ?? '';
   return value.replace(/^\//, '');
--- a/packages/entry/src/life-cycle/entry-container.ts
+++ b/packages/entry/src/life-cycle/entry-container.ts
@@ -14,6 +14,7 @@
 } from '@fighub/core';
 import type { GetPart, LineWriter, MetricsSink } from '@fighub/core';
 import type { MemberUpdate } from '@fighub/decisions';
+import { unprovenConnections } from '@fighub/decisions';
 import { MembershipRunner, PeerNode } from '@fighub/peers';
 import {
   EtcdKeyValueService,
@@ -118,8 +119,9 @@
 
 function bindPeers(container: Container, instanceId: string): void {
   bindPart(container, Tokens.peerNode, (get) => {
-    const { host, peerPort, fleetSecret } = get(Tokens.settings);
-    const options = { instanceId, host, port: peerPort, secret: fleetSecret };
+    const { host, peerPort, fleetSecret, maxFds } = get(Tokens.settings);
+    const maxUnprovenConnections = unprovenConnections(maxFds);
+    const options = { instanceId, host, port: peerPort, secret: fleetSecret, maxUnprovenConnections };
     return new PeerNode(options, get(Tokens.metrics), (error, message) => {
       if (isFatalError(error)) get(Tokens.crash)(error);
       else
--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -203,6 +203,8 @@
     const store = container.get(Tokens.store);
     const metrics = container.get(Tokens.metrics);
     return new HttpServer({
+      limits: this.settings,
+      log: container.get(Tokens.log),
       gateway: container.get(Tokens.gateway),
       jobs: new JobApi(
         container.get(Tokens.intake),
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -43,6 +43,10 @@
   httpPort: port.default(0),
   /** Port for connections of other instances; 0 lets the system choose. */
   peerPort: port.default(0),
+  /** Memory that the process may take, in megabytes. Request bodies and connections of callers are bounded by it. */
+  memoryMb: z.number().positive().default(1_024),
+  /** Open files and sockets that the process may have. Connections of callers are bounded by it. */
+  maxFds: z.number().int().positive().default(4_096),
   /** Secret shared by the fleet, with which instances authenticate to each other. */
   fleetSecret: z.string().min(16),
   /** Key that grants the administrator role without an entry in the table, for creating the first organisations. */
