Limit a line of a batch job while it arrives

A caller of fighub-entry that sent a batch job without a line feed took as much memory as it liked: 100 such bodies of 8 MB took 983 MB (bound 400).

Cause: the reader of lines of Node.js keeps a line until it ends, and maxItemBytes was compared with whole lines only. It also takes U+2028 and U+2029 for the end of a line, so that an item with one of them was refused as bad JSON.

BodyLines takes at most one line over the limit, waits for its reader, counts what it and the chunk that is being filled take against the budget of bodies, and ends lines at line feeds only. It also bounds the time between two parts no more than before: Node.js ends a request after 300 s.

--- a/packages/entry/src/batch/job-api.ts
+++ b/packages/entry/src/batch/job-api.ts
@@ -2,10 +2,11 @@
 import type { Clock, Problem } from '@fighub/core';
 import { fail, jobKeys, notRun, ok } from '@fighub/core';
 import type { Outcome } from '@fighub/core';
+import { BodyLines } from '@fighub/ingress';
 import type { RecordStore } from '@fighub/outside';
 
 import type { Caller, Request, Response } from '../ingress/http-helpers.js';
-import { sendJson, sendProblem, textHeader } from '../ingress/http-helpers.js';
+import { heldBodyOf, sendJson, sendProblem, textHeader } from '../ingress/http-helpers.js';
 import type { JobIntake, JobSubmission, OpenJob } from './job-intake.js';
 import type { JobReader } from './job-reader.js';
 import type { TableStore } from '../table/table-store.js';
@@ -27,12 +28,14 @@
     private readonly store: RecordStore,
     private readonly table: TableStore,
     private readonly clock: Clock,
+    private readonly maxLineBytes: number,
   ) {}
 
   /** Accepts a job whose body has one item per line, in JSON Lines. Responds once the job is stored. */
   async create(req: Request, res: Response, caller: Caller): Promise<void> {
     const submission = this.parseSubmission(req, caller);
-    const accepted = submission.ok ? await this.intake.accept(submission.value, req) : submission;
+    const lines = new BodyLines(req, this.maxLineBytes, heldBodyOf(req));
+    const accepted = submission.ok ? await this.intake.accept(submission.value, lines) : submission;
     if (!accepted.ok) {
       sendProblem(res, accepted.error);
       return;
--- a/packages/entry/src/batch/job-collector.test.ts
+++ b/packages/entry/src/batch/job-collector.test.ts
@@ -1,6 +1,8 @@
 import { Readable } from 'node:stream';
 
 import type { Clock, JobManifest } from '@fighub/core';
+import { BufferBudget } from '@fighub/decisions';
+import { BodyLines, RequestBodies } from '@fighub/ingress';
 import { ManualClock, Metrics, SystemClock, jobKeys } from '@fighub/core';
 import { MemoryKeyValueService, RecordStore } from '@fighub/outside';
 import { describe, expect, it } from 'vitest';
@@ -39,7 +41,10 @@
   );
   const limits = { chunkItems: 2, chunkBytes: 10_000, maxItems: 10, maxItemBytes: 1_000 };
   const intake = new JobIntake(store, limits, clock, new Metrics());
-  const upload = (lines: string) => intake.accept(SUBMISSION, Readable.from([lines]));
+  const upload = (lines: string) => {
+    const held = new RequestBodies(new BufferBudget(100_000)).open();
+    return intake.accept(SUBMISSION, new BodyLines(Readable.from([Buffer.from(lines)]), 1_000, held));
+  };
   const keys = async (): Promise<string[]> => {
     const all = await service.list('', 1_000);
     return all.ok ? all.value.map((entry) => entry.key) : [];
--- a/packages/entry/src/batch/job-intake.ts
+++ b/packages/entry/src/batch/job-intake.ts
@@ -2,10 +2,11 @@
  * Accepts batch jobs. The items are streamed into chunks, and a job is accepted once its manifest is written.
  */
 import { createHash } from 'node:crypto';
-import { createInterface } from 'node:readline';
 
 import type { Clock, JobChunk, JobItem, JobManifest, Metrics, Outcome, Problem } from '@fighub/core';
 import { JobState, digest, fail, jobKeys, mayHaveRun, newId, notRun, ok } from '@fighub/core';
+import type { BodyLines } from '@fighub/ingress';
+import { LineFault } from '@fighub/ingress';
 import type { RecordStore, Versioned } from '@fighub/outside';
 import { StoreErrorKind } from '@fighub/outside';
 import { z } from 'zod';
@@ -54,6 +55,8 @@
 
 /** Token limit of an item that states none, unless the limit of the model is lower. */
 const DEFAULT_MAX_TOKENS = 128;
+/** Another instance may have memory, so that callers need not wait. */
+const NO_MEMORY = notRun('overloaded', 'the request bodies of other callers fill the memory', 1_000);
 const message = z.looseObject({ role: z.string(), content: z.string() });
 const bodySchema = z.looseObject({
   prompt: z.string().min(1).optional(),
@@ -80,10 +83,7 @@
    * body under the same key again returns the manifest of the first submission; another body fails with
    * `key_reused`. Fails with `outcome_unknown` when the job may have been accepted.
    */
-  async accept(
-    submission: JobSubmission,
-    body: NodeJS.ReadableStream,
-  ): Promise<Outcome<JobManifest, Problem>> {
+  async accept(submission: JobSubmission, body: BodyLines): Promise<Outcome<JobManifest, Problem>> {
     const jobId = jobIdOf(submission);
     const present = await this.store.read<JobManifest>(jobKeys.manifest(jobId));
     if (!present.ok) return fail(notAccepted(present.error.detail));
@@ -245,22 +245,15 @@
   }
 
   /** Reads and validates all items, and writes them in chunks. Fails at the first item that is not valid. */
-  async readAll(body: NodeJS.ReadableStream): Promise<Outcome<UploadSummary, Problem>> {
-    const lines = createInterface({ input: body, crlfDelay: Infinity });
+  async readAll(body: BodyLines): Promise<Outcome<UploadSummary, Problem>> {
     let lineNumber = 0;
-    try {
-      for await (const line of lines) {
-        lineNumber += 1;
-        const added = await this.addLine(line, lineNumber);
-        if (!added.ok) return added;
-      }
-    } catch {
-      return fail(
-        notRun(
-          'bad_request',
-          `the connection closed before the end of the request body, after line ${String(lineNumber)}`,
-        ),
-      );
+    for await (const line of body.read()) {
+      if (!line.ok) return fail(this.problemOf(line.error, lineNumber));
+      lineNumber += 1;
+      const added = await this.addLine(line.value, lineNumber);
+      if (!added.ok) return added;
+      // The items of a chunk that has been written are not kept.
+      if (this.items.length === 0) body.release();
     }
     if (this.itemCount === 0) return fail(notRun('bad_item', 'the job has no items'));
     const flushed = await this.flush();
@@ -280,17 +273,26 @@
     await Promise.all(chunks.value.map((chunk) => this.store.remove(chunk)));
   }
 
+  private problemOf(fault: LineFault, linesRead: number): Problem {
+    if (fault === LineFault.tooLong) return this.lineTooLong(linesRead + 1);
+    if (fault === LineFault.noMemory) return NO_MEMORY;
+    return notRun(
+      'bad_request',
+      `the connection closed before the end of the request body, after line ${String(linesRead)}`,
+    );
+  }
+
+  private lineTooLong(lineNumber: number): Problem {
+    return notRun(
+      'body_too_large',
+      `line ${String(lineNumber)} exceeds the limit of ${String(this.limits.maxItemBytes)} bytes`,
+    );
+  }
+
   /** Adds the item of a line to the hash and the current chunk, and writes the chunk when it is full. */
   private async addLine(line: string, lineNumber: number): Promise<Outcome<void, Problem>> {
     if (line.trim() === '') return ok(undefined);
-    if (Buffer.byteLength(line) > this.limits.maxItemBytes) {
-      return fail(
-        notRun(
-          'body_too_large',
-          `line ${String(lineNumber)} exceeds the limit of ${String(this.limits.maxItemBytes)} bytes`,
-        ),
-      );
-    }
+    if (Buffer.byteLength(line) > this.limits.maxItemBytes) return fail(this.lineTooLong(lineNumber));
     const item = this.parseLine(line, lineNumber);
     if (!item.ok) return item;
     if (this.itemCount >= this.limits.maxItems) {
--- a/packages/entry/src/life-cycle/entry-instance.ts
+++ b/packages/entry/src/life-cycle/entry-instance.ts
@@ -212,6 +212,7 @@
         store,
         table,
         container.get(Tokens.clock),
+        this.settings.batch.maxItemBytes,
       ),
       table: new TableApi(table, container.get(Tokens.tableReplication), metrics),
       organisations: new OrganisationApi(table),
--- a/packages/ingress/src/request-bodies.ts
+++ b/packages/ingress/src/request-bodies.ts
@@ -55,14 +55,19 @@
     this.incomplete.remove(this);
   }
 
-  /** Gives all bytes back, and takes none any more. */
-  release(): void {
-    this.isReleased = true;
+  /** Gives all bytes back, and may take others. */
+  reset(): void {
     this.incomplete.remove(this);
     this.budget.release(this.bytes);
     this.bytes = 0;
   }
 
+  /** Gives all bytes back, and takes none any more. */
+  release(): void {
+    this.isReleased = true;
+    this.reset();
+  }
+
   private giveUp(): void {
     this.release();
     this.onGivenUp();
--- a/packages/lab/src/uncontrolled-callers.isolated.test.ts
+++ b/packages/lab/src/uncontrolled-callers.isolated.test.ts
@@ -65,6 +65,12 @@
 }
 
 describe('callers whose bodies stop short of their end', () => {
+  it('and have a line of a batch job that does not end', async () => {
+    await sendBodies(100, `/v1/jobs?model=${MODEL}`, chunks(128, LARGE_CHUNK_BYTES));
+    await crowd.sent();
+    await expectService();
+  });
+
   it('and come in large chunks', async () => {
     await sendBodies(600, '/v1/completions', chunks(15, LARGE_CHUNK_BYTES));
     await crowd.sent();
