Do not count the time of a body as a wait for a slot

A caller whose body took longer to arrive than three quarters of its route's target (225 ms at 300 ms) was refused with 503 although slots were free, even alone on an idle fleet: the time by which a request has to start was counted from its header section, so that the wait was over before it began.

It counts from when the whole request has arrived. The time limit of the request stays counted from its header section.

The stand-ins accept header sections of 64 KB, as replicas have to.

--- a/packages/serving/src/online/forward-run.ts
+++ b/packages/serving/src/online/forward-run.ts
@@ -222,8 +222,9 @@
   private demand(): SlotDemand {
     const { request, route } = this;
     const { clock } = this.dependencies;
-    const startByMs = request.arrivedAtMs + route.targetMs * MAX_WAIT_FRACTION_OF_TARGET;
-    const queueDeadlineMs = Math.min(this.deadlineMs, request.arrivedAtMs + QUEUE_TIMEOUT_MS);
+    // What the caller itself took to send the body is no wait.
+    const startByMs = request.wholeAtMs + route.targetMs * MAX_WAIT_FRACTION_OF_TARGET;
+    const queueDeadlineMs = Math.min(this.deadlineMs, request.wholeAtMs + QUEUE_TIMEOUT_MS);
     const offsetMs = clock.nowUnixMs() - clock.monotonicMs();
     return {
       requestId: `${request.requestId}/${String(this.sends)}`,
--- a/packages/serving/src/online/forward-runner.test.ts
+++ b/packages/serving/src/online/forward-runner.test.ts
@@ -76,6 +76,7 @@
     headers: [],
     body: Buffer.alloc(0),
     arrivedAtMs: clock.monotonicMs(),
+    wholeAtMs: clock.monotonicMs(),
     deadlineMs: clock.monotonicMs() + 5_000,
     costTokens: 1,
     prefixDigest: '',
--- a/packages/serving/src/online/forwarding.ts
+++ b/packages/serving/src/online/forwarding.ts
@@ -18,6 +18,8 @@
   readonly body: Buffer;
   /** When the request arrived, in monotonic time. */
   readonly arrivedAtMs: number;
+  /** When its body was whole, in monotonic time. */
+  readonly wholeAtMs: number;
   /** When the caller stops waiting, in monotonic time. */
   readonly deadlineMs: number;
   /** Maximum number of output tokens, as an estimate of what the request costs. */
--- a/packages/standins/src/http-util.ts
+++ b/packages/standins/src/http-util.ts
@@ -20,6 +20,9 @@
   res.end(JSON.stringify(body));
 }
 
+/** Header sections of instances are larger than those of their callers. */
+const MAX_HEADER_BYTES = 65_536;
+
 /** A listening server and its base URL. */
 export interface RunningServer {
   readonly address: string;
@@ -28,7 +31,7 @@
 
 /** Starts a server on 127.0.0.1. Port 0 selects a free port. Rejects if the port cannot be bound. */
 export function serve(port: number, listener: RequestListener): Promise<RunningServer> {
-  const server = createServer(listener);
+  const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES }, listener);
   server.keepAliveTimeout = 60_000;
   return new Promise((resolve, reject) => {
     server.once('error', reject);
