--- a/packages/ingress/src/body-lines.test.ts
+++ b/packages/ingress/src/body-lines.test.ts
@@ -1,5 +1,6 @@
 import { PassThrough, Readable } from 'node:stream';
 
+import { sleep } from '@fighub/core';
 import { BufferBudget } from '@fighub/decisions';
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
@@ -9,6 +10,8 @@
 
 const MAX_LINE_BYTES = 50;
 const BUDGET_BYTES = 1_000_000;
+/** Characters that arrive together, which end within a line. */
+const PART_LENGTH = 37;
 
 /** Reads all lines; the last entry is the fault, if there is one. */
 async function readAll(body: Readable, budgetBytes = BUDGET_BYTES): Promise<string[]> {
@@ -65,6 +68,26 @@
     expect(await readAll(body, 10_000_000)).toEqual(all);
   });
 
+  it('keeps the order of what arrives while its reader handles lines, and loses none when the body ends then', async () => {
+    const all = Array.from({ length: 300 }, (_, index) => `line ${String(index)}`);
+    const body = new PassThrough();
+    const write = async (text: string): Promise<void> => {
+      if (text === '') return void body.end();
+      body.write(text.slice(0, PART_LENGTH));
+      await sleep(1);
+      return write(text.slice(PART_LENGTH));
+    };
+    const written = write(all.join('\n'));
+    const held = new RequestBodies(new BufferBudget(BUDGET_BYTES)).open();
+    const lines: string[] = [];
+    for await (const line of new BodyLines(body, MAX_LINE_BYTES, held).read()) {
+      lines.push(line.ok ? line.value : line.error);
+      if (lines.length % 5 === 0) await sleep(4);
+    }
+    await written;
+    expect(lines).toEqual(all);
+  });
+
   it('ends when the body is given up, and when its connection closes', async () => {
     expect(await readAll(partsOf('a\n'.repeat(1_000), [100]), 10)).toEqual([`fault ${LineFault.noMemory}`]);
     const body = new PassThrough();
--- a/packages/ingress/src/body-lines.ts
+++ b/packages/ingress/src/body-lines.ts
@@ -20,6 +20,8 @@
   private bytes = 0;
   private hasLineFeed = false;
   private hasEnded = false;
+  /** Whether all lines, or the fault, have been read. */
+  private isOver = false;
   private fault: LineFault | undefined;
   private wake: () => void = () => undefined;
 
@@ -38,17 +40,10 @@
 
   /** The lines in order. After a fault there are no more. */
   async *read(): AsyncGenerator<Outcome<string, LineFault>> {
-    while (!this.fault) {
+    while (!this.isOver) {
       await this.whenAnyLine();
-      const { lines, rest } = this.fault ? { lines: [], rest: undefined } : this.takeLines();
-      yield* lines;
-      if (rest && rest.length > this.maxLineBytes) this.end(LineFault.tooLong);
-      else if (rest && this.hasEnded) {
-        if (rest.length > 0) yield ok(textOf(rest));
-        return;
-      } else if (rest) this.keep(rest);
+      yield* this.takeLines();
     }
-    yield fail(this.fault);
   }
 
   /** Gives back the memory of the lines so far, which their reader does not keep any more. */
@@ -87,22 +82,33 @@
     if (!isReady) await new Promise<void>((resolve) => (this.wake = resolve));
   }
 
-  /** The whole lines that have arrived, and what follows the last of them. */
-  private takeLines(): { lines: Outcome<string, LineFault>[]; rest: Buffer } {
+  /** Takes the whole lines that have arrived. What follows the last of them is kept before what arrives while they are handled. */
+  private takeLines(): Outcome<string, LineFault>[] {
+    this.isOver = this.hasEnded;
+    if (this.fault) return [fail(this.fault)];
     const all = this.parts.whole();
     this.parts = new BodyParts();
     this.bytes = 0;
     this.hasLineFeed = false;
-    this.body.resume();
     const end = all.lastIndexOf(LINE_FEED);
-    const lines = end < 0 ? [] : all.subarray(0, end).toString('latin1').split('\n');
-    return {
-      lines: lines.map((line) => ok(textOf(Buffer.from(line, 'latin1')))),
-      rest: all.subarray(end + 1),
-    };
+    const rest = all.subarray(end + 1);
+    const lines = end < 0 ? [] : linesOf(all.subarray(0, end));
+    if (this.hasEnded) return rest.length > 0 ? [...lines, ok(textOf(rest))] : lines;
+    this.keep(rest);
+    if (rest.length > this.maxLineBytes) this.end(LineFault.tooLong);
+    else this.body.resume();
+    return lines;
   }
 }
 
+/** The lines of bytes that hold whole lines only; a byte that is part of a character is never a line feed. */
+function linesOf(bytes: Buffer): Outcome<string, LineFault>[] {
+  return bytes
+    .toString('latin1')
+    .split('\n')
+    .map((line) => ok(textOf(Buffer.from(line, 'latin1'))));
+}
+
 function textOf(line: Buffer): string {
   return line.toString('utf8').replace(/\r$/, '');
 }
