Keep no place of fighub-entry for a request that is not whole

Callers of fighub-entry that sent the heads of requests and a byte of their bodies held all places until the time limit of a body, 60 s, and everybody else was refused: a request counted as open, and its connection as one that is not closed for another, from its head on. It counts from its end, as in fighub-node.

Found while the changes were read again. The new test (900 such callers, an ordinary request beside them) had no answer within 60 s before and passes.

--- a/packages/entry/src/ingress/http-server.ts
+++ b/packages/entry/src/ingress/http-server.ts
@@ -259,7 +259,8 @@
         return;
       }
       holdBody(req, res, this.bodies.open());
-      this.connections.keepUntilAnswered(req.socket, res);
+      // A request that is not whole may lose its connection to another one.
+      req.once('end', () => this.connections.keepUntilAnswered(req.socket, res));
       // A handler may throw before it returns a promise.
       new Promise<void>((resolve) => resolve(handler(req, res, caller.value)))
         .catch((error: unknown) => {
--- a/packages/lab/src/uncontrolled-callers.isolated.test.ts
+++ b/packages/lab/src/uncontrolled-callers.isolated.test.ts
@@ -82,6 +82,11 @@
     await expectService();
   });
 
+  it('and are as many as connections are served', async () => {
+    await sendBodies(900, '/v1/completions', chunks(1, 1));
+    await expectService();
+  });
+
   it('and belong to requests that need no body', async () => {
     await sendBodies(300, '/v1/jobs/none/cancel', chunks(60_000, 1));
     await expectService();
