Return no heartbeats before the proof of an instance

Anybody who reached the address between instances could send heartbeats without the secret and got each of them back. One that did not read let the process queue them without a bound, until the time limit of the handshake.

Cause: a heartbeat was handled before it was asked whether the handshake had succeeded. It ends the connection now, like any other message that comes too early.

Found while the change was read again.

--- a/packages/peers/src/peer-connection.test.ts
+++ b/packages/peers/src/peer-connection.test.ts
@@ -4,6 +4,7 @@
 import { Metrics } from '@fighub/core';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
+import { FrameKind, encodeFrame } from './frame.js';
 import { HANDSHAKE_TIMEOUT_MS, HEARTBEAT_PERIOD_MS, SILENCE_LIMIT_MS } from './peer-connection.js';
 import { PeerFailure } from './peer-messages.js';
 import { PeerNode } from './peer-node.js';
@@ -156,6 +157,24 @@
     expect(closed).not.toHaveBeenCalled();
   });
 
+  it('returns nothing to a stranger that sends heartbeats, which would fill the memory if it did not read', async () => {
+    const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
+    const port = await accepting.listen();
+    const stranger = connect(port, '127.0.0.1');
+    nodes = {
+      stop: () => {
+        stranger.destroy();
+        [dialling, accepting].forEach((node) => node.close());
+      },
+    } as ProxiedNodes;
+    let received = '';
+    stranger.on('data', (bytes) => (received += bytes.toString('latin1')));
+    stranger.on('error', () => undefined);
+    stranger.write(encodeFrame({ kind: FrameKind.heartbeat, body: 'text of the stranger' }));
+    await vi.waitUntil(() => stranger.destroyed, WAIT);
+    expect(received).not.toContain('text of the stranger');
+  });
+
   it('is not opened any more once its node is closed', async () => {
     const [dialling, accepting] = [newNode('dialling'), newNode('accepting')];
     nodes = { stop: () => [dialling, accepting].forEach((node) => node.close()) } as ProxiedNodes;
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -153,7 +153,7 @@
     if (this.closed) return;
     if (this.unconfirmed?.kind === ANSWER_TO[frame.kind] && this.unconfirmed?.callId === frame.callId)
       this.unconfirmed = undefined;
-    if (frame.kind === FrameKind.heartbeat) {
+    if (this.ready && frame.kind === FrameKind.heartbeat) {
       if (!this.dialled) this.send(frame);
       return;
     }
