Choose the connection that is parsed next in constant time

They are kept by levels of the work that they have taken lately; the first of the lowest level comes next. Found while the change was read again.

--- a/packages/decisions/src/read-turns.ts
+++ b/packages/decisions/src/read-turns.ts
@@ -11,6 +11,11 @@
 /** The next slice of a connection is twice as long after one that took less than this, and a short one after one that took more. */
 const CHEAP_SLICE_MS = 0.25;
 const COSTLY_SLICE_MS = 1;
+/**
+ * Connections that have taken up to as much work lately are alike, and come in order of arrival. The choice of the next one then takes no
+ * longer with more of them.
+ */
+const LEVELS_MS = [1, 4, 16, 64, Number.POSITIVE_INFINITY] as const;
 /** Time in which the work that a connection has taken counts half. */
 const HALF_LIFE_MS = 1_000;
 
@@ -24,7 +29,8 @@
 
 /** The connections that have bytes to be parsed. Those that have taken the least work lately come first. */
 export class ReadTurns<Connection extends object> {
-  private readonly waiting = new Set<Connection>();
+  /** Those that wait, by the level of the work that they had taken by then. */
+  private readonly waiting = LEVELS_MS.map(() => new Set<Connection>());
   private readonly known = new WeakMap<Connection, ConnectionWork>();
   private turnWorkMs = 0;
 
@@ -34,7 +40,7 @@
   }
 
   get isWaiting(): boolean {
-    return this.waiting.size > 0;
+    return this.waiting.some(({ size }) => size > 0);
   }
 
   /** Begins a turn, after other events of the process have been handled. */
@@ -43,21 +49,17 @@
   }
 
   /** Records that a connection has bytes to be parsed. */
-  wait(connection: Connection): void {
-    this.waiting.add(connection);
+  wait(connection: Connection, nowMs: number): void {
+    if (this.waiting.some((level) => level.has(connection))) return;
+    const workMs = this.recentWorkMs(connection, nowMs);
+    this.waiting[LEVELS_MS.findIndex((maxMs) => workMs <= maxMs)]?.add(connection);
   }
 
   /** The connection whose bytes are parsed next, which does not wait any more; undefined if none waits. */
-  next(nowMs: number): Connection | undefined {
-    const first = [...this.waiting].reduce<{ connection: Connection; workMs: number } | undefined>(
-      (least, connection) => {
-        const workMs = this.recentWorkMs(connection, nowMs);
-        return least && least.workMs <= workMs ? least : { connection, workMs };
-      },
-      undefined,
-    );
-    if (first) this.waiting.delete(first.connection);
-    return first?.connection;
+  next(): Connection | undefined {
+    const [first] = this.waiting.find(({ size }) => size > 0) ?? [];
+    if (first) this.forget(first);
+    return first;
   }
 
   /** Bytes of a connection that are parsed at a time. */
@@ -75,7 +77,7 @@
 
   /** Forgets a connection that has closed. */
   forget(connection: Connection): void {
-    this.waiting.delete(connection);
+    this.waiting.forEach((level) => level.delete(connection));
   }
 
   private recentWorkMs(connection: Connection, nowMs: number): number {
--- a/packages/ingress/src/input-pacer.ts
+++ b/packages/ingress/src/input-pacer.ts
@@ -50,7 +50,7 @@
     this.isScheduled = false;
     this.turns.beginTurn();
     while (this.turns.mayContinue) {
-      const input = this.turns.next(performance.now());
+      const input = this.turns.next();
       if (!input) return;
       input.passOn();
     }
@@ -140,7 +140,7 @@
 
   private waitForTurn(): void {
     if (!this.unread || !this.isWanted || this.isHeld) return;
-    this.turns.wait(this);
+    this.turns.wait(this, performance.now());
     this.schedule();
   }
 
