--- a/packages/ingress/src/connection-guard.ts
+++ b/packages/ingress/src/connection-guard.ts
@@ -94,12 +94,17 @@
     const belongsToFirst = first !== undefined && !first.req.complete && !first.headersSent;
     const mayAnswer = others.length === 0 && (first === undefined || belongsToFirst);
     const status = PARSE_ERROR_STATUS[error.code ?? ''] ?? BAD_REQUEST;
+    this.record('request_not_parsed', { code: error.code, answered: mayAnswer });
     if (error.code !== 'ECONNRESET' && socket.writable && mayAnswer)
       socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
     socket.destroy();
   }
 
-  private record(event: string): void {
-    this.log.record(LogCategory.failure, event, { server: this.name, open: this.ledger.openCount });
+  private record(event: string, fields: Readonly<Record<string, unknown>> = {}): void {
+    this.log.record(LogCategory.failure, event, {
+      server: this.name,
+      open: this.ledger.openCount,
+      ...fields,
+    });
   }
 }
--- a/packages/ingress/src/request-bodies.ts
+++ b/packages/ingress/src/request-bodies.ts
@@ -1,12 +1,9 @@
 /** The memory that the bodies of all requests of a process take while they arrive and are handled. */
+import type { BufferBudget } from '@fighub/decisions';
 import { IncompleteBodies } from '@fighub/decisions';
 
-/** Memory of a fixed size. */
-export interface ByteBudget {
-  /** Takes bytes; returns false, and takes nothing, if there is no room for them. */
-  take(bytes: number): boolean;
-  release(bytes: number): void;
-}
+/** What bodies need of a budget. */
+type ByteBudget = Pick<BufferBudget, 'take' | 'release'>;
 
 /** Divides a budget among bodies. A body that is still arriving may be given up for another one. */
 export class RequestBodies {
